--- /dev/null
+++ b/mothshunt/access/__init__.py
@@ -0,0 +1,1 @@
+"""Operators, their tokens and their roles."""
--- /dev/null
+++ b/mothshunt/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API."""
--- /dev/null
+++ b/mothshunt/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration and its delivery to every instance."""
--- /dev/null
+++ b/mothshunt/configuration/model.py
@@ -0,0 +1,58 @@
+"""The replicated configuration as the other slices see it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from mothshunt.contract.model import Contract
+from mothshunt.core.types import CustomerId, InstanceId, Revision
+from mothshunt.drain.model import Drain, DrainSet
+from mothshunt.membership.model import InstanceRecord
+
+
+#: Revision of a configuration that holds no change.
+NO_REVISION = Revision(0)
+
+
+class Section(Enum):
+    """Kind of a configuration item."""
+
+    CONTRACT = "contract"
+    DRAIN = "drain"
+    INSTANCE = "instance"
+    OPERATOR = "operator"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ItemKey:
+    """Name a configuration item.
+
+    :param section: Kind of the item.
+    :param name: Customer, ``kind:name`` of a drain, instance or operator.
+    """
+
+    section: Section
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """Hold the configuration at one revision, decoded.
+
+    :param revision: Revision of the last change that is held.
+    """
+
+    revision: Revision = NO_REVISION
+    contract_by_customer: Mapping[CustomerId, Contract] = field(default_factory=dict)
+    drain_by_name: Mapping[str, Drain] = field(default_factory=dict)
+    instance_by_id: Mapping[InstanceId, InstanceRecord] = field(default_factory=dict)
+    drains: DrainSet = field(default_factory=DrainSet)
+
+
+class ConfigurationSource(Protocol):
+    """Give the configuration in force at this instance."""
+
+    def current(self) -> Configuration:
+        """Return the configuration in force; one object per revision."""
+        ...
--- /dev/null
+++ b/mothshunt/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log kept by the control instances."""
--- /dev/null
+++ b/mothshunt/contract/__init__.py
@@ -0,0 +1,1 @@
+"""The contract that operators write for each customer."""
--- /dev/null
+++ b/mothshunt/core/__init__.py
@@ -0,0 +1,1 @@
+"""Types, codes and wiring that every slice plugs into."""
--- /dev/null
+++ b/mothshunt/core/codes.py
@@ -0,0 +1,57 @@
+"""Numbered result codes; each slice defines its own in its ``codes`` module.
+
+Number ranges: 1000 settings, 1100 peer streams, 2000 dispatch, 2100 lookup,
+2200 steering, 2300 limits, 2400 ledger, 2500 drain, 2600 discovery, 3000 admin,
+3100 contract, 3200 access, 4000 consensus, 4100 configuration, 4200 membership.
+"""
+
+from dataclasses import dataclass
+
+from mothshunt.core.types import Ran
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResultCode:
+    """Describe one kind of refusal or error.
+
+    :param number: Unique number, stable between releases.
+    :param name: Unique name in snake case; the label of its counter.
+    :param http_status: Status of an HTTP answer that carries this code.
+    :param summary: What happened, in one sentence.
+    :param action: What the reader can do about it, in one sentence.
+    """
+
+    number: int
+    name: str
+    http_status: int
+    summary: str
+    action: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failure:
+    """Carry a result code with the details of one occurrence.
+
+    :param code: Kind of the failure.
+    :param detail: Text for a person; never parsed.
+    :param path: Place of the fault in a document, such as ``/listen/traffic/port``.
+    :param ran: Whether the request in question may have been run by a target.
+    :param retry_after_s: Seconds after which the caller may try again.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    path: str = ""
+    ran: Ran = Ran.NO
+    retry_after_s: float | None = None
+
+
+class MothshuntError(Exception):
+    """Raise a failure where an exception is the only way out.
+
+    :param failure: The failure that was met.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(f"{failure.code.number} {failure.code.name}: {failure.detail}")
+        self.failure = failure
--- /dev/null
+++ b/mothshunt/core/types.py
@@ -0,0 +1,60 @@
+"""Identifiers and enumerations that several slices use."""
+
+from enum import Enum
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+CustomerId = NewType("CustomerId", str)
+ServiceName = NewType("ServiceName", str)
+RegionId = NewType("RegionId", str)
+AvailabilityZoneId = NewType("AvailabilityZoneId", str)
+TargetId = NewType("TargetId", str)
+OperatorId = NewType("OperatorId", str)
+ChangeId = NewType("ChangeId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+
+#: Index in the replicated log of the last change that a configuration holds.
+Revision = NewType("Revision", int)
+#: Grows each time a process with the same identifier starts again.
+Incarnation = NewType("Incarnation", int)
+#: Election term of the replicated log.
+Term = NewType("Term", int)
+#: Position in the replicated log; the first entry has index 1.
+LogIndex = NewType("LogIndex", int)
+
+
+class Role(Enum):
+    """Duty of an instance, set in its settings."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class Ran(Enum):
+    """Whether a request that got no answer from a target was run by one."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class Weighs(Enum):
+    """What a customer's contract prefers when a choice is a trade."""
+
+    LATENCY = "latency"
+    HEADROOM = "headroom"
+
+
+class TargetState(Enum):
+    """State that a target announces for itself."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class InstanceState(Enum):
+    """State that an instance reports for itself."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
--- /dev/null
+++ b/mothshunt/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process."""
--- /dev/null
+++ b/mothshunt/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that announced themselves."""
--- /dev/null
+++ b/mothshunt/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of a request to a target and of its answer to the caller."""
--- /dev/null
+++ b/mothshunt/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Drains of targets, instances, availability zones and regions."""
--- /dev/null
+++ b/mothshunt/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Asynchronous building blocks that several slices share."""
--- /dev/null
+++ b/mothshunt/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Durable record of idempotency keys."""
--- /dev/null
+++ b/mothshunt/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Leased shares of the limits that a contract sets."""
--- /dev/null
+++ b/mothshunt/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Answers to callers that ask which entry instances to use."""
--- /dev/null
+++ b/mothshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances of the deployment: which exist and which are reachable."""
--- /dev/null
+++ b/mothshunt/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and latency histograms."""
--- /dev/null
+++ b/mothshunt/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance, read from a JSON file."""
--- /dev/null
+++ b/mothshunt/settings/config.py
@@ -0,0 +1,200 @@
+"""Settings of one instance."""
+
+import ipaddress
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from expression import Error, Ok, Result
+from pydantic import ConfigDict, Field
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.const import ID_PATTERN
+from mothshunt.core.types import AvailabilityZoneId, InstanceId, RegionId, Role
+from mothshunt.settings import codes
+from mothshunt.util import schema
+
+_STRICT = ConfigDict(extra="forbid")
+
+MIN_KEY_LENGTH = 16
+MAX_CONTROL_INSTANCES = 7
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+Name = Annotated[str, Field(pattern=ID_PATTERN)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Address:
+    """Name a TCP address.
+
+    :param host: IP number.
+    :param port: TCP port.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    host: str
+    port: Port
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceSettings:
+    """Say which instance this is.
+
+    :param id: Unique name in the deployment.
+    :param region: Region that the instance runs in.
+    :param availability_zone: Availability zone that the instance runs in.
+    :param roles: Duties of the instance.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    id: Annotated[InstanceId, Field(pattern=ID_PATTERN)]
+    region: Annotated[RegionId, Field(pattern=ID_PATTERN)]
+    availability_zone: Annotated[AvailabilityZoneId, Field(pattern=ID_PATTERN)]
+    roles: Annotated[tuple[Role, ...], Field(min_length=1)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListenSettings:
+    """Say where the instance listens.
+
+    :param traffic: HTTP for callers and targets; needed by the role ``entry``.
+    :param admin: HTTP for the administration API, metrics and health.
+    :param peer: Streams between instances.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    traffic: Address | None = None
+    admin: Address
+    peer: Address
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ControlPeer:
+    """Name one control instance.
+
+    :param id: Name of the instance.
+    :param host: IP number of its peer streams.
+    :param port: TCP port of its peer streams.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    id: Annotated[InstanceId, Field(pattern=ID_PATTERN)]
+    host: str
+    port: Port
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """Hold all settings of one instance.
+
+    :param instance: Which instance this is.
+    :param listen: Where it listens.
+    :param control: Control instances to reach at the start.
+    :param deployment_key: Secret that all instances of a deployment share.
+    :param data_folder: Folder for durable state; needed by the role ``control``.
+    :param bootstrap_token_sha256: Hash of the token of the first administrator,
+        in hexadecimal digits; needed by the role ``control``.
+    :param log_level: Least severity that is logged.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    instance: InstanceSettings
+    listen: ListenSettings
+    control: Annotated[
+        tuple[ControlPeer, ...], Field(min_length=1, max_length=MAX_CONTROL_INSTANCES)
+    ]
+    deployment_key: Annotated[str, Field(min_length=MIN_KEY_LENGTH, max_length=256)]
+    data_folder: str | None = None
+    bootstrap_token_sha256: Annotated[str | None, Field(pattern=r"^[0-9a-f]{64}$")] = (
+        None
+    )
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+
+    @classmethod
+    def from_file(cls, path: Path) -> Result["Settings", tuple[Failure, ...]]:
+        """Read and check a settings file.
+
+        :param path: The JSON file.
+        :return: The settings, or every fault found with its path in the file.
+        """
+        try:
+            text = path.read_bytes()
+        except OSError as error:
+            detail = f"{path}: {error.strerror}"
+            return Error((Failure(code=codes.UNREADABLE, detail=detail),))
+        return cls.from_text(text)
+
+    @classmethod
+    def from_text(cls, text: bytes) -> Result["Settings", tuple[Failure, ...]]:
+        """Read and check settings.
+
+        :param text: JSON text in UTF-8.
+        :return: The settings, or every fault found with its path in the text.
+        """
+        match schema.from_json(cls, text):
+            case Result(tag="ok", ok=settings):
+                failures = tuple(_contradictions(settings))
+                return Error(failures) if failures else Ok(settings)
+            case Result(error=faults):
+                return Error(
+                    tuple(
+                        Failure(
+                            code=codes.INVALID, path=fault.path, detail=fault.problem
+                        )
+                        for fault in faults
+                    )
+                )
+
+    def has_role(self, role: Role) -> bool:
+        """Tell whether the instance has a role.
+
+        :param role: The role asked for.
+        """
+        return role in self.instance.roles
+
+
+def _contradictions(settings: Settings) -> Iterator[Failure]:
+    yield from _address_faults(settings)
+    if settings.has_role(Role.ENTRY) and settings.listen.traffic is None:
+        yield _inconsistent("/listen/traffic", "the role entry needs this address")
+    if not settings.has_role(Role.CONTROL):
+        return
+    if settings.data_folder is None:
+        yield _inconsistent("/data_folder", "the role control needs a folder")
+    if settings.bootstrap_token_sha256 is None:
+        yield _inconsistent("/bootstrap_token_sha256", "the role control needs it")
+
+
+def _address_faults(settings: Settings) -> Iterator[Failure]:
+    host_by_path = {
+        "/listen/admin/host": settings.listen.admin.host,
+        "/listen/peer/host": settings.listen.peer.host,
+    }
+    if settings.listen.traffic is not None:
+        host_by_path["/listen/traffic/host"] = settings.listen.traffic.host
+    for index, peer in enumerate(settings.control):
+        host_by_path[f"/control/{index}/host"] = peer.host
+    for path, host in host_by_path.items():
+        if not _is_ip_number(host):
+            yield _inconsistent(path, "not an IP number")
+    ids = [peer.id for peer in settings.control]
+    if len(set(ids)) != len(ids):
+        yield _inconsistent("/control", "an instance is named twice")
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _inconsistent(path: str, detail: str) -> Failure:
+    return Failure(code=codes.INCONSISTENT, path=path, detail=detail)
--- /dev/null
+++ b/mothshunt/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for each request."""
--- /dev/null
+++ b/mothshunt/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions that several slices share."""
--- /dev/null
+++ b/mothshunt/util/schema.py
@@ -0,0 +1,95 @@
+"""Checked conversion between documents and frozen dataclasses."""
+
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+from pydantic import TypeAdapter, ValidationError
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """Name one fault in a document.
+
+    :param path: Place in the document, such as ``/regions/0/capacity``.
+    :param problem: What is wrong there.
+    """
+
+    path: str
+    problem: str
+
+
+_ADAPTER_BY_CLASS: dict[type[Any], TypeAdapter[Any]] = {}
+
+
+def _adapter(cls: type[T]) -> TypeAdapter[T]:
+    adapter = _ADAPTER_BY_CLASS.get(cls)
+    if adapter is None:
+        adapter = _ADAPTER_BY_CLASS.setdefault(cls, TypeAdapter(cls))
+    return adapter
+
+
+def from_json(cls: type[T], text: bytes | str) -> Result[T, tuple[Fault, ...]]:
+    """Read a JSON text as an instance of a dataclass, with every fault named.
+
+    :param cls: Dataclass to read.
+    :param text: The JSON text.
+    :return: The instance, or all faults found.
+    """
+    try:
+        return Ok(_adapter(cls).validate_json(text))
+    except ValidationError as error:
+        return Error(_faults(error))
+
+
+def from_plain(cls: type[T], document: object) -> Result[T, tuple[Fault, ...]]:
+    """Convert dictionaries and lists to an instance of a dataclass.
+
+    :param cls: Dataclass to read.
+    :param document: Plain data, as a JSON or msgpack decoder gives it.
+    :return: The instance, or all faults found.
+    """
+    try:
+        return Ok(_adapter(cls).validate_python(document))
+    except ValidationError as error:
+        return Error(_faults(error))
+
+
+def to_plain(value: object) -> Any:
+    """Convert a dataclass to dictionaries and lists, with enumerations as values.
+
+    :param value: Instance of a dataclass.
+    :return: Plain data that a msgpack or JSON encoder takes.
+    """
+    return _adapter(type(value)).dump_python(value, mode="python")
+
+
+def to_json(value: object, *, indent: int | None = None) -> bytes:
+    """Write a dataclass as JSON text.
+
+    :param value: Instance of a dataclass.
+    :param indent: Spaces of indentation; ``None`` writes one line.
+    :return: The JSON text in UTF-8.
+    """
+    return _adapter(type(value)).dump_json(value, indent=indent)
+
+
+def json_schema(cls: type[Any]) -> dict[str, Any]:
+    """Return the JSON schema of a dataclass.
+
+    :param cls: Dataclass to describe.
+    :return: The schema document.
+    """
+    return _adapter(cls).json_schema()
+
+
+def _faults(error: ValidationError) -> tuple[Fault, ...]:
+    return tuple(
+        Fault(
+            path="/" + "/".join(str(part) for part in item["loc"]),
+            problem=item["msg"],
+        )
+        for item in error.errors(include_url=False)
+    )
--- /dev/null
+++ b/mothshunt/util/wire.py
@@ -0,0 +1,119 @@
+"""Encoding of typed messages between instances with msgpack."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, TypeVar
+
+import msgpack
+from expression import Error, Ok, Result
+
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.util import schema
+
+WIRE_VERSION = 1
+
+T = TypeVar("T")
+
+BAD_MESSAGE = ResultCode(
+    number=1104,
+    name="bad_message",
+    http_status=400,
+    summary="A message from a peer could not be decoded.",
+    action="Check that all instances run the same release.",
+)
+
+_CLASS_BY_KIND: dict[str, type[Any]] = {}
+_KIND_BY_CLASS: dict[type[Any], str] = {}
+
+
+def message(kind: str) -> Callable[[type[T]], type[T]]:
+    """Register a frozen dataclass as a message between instances.
+
+    :param kind: Unique name, ``slice.message``.
+    :return: The class decorator.
+    """
+
+    def register(cls: type[T]) -> type[T]:
+        if kind in _CLASS_BY_KIND:
+            raise ValueError(f"message kind {kind} is registered twice")
+        _CLASS_BY_KIND[kind] = cls
+        _KIND_BY_CLASS[cls] = kind
+        return cls
+
+    return register
+
+
+def kind_of(value: object) -> str:
+    """Return the registered kind of a message.
+
+    :param value: Instance of a registered class.
+    :return: Its kind.
+    """
+    return _KIND_BY_CLASS[type(value)]
+
+
+def to_wire(value: object) -> list[Any]:
+    """Convert a message to ``[kind, body]``.
+
+    :param value: Instance of a registered class.
+    :return: Plain data for msgpack.
+    """
+    return [kind_of(value), schema.to_plain(value)]
+
+
+def from_wire(document: object) -> Result[Any, Failure]:
+    """Convert ``[kind, body]`` to a message.
+
+    :param document: Plain data from msgpack.
+    :return: The message, or a failure with code 1104.
+    """
+    if not isinstance(document, list) or len(document) != 2:
+        return Error(Failure(code=BAD_MESSAGE, detail="not a pair of kind and body"))
+    kind, body = document
+    cls = _CLASS_BY_KIND.get(kind) if isinstance(kind, str) else None
+    if cls is None:
+        return Error(Failure(code=BAD_MESSAGE, detail=f"unknown kind {kind!r:.80}"))
+    match schema.from_plain(cls, body):
+        case Result(tag="ok", ok=value):
+            return Ok(value)
+        case Result(error=faults):
+            first = faults[0]
+            detail = f"{kind} {first.path}: {first.problem}"
+            return Error(Failure(code=BAD_MESSAGE, detail=detail))
+
+
+def pack(value: object) -> bytes:
+    """Encode a message to bytes.
+
+    :param value: Instance of a registered class.
+    :return: msgpack bytes.
+    """
+    return pack_plain(to_wire(value))
+
+
+def pack_plain(document: object) -> bytes:
+    """Encode plain data to bytes, with enumerations as their values.
+
+    :param document: Dictionaries, lists and scalars.
+    :return: msgpack bytes.
+    """
+    return bytes(msgpack.packb(document, use_bin_type=True, default=_plain_scalar))
+
+
+def unpack(data: bytes) -> Result[Any, Failure]:
+    """Decode bytes to a message.
+
+    :param data: msgpack bytes.
+    :return: The message, or a failure with code 1104.
+    """
+    try:
+        document = msgpack.unpackb(data, raw=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        return Error(Failure(code=BAD_MESSAGE, detail=str(error)[:80]))
+    return from_wire(document)
+
+
+def _plain_scalar(value: object) -> object:
+    if isinstance(value, Enum):
+        return value.value
+    raise TypeError(f"cannot encode {type(value).__name__}")
