Add JSON-lines logs and the connection to control

absl's handlers get a formatter that writes one JSON object a line with the instance, the slice and the fields of the call. Its warning about unparsed flags is avoided by marking them parsed, as the programs use argparse.

--- a/mothshunt/configuration/model.py
+++ b/mothshunt/configuration/model.py
@@ -10,7 +10,6 @@
 from mothshunt.drain.model import Drain, DrainSet
 from mothshunt.membership.model import InstanceRecord
 
-
 #: Revision of a configuration that holds no change.
 NO_REVISION = Revision(0)
 
--- a/mothshunt/core/network.py
+++ b/mothshunt/core/network.py
@@ -64,3 +64,22 @@
     def connected(self) -> frozenset[InstanceId]:
         """Return the peers that a stream leads to now."""
         ...
+
+
+class ControlConnection(Protocol):
+    """Ask the control instances, wherever this instance's stream leads."""
+
+    async def async_ask(
+        self, message: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a request to one reachable control instance and wait for its answer.
+
+        On a control instance the request is handled locally. The handler may be on
+        a follower, which forwards to the leader where that is needed.
+
+        :param message: A registered message.
+        :param timeout_s: Seconds to wait.
+        :return: The answer; or code 1105 when no control instance has seen the
+            message; or code 1106 when one may have seen it.
+        """
+        ...
--- /dev/null
+++ b/mothshunt/helpers/log.py
@@ -0,0 +1,116 @@
+"""Logs as JSON lines, written through ``absl.logging``."""
+
+import json
+import logging as std_logging
+import sys
+import time
+from typing import Any
+
+from absl import flags, logging
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import InstanceId, RequestId
+
+
+class SliceLogger:
+    """Write log lines of one slice.
+
+    :param slice_name: Name of the slice, a field of each line.
+    """
+
+    def __init__(self, slice_name: str) -> None:
+        self._slice_name = slice_name
+
+    def debug(self, text: str, **fields: Any) -> None:
+        """Log what only a developer needs."""
+        self._log(std_logging.DEBUG, text, fields)
+
+    def info(self, text: str, **fields: Any) -> None:
+        """Log what an operator may want to know."""
+        self._log(std_logging.INFO, text, fields)
+
+    def warning(self, text: str, **fields: Any) -> None:
+        """Log what an operator should look at."""
+        self._log(std_logging.WARNING, text, fields)
+
+    def error(self, text: str, **fields: Any) -> None:
+        """Log what an operator must look at."""
+        self._log(std_logging.ERROR, text, fields)
+
+    def failure(
+        self, text: str, failure: Failure, request_id: RequestId | None = None
+    ) -> None:
+        """Log a failure with its code.
+
+        :param text: What was being done.
+        :param failure: The failure.
+        :param request_id: Request that met it, where there is one.
+        """
+        self.warning(
+            text,
+            code=failure.code.number,
+            code_name=failure.code.name,
+            detail=failure.detail,
+            path=failure.path,
+            request_id=request_id,
+        )
+
+    def _log(self, level: int, text: str, fields: dict[str, Any]) -> None:
+        logger = logging.get_absl_logger()
+        if logger.isEnabledFor(level):
+            extra = {"mothshunt": {"slice": self._slice_name, **fields}}
+            logger.log(level, "%s", text, extra=extra)
+
+
+class JsonLineFormatter(std_logging.Formatter):
+    """Format log records as one JSON object a line.
+
+    :param instance: Name of this instance, a field of each line.
+    """
+
+    def __init__(self, instance: InstanceId) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line for one record.
+
+        :param record: What was logged.
+        """
+        line: dict[str, Any] = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "instance": self._instance,
+            "slice": "process",
+            "text": record.getMessage(),
+        }
+        fields = getattr(record, "mothshunt", {})
+        line.update({key: value for key, value in fields.items() if value is not None})
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def set_up(instance: InstanceId, level: str) -> None:
+    """Send all logs of the process to standard error as JSON lines.
+
+    :param instance: Name of this instance.
+    :param level: Least severity that is logged.
+    """
+    # absl warns on every first line until its own flags count as parsed.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.setFormatter(JsonLineFormatter(instance))
+    handler.python_handler.stream = sys.stderr
+    handler.python_handler.setFormatter(JsonLineFormatter(instance))
+    logging.set_verbosity(level)
+
+
+def get_logger(slice_name: str) -> SliceLogger:
+    """Return the logger of a slice.
+
+    :param slice_name: Name of the slice.
+    """
+    return SliceLogger(slice_name)
