Add streams between instances, configuration delivery, presence and discovery

Each is a pure part with a task around it. Configuration items carry their own revision, so the items that changed since any revision are known without keeping deltas; a digest finds a copy that differs. An instance's incarnation is the log index of its join, so no wall clock orders it. Rows of targets are ordered by incarnation and state.

Weighed for presence: a mesh of entries (rejected, 890 streams each) and the replicated log (rejected, a sync for each change of load). Taken: reports to one control instance, which passes on only what changes.

--- /dev/null
+++ b/mothshunt/configuration/coordinator.py
@@ -0,0 +1,85 @@
+"""Changes and confirmed reads of the configuration at a control instance."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from mothshunt.configuration import codes
+from mothshunt.configuration.messages import Change, ChangeOutcome
+from mothshunt.configuration.model import ItemKey, Section
+from mothshunt.configuration.service import AuditRecord, Item
+from mothshunt.configuration.state import ReplicatedConfiguration
+from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import ChangeId, Ran
+from mothshunt.util import wire
+
+
+@dataclass(slots=True, eq=False)
+class ConfigurationCoordinator:
+    """Implement ``ConfigurationService`` over the replicated log.
+
+    :param state: The replicated configuration.
+    :param log: The replicated log that it is applied from.
+    """
+
+    state: ReplicatedConfiguration
+    log: ReplicatedLog
+
+    async def async_submit(
+        self, change: Change, timeout_s: float
+    ) -> Result[ChangeOutcome, Failure]:
+        """Have a change committed; see ``ConfigurationService``."""
+        match await self.async_propose(change, timeout_s):
+            case Result(tag="ok", ok=ChangeOutcome() as outcome):
+                return Ok(outcome)
+            case Result(tag="ok", ok=other):
+                return _bad_outcome(other)
+            case Result(error=failure):
+                return Error(failure)
+
+    async def async_propose(
+        self, command: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Have a command of this slice committed.
+
+        :param command: A command of ``ReplicatedConfiguration``.
+        :param timeout_s: Seconds to wait.
+        :return: Its outcome, a registered message.
+        """
+        match await self.log.async_propose(wire.pack(command), timeout_s):
+            case Result(tag="ok", ok=answer):
+                return wire.unpack(answer)
+            case Result(error=failure):
+                return Error(failure)
+
+    async def async_find(
+        self, change_id: ChangeId, timeout_s: float
+    ) -> Result[ChangeOutcome | None, Failure]:
+        """Return what became of a change; see ``ConfigurationService``."""
+
+        def read() -> ChangeOutcome | None:
+            remembered = self.state.change_by_id.get(change_id)
+            return None if remembered is None else remembered.outcome
+
+        return (await self.log.async_read_barrier(timeout_s)).map(lambda _: read())
+
+    async def async_items(
+        self, section: Section, timeout_s: float
+    ) -> Result[tuple[Item, ...], Failure]:
+        """Return all present items of a section; see ``ConfigurationService``."""
+        confirmed = await self.log.async_read_barrier(timeout_s)
+        return confirmed.map(lambda _: self.state.store.present(section))
+
+    async def async_audit(
+        self, key: ItemKey | None, limit: int, timeout_s: float
+    ) -> Result[tuple[AuditRecord, ...], Failure]:
+        """Return the newest accepted changes; see ``ConfigurationService``."""
+        confirmed = await self.log.async_read_barrier(timeout_s)
+        return confirmed.map(lambda _: self.state.newest_audit(key, limit))
+
+
+def _bad_outcome(other: Any) -> Result[ChangeOutcome, Failure]:
+    detail = f"{other!r:.120}"
+    return Error(Failure(code=codes.BAD_OUTCOME, detail=detail, ran=Ran.UNKNOWN))
--- a/mothshunt/configuration/messages.py
+++ b/mothshunt/configuration/messages.py
@@ -4,7 +4,13 @@
 from enum import Enum
 
 from mothshunt.configuration.model import ItemKey
-from mothshunt.core.types import ChangeId, InstanceId, OperatorId, Revision
+from mothshunt.core.types import (
+    ChangeId,
+    Incarnation,
+    InstanceId,
+    OperatorId,
+    Revision,
+)
 from mothshunt.membership.model import InstanceRecord
 from mothshunt.util.wire import message
 
@@ -53,6 +59,23 @@
     record: InstanceRecord
 
 
+@message("configuration.joined")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JoinOutcome:
+    """Tell what became of a join.
+
+    :param status: ``accepted`` or ``refused``.
+    :param incarnation: Grows with each join; the log index of this one.
+    :param seat: Number of the instance among those of its region.
+    :param detail: Text for a person.
+    """
+
+    status: ChangeStatus
+    incarnation: Incarnation
+    seat: int
+    detail: str = ""
+
+
 @message("configuration.leave")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LeaveInstance:
--- /dev/null
+++ b/mothshunt/configuration/publisher.py
@@ -0,0 +1,147 @@
+"""Delivery of the configuration by a control instance."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from mothshunt.configuration import const
+from mothshunt.configuration.delivery import (
+    Beat,
+    ConfirmedRevision,
+    ConfirmedRevisionRequest,
+    Delta,
+    Subscribe,
+)
+from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.model import NO_REVISION, Section
+from mothshunt.configuration.service import Item
+from mothshunt.configuration.state import ReplicatedConfiguration
+from mothshunt.configuration.store import ItemStore
+from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.clock import Clock
+from mothshunt.core.network import PeerNetwork
+from mothshunt.core.types import InstanceId, LogIndex, Revision
+
+NEVER_CONFIRMED_AGE_MS = 3_600_000
+
+
+@dataclass(slots=True, eq=False)
+class ConfigurationPublisher:
+    """Push each accepted change to the instances that subscribed here.
+
+    :param state: The replicated configuration.
+    :param log: The replicated log that it is applied from.
+    :param holder: The configuration in force at this instance.
+    :param network: Streams to the subscribers.
+    :param clock: Source of the present time.
+    """
+
+    state: ReplicatedConfiguration
+    log: ReplicatedLog
+    holder: ConfigurationHolder
+    network: PeerNetwork
+    clock: Clock
+    #: Items that are delivered; operators stay at the control instances.
+    delivered: ItemStore = field(default_factory=ItemStore)
+    revision_by_subscriber: dict[InstanceId, Revision] = field(default_factory=dict)
+    confirmed_at: float | None = None
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to deliver."""
+        self.log.on_applied(self._on_applied)
+        self.network.on_message(Subscribe, self._on_subscribe)
+        self.network.on_request(ConfirmedRevisionRequest, self._async_confirm)
+        self._task = asyncio.create_task(self._async_beat())
+
+    async def async_stop(self) -> None:
+        """End delivery."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def confirmed_age_ms(self, now: float) -> int:
+        """Return the time since a majority confirmed this instance, in milliseconds.
+
+        :param now: Monotonic time, in seconds.
+        """
+        if self.confirmed_at is None:
+            return NEVER_CONFIRMED_AGE_MS
+        return int((now - self.confirmed_at) * 1000)
+
+    def forget(self, subscriber: InstanceId) -> None:
+        """Deliver no more to an instance.
+
+        :param subscriber: Name of the instance.
+        """
+        self.revision_by_subscriber.pop(subscriber, None)
+
+    def _on_applied(self, index: LogIndex) -> None:
+        if self.state.store.revision == self.delivered.revision:
+            return
+        for item in self.state.store.changed_since(self.delivered.revision):
+            if item.key.section is not Section.OPERATOR:
+                self.delivered.put(item)
+        self.delivered.revision = self.state.store.revision
+        self.holder.put_in_force(self.delivered)
+        for subscriber in list(self.revision_by_subscriber):
+            self._push(subscriber)
+
+    def _on_subscribe(self, peer: InstanceId, message: Subscribe) -> None:
+        self.revision_by_subscriber[peer] = message.revision
+        if message.is_whole:
+            items = tuple(self.delivered.item_by_key.values())
+            self._post_delta(peer, NO_REVISION, items=items, is_whole=True)
+        else:
+            self._push(peer)
+
+    def _push(self, subscriber: InstanceId) -> None:
+        since = self.revision_by_subscriber[subscriber]
+        items = self.delivered.changed_since(since)
+        self._post_delta(subscriber, since, items=items, is_whole=False)
+
+    def _post_delta(
+        self,
+        subscriber: InstanceId,
+        since: Revision,
+        *,
+        items: tuple[Item, ...],
+        is_whole: bool,
+    ) -> None:
+        delta = Delta(
+            from_revision=since,
+            to_revision=self.delivered.revision,
+            digest=self.delivered.digest,
+            items=items,
+            is_whole=is_whole,
+        )
+        if self.network.post(subscriber, delta):
+            self.revision_by_subscriber[subscriber] = self.delivered.revision
+        else:
+            # It subscribes again when its stream is back.
+            self.forget(subscriber)
+
+    async def _async_confirm(
+        self, peer: InstanceId, message: ConfirmedRevisionRequest
+    ) -> ConfirmedRevision:
+        match await self.log.async_read_barrier(const.CONFIRM_TIMEOUT_S):
+            case Result(tag="ok"):
+                return ConfirmedRevision(revision=self.state.store.revision)
+            case _:
+                return ConfirmedRevision(revision=None)
+
+    async def _async_beat(self) -> None:
+        while True:
+            asked_at = self.clock.monotonic()
+            result = await self.log.async_read_barrier(const.CONFIRM_TIMEOUT_S)
+            if result.is_ok():
+                self.confirmed_at = asked_at
+            beat = Beat(
+                revision=self.delivered.revision,
+                digest=self.delivered.digest,
+                confirmed_age_ms=self.confirmed_age_ms(self.clock.monotonic()),
+            )
+            for subscriber in list(self.revision_by_subscriber):
+                self.network.post(subscriber, beat)
+            await asyncio.sleep(const.BEAT_INTERVAL_S * random.uniform(0.8, 1.2))
--- /dev/null
+++ b/mothshunt/discovery/coordinator.py
@@ -0,0 +1,106 @@
+"""Spread of targets between this instance and its control instance."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.core.clock import Clock
+from mothshunt.core.network import PeerNetwork
+from mothshunt.core.types import InstanceId
+from mothshunt.discovery import const
+from mothshunt.discovery.announcements import Announcements
+from mothshunt.discovery.messages import TargetRow, TargetRows
+from mothshunt.discovery.state import TargetTable
+from mothshunt.membership.model import EntryDirectory
+
+
+@dataclass(slots=True, eq=False)
+class DiscoveryCoordinator:
+    """Tell the others of targets announced here, and learn of theirs.
+
+    :param network: Streams of this instance.
+    :param clock: Source of the present time.
+    :param source: The configuration in force.
+    :param entries: Entry instances that are reachable.
+    :param hub: Returns the control instance that this instance is attached to.
+    :param table: Targets known at this instance.
+    :param announcements: Targets that announced themselves here.
+    """
+
+    network: PeerNetwork
+    clock: Clock
+    source: ConfigurationSource
+    entries: EntryDirectory
+    hub: Callable[[], InstanceId | None]
+    table: TargetTable
+    announcements: Announcements
+    _waiting: list[TargetRow] = field(default_factory=list)
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to spread and to learn."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def on_attach(self, hub: InstanceId) -> None:
+        """Tell a control instance of all targets announced here.
+
+        :param hub: Name of the control instance.
+        """
+        rows = TargetRows(rows=self.announcements.rows())
+        self.network.post(hub, rows)
+
+    def spread_soon(self, row: TargetRow) -> None:
+        """Tell of a changed row with the next batch.
+
+        :param row: The row.
+        """
+        self._waiting.append(row)
+
+    def take(self, rows: TargetRows) -> None:
+        """Take what a control instance tells.
+
+        :param rows: Targets and loads.
+        """
+        now = self.clock.monotonic()
+        for row in rows.rows:
+            if row.owner != self.announcements.own_id:
+                self.table.take(row, now)
+        for load in rows.loads:
+            self.table.take_load(load, now)
+
+    async def _async_run(self) -> None:
+        full_at = 0.0
+        while True:
+            await asyncio.sleep(const.FLUSH_INTERVAL_S)
+            now = self.clock.monotonic()
+            self._waiting.extend(self.announcements.lapse(now))
+            if now >= full_at:
+                # Repairs what a lost stream swallowed.
+                self._waiting.extend(self.announcements.rows())
+                full_at = now + const.FULL_ROWS_INTERVAL_S
+            self._flush(now)
+            self._sweep(now)
+
+    def _flush(self, now: float) -> None:
+        loads = self.announcements.changed_loads(now)
+        for load in loads:
+            self.table.take_load(load, now)
+        hub = self.hub()
+        if hub is None or not (self._waiting or loads):
+            return
+        if self.network.post(hub, TargetRows(rows=tuple(self._waiting), loads=loads)):
+            self._waiting.clear()
+
+    def _sweep(self, now: float) -> None:
+        # Cut off from all control instances, nothing is known of the owners.
+        if self.hub() is None:
+            return
+        reachable = {entry.record.id for entry in self.entries.entries()}
+        if reachable:
+            self.table.sweep(reachable, now)
--- /dev/null
+++ b/mothshunt/discovery/state.py
@@ -0,0 +1,179 @@
+"""Targets that are known at one instance."""
+
+from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass, field
+
+from mothshunt.core.types import (
+    CustomerId,
+    InstanceId,
+    ServiceName,
+    TargetId,
+    TargetState,
+)
+from mothshunt.discovery import const
+from mothshunt.discovery.messages import LoadRow, RowState, TargetRow
+from mothshunt.discovery.model import LoadReport, Target
+
+_RANK_BY_STATE = {RowState.SERVING: 0, RowState.LEAVING: 1, RowState.LEFT: 2}
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceKey:
+    """Name a service of a customer."""
+
+    customer: CustomerId
+    service: ServiceName
+
+
+@dataclass(slots=True)
+class Known:
+    """Hold what is known of a target.
+
+    :param row: The row that counts.
+    :param first_seen_at: Monotonic time at which the incarnation was first heard
+        of, in seconds.
+    :param changed_at: Monotonic time of the last change of state, in seconds.
+    :param report: Last load report.
+    :param owner_lost_at: Monotonic time since which the owner is unreachable.
+    """
+
+    row: TargetRow
+    first_seen_at: float
+    changed_at: float
+    report: LoadReport | None = None
+    owner_lost_at: float | None = None
+
+
+@dataclass(slots=True)
+class TargetTable:
+    """Order news of targets by incarnation and state; implement ``TargetDirectory``."""
+
+    known_by_target: dict[TargetId, Known] = field(default_factory=dict)
+    _targets_by_service: dict[ServiceKey, Sequence[Target]] = field(
+        default_factory=dict
+    )
+
+    def targets(self, customer: CustomerId, service: ServiceName) -> Sequence[Target]:
+        """Return the live targets of a service; see ``TargetDirectory``."""
+        key = ServiceKey(customer, service)
+        targets = self._targets_by_service.get(key)
+        if targets is None:
+            targets = self._targets_by_service[key] = tuple(self._collect(key))
+        return targets
+
+    def take(self, row: TargetRow, now: float) -> bool:
+        """Take a row unless what is known is newer.
+
+        :param row: The row.
+        :param now: Monotonic time, in seconds.
+        :return: Whether anything but the time of hearing changed.
+        """
+        target = row.announcement.target
+        known = self.known_by_target.get(target)
+        if known is not None and not _supersedes(row, known.row):
+            return False
+        if known is not None and _is_same(row, known.row):
+            return False
+        first_seen_at = now
+        if known is not None and _incarnation(known.row) == _incarnation(row):
+            first_seen_at = known.first_seen_at
+        report = known.report if known is not None else None
+        self.known_by_target[target] = Known(row, first_seen_at, now, report)
+        self._forget_cached(known, row)
+        return True
+
+    def take_load(self, load: LoadRow, now: float) -> bool:
+        """Take a load report unless the one held is as new.
+
+        :param load: The report.
+        :param now: Monotonic time, in seconds.
+        """
+        known = self.known_by_target.get(load.target)
+        if known is None or _incarnation(known.row) != load.incarnation:
+            return False
+        measured_at = now - load.load.age_ms / 1000
+        if known.report is not None and known.report.measured_at >= measured_at:
+            return False
+        known.report = LoadReport(
+            in_flight=load.load.in_flight,
+            connections=load.load.connections,
+            measured_at=measured_at,
+        )
+        self._forget_cached(known, known.row)
+        return True
+
+    def sweep(self, reachable: AbstractSet[InstanceId], now: float) -> None:
+        """Drop targets whose owner is lost, and forget those that left long ago.
+
+        :param reachable: Entry instances that are reachable.
+        :param now: Monotonic time, in seconds.
+        """
+        for target, known in list(self.known_by_target.items()):
+            if self._is_over(known, reachable, now):
+                del self.known_by_target[target]
+                self._forget_cached(known, known.row)
+
+    def _is_over(
+        self, known: Known, reachable: AbstractSet[InstanceId], now: float
+    ) -> bool:
+        if known.row.state in (RowState.LEFT, RowState.LAPSED):
+            return now - known.changed_at > const.LEFT_REMEMBERED_S
+        if known.row.owner in reachable:
+            known.owner_lost_at = None
+            return False
+        if known.owner_lost_at is None:
+            known.owner_lost_at = now
+        return now - known.owner_lost_at > const.LEASE_S
+
+    def _forget_cached(self, known: Known | None, row: TargetRow) -> None:
+        for changed in (row, known.row if known is not None else row):
+            announced = changed.announcement
+            key = ServiceKey(announced.customer, announced.service)
+            self._targets_by_service.pop(key, None)
+
+    def _collect(self, key: ServiceKey) -> list[Target]:
+        return [
+            _target(known)
+            for known in self.known_by_target.values()
+            if known.row.announcement.customer == key.customer
+            and known.row.announcement.service == key.service
+            and known.row.state in (RowState.SERVING, RowState.LEAVING)
+        ]
+
+
+def _incarnation(row: TargetRow) -> int:
+    return row.announcement.incarnation
+
+
+def _supersedes(row: TargetRow, held: TargetRow) -> bool:
+    if _incarnation(row) != _incarnation(held):
+        return _incarnation(row) > _incarnation(held)
+    if row.state is RowState.LAPSED:
+        return row.owner == held.owner and held.state is not RowState.LEFT
+    if held.state is RowState.LAPSED:
+        return True
+    return _RANK_BY_STATE[row.state] >= _RANK_BY_STATE[held.state]
+
+
+def _is_same(row: TargetRow, held: TargetRow) -> bool:
+    return row.state is held.state and row.owner == held.owner
+
+
+def _target(known: Known) -> Target:
+    announced = known.row.announcement
+    is_serving = known.row.state is RowState.SERVING
+    return Target(
+        id=announced.target,
+        incarnation=announced.incarnation,
+        customer=announced.customer,
+        service=announced.service,
+        host=announced.host,
+        port=announced.port,
+        region=announced.region,
+        availability_zone=announced.availability_zone,
+        slots=announced.slots,
+        state=TargetState.SERVING if is_serving else TargetState.LEAVING,
+        first_seen_at=known.first_seen_at,
+        report=known.report,
+    )
--- /dev/null
+++ b/mothshunt/helpers/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated streams of typed messages between instances."""
--- /dev/null
+++ b/mothshunt/helpers/peer/link.py
@@ -0,0 +1,177 @@
+"""One authenticated stream to one peer."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import InstanceId
+from mothshunt.helpers.peer import codes, const, frame
+from mothshunt.helpers.peer.frame import Frame, FrameKind
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Count what went over the streams of a process.
+
+    :param bytes_sent: Bytes handed to sockets.
+    :param bytes_received: Bytes of complete frames received.
+    :param frames_sent: Frames handed to sockets.
+    :param frames_received: Complete frames received.
+    """
+
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    frames_sent: int = 0
+    frames_received: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class PeerLink:
+    """Own the socket of one stream and carry frames both ways.
+
+    :param peer: Proven name of the other end.
+    :param reader: Incoming half of the stream.
+    :param writer: Outgoing half of the stream.
+    :param clock: Source of the present time.
+    :param traffic: Counts of the process.
+    :param deliver: Called with each message or request that arrives.
+    """
+
+    peer: InstanceId
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    clock: Clock
+    traffic: Traffic
+    deliver: Callable[["PeerLink", Frame], None]
+    closed: bool = False
+    _queue: asyncio.Queue[bytes] = field(
+        default_factory=lambda: asyncio.Queue(const.MAX_QUEUED_FRAMES)
+    )
+    _waiter_by_correlation: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
+    _last_correlation: int = 0
+    _heard_at: float = 0.0
+    _sent_at: float = 0.0
+
+    def post(self, item: Frame) -> bool:
+        """Queue a frame without waiting.
+
+        :param item: The frame.
+        :return: ``False`` when the stream is closed or its queue is full.
+        """
+        if self.closed:
+            return False
+        try:
+            self._queue.put_nowait(frame.encode(item))
+        except asyncio.QueueFull:
+            return False
+        return True
+
+    async def async_request(
+        self, message: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a request and wait for its answer.
+
+        :param message: A registered message.
+        :param timeout_s: Seconds to wait.
+        :return: The answer, or a failure with code 1105 or 1106.
+        """
+        self._last_correlation += 1
+        correlation = self._last_correlation
+        waiter: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiter_by_correlation[correlation] = waiter
+        try:
+            if not self.post(Frame(FrameKind.REQUEST, correlation, message)):
+                return Error(Failure(code=codes.NOT_CONNECTED, detail=self.peer))
+            async with asyncio.timeout(timeout_s):
+                return Ok(await waiter)
+        except TimeoutError:
+            return Error(Failure(code=codes.NO_ANSWER, detail=self.peer))
+        except ConnectionError:
+            detail = f"the stream to {self.peer} closed"
+            return Error(Failure(code=codes.NO_ANSWER, detail=detail))
+        finally:
+            del self._waiter_by_correlation[correlation]
+
+    async def async_run(self) -> Failure | None:
+        """Carry frames until the stream ends.
+
+        :return: Why it was closed here, or ``None`` when the other end closed it.
+        """
+        self._heard_at = self._sent_at = self.clock.monotonic()
+        tasks = [
+            asyncio.create_task(self._async_receive()),
+            asyncio.create_task(self._async_send()),
+            asyncio.create_task(self._async_watch()),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return next((t.result() for t in done if not t.exception()), None)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.close()
+
+    def close(self) -> None:
+        """Close the socket and fail the requests that wait."""
+        if self.closed:
+            return
+        self.closed = True
+        for waiter in self._waiter_by_correlation.values():
+            if not waiter.done():
+                waiter.set_exception(ConnectionError("stream closed"))
+        # abort: a silent connection would never flush what is still buffered.
+        self.writer.transport.abort()
+
+    async def _async_receive(self) -> Failure | None:
+        while True:
+            try:
+                result = await frame.async_read(self.reader)
+            except (OSError, asyncio.IncompleteReadError):
+                return None
+            match result:
+                case Result(tag="ok", ok=item):
+                    self._take(item)
+                case Result(error=failure):
+                    return failure
+
+    def _take(self, item: Frame) -> None:
+        self._heard_at = self.clock.monotonic()
+        self.traffic.frames_received += 1
+        if item.kind is FrameKind.HEARTBEAT:
+            return
+        if item.kind is FrameKind.ANSWER:
+            waiter = self._waiter_by_correlation.get(item.correlation)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(item.message)
+            return
+        self.deliver(self, item)
+
+    async def _async_send(self) -> Failure | None:
+        with contextlib.suppress(OSError):
+            while True:
+                batch = [await self._queue.get()]
+                while not self._queue.empty():
+                    batch.append(self._queue.get_nowait())
+                data = b"".join(batch)
+                self.writer.write(data)
+                self.traffic.bytes_sent += len(data)
+                self.traffic.frames_sent += len(batch)
+                self._sent_at = self.clock.monotonic()
+                await self.writer.drain()
+        return None
+
+    async def _async_watch(self) -> Failure | None:
+        while True:
+            await asyncio.sleep(const.HEARTBEAT_INTERVAL_S / 2)
+            now = self.clock.monotonic()
+            if now - self._heard_at > const.SILENCE_TIMEOUT_S:
+                return Failure(code=codes.PEER_SILENT, detail=self.peer)
+            if now - self._sent_at >= const.HEARTBEAT_INTERVAL_S:
+                self.post(frame.HEARTBEAT)
--- /dev/null
+++ b/mothshunt/helpers/peer/network.py
@@ -0,0 +1,307 @@
+"""All streams of one instance."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import InstanceId
+from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.peer import codes, const, handshake
+from mothshunt.helpers.peer.admission import HandshakeAdmission
+from mothshunt.helpers.peer.frame import Frame, FrameKind
+from mothshunt.helpers.peer.link import PeerLink, Traffic
+from mothshunt.metrics.registry import Metrics
+from mothshunt.settings.config import Address, Settings
+
+_LOGGER = get_logger("peer")
+
+M = TypeVar("M")
+Listener = Callable[[InstanceId], None]
+
+
+@dataclass(slots=True, eq=False)
+class StreamNetwork:
+    """Implement ``core.network.PeerNetwork`` over TCP.
+
+    :param own_id: Name of this instance.
+    :param key: Deployment key.
+    :param listen: Where streams are accepted.
+    :param clock: Source of the present time.
+    :param metrics: Counters of the process.
+    """
+
+    own_id: InstanceId
+    key: bytes
+    listen: Address
+    clock: Clock
+    metrics: Metrics
+    traffic: Traffic = field(default_factory=Traffic)
+    _dialled_by_peer: dict[InstanceId, PeerLink] = field(default_factory=dict)
+    _accepted_by_peer: dict[InstanceId, PeerLink] = field(default_factory=dict)
+    _dialler_by_peer: dict[InstanceId, asyncio.Task[None]] = field(default_factory=dict)
+    _on_message_by_class: dict[type[Any], Callable[[InstanceId, Any], None]] = field(
+        default_factory=dict
+    )
+    _on_request_by_class: dict[
+        type[Any], Callable[[InstanceId, Any], Awaitable[object]]
+    ] = field(default_factory=dict)
+    _connect_listeners: list[Listener] = field(default_factory=list)
+    _disconnect_listeners: list[Listener] = field(default_factory=list)
+    _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    _admission: HandshakeAdmission = field(default_factory=HandshakeAdmission)
+    _server: asyncio.Server | None = None
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, clock: Clock, metrics: Metrics
+    ) -> "StreamNetwork":
+        """Make the network of an instance.
+
+        :param settings: Settings of the instance.
+        :param clock: Source of the present time.
+        :param metrics: Counters of the process.
+        """
+        return cls(
+            own_id=settings.instance.id,
+            key=settings.deployment_key.encode(),
+            listen=settings.listen.peer,
+            clock=clock,
+            metrics=metrics,
+        )
+
+    async def async_start(self) -> None:
+        """Begin to accept streams."""
+        self._server = await asyncio.start_server(
+            self._async_accept, self.listen.host, self.listen.port
+        )
+
+    async def async_stop(self) -> None:
+        """Close all streams."""
+        if self._server is not None:
+            self._server.close()
+        tasks = [*self._dialler_by_peer.values(), *self._tasks]
+        self._dialler_by_peer.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for link in [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]:
+            link.close()
+
+    def dial(self, peer: InstanceId, host: str, port: int) -> None:
+        """Keep a stream to a peer open, until ``hang_up``.
+
+        :param peer: Name that the other end must prove.
+        :param host: IP number.
+        :param port: TCP port.
+        """
+        if peer == self.own_id or peer in self._dialler_by_peer:
+            return
+        task = asyncio.create_task(self._async_keep_dialled(peer, host, port))
+        self._dialler_by_peer[peer] = task
+
+    def hang_up(self, peer: InstanceId) -> None:
+        """Close the dialled stream to a peer and dial it no more.
+
+        :param peer: Name of the peer.
+        """
+        task = self._dialler_by_peer.pop(peer, None)
+        if task is not None:
+            task.cancel()
+        link = self._dialled_by_peer.get(peer)
+        if link is not None:
+            link.close()
+
+    def post(self, peer: InstanceId, message: object) -> bool:
+        """Queue a message without waiting; see ``PeerNetwork``."""
+        if peer == self.own_id:
+            asyncio.get_running_loop().call_soon(self._handle_message, peer, message)
+            return True
+        link = self._link(peer)
+        return link is not None and link.post(Frame(FrameKind.MESSAGE, 0, message))
+
+    async def async_request(
+        self, peer: InstanceId, message: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a message and wait for the answer; see ``PeerNetwork``."""
+        if peer == self.own_id:
+            return await self._async_request_locally(message, timeout_s)
+        link = self._link(peer)
+        if link is None:
+            return Error(Failure(code=codes.NOT_CONNECTED, detail=peer))
+        return await link.async_request(message, timeout_s)
+
+    def on_message(
+        self, cls: type[M], handler: Callable[[InstanceId, M], None]
+    ) -> None:
+        """Set the handler of a class of messages; see ``PeerNetwork``."""
+        self._on_message_by_class[cls] = handler
+
+    def on_request(
+        self, cls: type[M], handler: Callable[[InstanceId, M], Awaitable[object]]
+    ) -> None:
+        """Set the handler of a class of requests; see ``PeerNetwork``."""
+        self._on_request_by_class[cls] = handler
+
+    def on_connect(self, listener: Listener) -> None:
+        """Call a listener when a peer was not connected and now is."""
+        self._connect_listeners.append(listener)
+
+    def on_disconnect(self, listener: Listener) -> None:
+        """Call a listener when the last stream to a peer has closed."""
+        self._disconnect_listeners.append(listener)
+
+    def connected(self) -> frozenset[InstanceId]:
+        """Return the peers that a stream leads to now."""
+        return frozenset(self._dialled_by_peer) | frozenset(self._accepted_by_peer)
+
+    def dialled(self, peer: InstanceId) -> bool:
+        """Tell whether a stream that this instance dialled leads to a peer.
+
+        :param peer: Name of the peer.
+        """
+        return peer in self._dialled_by_peer
+
+    def _link(self, peer: InstanceId) -> PeerLink | None:
+        link = self._dialled_by_peer.get(peer)
+        if link is None or link.closed:
+            link = self._accepted_by_peer.get(peer)
+        return link
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if not self._admission.admit(self.clock.monotonic()):
+            self._count(codes.HANDSHAKE_RATE.name)
+            writer.transport.abort()
+            return
+        try:
+            result = await handshake.async_accept(reader, writer, self.own_id, self.key)
+        finally:
+            self._admission.end()
+        match result:
+            case Result(tag="ok", ok=peer):
+                older = self._accepted_by_peer.get(peer)
+                if older is not None:
+                    older.close()
+                await self._async_carry(self._accepted_by_peer, peer, reader, writer)
+            case Result(error=failure):
+                self._refused(failure)
+                writer.transport.abort()
+
+    async def _async_keep_dialled(self, peer: InstanceId, host: str, port: int) -> None:
+        delay_s = const.MIN_REDIAL_DELAY_S
+        while True:
+            began_at = self.clock.monotonic()
+            await self._async_dial_once(peer, host, port)
+            if self.clock.monotonic() - began_at > const.SILENCE_TIMEOUT_S:
+                delay_s = const.MIN_REDIAL_DELAY_S
+            # Full jitter spreads the return of many peers after a common loss.
+            await asyncio.sleep(delay_s * random.uniform(0.5, 1.5))
+            delay_s = min(const.MAX_REDIAL_DELAY_S, delay_s * 2)
+
+    async def _async_dial_once(self, peer: InstanceId, host: str, port: int) -> None:
+        try:
+            async with asyncio.timeout(const.CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            self._count("connect_failed")
+            return
+        try:
+            result = await handshake.async_dial(reader, writer, self.own_id, self.key)
+            match result:
+                case Result(tag="ok", ok=proven) if proven == peer:
+                    await self._async_carry(self._dialled_by_peer, peer, reader, writer)
+                case Result(tag="ok", ok=proven):
+                    detail = f"{host}:{port} is {proven}, not {peer}"
+                    self._refused(Failure(code=codes.HANDSHAKE_FAILED, detail=detail))
+                case Result(error=failure):
+                    self._refused(failure)
+        finally:
+            writer.transport.abort()
+
+    async def _async_carry(
+        self,
+        link_by_peer: dict[InstanceId, PeerLink],
+        peer: InstanceId,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        link = PeerLink(peer, reader, writer, self.clock, self.traffic, self._deliver)
+        is_new = peer not in self.connected()
+        link_by_peer[peer] = link
+        if is_new:
+            self._tell(self._connect_listeners, peer)
+        try:
+            failure = await link.async_run()
+        finally:
+            if link_by_peer.get(peer) is link:
+                del link_by_peer[peer]
+            if peer not in self.connected():
+                self._tell(self._disconnect_listeners, peer)
+        if failure is not None:
+            self._refused(failure)
+
+    def _deliver(self, link: PeerLink, item: Frame) -> None:
+        if item.kind is FrameKind.REQUEST:
+            self._spawn(self._async_answer(link, item))
+            return
+        self._handle_message(link.peer, item.message)
+
+    def _handle_message(self, peer: InstanceId, message: object) -> None:
+        handler = self._on_message_by_class.get(type(message))
+        if handler is None:
+            self._count("no_handler")
+            return
+        handler(peer, message)
+
+    async def _async_answer(self, link: PeerLink, item: Frame) -> None:
+        handler = self._on_request_by_class.get(type(item.message))
+        if handler is None:
+            self._count("no_handler")
+            return
+        answer = await handler(link.peer, item.message)
+        if not link.post(Frame(FrameKind.ANSWER, item.correlation, answer)):
+            self._count("answer_lost")
+
+    async def _async_request_locally(
+        self, message: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        handler = self._on_request_by_class.get(type(message))
+        if handler is None:
+            return Error(Failure(code=codes.NOT_CONNECTED, detail=self.own_id))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return Ok(await handler(self.own_id, message))
+        except TimeoutError:
+            return Error(Failure(code=codes.NO_ANSWER, detail=self.own_id))
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        with contextlib.suppress(asyncio.CancelledError):
+            error = task.exception()
+            if error is not None:
+                _LOGGER.error("a request handler failed", error=repr(error))
+                self._count("handler_failed")
+
+    def _tell(self, listeners: list[Listener], peer: InstanceId) -> None:
+        for listener in listeners:
+            listener(peer)
+
+    def _refused(self, failure: Failure) -> None:
+        _LOGGER.failure("a stream was closed", failure)
+        self._count(failure.code.name)
+
+    def _count(self, reason: str) -> None:
+        self.metrics.count("mothshunt_peer_closed_total", reason=reason)
--- /dev/null
+++ b/mothshunt/membership/hub.py
@@ -0,0 +1,231 @@
+"""Presence of all instances at a control instance."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from expression import Ok, Result
+
+from mothshunt.configuration.coordinator import ConfigurationCoordinator
+from mothshunt.configuration.messages import (
+    ChangeStatus,
+    JoinInstance,
+    JoinOutcome,
+    LeaveInstance,
+)
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.configuration.service import InstanceStatus
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import Incarnation, InstanceId, Revision, Role
+from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.membership import const
+from mothshunt.membership.messages import (
+    Done,
+    HubRows,
+    Join,
+    Leave,
+    Report,
+    Row,
+    Rows,
+    Standing,
+    StandingRequest,
+    Standings,
+)
+from mothshunt.membership.model import InstanceRecord
+from mothshunt.membership.state import PresenceTable
+
+TICK_S = 0.25
+FULL_ROWS_INTERVAL_S = 5.0
+
+
+@dataclass(slots=True, eq=False)
+class PresenceHub:
+    """Gather the reports of attached instances and spread what changes.
+
+    :param network: Streams of this instance.
+    :param configuration: Changes of the configuration.
+    :param source: The configuration in force.
+    :param clock: Source of the present time.
+    :param table: What is known.
+    """
+
+    network: StreamNetwork
+    configuration: ConfigurationCoordinator
+    source: ConfigurationSource
+    clock: Clock
+    table: PresenceTable
+    _dialled: set[InstanceId] = field(default_factory=set)
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to gather and spread."""
+        self.network.on_message(Report, self._on_report)
+        self.network.on_message(HubRows, self._on_hub_rows)
+        self.network.on_request(Join, self._async_join)
+        self.network.on_request(Leave, self._async_leave)
+        self.network.on_request(StandingRequest, self._async_stand)
+        self.network.on_connect(self._on_connect)
+        self.network.on_disconnect(self._on_disconnect)
+        self._task = asyncio.create_task(self._async_tick())
+
+    async def async_stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def async_instances(
+        self, timeout_s: float
+    ) -> Result[tuple[InstanceStatus, ...], Failure]:
+        """Return the state of every recorded instance; see ``StatusService``."""
+        peers = [peer for peer in self._control_peers() if self._is_connected(peer)]
+        asked = [
+            self.network.async_request(
+                peer, StandingRequest(), min(timeout_s, const.STATUS_TIMEOUT_S)
+            )
+            for peer in [self.network.own_id, *peers]
+        ]
+        standing_by_id: dict[InstanceId, Standing] = {}
+        for answer in await asyncio.gather(*asked):
+            match answer:
+                case Result(tag="ok", ok=Standings(standings=standings)):
+                    _merge(standing_by_id, standings)
+        records = self.source.current().instance_by_id
+        return Ok(
+            tuple(
+                self._status(record, standing_by_id.get(instance))
+                for instance, record in sorted(records.items())
+            )
+        )
+
+    def _status(
+        self, record: InstanceRecord, standing: Standing | None
+    ) -> InstanceStatus:
+        row = self.table.published_by_instance.get(record.id)
+        is_lost = row is None or row.state is None
+        state = "lost" if row is None or row.state is None else row.state.value
+        report = None if standing is None else standing.report
+        return InstanceStatus(
+            id=record.id,
+            region=record.region,
+            availability_zone=record.availability_zone,
+            roles=tuple(role.value for role in record.roles),
+            state=state,
+            revision=Revision(0) if report is None else report.revision,
+            age_s=None if standing is None else standing.age_ms / 1000,
+            in_flight=0 if report is None or is_lost else report.load,
+        )
+
+    def _on_report(self, peer: InstanceId, report: Report) -> None:
+        if report.record.id != peer:
+            return
+        is_new = self.table.is_new_attachment(report)
+        self.table.report(report, self.clock.monotonic())
+        self._publish()
+        if is_new:
+            rows = tuple(self.table.published_by_instance.values())
+            self.network.post(peer, Rows(rows=rows, is_whole=True))
+
+    def _on_hub_rows(self, hub: InstanceId, rows: HubRows) -> None:
+        self.table.hub_back(hub)
+        for row in rows.rows:
+            self.table.take(row, hub)
+        self._publish()
+
+    def _publish(self) -> None:
+        changed = self.table.publish(self.clock.monotonic())
+        if not changed:
+            return
+        for instance in self.table.attached_by_id:
+            self.network.post(instance, Rows(rows=changed))
+        own = [row for row in changed if self._is_own(row)]
+        self._post_to_hubs(own)
+
+    def _is_own(self, row: Row) -> bool:
+        return self.table.hub_by_instance[row.instance] == self.network.own_id
+
+    def _post_to_hubs(self, rows: Iterable[Row]) -> None:
+        message = HubRows(rows=tuple(rows))
+        if not message.rows:
+            return
+        for peer in self._control_peers():
+            self.network.post(peer, message)
+
+    def _control_peers(self) -> list[InstanceId]:
+        records = self.source.current().instance_by_id.values()
+        ids = [r.id for r in records if Role.CONTROL in r.roles]
+        return [peer for peer in ids if peer != self.network.own_id]
+
+    def _is_connected(self, peer: InstanceId) -> bool:
+        return peer in self.network.connected()
+
+    def _on_connect(self, peer: InstanceId) -> None:
+        if peer not in self._control_peers():
+            return
+        self.network.post(peer, HubRows(rows=self.table.own_rows()))
+
+    def _on_disconnect(self, peer: InstanceId) -> None:
+        now = self.clock.monotonic()
+        self.table.detach(peer, now)
+        if peer in self._control_peers():
+            self.table.hub_lost(peer, now)
+
+    async def _async_tick(self) -> None:
+        full_at = self.clock.monotonic()
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._publish()
+            now = self.clock.monotonic()
+            if now >= full_at:
+                # Repairs what a lost stream swallowed.
+                self._post_to_hubs(self.table.own_rows())
+                full_at = now + FULL_ROWS_INTERVAL_S * random.uniform(0.8, 1.2)
+
+    async def _async_join(self, peer: InstanceId, join: Join) -> Done:
+        command = JoinInstance(record=join.record)
+        return _done(await self._async_commit(command))
+
+    async def _async_leave(self, peer: InstanceId, leave: Leave) -> Done:
+        command = LeaveInstance(instance=leave.instance)
+        return _done(await self._async_commit(command))
+
+    async def _async_stand(
+        self, peer: InstanceId, request: StandingRequest
+    ) -> Standings:
+        now = self.clock.monotonic()
+        return Standings(
+            standings=tuple(
+                Standing(report=a.report, age_ms=int((now - a.heard_at) * 1000))
+                for a in self.table.attached_by_id.values()
+            )
+        )
+
+    async def _async_commit(
+        self, command: JoinInstance | LeaveInstance
+    ) -> Result[object, Failure]:
+        return await self.configuration.async_propose(command, const.JOIN_TIMEOUT_S)
+
+
+def _done(result: Result[object, Failure]) -> Done:
+    match result:
+        case Result(tag="ok", ok=JoinOutcome(status=status) as outcome):
+            return Done(
+                is_accepted=status is ChangeStatus.ACCEPTED,
+                incarnation=outcome.incarnation,
+                detail=outcome.detail,
+            )
+        case Result(tag="ok"):
+            return Done(is_accepted=True, incarnation=Incarnation(0))
+        case Result(error=failure):
+            detail = f"{failure.code.number} {failure.code.name}"
+            return Done(is_accepted=False, incarnation=Incarnation(0), detail=detail)
+
+
+def _merge(
+    standing_by_id: dict[InstanceId, Standing], standings: tuple[Standing, ...]
+) -> None:
+    for standing in standings:
+        held = standing_by_id.get(standing.report.record.id)
+        if held is None or standing.age_ms < held.age_ms:
+            standing_by_id[standing.report.record.id] = standing
--- /dev/null
+++ b/mothshunt/membership/reporter.py
@@ -0,0 +1,135 @@
+"""Reports of this instance to the control instance that it is attached to."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import Incarnation, InstanceId, InstanceState
+from mothshunt.helpers.log import get_logger
+from mothshunt.membership import codes, const
+from mothshunt.membership.messages import Done, Join, Leave, Report, Rows
+from mothshunt.membership.model import InstanceRecord
+from mothshunt.membership.state import load_bucket
+from mothshunt.membership.uplink import Uplink
+from mothshunt.membership.view import PresenceView
+from mothshunt.settings.config import Settings
+
+_LOGGER = get_logger("membership")
+
+
+@dataclass(slots=True, eq=False)
+class PresenceReporter:
+    """Join the deployment, then report how this instance stands.
+
+    :param record: This instance; its seat is ignored.
+    :param uplink: Connection to the control instances.
+    :param source: The configuration in force.
+    :param view: What the control instance tells of the others.
+    :param load: Returns the requests in flight here.
+    :param state: State of this instance.
+    """
+
+    record: InstanceRecord
+    uplink: Uplink
+    source: ConfigurationSource
+    view: PresenceView
+    load: Callable[[], int]
+    state: InstanceState = InstanceState.STARTING
+    incarnation: Incarnation | None = None
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to take what the control instance tells."""
+        self.uplink.network.on_message(Rows, self._on_rows)
+        self.uplink.on_attach(self._on_attach)
+
+    async def async_stop(self) -> None:
+        """End the reports."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def async_join(self) -> Result[Incarnation, Failure]:
+        """Have this instance recorded; tried until a control instance answers.
+
+        :return: The incarnation from now on, or a failure with code 4202.
+        """
+        while True:
+            answer = await self.uplink.async_ask(
+                Join(record=self.record), const.JOIN_TIMEOUT_S
+            )
+            match answer:
+                case Result(tag="ok", ok=Done(is_accepted=True) as done):
+                    self.incarnation = done.incarnation
+                    self._task = asyncio.create_task(self._async_report())
+                    return Ok(done.incarnation)
+                case Result(tag="ok", ok=Done(incarnation=number) as done) if number:
+                    failure = Failure(code=codes.JOIN_REFUSED, detail=done.detail)
+                    return Error(failure)
+                case _:
+                    await asyncio.sleep(0.2 * random.uniform(0.5, 1.5))
+
+    async def async_leave(self) -> None:
+        """Have this instance removed from the record, as it stops for good."""
+        message = Leave(instance=self.record.id)
+        await self.uplink.async_ask(message, const.JOIN_TIMEOUT_S)
+
+    def set_state(self, state: InstanceState) -> None:
+        """Change the state and report it at once.
+
+        :param state: The new state.
+        """
+        self.state = state
+        self.report()
+
+    def report(self) -> None:
+        """Report how this instance stands."""
+        hub = self.uplink.hub()
+        if hub is None or self.incarnation is None:
+            return
+        report = Report(
+            record=self.record,
+            incarnation=self.incarnation,
+            attach=self.uplink.attach,
+            state=self.state,
+            load=load_bucket(self.load()),
+            revision=self.source.current().revision,
+        )
+        self.uplink.network.post(hub, report)
+
+    def _on_attach(self, hub: InstanceId) -> None:
+        self.report()
+
+    def _on_rows(self, peer: InstanceId, rows: Rows) -> None:
+        if peer == self.uplink.hub():
+            self.view.take(rows)
+
+    async def _async_report(self) -> None:
+        while True:
+            self.report()
+            await asyncio.sleep(const.REPORT_INTERVAL_S * random.uniform(0.8, 1.2))
+
+
+def own_record(settings: Settings) -> InstanceRecord:
+    """Return the record of this instance, with seat 0.
+
+    :param settings: Settings of this instance.
+    """
+    listen = settings.listen
+    return InstanceRecord(
+        id=settings.instance.id,
+        region=settings.instance.region,
+        availability_zone=settings.instance.availability_zone,
+        roles=settings.instance.roles,
+        traffic_host=listen.traffic.host if listen.traffic else "",
+        traffic_port=listen.traffic.port if listen.traffic else 0,
+        admin_host=listen.admin.host,
+        admin_port=listen.admin.port,
+        peer_host=listen.peer.host,
+        peer_port=listen.peer.port,
+        seat=0,
+    )
