--- /dev/null
+++ b/tests/helpers/peer_streams.feature
@@ -0,0 +1,39 @@
+Feature: Streams between instances carry messages of proven peers only
+
+  Scenario: A request is answered over an authenticated stream
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    Then a request from "a1" to "b1" is answered
+    And a request from "b1" to "a1" is answered
+
+  Scenario: A peer with another key is refused and nothing of it is decoded
+    Given instances "a1" and "b1" that hold different keys
+    When "a1" dials "b1"
+    Then "b1" counts "peer_handshake_failed"
+    And no message reached "b1"
+
+  Scenario: A frame over the size limit closes the stream, which is dialled anew
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    And "a1" sends a frame over the size limit to "b1"
+    Then "b1" counts "peer_frame_too_large"
+    And a request from "a1" to "b1" is answered
+
+  Scenario: A malformed frame closes the stream, which is dialled anew
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    And "a1" sends a malformed frame to "b1"
+    Then "b1" counts "peer_frame_malformed"
+    And a request from "a1" to "b1" is answered
+
+  Scenario: A request that waits fails when its stream closes, as it may have been seen
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    And "b1" stops while a request from "a1" waits
+    Then the request fails with code 1106
+
+  Scenario: Handshakes are admitted by rate after a common loss
+    Given an admission of handshakes
+    When 1000 handshakes begin and end at one moment
+    Then 200 of them are admitted
+    And all that begin 1 s later up to 200 are admitted
