--- a/mothshunt/discovery/relay.py
+++ b/mothshunt/discovery/relay.py
@@ -68,13 +68,38 @@
         :param instance: Name of the instance.
         """
         rows = tuple(known.row for known in self.table.known_by_target.values())
-        if rows:
+        if instance == self.own_id:
+            self.take_locally(TargetRows(rows=rows))
+        elif rows:
             self.network.post(instance, TargetRows(rows=rows))
 
+    def on_connect(self, peer: InstanceId) -> None:
+        """Tell a control instance of the targets announced to attached instances.
+
+        :param peer: Peer that a stream now leads to.
+        """
+        if peer in frozenset(self.control_peers()):
+            self.network.post(peer, TargetRows(rows=self._own_rows()))
+
     async def _async_sweep(self) -> None:
+        full_at = self.clock.monotonic()
         while True:
             await asyncio.sleep(const.SWEEP_INTERVAL_S)
-            self.table.sweep(self.reachable(), self.clock.monotonic())
+            now = self.clock.monotonic()
+            self.table.sweep(self.reachable(), now)
+            if now >= full_at:
+                # Repairs what a lost stream swallowed.
+                for control in self.control_peers():
+                    self.network.post(control, TargetRows(rows=self._own_rows()))
+                full_at = now + const.FULL_RELAY_INTERVAL_S
+
+    def _own_rows(self) -> tuple[TargetRow, ...]:
+        attached = frozenset(receiver.id for receiver in self.receivers())
+        return tuple(
+            known.row
+            for known in self.table.known_by_target.values()
+            if known.row.owner in attached
+        )
 
     def _on_rows(self, peer: InstanceId, news: TargetRows) -> None:
         now = self.clock.monotonic()
--- a/mothshunt/membership/hub.py
+++ b/mothshunt/membership/hub.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from expression import Ok, Result
@@ -56,7 +56,7 @@
     source: ConfigurationSource
     clock: Clock
     table: PresenceTable
-    _dialled: set[InstanceId] = field(default_factory=set)
+    _attach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -75,6 +75,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def on_attached(self, listener: Callable[[InstanceId], None]) -> None:
+        """Call a listener each time an instance attached here.
+
+        :param listener: Called in the event loop with the instance's name.
+        """
+        self._attach_listeners.append(listener)
+
     async def async_instances(
         self, timeout_s: float
     ) -> Result[tuple[InstanceStatus, ...], Failure]:
@@ -126,6 +133,8 @@
         if is_new:
             rows = tuple(self.table.published_by_instance.values())
             self.network.post(peer, Rows(rows=rows, is_whole=True))
+            for listener in self._attach_listeners:
+                listener(peer)
 
     def _on_hub_rows(self, hub: InstanceId, rows: HubRows) -> None:
         self.table.hub_back(hub)
