--- /dev/null
+++ b/bench/stand_ins.py
@@ -0,0 +1,108 @@
+"""Stand-ins for many entry instances: their control half in one process.
+
+Usage: ``python -m bench.stand_ins PLAN``; the plan is a JSON file with a list of
+settings files. Prints ``ready`` when all have joined, then runs until ``SIGTERM``.
+"""
+
+import asyncio
+import json
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from expression import Result
+from mothshunt.limits.coordinator import LimitsHolderCoordinator
+
+from mothshunt.core.types import InstanceState
+from mothshunt.daemon.base import Base
+from mothshunt.discovery.announcements import Announcements
+from mothshunt.discovery.coordinator import DiscoveryCoordinator
+from mothshunt.discovery.messages import TargetRows
+from mothshunt.discovery.state import TargetTable
+from mothshunt.settings.config import Settings
+
+
+@dataclass(slots=True, eq=False)
+class ControlHalf:
+    """Run all that an entry instance runs, but for its HTTP servers.
+
+    :param base: Parts that every instance has.
+    :param discovery: Targets that are known.
+    """
+
+    base: Base
+    discovery: DiscoveryCoordinator
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> "ControlHalf":
+        """Build a stand-in.
+
+        :param settings: Settings of the instance that it stands for.
+        """
+        base = Base.from_config(settings)
+        table = TargetTable()
+        discovery = DiscoveryCoordinator(
+            network=base.network,
+            clock=base.clock,
+            source=base.holder,
+            entries=base.view,
+            hub=base.uplink.hub,
+            table=table,
+            announcements=Announcements(settings.instance.id, table),
+        )
+        return cls(base, discovery)
+
+    async def async_start(self) -> None:
+        """Join the deployment and follow it."""
+        base = self.base
+
+        def on_target_rows(peer: str, rows: TargetRows) -> None:
+            if peer == base.uplink.hub():
+                self.discovery.take(rows)
+
+        await base.async_start()
+        base.network.on_message(TargetRows, on_target_rows)
+        base.uplink.on_attach(self.discovery.on_attach)
+        await base.async_connect()
+        match await base.reporter.async_join():
+            case Result(tag="ok", ok=incarnation):
+                pass
+            case Result(error=failure):
+                raise SystemExit(failure.detail)
+        await base.follower.async_wait_until_current()
+        await self.discovery.async_start()
+        limits = LimitsHolderCoordinator(
+            instance=base.settings.instance.id,
+            incarnation=incarnation,
+            configuration=base.holder,
+            control=base.uplink,
+            clock=base.clock,
+            metrics=base.metrics,
+        )
+        await limits.async_start()
+        base.reporter.set_state(InstanceState.READY)
+
+
+async def async_run(paths: list[Path]) -> None:
+    """Run a stand-in for each settings file until ``SIGTERM``.
+
+    :param paths: The settings files.
+    """
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    halves = []
+    for path in paths:
+        settings = Settings.from_file(path)
+        assert settings.is_ok(), settings
+        halves.append(ControlHalf.from_config(settings.ok))
+    await asyncio.gather(*(half.async_start() for half in halves))
+    print("ready", flush=True)
+    await stop.wait()
+    revisions = {half.base.holder.current().revision for half in halves}
+    print(json.dumps({"revisions": sorted(revisions)}), flush=True)
+
+
+if __name__ == "__main__":
+    plan = json.loads(Path(sys.argv[1]).read_text())
+    asyncio.run(async_run([Path(item) for item in plan]))
