Add target choice, leased limits and look-ups, thin

The whole path needs the chooser, the shares that bound it and the look-up handler before any of them is deep.

Weighed for the memory of the granting leader: shares in the replicated log (a durable write for each renewal) against memory only, rebuilt from renewals. The latter is taken: a leader grants only after a confirmation that began after the renewal came in, and a new leader lets nothing grow before it knows of every holder or the old grants have ended.

Static shares are given on region capacity alone. A request that leaves its home region also needs shares of the shift cap; with none of them static, a static part of a link could never be used.

--- /dev/null
+++ b/mothshunt/limits/const.py
@@ -0,0 +1,30 @@
+"""Constants of the limits slice."""
+
+#: How long a leased share may be used after the request for it was sent, in seconds.
+LEASE_S = 5.0
+#: Time between two renewals of a holder, in seconds, before jitter.
+RENEWAL_INTERVAL_S = 1.0
+#: Part of the renewal interval by which each renewal is moved at random.
+RENEWAL_JITTER_RATIO = 0.2
+#: Least time between two renewals when a holder has run out of room, in seconds.
+STARVED_INTERVAL_S = 0.1
+#: Time to wait for the answer to a renewal, in seconds.
+RENEWAL_TIMEOUT_S = 2.0
+#: Time to wait for a majority to confirm the leader, in seconds.
+CONFIRM_TIMEOUT_S = 1.5
+
+#: Seats among which the static share of a region is split.
+ENTRY_SEATS_PER_REGION = 4
+#: The static share is one part in this many of a limit.
+STATIC_SHARE_DIVISOR = 4
+
+#: Room asked for over the highest use, as a ratio and as a count of requests.
+DEMAND_MARGIN_RATIO = 0.25
+DEMAND_MARGIN = 2
+#: Least growth asked for when requests found no room.
+STARVED_GROWTH = 8
+
+#: Room kept for requests that are not idempotent: one part in this many.
+COMMITMENT_RESERVE_DIVISOR = 10
+#: Least room of a holder that any part of it is kept.
+COMMITMENT_RESERVE_FLOOR = 4
--- /dev/null
+++ b/mothshunt/limits/coordinator.py
@@ -0,0 +1,237 @@
+"""Tasks that renew shares at entry instances and grant them at control instances."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable
+
+from expression import Result
+
+from mothshunt.configuration.model import Configuration, ConfigurationSource
+from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.network import ControlConnection, PeerNetwork
+from mothshunt.core.types import Incarnation, InstanceId, Term
+from mothshunt.helpers.log import get_logger
+from mothshunt.limits import codes
+from mothshunt.limits.const import (
+    CONFIRM_TIMEOUT_S,
+    RENEWAL_INTERVAL_S,
+    RENEWAL_JITTER_RATIO,
+    RENEWAL_TIMEOUT_S,
+    STARVED_INTERVAL_S,
+)
+from mothshunt.limits.grantor import Grantor
+from mothshunt.limits.holder import Holder
+from mothshunt.limits.messages import Grant, Renewal, RenewalRefused
+from mothshunt.limits.shares import limit_by_key, static_share
+from mothshunt.metrics.registry import Metrics
+
+_LOGGER = get_logger("limits")
+
+
+class LimitsHolderCoordinator:
+    """Keep the shares of this entry instance renewed.
+
+    :param instance: Name of this instance.
+    :param incarnation: Incarnation of this instance.
+    :param configuration: Configuration in force.
+    :param control: Connection to the control instances.
+    :param clock: Source of the present time.
+    :param metrics: Metrics of this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        configuration: ConfigurationSource,
+        control: ControlConnection,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.holder = Holder(instance, incarnation)
+        self._configuration = configuration
+        self._control = control
+        self._clock = clock
+        self._metrics = metrics
+        self._configured: Configuration | None = None
+        self._starved = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Start to renew."""
+        self.refresh()
+        self._task = asyncio.create_task(self._async_run(), name="limits-holder")
+
+    async def async_stop(self) -> None:
+        """Stop to renew; the shares end with their lease."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    def refresh(self) -> None:
+        """Take over the configuration in force if it has changed."""
+        current = self._configuration.current()
+        if current is self._configured:
+            return
+        self._configured = current
+        record = current.instance_by_id.get(self.holder.instance)
+        static_by_key = {
+            key: static_share(key, limit, record)
+            for key, limit in limit_by_key(current).items()
+        }
+        self.holder.configure(current.revision, static_by_key)
+
+    def ask_soon(self) -> None:
+        """Ask for more room as soon as the rate limit allows."""
+        self._starved.set()
+
+    def on_granted(self, listener: Callable[[], None]) -> None:
+        """Call a listener in the event loop after shares were renewed.
+
+        :param listener: Called without arguments.
+        """
+        self._listeners.append(listener)
+
+    async def _async_run(self) -> None:
+        while True:
+            self._starved.clear()
+            try:
+                await self._async_renew()
+            except Exception as error:
+                # A fault in one renewal must not end the renewals for good.
+                _LOGGER.error("renewal of shares failed", error=repr(error))
+            await asyncio.sleep(STARVED_INTERVAL_S)
+            await self._async_wait()
+
+    async def _async_wait(self) -> None:
+        spread = random.uniform(-RENEWAL_JITTER_RATIO, RENEWAL_JITTER_RATIO)
+        pause = RENEWAL_INTERVAL_S * (1 + spread) - STARVED_INTERVAL_S
+        try:
+            async with asyncio.timeout(pause):
+                await self._starved.wait()
+        except TimeoutError:
+            return
+
+    async def _async_renew(self) -> None:
+        self.refresh()
+        renewal = self.holder.prepare_renewal(self._clock.monotonic())
+        result = await self._control.async_ask(renewal, RENEWAL_TIMEOUT_S)
+        match result:
+            case Result(tag="ok", ok=Grant() as grant):
+                accepted = self.holder.accept(grant, self._clock.monotonic())
+                self._count("accepted" if accepted else "late")
+            case Result(tag="ok", ok=RenewalRefused() as refused):
+                self._count(f"refused_{refused.code}")
+            case Result(error=failure):
+                self._count(f"failed_{failure.code.number}")
+        for listener in self._listeners:
+            listener()
+
+    def _count(self, outcome: str) -> None:
+        self._metrics.count("mothshunt_limits_renewals_total", outcome=outcome)
+
+
+class LimitsGrantorCoordinator:
+    """Grant shares while this control instance leads, else pass renewals on.
+
+    :param instance: Name of this instance.
+    :param network: Streams to the other control instances.
+    :param log: Replicated log.
+    :param configuration: Configuration in force.
+    :param clock: Source of the present time.
+    :param metrics: Metrics of this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        network: PeerNetwork,
+        log: ReplicatedLog,
+        configuration: ConfigurationSource,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._instance = instance
+        self._network = network
+        self._log = log
+        self._configuration = configuration
+        self._clock = clock
+        self._metrics = metrics
+        self._grantor: Grantor | None = None
+
+    async def async_start(self) -> None:
+        """Start to answer renewals."""
+        self._network.on_request(Renewal, self.async_handle)
+
+    async def async_stop(self) -> None:
+        """Forget what was granted; a later start begins as a new leader does."""
+        self._grantor = None
+
+    async def async_handle(
+        self, sender: InstanceId, renewal: Renewal
+    ) -> Grant | RenewalRefused:
+        """Answer a renewal or have the leader answer it.
+
+        :param sender: Instance that sent it.
+        :param renewal: The renewal.
+        """
+        leader = self._log.status().leader
+        if leader == self._instance:
+            return await self._async_grant(renewal)
+        if leader is None or renewal.forwarded:
+            return _refused(renewal, Failure(code=codes.NOT_LEADER))
+        forwarded = dataclasses.replace(renewal, forwarded=True)
+        answer = await self._network.async_request(leader, forwarded, RENEWAL_TIMEOUT_S)
+        match answer:
+            case Result(tag="ok", ok=(Grant() | RenewalRefused()) as known):
+                return known
+            case Result(tag="ok"):
+                return _refused(renewal, Failure(code=codes.NOT_LEADER))
+            case Result(error=failure):
+                return _refused(renewal, failure)
+
+    async def _async_grant(self, renewal: Renewal) -> Grant | RenewalRefused:
+        confirmed = await self._log.async_confirm_leadership(CONFIRM_TIMEOUT_S)
+        match confirmed:
+            case Result(tag="ok", ok=term):
+                pass
+            case Result(error=failure):
+                return _refused(renewal, failure)
+        if self._grantor is None or self._grantor.term != term:
+            # The configuration here must hold all that was committed before.
+            barrier = await self._log.async_read_barrier(CONFIRM_TIMEOUT_S)
+            if barrier.is_error() or self._log.status().term != term:
+                return _refused(renewal, Failure(code=codes.NOT_LEADER))
+        return self._grant(renewal, term)
+
+    def _grant(self, renewal: Renewal, term: Term) -> Grant | RenewalRefused:
+        now = self._clock.monotonic()
+        grantor = self._grantor
+        if grantor is None or grantor.term < term:
+            grantor = Grantor(term, now)
+            self._grantor = grantor
+        if grantor.term > term:
+            return _refused(renewal, Failure(code=codes.NOT_LEADER))
+        grantor.configure(self._configuration.current())
+        match grantor.grant(renewal, now):
+            case Result(tag="ok", ok=grant):
+                self._metrics.count("mothshunt_limits_grants_total", outcome="granted")
+                return grant
+            case Result(error=failure):
+                name = failure.code.name
+                self._metrics.count("mothshunt_limits_grants_total", outcome=name)
+                return _refused(renewal, failure)
+
+
+def _refused(renewal: Renewal, failure: Failure) -> RenewalRefused:
+    return RenewalRefused(
+        sequence=renewal.sequence, code=failure.code.number, detail=failure.detail
+    )
--- /dev/null
+++ b/mothshunt/steering/chooser.py
@@ -0,0 +1,287 @@
+"""Choice of a target for one attempt."""
+
+import math
+from collections.abc import Callable, Iterator
+from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
+from random import Random
+
+from expression import Error, Ok, Result
+
+from mothshunt.contract.model import Contract, ServiceContract
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    CustomerId,
+    RegionId,
+    ServiceName,
+    TargetId,
+    Weighs,
+)
+from mothshunt.discovery.model import TargetDirectory
+from mothshunt.drain.model import DrainSet
+from mothshunt.limits.holder import Holder
+from mothshunt.limits.shares import keys_for, region_key
+from mothshunt.steering import codes
+from mothshunt.steering.const import (
+    EJECTED_RATIO,
+    EJECTED_TRIAL_S,
+    HEADROOM_HELPER_RATIO,
+    HEADROOM_PRESSED_RATIO,
+    LATENCY_SHIFT_RATIO,
+    REMOTE_LATENCY_S,
+    RETRY_AFTER_MAX_S,
+    RETRY_AFTER_MIN_S,
+    SUSPECT_TRIAL_S,
+)
+from mothshunt.steering.model import Choice, Outcome
+from mothshunt.steering.pool import RegionGroup, ServicePool
+from mothshunt.steering.ranking import Question, Ranked, best, due_trials
+from mothshunt.steering.target_state import TargetState
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Say where this entry instance runs.
+
+    :param region: Its region, the home region of its requests.
+    :param availability_zone: Its availability zone.
+    """
+
+    region: RegionId
+    availability_zone: AvailabilityZoneId
+
+
+class Chooser:
+    """Choose targets from own counts, own outcomes and aged reports.
+
+    :param place: Where this instance runs.
+    :param directory: Targets that are known.
+    :param holder: Shares of this instance.
+    :param entry_count: Returns the number of entry instances.
+    :param rng: Breaks ties.
+    :param started_at: Monotonic time at which this process started, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        place: Place,
+        directory: TargetDirectory,
+        holder: Holder,
+        entry_count: Callable[[], int],
+        rng: Random,
+        started_at: float,
+    ) -> None:
+        self._place = place
+        self._directory = directory
+        self._holder = holder
+        self._entry_count = entry_count
+        self._rng = rng
+        self._started_at = started_at
+        self._pool_by_service: dict[tuple[CustomerId, ServiceName], ServicePool] = {}
+
+    def choose(
+        self,
+        *,
+        contract: Contract,
+        service: ServiceName,
+        idempotent: bool,
+        excluded: AbstractSet[TargetId],
+        drains: DrainSet,
+        now: float,
+    ) -> Result[Choice, Failure]:
+        """Choose a target and take the room for one attempt.
+
+        :param contract: Contract in force of the customer.
+        :param service: Service that is asked for.
+        :param idempotent: Whether the request may be repeated.
+        :param excluded: Targets that must not be chosen.
+        :param drains: Drains in force.
+        :param now: Monotonic time, in seconds.
+        :return: The choice; or a failure that says when to come back.
+        """
+        terms = contract.service(service)
+        if terms is None:
+            return Error(Failure(code=codes.UNKNOWN_SERVICE, detail=service))
+        pool = self._pool(contract.customer, service)
+        targets = self._directory.targets(contract.customer, service)
+        pool.update(targets, drains, now)
+        question = self._question(contract, terms, idempotent, excluded, now)
+        refusal: Failure | None = None
+        for state in self._candidates(pool, contract, question):
+            keys = keys_for(contract, self._place.region, state.target.region)
+            result = self._holder.try_acquire(keys, idempotent=idempotent, now=now)
+            match result:
+                case Result(tag="ok", ok=permit):
+                    state.in_flight += 1
+                    self._start_trial(pool, state, now)
+                    return Ok(
+                        Choice(target=state.target, permit=permit, started_at=now)
+                    )
+                case Result(error=failure):
+                    refusal = refusal or failure
+        return Error(self._refusal(pool, question, refusal))
+
+    def finish(self, choice: Choice, outcome: Outcome, now: float) -> None:
+        """Give the room back and learn from the outcome.
+
+        :param choice: What ``choose`` returned; finished once.
+        :param outcome: How the attempt ended.
+        :param now: Monotonic time, in seconds.
+        """
+        self._holder.release(choice.permit)
+        target = choice.target
+        pool = self._pool(target.customer, target.service)
+        state = pool.state_by_id.get(target.id)
+        if state is None:
+            return
+        state.in_flight = max(0, state.in_flight - 1)
+        if state.target.incarnation != target.incarnation:
+            return
+        elapsed_s = now - choice.started_at
+        state.learn(outcome, elapsed_s, now)
+        if outcome is Outcome.ANSWERED:
+            pool.group_by_region[target.region].learn(elapsed_s)
+        if state.is_suspect():
+            state.trial_at = now + self._trial_interval_s(pool, state)
+
+    def _pool(self, customer: CustomerId, service: ServiceName) -> ServicePool:
+        pool = self._pool_by_service.get((customer, service))
+        if pool is None:
+            pool = ServicePool(self._started_at)
+            self._pool_by_service[customer, service] = pool
+        return pool
+
+    def _question(
+        self,
+        contract: Contract,
+        terms: ServiceContract,
+        idempotent: bool,
+        excluded: AbstractSet[TargetId],
+        now: float,
+    ) -> Question:
+        return Question(
+            weighs=contract.weighs,
+            availability_zone=self._place.availability_zone,
+            cold_ramp_s=terms.cold_ramp_s,
+            connections=max(
+                1, terms.connections_per_target // max(1, self._entry_count())
+            ),
+            idempotent=idempotent,
+            excluded=excluded,
+            now=now,
+        )
+
+    def _candidates(
+        self, pool: ServicePool, contract: Contract, question: Question
+    ) -> Iterator[TargetState]:
+        """Yield targets in the order in which they are to be tried."""
+        home = pool.group_by_region.get(self._place.region)
+        trial = self._trial(pool, question)
+        if trial is not None and question.idempotent:
+            yield trial
+        at_home = best(home, question, self._rng) if home else None
+        away = self._away(pool, contract, question)
+        if home and at_home and self._shift_first(home, at_home, away, question):
+            yield from (ranked.state for _, ranked in away)
+            yield at_home.state
+        else:
+            if at_home:
+                yield at_home.state
+            yield from (ranked.state for _, ranked in away)
+        if trial is not None and not question.idempotent:
+            yield trial
+
+    def _away(
+        self, pool: ServicePool, contract: Contract, question: Question
+    ) -> list[tuple[RegionGroup, Ranked]]:
+        """Return the best target of each other region, the best region first."""
+        found = []
+        for region, group in pool.group_by_region.items():
+            if region == self._place.region:
+                continue
+            ranked = best(group, question, self._rng)
+            if ranked is not None:
+                found.append((group, ranked))
+        if question.weighs is Weighs.LATENCY:
+            found.sort(key=lambda item: item[1].expected_s)
+        else:
+            found.sort(key=lambda item: self._pressure(contract, item[0], question))
+        return found
+
+    def _pressure(
+        self, contract: Contract, group: RegionGroup, question: Question
+    ) -> float:
+        """Return how full a region is, by its slots and by the share held of it."""
+        key = region_key(contract.customer, group.region)
+        capacity = self._holder.capacity(key, question.now)
+        share = self._holder.in_use(key) / capacity if capacity else 1.0
+        return max(share, group.use_ratio(question.cold_ramp_s, question.now))
+
+    def _shift_first(
+        self,
+        home: RegionGroup,
+        at_home: Ranked,
+        away: list[tuple[RegionGroup, Ranked]],
+        question: Question,
+    ) -> bool:
+        """Tell whether to leave the home region although it has room."""
+        if not away:
+            return False
+        group, ranked = away[0]
+        if question.weighs is Weighs.LATENCY:
+            remote_s = max(ranked.expected_s, REMOTE_LATENCY_S)
+            return remote_s < at_home.expected_s * LATENCY_SHIFT_RATIO
+        ramp_s = question.cold_ramp_s
+        if home.use_ratio(ramp_s, question.now) < HEADROOM_PRESSED_RATIO:
+            return False
+        return group.use_ratio(ramp_s, question.now) < HEADROOM_HELPER_RATIO
+
+    def _trial(self, pool: ServicePool, question: Question) -> TargetState | None:
+        home = pool.group_by_region.get(self._place.region)
+        groups = [home] if home else []
+        groups += [group for group in pool.group_by_region.values() if group != home]
+        for group in groups:
+            for state in due_trials(group, question):
+                return state
+        return None
+
+    def _start_trial(self, pool: ServicePool, state: TargetState, now: float) -> None:
+        if not state.is_suspect():
+            return
+        state.trials += 1
+        state.trial_at = now + self._trial_interval_s(pool, state)
+
+    def _trial_interval_s(self, pool: ServicePool, state: TargetState) -> float:
+        """Return the time to the next trial; long only for a part of a region."""
+        states = pool.group_by_region[state.target.region].states
+        others = sum(item.trials > 1 for item in states if item is not state)
+        if others + 1 > EJECTED_RATIO * len(states):
+            return SUSPECT_TRIAL_S
+        return min(EJECTED_TRIAL_S, math.ldexp(SUSPECT_TRIAL_S, state.trials))
+
+    def _refusal(
+        self, pool: ServicePool, question: Question, refusal: Failure | None
+    ) -> Failure:
+        if refusal is None:
+            refusal = Failure(code=_busy_code(pool))
+        return Failure(
+            code=refusal.code,
+            detail=refusal.detail,
+            retry_after_s=self._retry_after_s(),
+        )
+
+    def _retry_after_s(self) -> float:
+        return RETRY_AFTER_MIN_S + self._rng.random() * (
+            RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
+        )
+
+
+def _busy_code(pool: ServicePool) -> ResultCode:
+    states = [item for group in pool.group_by_region.values() for item in group.states]
+    if not states:
+        return codes.NO_TARGET
+    if all(state.is_suspect() for state in states):
+        return codes.TARGETS_FAILING
+    return codes.TARGETS_BUSY
