Forward requests to targets, each handed to one connection once

Purpose: the whole path needs an entry that takes a caller's request, chooses a target, and passes the whole answer back.

aiohttp's session sends GET, HEAD, PUT and DELETE a second time by itself when a connection breaks after the request was read. Ways weighed: the private attribute `_retry_connection`; a client middleware (public) that raises an error which the session does not know.

A kept-alive connection on which a second answer arrived gives that answer to the next request.

An answer without a length and without chunks can't be told whole and is refused (2016).

--- /dev/null
+++ b/mothshunt/dispatch/body.py
@@ -0,0 +1,110 @@
+"""Request bodies on their way from the caller to a target."""
+
+from collections.abc import AsyncIterator
+
+from aiohttp import hdrs, web
+from expression import Error, Ok, Result
+
+from mothshunt.core.codes import Failure
+from mothshunt.dispatch import codes
+from mothshunt.dispatch.const import (
+    KEYED_BODY_BYTES,
+    MAX_BODY_BYTES,
+    REPEATABLE_BODY_BYTES,
+)
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class CallerBodyError(Exception):
+    """Tell that the caller's body could not be read to its end."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.code.name)
+        self.failure = failure
+
+
+class RequestBody:
+    """Give a request body to one or more attempts.
+
+    :param whole: The body where it is kept whole; ``None`` where it is streamed.
+    :param request: The caller's request, of which a streamed body is read.
+    """
+
+    __slots__ = ("_request", "_taken", "whole")
+
+    def __init__(self, whole: bytes | None, request: web.Request) -> None:
+        self.whole = whole
+        self._request = request
+        self._taken = False
+
+    @property
+    def gone(self) -> bool:
+        """Whether a part of the body can't be sent again."""
+        return self._taken
+
+    def for_attempt(self) -> bytes | AsyncIterator[bytes] | None:
+        """Return the body for one attempt; ``None`` stands for no body."""
+        if self.whole is None:
+            return self._stream()
+        return self.whole or None
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        size = 0
+        while True:
+            try:
+                part = await self._request.content.readany()
+            except Exception as error:
+                raise CallerBodyError(_incomplete()) from error
+            if not part:
+                return
+            self._taken = True
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                raise CallerBodyError(Failure(code=codes.BODY_TOO_LARGE))
+            yield part
+
+
+async def async_read_body(
+    request: web.Request, *, keyed: bool
+) -> Result[RequestBody, Failure]:
+    """Read a request body whole where it is small, and leave it to stream if not.
+
+    :param request: The caller's request.
+    :param keyed: Whether the whole body is needed for its hash.
+    """
+    if not request.body_exists:
+        return Ok(RequestBody(b"", request))
+    limit = KEYED_BODY_BYTES if keyed else REPEATABLE_BODY_BYTES
+    length = request.content_length
+    if length is not None and length > (limit if keyed else MAX_BODY_BYTES):
+        return Error(Failure(code=codes.BODY_TOO_LARGE))
+    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+        await request.writer.write(_CONTINUE)
+        # The interim answer does not count as a begun answer.
+        request.writer.output_size = 0
+    if not keyed and (length is None or length > limit):
+        return Ok(RequestBody(None, request))
+    return await _async_read_whole(request, limit)
+
+
+async def _async_read_whole(
+    request: web.Request, limit: int
+) -> Result[RequestBody, Failure]:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        try:
+            part = await request.content.readany()
+        except Exception:
+            return Error(_incomplete())
+        if not part:
+            return Ok(RequestBody(b"".join(parts), request))
+        size += len(part)
+        if size > limit:
+            return Error(Failure(code=codes.BODY_TOO_LARGE))
+        parts.append(part)
+
+
+def _incomplete() -> Failure:
+    return Failure(code=codes.BODY_INCOMPLETE)
--- /dev/null
+++ b/mothshunt/dispatch/forwarder.py
@@ -0,0 +1,287 @@
+"""Forwarding of requests to targets, with retries and at-most-once."""
+
+from dataclasses import replace
+
+from aiohttp import hdrs, web
+from expression import Result
+from multidict import CIMultiDict
+
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.contract.model import Contract
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import CustomerId, Ran, TargetId
+from mothshunt.dispatch.answer import Answer, answer_headers
+from mothshunt.dispatch.attempt import (
+    AnswerBrokenOffError,
+    Attempter,
+    AttemptFailure,
+    Exchange,
+)
+from mothshunt.dispatch.body import RequestBody, async_read_body
+from mothshunt.dispatch.client import TargetClient
+from mothshunt.dispatch.const import (
+    KEPT_HEADERS,
+    METRIC_BROKEN,
+    METRIC_GIVEN_UP,
+    METRIC_LATENCY,
+    METRIC_REPLAYS,
+    METRIC_RETRIES,
+)
+from mothshunt.dispatch.model import AsyncTargetChooser
+from mothshunt.dispatch.refusal import refuse
+from mothshunt.dispatch.request import (
+    Route,
+    fingerprint,
+    forwarded_headers,
+    read_route,
+)
+from mothshunt.dispatch.retry import FailedAttempt, TokenBucket, give_up_reason
+from mothshunt.ledger.model import (
+    HeldClaim,
+    KeptAnswer,
+    KeyedRequest,
+    KeyLedger,
+    LedgerKey,
+)
+from mothshunt.metrics.registry import Metrics
+from mothshunt.steering.model import Choice
+
+
+class Forwarder:
+    """Forward callers' requests to targets.
+
+    :param configuration: Contracts in force.
+    :param chooser: Chooses targets.
+    :param ledger: Keeps idempotency keys.
+    :param metrics: Metrics of the process.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationSource,
+        chooser: AsyncTargetChooser,
+        ledger: KeyLedger,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._chooser = chooser
+        self._ledger = ledger
+        self._metrics = metrics
+        self._clock = clock
+        self._bucket_by_customer: dict[CustomerId, TokenBucket] = {}
+        self._client: TargetClient | None = None
+        self._attempter: Attempter | None = None
+
+    async def async_start(self) -> None:
+        """Make ready to open connections to targets."""
+        self._client = TargetClient()
+        self._attempter = Attempter(
+            client=self._client, chooser=self._chooser, clock=self._clock
+        )
+
+    async def async_stop(self) -> None:
+        """Close the connections to targets."""
+        if self._client is not None:
+            await self._client.async_close()
+
+    async def async_handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request under ``/v1/services/``.
+
+        :param request: The caller's request.
+        """
+        started_at = self._clock.monotonic()
+        match read_route(request, self._configuration.current(), started_at):
+            case Result(tag="ok", ok=route):
+                pass
+            case Result(error=failure):
+                return refuse(self._metrics, failure)
+        response = await self._async_forward(request, route)
+        self._metrics.observe(
+            METRIC_LATENCY,
+            self._clock.monotonic() - started_at,
+            customer=route.customer,
+            service=route.service.service,
+        )
+        return response
+
+    async def _async_forward(
+        self, request: web.Request, route: Route
+    ) -> web.StreamResponse:
+        match await async_read_body(request, keyed=route.key is not None):
+            case Result(tag="ok", ok=body):
+                pass
+            case Result(error=failure):
+                return refuse(self._metrics, failure)
+        if route.key is not None:
+            return await self._async_keyed(request, route, body)
+        exchange = Exchange(
+            request=request,
+            route=route,
+            headers=_headers_for_target(request),
+            body=body,
+        )
+        result = await self._async_attempts(exchange)
+        if isinstance(result, Failure):
+            return refuse(self._metrics, result)
+        return result
+
+    async def _async_keyed(
+        self, request: web.Request, route: Route, body: RequestBody
+    ) -> web.StreamResponse:
+        assert route.key is not None
+        key = LedgerKey(
+            customer=route.customer, service=route.service.service, key=route.key
+        )
+        keyed = KeyedRequest(key=key, fingerprint=fingerprint(route, body.whole or b""))
+        match await self._ledger.async_claim(keyed, route.deadline):
+            case Result(tag="ok", ok=held):
+                pass
+            case Result(error=failure):
+                return refuse(self._metrics, failure)
+        if isinstance(held, KeptAnswer):
+            self._metrics.count(METRIC_REPLAYS, customer=route.customer)
+            return _replay(held)
+        return await self._async_claimed(request, route, body, held)
+
+    async def _async_claimed(
+        self, request: web.Request, route: Route, body: RequestBody, claim: HeldClaim
+    ) -> web.StreamResponse:
+        def record(answer: Answer) -> None:
+            claim.record(_recorded(answer))
+
+        exchange = Exchange(
+            request=request,
+            route=route,
+            headers=_headers_for_target(request),
+            body=body,
+            on_answer=record,
+        )
+        result = await self._async_attempts(exchange)
+        if not isinstance(result, Failure):
+            return result
+        if result.ran is Ran.NO:
+            claim.release()
+        return refuse(self._metrics, result)
+
+    async def _async_attempts(self, exchange: Exchange) -> web.StreamResponse | Failure:
+        """Try targets until one answers or no further attempt is allowed."""
+        assert self._attempter is not None
+        route = exchange.route
+        bucket = self._bucket(route.contract)
+        bucket.count_first_attempt()
+        excluded: set[TargetId] = set()
+        last: Failure | None = None
+        number = 0
+        while True:
+            match await self._chooser.async_choose(
+                contract=route.contract,
+                service=route.service.service,
+                idempotent=route.idempotent,
+                excluded=excluded,
+                now=self._clock.monotonic(),
+                deadline=route.deadline,
+            ):
+                case Result(tag="ok", ok=choice):
+                    pass
+                case Result(error=failure):
+                    return failure if last is None else last
+            number += 1
+            result = await self._async_attempt(exchange, choice)
+            if not isinstance(result, AttemptFailure):
+                return result
+            last = _worse(last, result.failure)
+            excluded.add(choice.target.id)
+            if not self._allows_retry(exchange, result, last, number, bucket):
+                return last
+
+    async def _async_attempt(
+        self, exchange: Exchange, choice: Choice
+    ) -> web.StreamResponse | AttemptFailure:
+        assert self._attempter is not None
+        try:
+            return await self._attempter.async_attempt(exchange, choice)
+        except AnswerBrokenOffError:
+            self._metrics.count(METRIC_BROKEN, customer=exchange.route.customer)
+            transport = exchange.request.transport
+            if transport is not None:
+                transport.abort()
+            raise
+
+    def _allows_retry(
+        self,
+        exchange: Exchange,
+        result: AttemptFailure,
+        last: Failure,
+        number: int,
+        bucket: TokenBucket,
+    ) -> bool:
+        now = self._clock.monotonic()
+        customer = exchange.route.customer
+        failed = FailedAttempt(
+            reason=result.reason,
+            ran=last.ran,
+            number=number,
+            body_gone=exchange.body.gone,
+        )
+        given_up = give_up_reason(
+            failed,
+            idempotent=exchange.route.idempotent,
+            bucket=bucket,
+            now=now,
+            deadline=exchange.route.deadline,
+        )
+        if given_up is None:
+            self._metrics.count(
+                METRIC_RETRIES, customer=customer, reason=result.reason.value
+            )
+            return True
+        self._metrics.count(
+            METRIC_GIVEN_UP,
+            customer=customer,
+            reason=result.reason.value,
+            why=given_up.value,
+        )
+        return False
+
+    def _bucket(self, contract: Contract) -> TokenBucket:
+        bucket = self._bucket_by_customer.get(contract.customer)
+        if bucket is None:
+            bucket = TokenBucket(contract.retry, self._clock.monotonic())
+            self._bucket_by_customer[contract.customer] = bucket
+        elif bucket.budget is not contract.retry:
+            bucket.set_budget(contract.retry)
+        return bucket
+
+
+def _headers_for_target(request: web.Request) -> CIMultiDict[str]:
+    headers = forwarded_headers(request.headers)
+    headers.popall(hdrs.EXPECT, None)
+    return headers
+
+
+def _worse(last: Failure | None, failure: Failure) -> Failure:
+    """Keep it in mind when an earlier attempt may have run the request."""
+    if last is not None and last.ran is Ran.UNKNOWN:
+        return replace(failure, ran=Ran.UNKNOWN)
+    return failure
+
+
+def _recorded(answer: Answer) -> KeptAnswer:
+    headers = answer_headers(answer.response)
+    return KeptAnswer(
+        status=answer.response.status,
+        headers=tuple((k, v) for k, v in headers.items() if k.lower() in KEPT_HEADERS),
+        body=answer.whole,
+    )
+
+
+def _replay(recorded: KeptAnswer) -> web.Response:
+    return web.Response(
+        status=recorded.status,
+        headers=CIMultiDict(recorded.headers),
+        body=recorded.body,
+    )
--- /dev/null
+++ b/mothshunt/dispatch/refusal.py
@@ -0,0 +1,45 @@
+"""Answers that mothshunt gives itself, and their counter."""
+
+import json
+import math
+
+from aiohttp import web
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.const import HEADER_CODE, HEADER_RAN, HEADER_RETRY_AFTER
+from mothshunt.dispatch.const import METRIC_REFUSALS
+from mothshunt.metrics.registry import Metrics
+
+
+def refuse(metrics: Metrics, failure: Failure) -> web.Response:
+    """Count a refusal and return the answer that tells it.
+
+    :param metrics: Metrics of the process.
+    :param failure: Why the request got no answer from a target.
+    """
+    metrics.count(METRIC_REFUSALS, code=failure.code.name)
+    return refusal(failure)
+
+
+def refusal(failure: Failure) -> web.Response:
+    """Return the answer that tells of a failure.
+
+    :param failure: Why the request got no answer from a target.
+    """
+    code = failure.code
+    headers = {HEADER_CODE: str(code.number), HEADER_RAN: failure.ran.value}
+    if failure.retry_after_s is not None:
+        headers[HEADER_RETRY_AFTER] = str(math.ceil(failure.retry_after_s))
+    document = {
+        "code": code.number,
+        "name": code.name,
+        "detail": failure.detail or code.summary,
+        "ran": failure.ran.value,
+        "retry_after_s": failure.retry_after_s,
+    }
+    return web.Response(
+        status=code.http_status,
+        headers=headers,
+        body=json.dumps(document).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/mothshunt/dispatch/request.py
@@ -0,0 +1,154 @@
+"""Reading of a caller's request into what the forwarder needs."""
+
+import hashlib
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from aiohttp import web
+from expression import Error, Ok, Result
+from multidict import CIMultiDict
+
+from mothshunt.configuration.model import Configuration
+from mothshunt.contract.model import ALWAYS_IDEMPOTENT, Contract, ServiceContract
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.const import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    ID_PATTERN,
+    PATH_SERVICES,
+)
+from mothshunt.core.types import CustomerId, IdempotencyKey, ServiceName
+from mothshunt.dispatch import codes
+from mothshunt.dispatch.const import HOP_BY_HOP
+
+MILLISECONDS_PER_SECOND = 1000
+MAX_DEADLINE_DIGITS = 9
+FINGERPRINT_BYTES = 16
+
+_PREFIX = PATH_SERVICES + "/"
+_KEY = re.compile(ID_PATTERN)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Hold what a caller asks for, before its body is read.
+
+    :param contract: Contract in force of the customer.
+    :param service: Contract of the service.
+    :param method: HTTP method.
+    :param tail: Path and query below the service, with a leading slash.
+    :param idempotent: Whether the request may be repeated.
+    :param key: Idempotency key, for a request that may not be repeated.
+    :param deadline: Monotonic time at which the request ends, in seconds.
+    """
+
+    contract: Contract
+    service: ServiceContract
+    method: str
+    tail: str
+    idempotent: bool
+    key: IdempotencyKey | None
+    deadline: float
+
+    @property
+    def customer(self) -> CustomerId:
+        """Customer that is asked."""
+        return self.contract.customer
+
+
+def read_route(
+    request: web.Request, configuration: Configuration, now: float
+) -> Result[Route, Failure]:
+    """Read what a caller asks for from the head of its request.
+
+    :param request: The request; its path begins with ``/v1/services/``.
+    :param configuration: Configuration in force.
+    :param now: Monotonic time, in seconds.
+    """
+    path, _, query = _raw_target(request)[len(_PREFIX) :].partition("?")
+    parts = path.split("/", 2)
+    if len(parts) < 2 or not parts[1]:
+        return _refuse(codes.UNKNOWN_PATH)
+    contract = configuration.contract_by_customer.get(CustomerId(parts[0]))
+    if contract is None:
+        return _refuse(codes.UNKNOWN_CUSTOMER, f"{parts[0]:.80}")
+    service = contract.service(ServiceName(parts[1]))
+    if service is None:
+        return _refuse(codes.UNKNOWN_SERVICE, f"{parts[1]:.80}")
+    below = "/" + (parts[2] if len(parts) > 2 else "")
+    idempotent = _is_idempotent(service, request.method, below)
+    key = None if idempotent else request.headers.get(HEADER_IDEMPOTENCY_KEY)
+    if key is not None and _KEY.match(key) is None:
+        return _refuse(codes.BAD_HEADER, HEADER_IDEMPOTENCY_KEY)
+    timeout_ms = _timeout_ms(request.headers.get(HEADER_DEADLINE_MS), service)
+    if timeout_ms is None:
+        return _refuse(codes.BAD_HEADER, HEADER_DEADLINE_MS)
+    return Ok(
+        Route(
+            contract=contract,
+            service=service,
+            method=request.method,
+            tail=f"{below}?{query}" if query else below,
+            idempotent=idempotent,
+            key=None if key is None else IdempotencyKey(key),
+            deadline=now + timeout_ms / MILLISECONDS_PER_SECOND,
+        )
+    )
+
+
+def forwarded_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the header fields that concern more than one connection.
+
+    :param headers: Header fields as they came.
+    """
+    kept: CIMultiDict[str] = CIMultiDict(headers)
+    for name in HOP_BY_HOP:
+        kept.popall(name, None)
+    for value in _listed(headers):
+        kept.popall(value, None)
+    return kept
+
+
+def fingerprint(route: Route, body: bytes) -> bytes:
+    """Return a hash by which the same key with another request is told apart.
+
+    :param route: What is asked for.
+    :param body: Whole request body.
+    """
+    digest = hashlib.sha256(f"{route.method} {route.tail}\n".encode())
+    digest.update(body)
+    return digest.digest()[:FINGERPRINT_BYTES]
+
+
+def _raw_target(request: web.Request) -> str:
+    raw = request.raw_path
+    return raw if raw.startswith("/") else request.rel_url.raw_path_qs
+
+
+def _is_idempotent(service: ServiceContract, method: str, path: str) -> bool:
+    if method in ALWAYS_IDEMPOTENT:
+        return True
+    # A target may read such a path as another one than the rule was written for.
+    if "%" in path or "//" in path or "/." in path or "\\" in path:
+        return False
+    return service.is_idempotent(method, path)
+
+
+def _timeout_ms(value: str | None, service: ServiceContract) -> int | None:
+    if value is None:
+        return service.request_timeout_ms
+    if not value.isascii() or not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+        return None
+    return min(int(value), service.request_timeout_ms)
+
+
+def _listed(headers: Mapping[str, str]) -> list[str]:
+    value = headers.get("Connection")
+    if value is None:
+        return []
+    return [name.strip() for name in value.split(",") if name.strip()]
+
+
+def _refuse(code: ResultCode, detail: str = "") -> Result[Route, Failure]:
+    return Error(Failure(code=code, detail=detail))
--- /dev/null
+++ b/mothshunt/dispatch/server.py
@@ -0,0 +1,228 @@
+"""HTTP server on the traffic address of an entry instance."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.const import PATH_ANNOUNCE, PATH_LEAVE, PATH_LOOKUP, PATH_SERVICES
+from mothshunt.core.types import Ran
+from mothshunt.dispatch import codes
+from mothshunt.dispatch.const import (
+    BACKLOG,
+    CALLER_KEEPALIVE_S,
+    DRAIN_POLL_S,
+    DRAIN_QUIET_S,
+    MAX_HEADERS,
+    MAX_LINE_BYTES,
+    METRIC_CANCELLED,
+    METRIC_IN_FLIGHT,
+    STOP_TIMEOUT_S,
+)
+from mothshunt.dispatch.forwarder import Forwarder
+from mothshunt.dispatch.model import RouteHandler
+from mothshunt.dispatch.refusal import refuse
+from mothshunt.helpers.log import get_logger
+from mothshunt.metrics.registry import Metrics
+
+_LOGGER = get_logger("dispatch")
+_SERVICES_PREFIX = PATH_SERVICES + "/"
+
+
+class TrafficServer:
+    """Serve callers and targets.
+
+    :param host: IP number to listen on.
+    :param port: TCP port; 0 takes a free one.
+    :param forwarder: Answers requests under ``/v1/services/``.
+    :param lookup: Answers ``GET /v1/lookup``.
+    :param announce: Answers ``POST /v1/targets/announce``.
+    :param leave: Answers ``POST /v1/targets/leave``.
+    :param metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        forwarder: Forwarder,
+        lookup: RouteHandler,
+        announce: RouteHandler,
+        leave: RouteHandler,
+        metrics: Metrics,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._forwarder = forwarder
+        self._handler_by_route: Mapping[tuple[str, str], RouteHandler] = {
+            ("GET", PATH_LOOKUP): lookup,
+            ("POST", PATH_ANNOUNCE): announce,
+            ("POST", PATH_LEAVE): leave,
+        }
+        self._metrics = metrics
+        self._in_flight = 0
+        self._leaving = False
+        self._protocols: _ProtocolFactory | None = None
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """TCP port that is listened on."""
+        return self._port
+
+    def in_flight(self) -> int:
+        """Return the number of requests that are being answered."""
+        return self._in_flight
+
+    async def async_start(self) -> None:
+        """Listen, and begin to answer."""
+        self._metrics.gauge(METRIC_IN_FLIGHT, self.in_flight)
+        await self._forwarder.async_start()
+        self._protocols = _ProtocolFactory(self)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocols, self._host, self._port, backlog=BACKLOG
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def async_stop_accepting(self) -> None:
+        """Accept no further connections; open ones are served on."""
+        self._leaving = True
+        if self._server is not None:
+            self._server.close()
+
+    async def async_drain(self) -> None:
+        """Wait until nothing has been in flight for a short while."""
+        quiet_s = 0.0
+        while quiet_s < DRAIN_QUIET_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+            quiet_s = 0.0 if self._in_flight else quiet_s + DRAIN_POLL_S
+
+    async def async_stop(self) -> None:
+        """Finish what is in flight and close all connections; may be called twice."""
+        await self.async_stop_accepting()
+        protocols, self._protocols = self._protocols, None
+        if protocols is None:
+            return
+        protocols.pre_shutdown()
+        await protocols.shutdown(STOP_TIMEOUT_S)
+        await self._forwarder.async_stop()
+
+    def refuse_malformed(self, detail: str) -> web.Response:
+        """Count a request that could not be read and return the answer to it.
+
+        :param detail: What was wrong with it.
+        """
+        failure = Failure(code=codes.MALFORMED_HTTP, detail=detail)
+        return refuse(self._metrics, failure)
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request and write the answer out.
+
+        :param request: The request.
+        """
+        assert isinstance(request, web.Request)
+        self._in_flight += 1
+        try:
+            response = await self._async_answer(request)
+            if self._leaving:
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        except asyncio.CancelledError:
+            self._metrics.count(METRIC_CANCELLED)
+            raise
+        finally:
+            self._in_flight -= 1
+
+    async def _async_answer(self, request: web.Request) -> web.StreamResponse:
+        try:
+            if request.path.startswith(_SERVICES_PREFIX):
+                return await self._forwarder.async_handle(request)
+            handler = self._handler_by_route.get((request.method, request.path))
+            if handler is None:
+                return refuse(self._metrics, Failure(code=codes.UNKNOWN_PATH))
+            return await handler(request)
+        except (ConnectionError, web.HTTPException):
+            raise
+        except Exception as error:
+            _LOGGER.error("a request met a fault", error=repr(error))
+            failure = Failure(
+                code=codes.INTERNAL, detail=type(error).__name__, ran=Ran.UNKNOWN
+            )
+            return refuse(self._metrics, failure)
+
+
+class _ProtocolFactory(web.Server):
+    """Make the protocol of each connection."""
+
+    def __init__(self, server: TrafficServer) -> None:
+        super().__init__(
+            server.async_handle,
+            request_factory=self._make_full_request,
+            handler_cancellation=True,
+        )
+        self._server = server
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return _Protocol(
+            self,
+            server=self._server,
+            loop=self._loop,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=CALLER_KEEPALIVE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+        )
+
+    def _make_full_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: "asyncio.Task[None]",
+    ) -> web.Request:
+        return web.Request(message, payload, protocol, writer, task, self._loop)
+
+
+class _Protocol(web.RequestHandler):
+    """Answer what can't be read as HTTP with a numbered refusal."""
+
+    __slots__ = ("_traffic_server",)
+
+    def __init__(
+        self, manager: web.Server, *, server: TrafficServer, **options: Any
+    ) -> None:
+        super().__init__(manager, **options)
+        self._traffic_server = server
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer to a request that could not be read.
+
+        :param request: Stands in for the request.
+        :param status: Status that the library chose.
+        :param exc: What was wrong.
+        :param message: Text of the library.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionResetError("the answer had begun")
+        response = self._traffic_server.refuse_malformed((message or "")[:200])
+        response.force_close()
+        return response
--- /dev/null
+++ b/mothshunt/ledger/client.py
@@ -0,0 +1,200 @@
+"""The ledger as an entry instance sees it."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.network import ControlConnection
+from mothshunt.core.types import Ran
+from mothshunt.helpers.log import get_logger
+from mothshunt.ledger import codes
+from mothshunt.ledger.const import (
+    ASK_PAUSE_S,
+    ASK_TIMEOUT_S,
+    MAX_UNSETTLED,
+    METRIC_CLAIM_LATENCY,
+    METRIC_CLAIMS,
+    METRIC_SETTLES,
+    RETRY_AFTER_S,
+    SETTLE_TIMEOUT_S,
+)
+from mothshunt.ledger.messages import (
+    Claim,
+    ClaimOutcome,
+    ClaimStatus,
+    Done,
+    Record,
+    Release,
+)
+from mothshunt.ledger.model import HeldClaim, KeptAnswer, KeyedRequest
+from mothshunt.metrics.registry import Metrics
+
+ATTEMPT_BYTES = 16
+MILLISECONDS_PER_SECOND = 1000
+
+_LOGGER = get_logger("ledger")
+_CODE_BY_STATUS: dict[ClaimStatus, ResultCode] = {
+    ClaimStatus.IN_PROGRESS: codes.IN_PROGRESS,
+    ClaimStatus.UNKNOWN: codes.OUTCOME_UNKNOWN,
+    ClaimStatus.CONFLICT: codes.KEY_CONFLICT,
+    ClaimStatus.FULL: codes.LEDGER_FULL,
+    ClaimStatus.WITHDRAWN: codes.CLAIM_WITHDRAWN,
+}
+_RAN_UNKNOWN = frozenset({ClaimStatus.IN_PROGRESS, ClaimStatus.UNKNOWN})
+
+
+class LedgerClient:
+    """Claim idempotency keys and settle the claims.
+
+    :param control: Reaches the control instances.
+    :param metrics: Metrics of the process.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self, *, control: ControlConnection, metrics: Metrics, clock: Clock
+    ) -> None:
+        self._control = control
+        self._metrics = metrics
+        self._clock = clock
+        self._settling: set[asyncio.Task[None]] = set()
+
+    async def async_start(self) -> None:
+        """Do nothing; claims may be made at once."""
+
+    async def async_stop(self) -> None:
+        """Wait until every claim is settled, or its time for that is over."""
+        while self._settling:
+            await asyncio.wait(self._settling)
+
+    async def async_claim(
+        self, request: KeyedRequest, deadline: float
+    ) -> Result[HeldClaim | KeptAnswer, Failure]:
+        """Claim a key durably.
+
+        :param request: The request.
+        :param deadline: Monotonic time at which the request ends, in seconds.
+        :return: The claim, committed and owned by this call alone; or the first
+            answer; or a failure, after which the request must not be dispatched.
+        """
+        started_at = self._clock.monotonic()
+        runs_ms = max(1, int((deadline - started_at) * MILLISECONDS_PER_SECOND))
+        command = Claim(
+            key=request.key,
+            fingerprint=request.fingerprint,
+            attempt=secrets.token_bytes(ATTEMPT_BYTES),
+            runs_ms=runs_ms,
+        )
+        settler = _OpenClaim(self, command)
+        try:
+            outcome = await self._async_outcome(command, deadline)
+        except asyncio.CancelledError:
+            # The claim may be committed, or may yet be, with nobody to run it.
+            settler.release()
+            raise
+        self._metrics.observe(
+            METRIC_CLAIM_LATENCY, self._clock.monotonic() - started_at
+        )
+        if outcome is None:
+            settler.release()
+            self._metrics.count(METRIC_CLAIMS, outcome="unavailable")
+            return Error(_unavailable())
+        self._metrics.count(METRIC_CLAIMS, outcome=outcome.status.value)
+        if outcome.status is ClaimStatus.OWNED:
+            return Ok(settler)
+        return _held(outcome)
+
+    def settle(self, command: Record | Release) -> None:
+        """Have a claim settled in the background.
+
+        :param command: The answer, or the release.
+        """
+        if len(self._settling) >= MAX_UNSETTLED:
+            self._metrics.count(METRIC_SETTLES, outcome="dropped")
+            return
+        task = asyncio.create_task(self._async_settle(command))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def _async_outcome(
+        self, command: Claim, deadline: float
+    ) -> ClaimOutcome | None:
+        """Ask until the fate of the claim is known or the deadline has passed."""
+        while (remaining_s := deadline - self._clock.monotonic()) > 0:
+            answer = await self._control.async_ask(
+                command, min(ASK_TIMEOUT_S, remaining_s)
+            )
+            match answer:
+                case Result(tag="ok", ok=ClaimOutcome() as outcome):
+                    return outcome
+            await asyncio.sleep(ASK_PAUSE_S)
+        return None
+
+    async def _async_settle(self, command: Record | Release) -> None:
+        give_up_at = self._clock.monotonic() + SETTLE_TIMEOUT_S
+        while self._clock.monotonic() < give_up_at:
+            match await self._control.async_ask(command, ASK_TIMEOUT_S):
+                case Result(tag="ok", ok=Done()):
+                    self._metrics.count(METRIC_SETTLES, outcome="settled")
+                    return
+            await asyncio.sleep(ASK_PAUSE_S)
+        self._metrics.count(METRIC_SETTLES, outcome="given_up")
+        _LOGGER.warning("a claim could not be settled", key=command.key.key)
+
+
+@dataclass(frozen=True, slots=True)
+class _OpenClaim:
+    """Hold a claim until it is settled."""
+
+    client: LedgerClient
+    command: Claim
+
+    def record(self, answer: KeptAnswer) -> None:
+        """Keep the first answer, in the background.
+
+        :param answer: What the target answered.
+        """
+        command = Record(
+            key=self.command.key, attempt=self.command.attempt, answer=answer
+        )
+        self.client.settle(command)
+
+    def release(self) -> None:
+        """Give the key back, in the background, as the request was not run."""
+        command = Release(
+            key=self.command.key,
+            fingerprint=self.command.fingerprint,
+            attempt=self.command.attempt,
+        )
+        self.client.settle(command)
+
+
+def _held(outcome: ClaimOutcome) -> Result[HeldClaim | KeptAnswer, Failure]:
+    if outcome.status is ClaimStatus.ANSWERED and outcome.answer is not None:
+        if outcome.answer.body is not None:
+            return Ok(outcome.answer)
+        detail = f"the answer had status {outcome.answer.status}"
+        failure = Failure(code=codes.ANSWER_NOT_KEPT, detail=detail, ran=Ran.UNKNOWN)
+        return Error(failure)
+    status = outcome.status
+    ran = Ran.UNKNOWN if status in _RAN_UNKNOWN else Ran.NO
+    retry_after_s = _retry_after_s(outcome)
+    return Error(
+        Failure(code=_CODE_BY_STATUS[status], ran=ran, retry_after_s=retry_after_s)
+    )
+
+
+def _retry_after_s(outcome: ClaimOutcome) -> float | None:
+    if outcome.status is ClaimStatus.IN_PROGRESS:
+        return min(RETRY_AFTER_S, outcome.runs_ms / MILLISECONDS_PER_SECOND)
+    if outcome.status in (ClaimStatus.FULL, ClaimStatus.WITHDRAWN):
+        return RETRY_AFTER_S
+    return None
+
+
+def _unavailable() -> Failure:
+    return Failure(code=codes.LEDGER_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/tests/dispatch/whole_answers.feature
@@ -0,0 +1,52 @@
+Feature: A late, doubled or truncated answer never looks like a whole one
+
+  Scenario Outline: A truncated answer to a read is asked for elsewhere
+    Given a dispatch entry
+    And a raw target "t1" that <behaviour>
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/a"
+    Then the dispatch caller got status 200 and "t2 /a"
+    And the dispatch counter mothshunt_retries_total with reason "truncated" is 1
+
+    Examples:
+      | behaviour                   |
+      | sends a short body          |
+      | sends chunks without an end |
+      | sends an unframed body      |
+
+  Scenario Outline: A truncated answer to an order is told or broken off
+    Given a dispatch entry
+    And a raw target "t1" that <behaviour>
+    And a raw target "t2" that answers
+    When a dispatch caller uploads 10 bytes with POST "/orders"
+    Then the dispatch caller got no whole answer
+    And target "t2" was reached 0 times
+
+    Examples:
+      | behaviour                   |
+      | sends a short body          |
+      | sends chunks without an end |
+      | sends an unframed body      |
+
+  Scenario: A large answer that breaks off breaks the caller's connection
+    Given a dispatch entry
+    And a raw target "t1" that breaks off a large answer
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/a"
+    Then the dispatch caller's connection was visibly broken
+    And target "t2" was reached 0 times
+
+  Scenario: A second answer is not given to the next caller
+    Given a dispatch entry
+    And a raw target "t1" that answers twice
+    When a dispatch caller sends GET "/first"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/second"
+    Then the dispatch caller got status 200 and "t1 /second"
+
+  Scenario: A connection whose request timed out is not used again
+    Given a dispatch entry with a request timeout of 200 ms
+    And a raw target "t1" that never answers
+    When a dispatch caller sends GET "/a"
+    Then the dispatch caller got code 2014 with ran unknown
+    And target "t1" lost its connection
--- /dev/null
+++ b/tests/steps/dispatch_forward.py
@@ -0,0 +1,247 @@
+"""Steps that send requests through an entry instance to raw targets."""
+
+import asyncio
+import json
+
+import aiohttp
+from behave import given, then, when
+
+from mothshunt.core.clock import SystemClock
+from mothshunt.dispatch.forwarder import Forwarder
+from mothshunt.dispatch.server import TrafficServer
+from mothshunt.ledger.client import LedgerClient
+from mothshunt.metrics.registry import Metrics
+from tests.support.dispatch_fakes import (
+    FakeControl,
+    FixedConfiguration,
+    ListChooser,
+    contract,
+)
+from tests.support.raw_target import BEHAVIOURS, RawTarget
+
+BASE = "/v1/services/rackhaven/circuit-ordering"
+
+
+async def start_entry(context) -> TrafficServer:
+    async def not_here(request):
+        return aiohttp.web.Response(text="handled elsewhere")
+
+    forwarder = Forwarder(
+        configuration=FixedConfiguration(context.contract),
+        chooser=context.chooser,
+        ledger=LedgerClient(
+            control=context.control, metrics=context.metrics, clock=SystemClock()
+        ),
+        metrics=context.metrics,
+        clock=SystemClock(),
+    )
+    server = TrafficServer(
+        host="127.0.0.1",
+        port=0,
+        forwarder=forwarder,
+        lookup=not_here,
+        announce=not_here,
+        leave=not_here,
+        metrics=context.metrics,
+    )
+    await server.async_start()
+    return server
+
+
+def set_up(context, the_contract) -> None:
+    context.runner = context.stack.enter_context(asyncio.Runner())
+    context.contract = the_contract
+    context.metrics = Metrics()
+    context.chooser = ListChooser()
+    context.control = FakeControl()
+    context.target_by_name = {}
+    context.answers = []
+    context.server = context.runner.run(start_entry(context))
+    context.stack.callback(lambda: context.runner.run(tear_down(context)))
+
+
+async def tear_down(context) -> None:
+    for target in context.target_by_name.values():
+        await target.stop()
+    await context.server.async_stop()
+
+
+@given("a dispatch entry")
+def entry(context):
+    set_up(context, contract())
+
+
+@given("a dispatch entry with a request timeout of {timeout_ms:d} ms")
+def entry_with_timeout(context, timeout_ms):
+    set_up(context, contract(timeout_ms=timeout_ms))
+
+
+@given("a dispatch entry with a budget of one retry")
+def entry_with_budget(context):
+    set_up(context, contract(ratio=0.0, minimum=0.0))
+
+
+@given('a raw target "{name}" that {behaviour}')
+def raw_target(context, name, behaviour):
+    target = RawTarget(name, BEHAVIOURS[behaviour])
+    context.runner.run(target.start())
+    context.target_by_name[name] = target
+    context.chooser.add(name, target.port)
+
+
+@given('a raw target "{name}" whose port is closed')
+def closed_target(context, name):
+    target = RawTarget(name, BEHAVIOURS["answers"])
+    context.runner.run(target.start())
+    context.runner.run(target.stop())
+    context.target_by_name[name] = target
+    context.chooser.add(name, target.port)
+
+
+async def send(context, method, path, *, headers=None, body=None, timeout_s=20):
+    url = f"http://127.0.0.1:{context.server.port}{path}"
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        # A caller that sends again by itself would hide what the entry does.
+        session._retry_connection = False
+        try:
+            async with session.request(
+                method, url, headers=headers, data=body
+            ) as response:
+                return response.status, response.headers, await response.read()
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            return None, {}, repr(error).encode()
+
+
+@when('a dispatch caller sends {method} "{path}"')
+def caller_sends(context, method, path):
+    context.answers.append(context.runner.run(send(context, method, BASE + path)))
+
+
+@when('a dispatch caller uploads {size:d} bytes with {method} "{path}"')
+def caller_sends_body(context, method, path, size):
+    coroutine = send(context, method, BASE + path, body=b"b" * size)
+    context.answers.append(context.runner.run(coroutine))
+
+
+@when('a dispatch caller adds {header} "{value}" to {method} "{path}"')
+def caller_sends_header(context, method, path, header, value):
+    coroutine = send(context, method, BASE + path, headers={header: value})
+    context.answers.append(context.runner.run(coroutine))
+
+
+@when('a dispatch caller leaves {delay_ms:d} ms after {method} "{path}"')
+def caller_leaves(context, method, path, delay_ms):
+    async def leave():
+        await send(context, method, BASE + path, timeout_s=delay_ms / 1000)
+        await asyncio.sleep(0.2)
+
+    context.runner.run(leave())
+
+
+@when("{delay_ms:d} ms pass at the dispatch entry")
+def time_passes(context, delay_ms):
+    context.runner.run(asyncio.sleep(delay_ms / 1000))
+
+
+@when("raw bytes {text} are sent to the dispatch entry")
+def raw_bytes(context, text):
+    async def exchange():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.server.port)
+        writer.write(json.loads(text).encode())
+        data = await asyncio.wait_for(reader.read(100_000), 10)
+        writer.close()
+        return data
+
+    context.raw = context.runner.run(exchange())
+
+
+@then('the dispatch caller got status {status:d} and "{text}"')
+def got(context, status, text):
+    assert context.answers[-1][0] == status, context.answers[-1]
+    assert context.answers[-1][2].decode() == text, context.answers[-1]
+
+
+@then("the dispatch caller got code {number:d} with ran {ran}")
+def got_code(context, number, ran):
+    _, headers, body = context.answers[-1]
+    assert headers.get("Mothshunt-Code") == str(number), context.answers[-1]
+    assert headers.get("Mothshunt-Ran") == ran, context.answers[-1]
+    assert json.loads(body)["ran"] == ran
+
+
+@then("the dispatch caller is told to come back after {seconds:d} s")
+def told_to_come_back(context, seconds):
+    assert context.answers[-1][1].get("Retry-After") == str(seconds), context.answers
+
+
+@then("the dispatch caller's connection was visibly broken")
+def visibly_broken(context):
+    assert context.answers[-1][0] is None, context.answers[-1][0]
+
+
+@then("the dispatch caller got {size:d} bytes")
+def got_bytes(context, size):
+    assert len(context.answers[-1][2]) == size, len(context.answers[-1][2])
+
+
+@then('target "{name}" was reached {times:d} times')
+def reached(context, name, times):
+    requests = context.target_by_name[name].requests
+    assert len(requests) == times, requests
+
+
+@then('target "{name}" saw {count:d} connections')
+def saw_connections(context, name, count):
+    assert context.target_by_name[name].connections == count
+
+
+@then('target "{name}" lost its connection')
+def lost_connection(context, name):
+    lost = context.target_by_name[name].lost
+    context.runner.run(asyncio.wait_for(lost.wait(), 10))
+
+
+@then('target "{name}" was given at most {limit_ms:d} ms')
+def given_deadline(context, name, limit_ms):
+    value = (
+        context.target_by_name[name]
+        .requests[-1]
+        .header_by_name["mothshunt-deadline-ms"]
+    )
+    assert 0 < int(value) <= limit_ms, value
+
+
+@then('the outcomes were "{outcomes}"')
+def outcomes_were(context, outcomes):
+    found = ", ".join(f"{name} {outcome}" for name, outcome in context.chooser.outcomes)
+    assert found == outcomes, found
+    assert context.chooser.open == 0
+
+
+@then('the dispatch counter {name} with {label} "{value}" is {count:d}')
+def counter_is(context, name, label, value, count):
+    found = sum(
+        amount
+        for series, amount in context.metrics.counter_by_series.items()
+        if series.name == name and (label, value) in series.labels
+    )
+    assert found == count, context.metrics.render()
+
+
+@then("the raw answer has code {number:d}")
+def raw_code(context, number):
+    assert f"Mothshunt-Code: {number}".encode() in context.raw, context.raw
+
+
+@then("the dispatch entry still answers")
+def still_answers(context):
+    status, _, body = context.runner.run(send(context, "GET", "/v1/lookup"))
+    assert (status, body) == (200, b"handled elsewhere")
+
+
+@then("the dispatch caller got no whole answer")
+def no_whole_answer(context):
+    status, headers, _ = context.answers[-1]
+    refused = headers.get("Mothshunt-Ran") == "unknown"
+    assert status is None or refused, context.answers[-1]
--- /dev/null
+++ b/tests/support/raw_target.py
@@ -0,0 +1,181 @@
+"""A target on a raw socket that does as a test says, and notes what reaches it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+Behaviour = Callable[["RawTarget", "RawRequest", asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class RawRequest:
+    """Hold one request as it came."""
+
+    number: int
+    connection: int
+    method: str
+    path: str
+    header_by_name: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class RawTarget:
+    """Serve raw HTTP/1.1 on a free port."""
+
+    name: str
+    behaviour: Behaviour
+    port: int = 0
+    requests: list[RawRequest] = field(default_factory=list)
+    connections: int = 0
+    lost: asyncio.Event = field(default_factory=asyncio.Event)
+    server: asyncio.Server | None = None
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _accept(self, reader, writer) -> None:
+        self.connections += 1
+        serving = self._serve(self.connections, reader, writer)
+        self.tasks.append(asyncio.ensure_future(serving))
+
+    async def _serve(self, connection, reader, writer) -> None:
+        try:
+            while True:
+                request = await self._read(reader, connection)
+                self.requests.append(request)
+                work = asyncio.ensure_future(self.behaviour(self, request, writer))
+                await self._async_finish(work, reader)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _async_finish(self, work, reader) -> None:
+        """Wait for the behaviour, and note when the connection is lost meanwhile."""
+        while not work.done():
+            await asyncio.wait([work], timeout=0.01)
+            if reader.at_eof() and not work.done():
+                self.lost.set()
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
+                raise ConnectionResetError
+        work.result()
+
+    async def _read(self, reader, connection) -> RawRequest:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        lines = head.split("\r\n")
+        method, path, _ = lines[0].split(" ", 2)
+        headers = {}
+        for line in lines[1:]:
+            if line:
+                name, _, value = line.partition(":")
+                headers[name.strip().lower()] = value.strip()
+        body = await self._read_body(reader, headers)
+        return RawRequest(
+            len(self.requests) + 1, connection, method, path, headers, body
+        )
+
+    async def _read_body(self, reader, headers) -> bytes:
+        if "content-length" in headers:
+            return await reader.readexactly(int(headers["content-length"]))
+        if headers.get("transfer-encoding") != "chunked":
+            return b""
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+        await reader.readline()
+        return body
+
+
+def answer(body: bytes, status: str = "200 OK", headers: str = "") -> bytes:
+    """Return a whole answer with a content length."""
+    head = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def ok(target, request, writer) -> None:
+    """Answer with the name of the target and the path."""
+    writer.write(answer(f"{target.name} {request.path}".encode()))
+
+
+async def close_unanswered(target, request, writer) -> None:
+    """Close the connection after reading the request."""
+    writer.close()
+
+
+async def silent(target, request, writer) -> None:
+    """Never answer."""
+    await asyncio.sleep(3600)
+
+
+async def shed(target, request, writer) -> None:
+    """Turn the request away without running it."""
+    headers = "Mothshunt-Ran: no\r\nRetry-After: 7\r\n"
+    writer.write(answer(b"busy", "503 Busy", headers))
+
+
+async def short_length(target, request, writer) -> None:
+    """Send less than the content length says, then close."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer")
+    writer.close()
+
+
+async def endless_chunks(target, request, writer) -> None:
+    """Send chunks without the last one, then close."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+    await asyncio.sleep(0.02)
+    writer.close()
+
+
+async def unframed(target, request, writer) -> None:
+    """Mark the end of the answer by closing only."""
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf an answer")
+    writer.close()
+
+
+async def doubled(target, request, writer) -> None:
+    """Send the same answer twice, the second a little later."""
+    body = f"{target.name} {request.path}".encode()
+    writer.write(answer(body))
+    await asyncio.sleep(0.02)
+    writer.write(answer(body))
+
+
+async def large(target, request, writer) -> None:
+    """Send an answer that is too large to be read whole."""
+    writer.write(answer(b"x" * 300_000))
+
+
+async def large_then_break(target, request, writer) -> None:
+    """Break off in the middle of a large answer."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.close()
+
+
+BEHAVIOURS = {
+    "answers": ok,
+    "closes after reading": close_unanswered,
+    "never answers": silent,
+    "sheds": shed,
+    "sends a short body": short_length,
+    "sends chunks without an end": endless_chunks,
+    "sends an unframed body": unframed,
+    "answers twice": doubled,
+    "sends a large answer": large,
+    "breaks off a large answer": large_then_break,
+}
