Prove at-most-once by idempotency keys at an entry with a fake of control

Replay through another entry, conflict, in progress, unknown outcome, release, answer too large to keep, control out of reach, lost answer of a claim, late claim after its release, outcome that can't be recorded, callers that leave during the claim and after dispatch.

--- a/tests/support/dispatch_fakes.py
+++ b/tests/support/dispatch_fakes.py
@@ -18,6 +18,7 @@
 from mothshunt.core.types import Ran, TargetState, Weighs
 from mothshunt.discovery.model import Target
 from mothshunt.ledger.applier import LedgerApplier
+from mothshunt.ledger.messages import Release
 from mothshunt.limits.model import Permit
 from mothshunt.steering.model import Choice
 
@@ -114,15 +115,17 @@
     """
 
     applier: LedgerApplier = field(default_factory=LedgerApplier)
-    fault_by_kind: dict[str, str] = field(default_factory=dict)
+    faults_by_kind: dict[str, list[str]] = field(default_factory=dict)
     index: int = 0
     asked: list[object] = field(default_factory=list)
     late: list[object] = field(default_factory=list)
+    released: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def async_ask(self, message, timeout_s):
         await asyncio.sleep(0)
         self.asked.append(message)
-        fault = self.fault_by_kind.get(type(message).__name__, "")
+        faults = self.faults_by_kind.get(type(message).__name__)
+        fault = faults.pop() if faults else ""
         if fault == "unreachable":
             return Error(Failure(code=NO_STREAM, ran=Ran.NO))
         if fault == "late":
@@ -135,4 +138,6 @@
 
     def apply(self, message):
         self.index += 1
+        if isinstance(message, Release):
+            self.released.set()
         return self.applier.apply(self.index, message)
