--- /dev/null
+++ b/testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around mothshunt, for tests, benches and trials."""
--- /dev/null
+++ b/testkit/target/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in targets that announce themselves, keep records and can misbehave."""
--- /dev/null
+++ b/testkit/target/runs.py
@@ -0,0 +1,63 @@
+"""Record of the requests that a stand-in target has run."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Run:
+    """Record one run of a request.
+
+    :param request_id: Id of the request.
+    :param key: Idempotency key; empty when there was none.
+    :param method: HTTP method.
+    :param path: Path with query.
+    :param deadline_ms: Deadline header as received; empty when there was none.
+    :param started_at_unix: Wall clock at the start, in seconds.
+    :param ended: ``running``, ``answered``, ``cancelled`` or ``broken``.
+    """
+
+    request_id: str
+    key: str
+    method: str
+    path: str
+    deadline_ms: str
+    started_at_unix: float = field(default_factory=time.time)
+    ended: str = "running"
+
+
+@dataclass(slots=True)
+class RunRecord:
+    """Keep all runs of one target."""
+
+    runs: list[Run] = field(default_factory=list)
+    received: int = 0
+    shed: int = 0
+    in_flight: int = 0
+    _count_by_id: Counter[str] = field(default_factory=Counter)
+
+    def start(self, run: Run) -> int:
+        """Record the start of a run.
+
+        :param run: The run.
+        :return: How many times the request has been run here, this time included.
+        """
+        self.runs.append(run)
+        self.in_flight += 1
+        self._count_by_id[run.request_id] += 1
+        return self._count_by_id[run.request_id]
+
+    def end(self, run: Run, how: str) -> None:
+        """Record the end of a run.
+
+        :param run: The run.
+        :param how: ``answered``, ``cancelled`` or ``broken``.
+        """
+        run.ended = how
+        self.in_flight -= 1
+
+    @property
+    def finished(self) -> int:
+        """Return how many runs have ended."""
+        return len(self.runs) - self.in_flight
