--- /dev/null
+++ b/testkit/caller.py
@@ -0,0 +1,272 @@
+"""A caller of mothshunt: looks up entries, sends requests, checks answers."""
+
+import json
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+import aiohttp
+
+from mothshunt.core.const import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_RAN,
+    HEADER_RETRY_AFTER,
+    PATH_LOOKUP,
+    PATH_SERVICES,
+)
+from testkit import answers
+from testkit.target.config import Endpoint
+from testkit.target.server import HEADER_TEST_ID
+
+DEFAULT_DEADLINE_MS = 10_000
+#: How much longer than the deadline the caller itself waits.
+CLIENT_GRACE_S = 5.0
+LOOKUP_TIMEOUT_S = 5.0
+
+
+class Outcome(Enum):
+    """How a request ended for the caller."""
+
+    WHOLE = "whole"
+    #: A numbered refusal or error answer of mothshunt.
+    REFUSED = "refused"
+    #: An answer with an error status of the target itself.
+    TARGET_ERROR = "target_error"
+    #: The connection broke, visibly.
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    #: No entry could be connected to, so that nothing was sent.
+    NOT_SENT = "not_sent"
+    #: An answer that looked whole but was not the request's own: never allowed.
+    WRONG = "wrong"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """Describe one request.
+
+    :param request_id: Unique id, which the target records.
+    :param service: Service.
+    :param method: HTTP method.
+    :param path: Path below the service, with a leading slash.
+    :param key: Idempotency key, or ``None``.
+    :param body: Body; the answer tells its hash.
+    :param deadline_ms: Deadline that is passed on.
+    :param headers: Further headers.
+    """
+
+    request_id: str
+    service: str
+    method: str = "GET"
+    path: str = "/"
+    key: str | None = None
+    body: bytes = b""
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def is_read(self) -> bool:
+        """Tell whether the request is idempotent by its method."""
+        return self.method in ("GET", "HEAD")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Result:
+    """Tell how one request ended.
+
+    :param request: The request.
+    :param outcome: How it ended.
+    :param entry: Entry that it was sent to.
+    :param status: HTTP status; 0 without an answer.
+    :param code_name: Name of mothshunt's code; empty without one.
+    :param ran: ``no``, ``unknown`` or empty where nothing was said.
+    :param retry_after_s: When to come back, where said.
+    :param answer: What the body says, when it is whole.
+    :param started_at: Monotonic time at which it was due, in seconds.
+    :param latency_s: Seconds from then to the end.
+    :param detail: Text for a person.
+    """
+
+    request: Request
+    outcome: Outcome
+    entry: str = ""
+    status: int = 0
+    code_name: str = ""
+    ran: str = ""
+    retry_after_s: float | None = None
+    answer: answers.Answer | None = None
+    started_at: float = 0.0
+    latency_s: float = 0.0
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _CachedLookup:
+    entries: tuple[Endpoint, ...]
+    valid_until: float
+
+
+class Caller:
+    """Send requests of one client of one customer.
+
+    :param customer: Customer.
+    :param client: Address of the client, as it is given in look-ups.
+    :param ask: Instances to ask for look-ups; the next is asked when one fails.
+    :param session: HTTP client; see ``make_session``.
+    """
+
+    def __init__(
+        self,
+        *,
+        customer: str,
+        client: str,
+        ask: Sequence[Endpoint],
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._customer = customer
+        self._client = client
+        self._ask = tuple(ask)
+        self._session = session
+        self._cached_by_service: dict[str, _CachedLookup] = {}
+        self._asked = 0
+
+    async def async_lookup(self, service: str) -> tuple[Endpoint, ...]:
+        """Return the entries to use, in order; asks only after the lifetime.
+
+        :param service: Service.
+        """
+        cached = self._cached_by_service.get(service)
+        if cached is not None and time.monotonic() < cached.valid_until:
+            return cached.entries
+        for _ in self._ask:
+            found = await self._async_ask(
+                self._ask[self._asked % len(self._ask)], service
+            )
+            if found is not None:
+                self._cached_by_service[service] = found
+                return found.entries
+            self._asked += 1
+        return cached.entries if cached is not None else ()
+
+    async def async_send(self, request: Request, due_at: float | None = None) -> Result:
+        """Send a request to the first entry that takes the connection.
+
+        :param request: The request.
+        :param due_at: Monotonic time at which it was due; now by default.
+        """
+        started_at = time.monotonic() if due_at is None else due_at
+        last = Result(request=request, outcome=Outcome.NOT_SENT, detail="no entries")
+        for entry in await self.async_lookup(request.service):
+            last = await self._async_send_to(entry, request)
+            if last.outcome is not Outcome.NOT_SENT:
+                break
+        latency_s = time.monotonic() - started_at
+        return replace(last, started_at=started_at, latency_s=latency_s)
+
+    async def _async_ask(self, entry: Endpoint, service: str) -> _CachedLookup | None:
+        query = {
+            "customer": self._customer,
+            "service": service,
+            "client": self._client,
+        }
+        asked_at = time.monotonic()
+        timeout = aiohttp.ClientTimeout(total=LOOKUP_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                entry.url + PATH_LOOKUP, params=query, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    return None
+                document = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+        entries = tuple(
+            Endpoint(host=item["host"], port=item["port"])
+            for item in document["entries"]
+        )
+        lifetime_s = document["lifetime_ms"] / 1000
+        return _CachedLookup(entries, asked_at + lifetime_s)
+
+    async def _async_send_to(self, entry: Endpoint, request: Request) -> Result:
+        headers = {
+            HEADER_TEST_ID: request.request_id,
+            HEADER_DEADLINE_MS: str(request.deadline_ms),
+            **request.headers,
+        }
+        if request.key is not None:
+            headers[HEADER_IDEMPOTENCY_KEY] = request.key
+        url = f"{entry.url}{PATH_SERVICES}/{self._customer}/{request.service}"
+        timeout = aiohttp.ClientTimeout(
+            total=request.deadline_ms / 1000 + CLIENT_GRACE_S
+        )
+
+        def ended(outcome: Outcome, detail: str = "") -> Result:
+            return Result(
+                request=request, outcome=outcome, entry=entry.url, detail=detail
+            )
+
+        try:
+            async with self._session.request(
+                request.method,
+                url + request.path,
+                data=request.body or None,
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                body = await response.read()
+                return _judge(request, entry, response, body)
+        except aiohttp.ClientConnectorError as error:
+            return ended(Outcome.NOT_SENT, str(error))
+        except TimeoutError:
+            return ended(Outcome.TIMED_OUT)
+        except (aiohttp.ClientError, OSError) as error:
+            return ended(Outcome.BROKEN, repr(error))
+
+
+def make_session(*, kept_connections: bool = True) -> aiohttp.ClientSession:
+    """Return an HTTP client for callers.
+
+    :param kept_connections: Whether connections are used again. aiohttp repeats some
+        requests by itself when a kept connection turns out closed; a caller that
+        counts runs of PUT or DELETE needs new ones.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=not kept_connections)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
+
+def _judge(
+    request: Request, entry: Endpoint, response: aiohttp.ClientResponse, body: bytes
+) -> Result:
+    headers = response.headers
+    ran = headers.get(HEADER_RAN, "")
+    retry_after = headers.get(HEADER_RETRY_AFTER)
+    code_name = ""
+    answer = None
+    if response.status == 200:
+        answer = answers.verify(body, request.request_id)
+        outcome = Outcome.WRONG if answer is None else Outcome.WHOLE
+    elif ran:
+        outcome = Outcome.REFUSED
+        code_name = _code_name(body)
+    else:
+        outcome = Outcome.TARGET_ERROR
+    return Result(
+        request=request,
+        outcome=outcome,
+        entry=entry.url,
+        status=response.status,
+        code_name=code_name,
+        ran=ran,
+        retry_after_s=None if retry_after is None else float(retry_after),
+        answer=answer,
+        detail="" if outcome is Outcome.WHOLE else body[:300].decode(errors="replace"),
+    )
+
+
+def _code_name(body: bytes) -> str:
+    try:
+        return str(json.loads(body)["name"])
+    except (ValueError, KeyError, TypeError):
+        return "unreadable"
--- a/testkit/fleet.py
+++ b/testkit/fleet.py
@@ -12,6 +12,7 @@
 from testkit.ports import HOST, PortReservations
 from testkit.process import ManagedProcess, wait_until
 from testkit.target.config import Endpoint, TargetConfig, TargetHostConfig
+from testkit.target.runs import journal_path, read_journal
 
 TARGET_MODULE = "testkit.target"
 START_TIMEOUT_S = 30.0
@@ -40,7 +41,9 @@
         folder: Path,
     ) -> None:
         self.targets = tuple(_with_port(target, ports) for target in targets)
-        config = TargetHostConfig(entries=tuple(entries), targets=self.targets)
+        config = TargetHostConfig(
+            entries=tuple(entries), targets=self.targets, runs_folder=str(folder)
+        )
         config_path = folder / f"{name}.json"
         config_path.write_bytes(schema.to_json(config, indent=2))
         self.process = ManagedProcess(
@@ -129,11 +132,11 @@
         raise KeyError(name)
 
     def runs(self, name: str) -> list[dict[str, Any]]:
-        """Return the runs that a target recorded.
+        """Return the runs that a target recorded, also when it was killed since.
 
         :param name: Name of the target.
         """
-        return list(self._ask(name, "runs")["runs"])
+        return read_journal(journal_path(self._folder, name))
 
     def stats(self, name: str) -> dict[str, Any]:
         """Return the sums that a target keeps.
@@ -143,11 +146,11 @@
         return self._ask(name, "stats")
 
     def all_runs(self) -> list[dict[str, Any]]:
-        """Return the runs of all targets whose processes are running."""
-        return [run for target in self._running() for run in self.runs(target.target)]
+        """Return the runs of all targets, those of killed ones included."""
+        return [run for target in self.targets for run in self.runs(target.target)]
 
     def run_count_by_id(self) -> Counter[str]:
-        """Return how often each request was run, at all running targets together."""
+        """Return how often each request was run, at all targets together."""
         return Counter(run["request_id"] for run in self.all_runs())
 
     def behave(self, name: str, **behaviour: Any) -> None:
@@ -183,14 +186,6 @@
         for process in self.process_by_name.values():
             process.process.kill()
 
-    def _running(self) -> list[TargetConfig]:
-        return [
-            target
-            for process in self.process_by_name.values()
-            if process.process.is_running()
-            for target in process.targets
-        ]
-
     def _ask(self, name: str, what: str) -> dict[str, Any]:
         url = f"{self.target(name).listen.url}/_testkit/{what}"
         status, body = http_get(url)
--- a/testkit/target/__main__.py
+++ b/testkit/target/__main__.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from testkit.target.config import Endpoint, TargetConfig, TargetHostConfig
+from testkit.target.runs import RunRecord, journal_path
 from testkit.target.server import StandInTarget
 
 
@@ -61,6 +62,13 @@
     return Endpoint(host=host, port=int(port))
 
 
+def _record(config: TargetHostConfig, target: TargetConfig) -> RunRecord:
+    if config.runs_folder is None:
+        return RunRecord()
+    path = journal_path(Path(config.runs_folder), target.target)
+    return RunRecord(journal=path.open("ab", buffering=0))
+
+
 async def async_run(config: TargetHostConfig) -> None:
     """Run targets until SIGTERM or SIGINT, then let them leave.
 
@@ -72,7 +80,12 @@
         loop.add_signal_handler(number, stop.set)
     async with aiohttp.ClientSession() as session:
         targets = [
-            StandInTarget(config=item, entries=config.entries, session=session)
+            StandInTarget(
+                config=item,
+                entries=config.entries,
+                session=session,
+                record=_record(config, item),
+            )
             for item in config.targets
         ]
         await asyncio.gather(*(target.async_start() for target in targets))
--- a/testkit/target/config.py
+++ b/testkit/target/config.py
@@ -79,12 +79,15 @@
 
     :param entries: Entry addresses to announce to; the next is tried when one fails.
     :param targets: The targets.
+    :param runs_folder: Folder in which each target notes the start of each run, for
+        the sake of records that outlive the process.
     """
 
     __pydantic_config__ = _STRICT
 
     entries: Annotated[tuple[Endpoint, ...], Field(min_length=1)]
     targets: Annotated[tuple[TargetConfig, ...], Field(min_length=1)]
+    runs_folder: str | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> Result["TargetHostConfig", tuple[Fault, ...]]:
--- a/testkit/target/runs.py
+++ b/testkit/target/runs.py
@@ -1,8 +1,11 @@
 """Record of the requests that a stand-in target has run."""
 
+import json
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any, BinaryIO
 
 
 @dataclass(slots=True)
@@ -29,8 +32,13 @@
 
 @dataclass(slots=True)
 class RunRecord:
-    """Keep all runs of one target."""
+    """Keep all runs of one target.
 
+    :param journal: File that gets a line for each run before it begins, so that the
+        record outlives the process.
+    """
+
+    journal: BinaryIO | None = None
     runs: list[Run] = field(default_factory=list)
     received: int = 0
     shed: int = 0
@@ -43,6 +51,8 @@
         :param run: The run.
         :return: How many times the request has been run here, this time included.
         """
+        if self.journal is not None:
+            self.journal.write(json.dumps(asdict(run)).encode() + b"\n")
         self.runs.append(run)
         self.in_flight += 1
         self._count_by_id[run.request_id] += 1
@@ -61,3 +71,23 @@
     def finished(self) -> int:
         """Return how many runs have ended."""
         return len(self.runs) - self.in_flight
+
+
+def journal_path(folder: Path, target: str) -> Path:
+    """Return the path of a target's journal.
+
+    :param folder: Folder of all journals.
+    :param target: Name of the target.
+    """
+    return folder / f"{target}.runs"
+
+
+def read_journal(path: Path) -> list[dict[str, Any]]:
+    """Return the runs of a journal; a torn last line is left out.
+
+    :param path: The journal.
+    """
+    if not path.exists():
+        return []
+    lines = path.read_bytes().split(b"\n")[:-1]
+    return [json.loads(line) for line in lines]
--- a/testkit/target/server.py
+++ b/testkit/target/server.py
@@ -39,6 +39,7 @@
     :param config: The target.
     :param entries: Entry addresses to announce to.
     :param session: HTTP client for announcements.
+    :param record: Record of its runs.
     """
 
     def __init__(
@@ -47,10 +48,11 @@
         config: TargetConfig,
         entries: tuple[Endpoint, ...],
         session: aiohttp.ClientSession,
+        record: RunRecord,
     ) -> None:
         self._config = config
         self._behaviour = Behaviour()
-        self._record = RunRecord()
+        self._record = record
         self._runner: web.AppRunner | None = None
         self._run_ended = asyncio.Event()
         self._silenced: set[asyncio.BaseTransport] = set()
--- a/tests/steps/testkit_target.py
+++ b/tests/steps/testkit_target.py
@@ -208,3 +208,8 @@
 def hears_without(context):
     heard = context.recorder.announcements
     wait_until(lambda: heard and "load" not in heard[-1], BOUND_S, "no load")
+
+
+@when("the target process is killed")
+def killed(context):
+    context.fleet.process_of(TARGET).process.kill()
--- a/tests/testkit/target.feature
+++ b/tests/testkit/target.feature
@@ -42,3 +42,8 @@
     Then the entry soon hears of 77 requests in flight
     When the target is told for good to {"report_load": false}
     Then the entry soon hears from the target without a load
+
+  Scenario: Its record outlives its process
+    When the request "kept" is sent to the target 1 times
+    And the target process is killed
+    Then the target's record shows "kept" run 1 times
