--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -159,7 +159,7 @@
         started_at = time.monotonic() if due_at is None else due_at
         last = Result(request=request, outcome=Outcome.NOT_SENT, detail="no entries")
         for entry in await self.async_lookup(request.service):
-            last = await self._async_send_to(entry, request)
+            last = await self.async_send_to(entry, request)
             if last.outcome is not Outcome.NOT_SENT:
                 break
         latency_s = time.monotonic() - started_at
@@ -189,7 +189,12 @@
         lifetime_s = document["lifetime_ms"] / 1000
         return _CachedLookup(entries, asked_at + lifetime_s)
 
-    async def _async_send_to(self, entry: Endpoint, request: Request) -> Result:
+    async def async_send_to(self, entry: Endpoint, request: Request) -> Result:
+        """Send a request to one entry, whatever look-ups say.
+
+        :param entry: The entry.
+        :param request: The request.
+        """
         headers = {
             HEADER_TEST_ID: request.request_id,
             HEADER_DEADLINE_MS: str(request.deadline_ms),
--- a/testkit/deployment.py
+++ b/testkit/deployment.py
@@ -64,6 +64,14 @@
         status, _ = http_get(f"{self.admin_url}/readyz")
         return status == 200
 
+    def revision(self) -> int:
+        """Return the revision in force at the instance; -1 without an answer."""
+        _, body = http_get(f"{self.admin_url}/readyz")
+        try:
+            return int(json.loads(body)["revision"])
+        except (ValueError, KeyError):
+            return -1
+
     def metrics(self) -> dict[str, float]:
         """Return the metrics of the instance by series."""
         _, body = http_get(f"{self.admin_url}/metrics")
--- a/testkit/process.py
+++ b/testkit/process.py
@@ -12,6 +12,7 @@
 KILL_WAIT_S = 10.0
 POLL_S = 0.05
 REPOSITORY = Path(__file__).resolve().parent.parent
+_CHILD_SCRIPT = Path(__file__).resolve().parent / "child.py"
 
 
 class ManagedProcess:
@@ -28,7 +29,10 @@
     ) -> None:
         self.name = name
         self.log_path = log_path
-        self._command = [sys.executable, "-m", module, *arguments]
+        self._command = [
+            *(sys.executable, "-S", "-E", str(_CHILD_SCRIPT), str(os.getpid())),
+            *(sys.executable, "-m", module, *arguments),
+        ]
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -43,6 +47,8 @@
                 stderr=log,
                 env=environment,
                 cwd=self.log_path.parent,
+                # A terminal's Ctrl-C is for the kit, which then stops what it started.
+                start_new_session=True,
             )
 
     def is_running(self) -> bool:
