--- a/testkit/operator.py
+++ b/testkit/admin_client.py
@@ -7,7 +7,7 @@
 from urllib.parse import urlencode
 
 from testkit.deployment import BOOTSTRAP_TOKEN, Instance
-from testkit.http import http_send
+from testkit.plain_http import http_send
 
 DEFAULT_TIMEOUT_MS = 5_000
 #: How much longer than the API the operator itself waits.
--- a/testkit/deployment.py
+++ b/testkit/deployment.py
@@ -9,9 +9,9 @@
 from types import TracebackType
 from typing import Any
 
-from testkit.http import http_get
 from testkit.loop_thread import LoopThread
 from testkit.peer_proxies import PeerProxies
+from testkit.plain_http import http_get
 from testkit.ports import HOST, PortReservations
 from testkit.process import ManagedProcess, wait_until
 from testkit.proxy import BOTH, Direction
--- a/testkit/environment.py
+++ b/testkit/environment.py
@@ -10,13 +10,13 @@
 
 import aiohttp
 
+from testkit.admin_client import Operator, Reply, new_change_id
 from testkit.caller import Caller, Request, Result, make_session
 from testkit.contracts import contract_document, contract_path
 from testkit.deployment import BOOTSTRAP_TOKEN, Deployment, Instance
 from testkit.fleet import TargetFleet
 from testkit.load import LoadDriver, LoadPlan, LoadReport
 from testkit.loop_thread import LoopThread
-from testkit.operator import Operator, Reply, new_change_id
 from testkit.ports import HOST
 from testkit.process import REPOSITORY, wait_until
 from testkit.shape import InstancePlan
--- a/testkit/fleet.py
+++ b/testkit/fleet.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from mothshunt.util import schema
-from testkit.http import http_get, http_send
+from testkit.plain_http import http_get, http_send
 from testkit.ports import HOST, PortReservations
 from testkit.process import ManagedProcess, wait_until
 from testkit.target.config import Endpoint, TargetConfig, TargetHostConfig
--- a/testkit/process.py
+++ b/testkit/process.py
@@ -30,7 +30,7 @@
         self.name = name
         self.log_path = log_path
         self._command = [
-            *(sys.executable, "-S", "-E", str(_CHILD_SCRIPT), str(os.getpid())),
+            *(sys.executable, "-S", "-I", str(_CHILD_SCRIPT), str(os.getpid())),
             *(sys.executable, "-m", module, *arguments),
         ]
         self._process: subprocess.Popen[bytes] | None = None
