Check the lease right before a request is sent

Cause: a process can be frozen between the choice of a target and the write; when it wakes, its room may be another instance's. The check sat only in the choice. It is now asked in TargetRequest.send, after the connection is open and before a byte is written; a request that is stopped there was not run (code 2017) and may be tried again.

Ruled out: a check before the connection is opened, as that takes up to the connect time-out.

--- a/mothshunt/daemon/entry.py
+++ b/mothshunt/daemon/entry.py
@@ -78,11 +78,11 @@
             clock=clock,
         )
         lookup = LookupHandler(
-            instance=own.id,
             region=own.region,
             availability_zone=own.availability_zone,
             configuration=holder,
             entries=base.view,
+            is_ready=lambda: True,
             metrics=metrics,
         )
         announcements = AnnouncementHandlers(
--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -27,6 +27,7 @@
 from mothshunt.dispatch.client import (
     BrokenError,
     Handover,
+    LeaseEndedError,
     NotConnectedError,
     TargetClient,
 )
@@ -43,6 +44,7 @@
     RetryReason.BROKEN: Outcome.BROKEN,
     RetryReason.TRUNCATED: Outcome.BROKEN,
     RetryReason.TIMED_OUT: Outcome.TIMED_OUT,
+    RetryReason.LEASE_ENDED: Outcome.CANCELLED,
 }
 _CODE_BY_REASON = {
     RetryReason.CONNECT_FAILED: codes.TARGET_UNREACHABLE,
@@ -50,6 +52,7 @@
     RetryReason.BROKEN: codes.TARGET_BROKE,
     RetryReason.TRUNCATED: codes.TARGET_BROKE,
     RetryReason.TIMED_OUT: codes.TARGET_TIMED_OUT,
+    RetryReason.LEASE_ENDED: codes.LEASE_ENDED,
 }
 
 
@@ -113,7 +116,9 @@
         :raises AnswerBrokenOffError: A part of the answer had been passed on.
         """
         outcome = Outcome.CANCELLED
-        handover = Handover()
+        handover = Handover(
+            lambda: self._chooser.may_dispatch(choice, self._clock.monotonic())
+        )
         try:
             remaining_s = exchange.route.deadline - self._clock.monotonic()
             if remaining_s <= 0:
@@ -144,6 +149,8 @@
             response = await self._async_send(exchange, choice, handover, remaining_s)
         except NotConnectedError as error:
             return _failed(RetryReason.CONNECT_FAILED, handover, str(error))
+        except LeaseEndedError:
+            return _failed(RetryReason.LEASE_ENDED, handover)
         except BrokenError as error:
             return _failed(RetryReason.BROKEN, handover, str(error))
         try:
--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -7,7 +7,7 @@
 answer; ``TargetRequest`` turns such a connection down before a byte is handed over.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -39,10 +39,15 @@
     """Tell that a kept-alive connection held bytes that nobody asked for."""
 
 
+class LeaseEndedError(Exception):
+    """Tell that the room for the request ended before a byte was handed over."""
+
+
 class TargetRequest(ClientRequest):
     """Note the moment at which a request is handed to a connection."""
 
     handed_over = False
+    handover: "Handover | None" = None
 
     async def send(self, conn: Connection) -> ClientResponse:
         """Hand the request to a connection.
@@ -52,16 +57,23 @@
         protocol = conn.protocol
         if protocol is None or protocol.should_close:
             raise StaleConnectionError
+        # The process may have been frozen since the room was taken.
+        if self.handover is not None and not self.handover.may_send():
+            raise LeaseEndedError
         self.handed_over = True
         return await super().send(conn)
 
 
 class Handover:
-    """Follow one request to a target; a client middleware of that request."""
+    """Follow one request to a target; a client middleware of that request.
 
-    __slots__ = ("_request",)
+    :param may_send: Tells, right before the request is sent, whether it may be.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_request", "may_send")
+
+    def __init__(self, may_send: Callable[[], bool]) -> None:
+        self.may_send = may_send
         self._request: TargetRequest | None = None
 
     @property
@@ -79,6 +91,7 @@
         """
         assert isinstance(request, TargetRequest)
         self._request = request
+        request.handover = self
         try:
             return await handler(request)
         except _CONNECT_ERRORS as error:
@@ -124,6 +137,7 @@
         :param reuse: Whether a kept-alive connection may be used.
         :return: The answer; whoever gets it closes or reads it.
         :raises NotConnectedError: Not one byte was handed over.
+        :raises LeaseEndedError: The request might not be sent any more.
         :raises BrokenError: The request may have reached the target.
         """
         session = self._pooled if reuse else self._single
--- a/mothshunt/dispatch/codes.py
+++ b/mothshunt/dispatch/codes.py
@@ -51,6 +51,13 @@
     summary="The request body ended early or was malformed.",
     action="Send the request again with its whole body.",
 )
+LEASE_ENDED = ResultCode(
+    number=2017,
+    name="lease_ended",
+    http_status=503,
+    summary="The leased room for the request ended before the request was sent.",
+    action="Send the request again; it was not run.",
+)
 DEADLINE_PASSED = ResultCode(
     number=2010,
     name="deadline_passed",
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -182,7 +182,6 @@
                 service=route.service.service,
                 idempotent=route.idempotent,
                 excluded=excluded,
-                now=self._clock.monotonic(),
                 deadline=route.deadline,
             ):
                 case Result(tag="ok", ok=choice):
--- a/mothshunt/dispatch/model.py
+++ b/mothshunt/dispatch/model.py
@@ -25,7 +25,6 @@
         service: ServiceName,
         idempotent: bool,
         excluded: AbstractSet[TargetId],
-        now: float,
         deadline: float,
     ) -> Result[Choice, Failure]:
         """Choose a target and take the room for one attempt.
@@ -34,12 +33,19 @@
         :param service: Service that is asked for.
         :param idempotent: Whether the request may be repeated.
         :param excluded: Targets that must not be chosen.
-        :param now: Monotonic time, in seconds.
         :param deadline: Monotonic time at which the request ends, in seconds.
         :return: The choice; or a failure that says when to come back.
         """
         ...
 
+    def may_dispatch(self, choice: Choice, now: float) -> bool:
+        """Tell whether the request may still be sent; asked right before sending.
+
+        :param choice: What ``async_choose`` returned.
+        :param now: Monotonic time, in seconds.
+        """
+        ...
+
     def finish(self, choice: Choice, outcome: Outcome, now: float) -> None:
         """Give the room back and learn from the outcome.
 
--- a/mothshunt/dispatch/retry.py
+++ b/mothshunt/dispatch/retry.py
@@ -16,6 +16,7 @@
     BROKEN = "broken"
     TRUNCATED = "truncated"
     TIMED_OUT = "timed_out"
+    LEASE_ENDED = "lease_ended"
 
 
 class GiveUpReason(Enum):
--- a/tests/dispatch/at_most_once.feature
+++ b/tests/dispatch/at_most_once.feature
@@ -69,3 +69,11 @@
     When a dispatch caller uploads 10 bytes with POST "/orders"
     Then the dispatch caller got code 2012 with ran no
     And the dispatch caller is told to come back after 7 s
+
+  Scenario: A request whose room ended before it was sent is not sent
+    Given a dispatch entry
+    And a raw target "t1" that answers
+    And the room for dispatched requests ends before they are sent
+    When a dispatch caller uploads 10 bytes with PUT "/orders/7"
+    Then the dispatch caller got code 2017 with ran no
+    And target "t1" was reached 0 times
--- a/tests/support/dispatch_fakes.py
+++ b/tests/support/dispatch_fakes.py
@@ -72,6 +72,7 @@
     chosen: list[str] = field(default_factory=list)
     outcomes: list[tuple[str, str]] = field(default_factory=list)
     open: int = 0
+    lease_ended: bool = False
 
     def add(self, name: str, port: int) -> None:
         self.targets.append(
@@ -91,16 +92,19 @@
         )
 
     async def async_choose(
-        self, *, contract, service, idempotent, excluded, now, deadline
+        self, *, contract, service, idempotent, excluded, deadline
     ):
         for target in self.targets:
             if target.id not in excluded:
                 self.chosen.append(target.id)
                 self.open += 1
                 permit = Permit(number=len(self.chosen), keys=())
-                return Ok(Choice(target=target, permit=permit, started_at=now))
+                return Ok(Choice(target=target, permit=permit, started_at=0.0))
         return Error(Failure(code=NO_TARGET, retry_after_s=2.5))
 
+    def may_dispatch(self, choice, now) -> bool:
+        return not self.lease_ended
+
     def finish(self, choice, outcome, now) -> None:
         self.open -= 1
         self.outcomes.append((choice.target.id, outcome.value))
