Decide which operator may do what

Purpose: many teams share one deployment; a token gives the roles of its operator for the customers named, and nothing else.

Weighed: a slow password hash for tokens; ruled out, as a token holds 256 random bits and each request would pay for it.

--- /dev/null
+++ b/mothshunt/access/model.py
@@ -0,0 +1,86 @@
+"""Operators and their roles."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated
+
+from pydantic import ConfigDict, Field
+
+from mothshunt.access.const import ALL_CUSTOMERS
+from mothshunt.core.const import ID_PATTERN
+from mothshunt.core.types import CustomerId, OperatorId
+
+_STRICT = ConfigDict(extra="forbid")
+
+TokenHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+GrantScope = Annotated[str, Field(pattern=rf"^\*$|{ID_PATTERN}")]
+
+
+class AccessRole(Enum):
+    """What an operator may do; each role includes the ones before it."""
+
+    READ = "read"
+    DRAIN = "drain"
+    CHANGE = "change"
+    ADMINISTER = "administer"
+
+    def includes(self, needed: "AccessRole") -> bool:
+        """Tell whether this role is enough where another one is needed.
+
+        :param needed: The role that is needed.
+        """
+        order = list(AccessRole)
+        return order.index(self) >= order.index(needed)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """Give a role for one customer or for all.
+
+    :param customer: Name of the customer; ``*`` for all customers and for what
+        belongs to the deployment as a whole.
+    :param role: The role.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    customer: GrantScope
+    role: AccessRole
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Operator:
+    """Describe an operator as the replicated configuration holds it.
+
+    :param id: Name of the operator.
+    :param token_sha256: SHA-256 of the operator's token, in hexadecimal digits.
+    :param grants: Roles of the operator.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    id: Annotated[OperatorId, Field(pattern=ID_PATTERN)]
+    token_sha256: TokenHash
+    grants: tuple[Grant, ...]
+
+    def may(self, needed: AccessRole, customer: CustomerId | None) -> bool:
+        """Tell whether the operator has a role.
+
+        :param needed: The role.
+        :param customer: Customer it is needed for; ``None`` for the deployment.
+        """
+        return any(
+            grant.role.includes(needed) and grant.customer in (ALL_CUSTOMERS, customer)
+            for grant in self.grants
+        )
+
+    def may_for_some(self, needed: AccessRole) -> bool:
+        """Tell whether the operator has a role for at least one customer.
+
+        :param needed: The role.
+        """
+        return any(grant.role.includes(needed) for grant in self.grants)
+
+    def administers_all(self) -> bool:
+        """Tell whether the operator administers the whole deployment."""
+        return self.may(AccessRole.ADMINISTER, None)
--- /dev/null
+++ b/mothshunt/access/state.py
@@ -0,0 +1,129 @@
+"""Decisions on who may do what."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from mothshunt.access import codes
+from mothshunt.access.const import (
+    ALL_CUSTOMERS,
+    BOOTSTRAP_OPERATOR,
+    TOKEN_BYTES,
+    TOKEN_PREFIX,
+)
+from mothshunt.access.model import AccessRole, Grant, Operator
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import CustomerId, OperatorId
+
+
+def token_sha256(token: str) -> str:
+    """Return the hash under which a token is kept.
+
+    A plain hash is enough, as a token holds 256 random bits.
+
+    :param token: The token.
+    :return: SHA-256 in hexadecimal digits.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def new_token() -> str:
+    """Return a new random token."""
+    return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
+
+
+def bootstrap_operator(bootstrap_token_sha256: str) -> Operator:
+    """Return the administrator that the settings name.
+
+    :param bootstrap_token_sha256: Hash of its token.
+    """
+    grant = Grant(customer=ALL_CUSTOMERS, role=AccessRole.ADMINISTER)
+    return Operator(
+        id=BOOTSTRAP_OPERATOR, token_sha256=bootstrap_token_sha256, grants=(grant,)
+    )
+
+
+def identify(
+    operators: Sequence[Operator],
+    bootstrap_token_sha256: str | None,
+    token: str | None,
+) -> Result[Operator, Failure]:
+    """Find the operator that a token belongs to.
+
+    :param operators: Operators of the replicated configuration.
+    :param bootstrap_token_sha256: Hash of the bootstrap token, if there is one.
+    :param token: Token of the request; ``None`` when it carries none.
+    :return: The operator, or a failure with code 3201 or 3202.
+    """
+    if not token:
+        return Error(Failure(code=codes.TOKEN_MISSING))
+    known = list(operators)
+    if bootstrap_token_sha256 is not None:
+        known.append(bootstrap_operator(bootstrap_token_sha256))
+    presented = token_sha256(token)
+    found = None
+    # Compare with all of them: the time taken must not tell which one came close.
+    for operator in known:
+        if hmac.compare_digest(operator.token_sha256, presented):
+            found = operator
+    return Ok(found) if found else Error(Failure(code=codes.TOKEN_UNKNOWN))
+
+
+def permit(
+    operator: Operator, needed: AccessRole, customer: CustomerId | None
+) -> Result[OperatorId, Failure]:
+    """Check that an operator has a role.
+
+    :param operator: The operator.
+    :param needed: The role.
+    :param customer: Customer it is needed for; ``None`` for the deployment.
+    :return: Name of the operator, or a failure with code 3203.
+    """
+    if operator.may(needed, customer):
+        return Ok(operator.id)
+    scope = customer if customer is not None else ALL_CUSTOMERS
+    detail = f"{operator.id} needs the role {needed.value} for {scope}"
+    return Error(Failure(code=codes.ROLE_INSUFFICIENT, detail=detail))
+
+
+def authorize(
+    operators: Sequence[Operator],
+    bootstrap_token_sha256: str | None,
+    token: str | None,
+    needed: AccessRole,
+    customer: CustomerId | None,
+) -> Result[OperatorId, Failure]:
+    """Check that a token belongs to an operator who has a role.
+
+    :param operators: Operators of the replicated configuration.
+    :param bootstrap_token_sha256: Hash of the bootstrap token, if there is one.
+    :param token: Token of the request; ``None`` when it carries none.
+    :param needed: The role.
+    :param customer: Customer it is needed for; ``None`` for the deployment.
+    :return: Name of the operator, or a failure with code 3201, 3202 or 3203.
+    """
+    return identify(operators, bootstrap_token_sha256, token).bind(
+        lambda operator: permit(operator, needed, customer)
+    )
+
+
+def check_replacement(
+    operators: Sequence[Operator], id: OperatorId, replacement: Operator | None
+) -> Failure | None:
+    """Check that a change leaves an operator who administers all customers.
+
+    :param operators: Operators of the replicated configuration.
+    :param id: Operator that the change replaces or removes.
+    :param replacement: Its new value; ``None`` removes it.
+    :return: A failure with code 3204, or ``None``.
+    """
+    before = [operator for operator in operators if operator.administers_all()]
+    after = [operator for operator in before if operator.id != id]
+    if replacement is not None and replacement.administers_all():
+        after.append(replacement)
+    if before and not after:
+        return Failure(code=codes.LAST_ADMINISTRATOR, detail=id)
+    return None
