Serve contracts, drains, status and changes by the administration API

Purpose: operators change the replicated configuration over HTTP.

Weighed: an envelope document with change id and contract in the body; ruled out, since the paths of faults would not match the operator's file. The change id, base revision and summary are parameters of the query.

Change: a table of routes with role and scope; each refusal is numbered and counted; an accepted answer is given only after the commit, a lost outcome is 504 with the change id to ask for, a conflict is 409 and names the winner. An instance without the role control serves metrics and health only.

--- /dev/null
+++ b/mothshunt/admin/contracts.py
@@ -0,0 +1,225 @@
+"""Operations on contracts."""
+
+import json
+
+from expression import Error, Ok, Result
+
+from mothshunt.access.model import AccessRole
+from mothshunt.admin import codes
+from mothshunt.admin.changes import ChangeHandlers, async_find_item
+from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
+from mothshunt.admin.model import (
+    ChangeDocument,
+    ContractDocument,
+    ContractList,
+    ContractSummary,
+    DiffDocument,
+    ValidationDocument,
+)
+from mothshunt.admin.parameters import ChangeQuery, ReadQuery
+from mothshunt.configuration.model import NO_REVISION, ItemKey, Section
+from mothshunt.configuration.service import ConfigurationService
+from mothshunt.contract.check import check_contract
+from mothshunt.contract.diff import diff_contracts
+from mothshunt.contract.model import Contract
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import CustomerId
+from mothshunt.util import schema
+
+
+class ContractHandlers:
+    """Read, check and change contracts.
+
+    :param configuration: Holds the contracts.
+    :param changes: Commits the changes.
+    """
+
+    def __init__(
+        self, configuration: ConfigurationService, changes: ChangeHandlers
+    ) -> None:
+        self._configuration = configuration
+        self._changes = changes
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the operations of this module."""
+        return (
+            Route(
+                method="GET",
+                path="/v1/contracts",
+                summary="List the contracts that the operator may read.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_list,
+                query=ReadQuery,
+                answer=ContractList,
+            ),
+            Route(
+                method="GET",
+                path="/v1/contracts/{customer}",
+                summary="Show a contract with its revision.",
+                role=AccessRole.READ,
+                scope=Scope.CUSTOMER,
+                handler=self._async_get,
+                query=ReadQuery,
+                answer=ContractDocument,
+            ),
+            Route(
+                method="PUT",
+                path="/v1/contracts/{customer}",
+                summary="Replace a contract.",
+                role=AccessRole.CHANGE,
+                scope=Scope.CUSTOMER,
+                handler=self._async_put,
+                query=ChangeQuery,
+                body=Contract,
+                answer=ChangeDocument,
+            ),
+            Route(
+                method="DELETE",
+                path="/v1/contracts/{customer}",
+                summary="Remove a contract; its customer is no longer served.",
+                role=AccessRole.ADMINISTER,
+                scope=Scope.CUSTOMER,
+                handler=self._async_delete,
+                query=ChangeQuery,
+                answer=ChangeDocument,
+            ),
+            Route(
+                method="POST",
+                path="/v1/contracts/validate",
+                summary="Check a contract and change nothing.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_validate,
+                body=Contract,
+                answer=ValidationDocument,
+            ),
+            Route(
+                method="POST",
+                path="/v1/contracts/{customer}/diff",
+                summary="Show what a contract would change, and change nothing.",
+                role=AccessRole.READ,
+                scope=Scope.CUSTOMER,
+                handler=self._async_diff,
+                query=ReadQuery,
+                body=Contract,
+                answer=DiffDocument,
+            ),
+        )
+
+    async def _async_list(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ReadQuery)
+        if query.is_error():
+            return Error(query.error)
+        items = await self._configuration.async_items(
+            Section.CONTRACT, query.ok.timeout_s
+        )
+        if items.is_error():
+            return Error(Refusal(failure=items.error))
+        summaries = [
+            ContractSummary(customer=CustomerId(item.key.name), revision=item.revision)
+            for item in items.ok
+            if call.operator.may(AccessRole.READ, CustomerId(item.key.name))
+        ]
+        summaries.sort(key=lambda summary: summary.customer)
+        return Ok(Reply(body=ContractList(contracts=tuple(summaries))))
+
+    async def _async_get(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ReadQuery)
+        if query.is_error():
+            return Error(query.error)
+        customer = call.customer()
+        found = await async_find_item(
+            self._configuration, contract_key(customer), query.ok.timeout_s
+        )
+        if found.is_error():
+            return Error(found.error)
+        if found.ok is None:
+            return refuse(codes.CONTRACT_UNKNOWN, customer)
+        document = ContractDocument(
+            customer=customer,
+            revision=found.ok.revision,
+            contract=json.loads(found.ok.value or b"null"),
+        )
+        return Ok(Reply(body=document, revision=found.ok.revision))
+
+    async def _async_put(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ChangeQuery)
+        if query.is_error():
+            return Error(query.error)
+        contract = _contract_of(call)
+        if contract.is_error():
+            return Error(contract.error)
+        return await self._changes.async_submit(
+            call,
+            query.ok,
+            contract_key(call.customer()),
+            schema.to_json(contract.ok),
+        )
+
+    async def _async_delete(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ChangeQuery)
+        if query.is_error():
+            return Error(query.error)
+        if query.ok.base_revision == NO_REVISION:
+            return refuse(codes.CONTRACT_UNKNOWN, call.customer())
+        return await self._changes.async_submit(
+            call, query.ok, contract_key(call.customer()), None
+        )
+
+    async def _async_validate(self, call: Call) -> Result[Reply, Refusal]:
+        checked = check_contract(call.body)
+        if checked.is_error():
+            return Error(faulty(checked.error))
+        return Ok(Reply(body=ValidationDocument(customer=checked.ok.customer)))
+
+    async def _async_diff(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ReadQuery)
+        if query.is_error():
+            return Error(query.error)
+        contract = _contract_of(call)
+        if contract.is_error():
+            return Error(contract.error)
+        customer = call.customer()
+        found = await async_find_item(
+            self._configuration, contract_key(customer), query.ok.timeout_s
+        )
+        if found.is_error():
+            return Error(found.error)
+        present = None
+        if found.ok is not None:
+            present = check_contract(found.ok.value or b"").default_value(None)
+        document = DiffDocument(
+            customer=customer,
+            revision=found.ok.revision if found.ok else NO_REVISION,
+            lines=diff_contracts(present, contract.ok),
+        )
+        return Ok(Reply(body=document, revision=document.revision))
+
+
+def contract_key(customer: CustomerId) -> ItemKey:
+    """Return the name of a contract's item.
+
+    :param customer: Customer of the contract.
+    """
+    return ItemKey(section=Section.CONTRACT, name=customer)
+
+
+def faulty(faults: tuple[Failure, ...]) -> Refusal:
+    """Return the refusal of a contract.
+
+    :param faults: Every fault of the contract.
+    """
+    first = faults[0]
+    detail = f"{len(faults)} faults, the first: {first.path} {first.detail}"
+    failure = Failure(code=codes.CONTRACT_FAULTY, detail=detail, path=first.path)
+    return Refusal(failure=failure, faults=faults)
+
+
+def _contract_of(call: Call) -> Result[Contract, Refusal]:
+    checked = check_contract(call.body)
+    if checked.is_error():
+        return Error(faulty(checked.error))
+    if checked.ok.customer != call.customer():
+        return refuse(codes.CUSTOMER_MISMATCH, checked.ok.customer, "/customer")
+    return Ok(checked.ok)
--- /dev/null
+++ b/mothshunt/admin/drains.py
@@ -0,0 +1,221 @@
+"""Operations on drains."""
+
+from expression import Error, Ok, Result
+
+from mothshunt.access.model import AccessRole
+from mothshunt.access.state import permit
+from mothshunt.admin import codes
+from mothshunt.admin.changes import ChangeHandlers
+from mothshunt.admin.const import ATTR_KIND, ATTR_NAME
+from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
+from mothshunt.admin.model import ChangeDocument, DrainDocument, DrainList
+from mothshunt.admin.parameters import ChangeQuery, DrainBody, ReadQuery
+from mothshunt.admin.progress import drain_document
+from mothshunt.configuration.model import (
+    NO_REVISION,
+    ConfigurationSource,
+    ItemKey,
+    Section,
+)
+from mothshunt.configuration.service import (
+    ConfigurationService,
+    Item,
+    StatusService,
+)
+from mothshunt.core.types import CustomerId
+from mothshunt.discovery.model import Target, TargetDirectory
+from mothshunt.drain.model import Drain, DrainKind
+from mothshunt.helpers.log import get_logger
+from mothshunt.util import schema
+
+_LOGGER = get_logger("admin")
+
+
+class DrainHandlers:
+    """Read and change drains.
+
+    :param configuration: Holds the drains.
+    :param status: Tells how the instances stand.
+    :param source: Names the customers and services whose targets are looked at.
+    :param targets: Targets known at this instance, where it knows any.
+    :param changes: Commits the changes.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfigurationService,
+        status: StatusService,
+        source: ConfigurationSource,
+        targets: TargetDirectory | None,
+        changes: ChangeHandlers,
+    ) -> None:
+        self._configuration = configuration
+        self._status = status
+        self._source = source
+        self._targets = targets
+        self._changes = changes
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the operations of this module."""
+        return (
+            Route(
+                method="GET",
+                path="/v1/drains",
+                summary="List the drains and how far they have come.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_list,
+                query=ReadQuery,
+                answer=DrainList,
+            ),
+            Route(
+                method="GET",
+                path="/v1/drains/{kind}/{name}",
+                summary="Show one drain and how far it has come.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_get,
+                query=ReadQuery,
+                answer=DrainDocument,
+            ),
+            Route(
+                method="PUT",
+                path="/v1/drains/{kind}/{name}",
+                summary="Drain a target, instance, availability zone or region.",
+                role=AccessRole.DRAIN,
+                scope=Scope.ANY,
+                handler=self._async_put,
+                query=ChangeQuery,
+                body=DrainBody,
+                answer=ChangeDocument,
+            ),
+            Route(
+                method="DELETE",
+                path="/v1/drains/{kind}/{name}",
+                summary="Remove a drain.",
+                role=AccessRole.DRAIN,
+                scope=Scope.ANY,
+                handler=self._async_delete,
+                query=ChangeQuery,
+                answer=ChangeDocument,
+            ),
+        )
+
+    async def _async_list(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ReadQuery)
+        if query.is_error():
+            return Error(query.error)
+        documents = await self._async_documents(query.ok.timeout_s)
+        return documents.map(lambda drains: Reply(body=DrainList(drains=drains)))
+
+    async def _async_get(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ReadQuery)
+        if query.is_error():
+            return Error(query.error)
+        drain = _drain_of(call, "")
+        if drain.is_error():
+            return Error(drain.error)
+        documents = await self._async_documents(query.ok.timeout_s)
+        if documents.is_error():
+            return Error(documents.error)
+        for document in documents.ok:
+            if (document.kind, document.name) == (drain.ok.kind.value, drain.ok.name):
+                return Ok(Reply(body=document, revision=document.revision))
+        return refuse(codes.DRAIN_UNKNOWN, drain_key(drain.ok).name)
+
+    async def _async_put(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ChangeQuery)
+        if query.is_error():
+            return Error(query.error)
+        body = call.document(DrainBody)
+        if body.is_error():
+            return Error(body.error)
+        drain = _drain_of(call, body.ok.reason).bind(lambda d: self._permitted(call, d))
+        if drain.is_error():
+            return Error(drain.error)
+        return await self._changes.async_submit(
+            call, query.ok, drain_key(drain.ok), schema.to_json(drain.ok)
+        )
+
+    async def _async_delete(self, call: Call) -> Result[Reply, Refusal]:
+        query = call.query(ChangeQuery)
+        if query.is_error():
+            return Error(query.error)
+        drain = _drain_of(call, "").bind(lambda d: self._permitted(call, d))
+        if drain.is_error():
+            return Error(drain.error)
+        key = drain_key(drain.ok)
+        if query.ok.base_revision == NO_REVISION:
+            return refuse(codes.DRAIN_UNKNOWN, key.name)
+        return await self._changes.async_submit(call, query.ok, key, None)
+
+    async def _async_documents(
+        self, timeout_s: float
+    ) -> Result[tuple[DrainDocument, ...], Refusal]:
+        items = await self._configuration.async_items(Section.DRAIN, timeout_s)
+        if items.is_error():
+            return Error(Refusal(failure=items.error))
+        statuses = await self._status.async_instances(timeout_s)
+        if statuses.is_error():
+            return Error(Refusal(failure=statuses.error))
+        targets = [target for _, target in self._known_targets()]
+        documents = [
+            drain_document(drain, item.revision, statuses.ok, targets)
+            for item in items.ok
+            if (drain := _decoded(item)) is not None
+        ]
+        documents.sort(key=lambda document: (document.kind, document.name))
+        return Ok(tuple(documents))
+
+    def _permitted(self, call: Call, drain: Drain) -> Result[Drain, Refusal]:
+        customer = None
+        if drain.kind is DrainKind.TARGET:
+            customer = self._customer_of(drain.name)
+        allowed = permit(call.operator, AccessRole.DRAIN, customer)
+        if allowed.is_error():
+            return Error(Refusal(failure=allowed.error))
+        return Ok(drain)
+
+    def _customer_of(self, target: str) -> CustomerId | None:
+        for customer, known in self._known_targets():
+            if known.id == target:
+                return customer
+        return None
+
+    def _known_targets(self) -> list[tuple[CustomerId, Target]]:
+        if self._targets is None:
+            return []
+        contract_by_customer = self._source.current().contract_by_customer
+        return [
+            (customer, target)
+            for customer, contract in contract_by_customer.items()
+            for service in contract.services
+            for target in self._targets.targets(customer, service.service)
+        ]
+
+
+def drain_key(drain: Drain) -> ItemKey:
+    """Return the name of a drain's item.
+
+    :param drain: The drain.
+    """
+    return ItemKey(section=Section.DRAIN, name=f"{drain.kind.value}:{drain.name}")
+
+
+def _drain_of(call: Call, reason: str) -> Result[Drain, Refusal]:
+    kind_text = call.path_values[ATTR_KIND].replace("-", "_")
+    try:
+        kind = DrainKind(kind_text)
+    except ValueError:
+        known = ", ".join(kind.value for kind in DrainKind)
+        return refuse(codes.PARAMETER_INVALID, f"not one of {known}", f"/{ATTR_KIND}")
+    return Ok(Drain(kind=kind, name=call.path_values[ATTR_NAME], reason=reason))
+
+
+def _decoded(item: Item) -> Drain | None:
+    decoded = schema.from_json(Drain, item.value or b"")
+    if decoded.is_ok():
+        return decoded.ok
+    _LOGGER.error("A drain can't be decoded", drain=item.key.name)
+    return None
--- /dev/null
+++ b/tests/steps/admin_api.py
@@ -0,0 +1,166 @@
+"""Steps for the administration API."""
+
+from behave import given, then, when
+
+from mothshunt.core.types import Role
+from tests.support import contracts
+from tests.support.admin_deployment import AdminDeployment, ask
+
+CONTRACT_BY_CUSTOMER = {
+    "rackhaven": contracts.rackhaven(),
+    "sleman": contracts.sleman(),
+}
+
+
+def send(context, method, path, query=None, body=None, token=None):
+    context.status, context.headers, context.answer = ask(
+        context.admin_port, method, path, query, body, token
+    )
+
+
+def put_contract(context, customer, change_id, base, body=None, token=None):
+    query = {"change_id": change_id, "base_revision": base}
+    body = CONTRACT_BY_CUSTOMER[customer] if body is None else body
+    token = token or context.admin.token
+    send(context, "PUT", f"/v1/contracts/{customer}", query, body, token)
+
+
+@given("an administration API")
+def administration(context):
+    context.admin = AdminDeployment(context.stack)
+    context.admin_port = context.admin.start()
+
+
+@given("an administration API on an instance without the role control")
+def administration_on_entry(context):
+    context.admin = AdminDeployment(context.stack)
+    context.admin_port = context.admin.start(Role.ENTRY)
+
+
+@given('the contract of "{customer}" was put as change "{change}"')
+def contract_was_put(context, customer, change):
+    put_contract(context, customer, change, 0)
+    assert context.status == 200, context.answer
+
+
+@given("the administration API has no majority")
+def no_majority(context):
+    context.admin.configuration.failing = True
+
+
+@given("the answers of commits are lost on their way to the administration API")
+def commits_lost(context):
+    context.admin.configuration.losing = True
+
+
+@given("the answers of commits come through again")
+def commits_not_lost(context):
+    context.admin.configuration.losing = False
+
+
+@when('the contract of "{customer}" is put as change "{change}" on base {base:d}')
+def contract_is_put(context, customer, change, base):
+    put_contract(context, customer, change, base)
+
+
+@when('the contract of "{customer}" is put with shift cap {cap:d} and step {step:d}')
+def contract_with_faults(context, customer, cap, step):
+    body = {**CONTRACT_BY_CUSTOMER[customer], "shift": {"cap": cap, "step": step}}
+    put_contract(context, customer, "faulty", 0, body)
+
+
+@when('the contract of "{customer}" is put to the path of "{other}"')
+def contract_of_another(context, customer, other):
+    put_contract(context, other, "astray", 0, CONTRACT_BY_CUSTOMER[customer])
+
+
+@when('the contract of "{customer}" is put as text "{text}"')
+def contract_as_text(context, customer, text):
+    put_contract(context, customer, "text", 0, text.encode())
+
+
+@when("{method} {path} is asked without a token")
+def asked_without_token(context, method, path):
+    send(context, method, path)
+
+
+@when('{method} {path} is asked with the token "{token}"')
+def asked_with_token(context, method, path, token):
+    send(context, method, path, token=token)
+
+
+@when("{method} {path} is asked by the bootstrap administrator")
+def asked_by_bootstrap(context, method, path):
+    send(context, method, path, token=context.admin.token)
+
+
+@when("{method} {path} is asked with a body of {size:d} bytes")
+def asked_with_body(context, method, path, size):
+    send(context, method, path, body=b" " * size, token=context.admin.token)
+
+
+@when('{method} {path} is changed as "{change}" on base {base:d}')
+def changed(context, method, path, change, base):
+    query = {"change_id": change, "base_revision": base}
+    send(context, method, path, query, token=context.admin.token)
+
+
+@then("the administration API answers {status:d}")
+def answers(context, status):
+    assert context.status == status, (context.status, context.answer)
+
+
+@then('the administration API refuses with {status:d} and code {code:d} "{name}"')
+def refuses(context, status, code, name):
+    found = (context.status, context.answer["code"], context.answer["name"])
+    assert found == (status, code, name), context.answer
+    assert context.headers["Mothshunt-Code"] == str(code)
+    assert context.headers["Mothshunt-Ran"] == context.answer["ran"]
+
+
+@then('{count:d} administration refusals are counted as "{name}"')
+def counted(context, count, name):
+    metrics = context.admin.metrics
+    found = metrics.value("mothshunt_admin_refusals_total", code=name)
+    assert found == count, metrics.render()
+
+
+@then('the answer\'s "{field}" is {value}')
+def answer_field(context, field, value):
+    found = context.answer
+    for part in field.split("."):
+        found = found[int(part)] if part.isdigit() else found[part]
+    assert str(found) == value.strip('"'), context.answer
+
+
+@then("the answer names the faults {faults}")
+def answer_faults(context, faults):
+    found = [f"{fault['code']} {fault['path']}" for fault in context.answer["faults"]]
+    assert ", ".join(found) == faults, context.answer
+
+
+@then('the answer has the entity tag "{tag}"')
+def entity_tag(context, tag):
+    assert context.headers["ETag"] == f'"{tag}"', context.headers
+
+
+@then("{count:d} changes were accepted by the administration API")
+def changes_accepted(context, count):
+    records = context.admin.configuration.records
+    assert len(records) == count, records
+
+
+@then('change {index:d} was made by "{operator}" with the summary "{summary}"')
+def change_made_by(context, index, operator, summary):
+    record = context.admin.configuration.records[index - 1]
+    assert (record.operator, record.summary) == (operator, summary), record
+
+
+@given('instance "{name}" reports revision {revision:d}')
+def reports_revision(context, name, revision):
+    context.admin.status.revision_by_id[name] = revision
+
+
+@given("every instance reports {count:d} requests in flight")
+def reports_in_flight(context, count):
+    context.admin.status.in_flight = count
--- /dev/null
+++ b/tests/support/admin_deployment.py
@@ -0,0 +1,86 @@
+"""Administration servers over a configuration kept in memory."""
+
+import http.client
+import json
+from urllib.parse import urlencode
+
+from mothshunt.access.state import token_sha256
+from mothshunt.admin.coordinator import AdminServer
+from mothshunt.core.clock import SystemClock
+from mothshunt.core.types import Role
+from mothshunt.metrics.registry import Metrics
+from mothshunt.settings.config import (
+    Address,
+    ControlPeer,
+    InstanceSettings,
+    ListenSettings,
+    Settings,
+)
+from tests.support.fake_configuration import FakeConfiguration, FakeSource, FakeStatus
+from tests.support.loop_thread import LoopThread
+
+BOOTSTRAP_TOKEN = "bootstrap-token"
+FREE_PORT = 0
+
+
+def settings(*roles):
+    """Return settings whose ports are taken free."""
+    address = Address(host="127.0.0.1", port=FREE_PORT)
+    return Settings(
+        instance=InstanceSettings(
+            id="a1", region="north", availability_zone="north-a", roles=roles
+        ),
+        listen=ListenSettings(traffic=address, admin=address, peer=address),
+        control=(ControlPeer(id="a1", host="127.0.0.1", port=1),),
+        deployment_key="k" * 32,
+        bootstrap_token_sha256=token_sha256(BOOTSTRAP_TOKEN),
+    )
+
+
+class AdminDeployment:
+    """Run administration servers that share one configuration."""
+
+    def __init__(self, stack, log=None):
+        self.loop = LoopThread()
+        stack.callback(self.loop.close)
+        self._stack = stack
+        self._log = log
+        self.configuration = FakeConfiguration()
+        self.status = FakeStatus(self.configuration)
+        self.source = FakeSource(self.configuration)
+        self.metrics = Metrics()
+        self.ready = True
+        self.token = BOOTSTRAP_TOKEN
+
+    def start(self, *roles):
+        """Start a server and return its port."""
+        server = AdminServer(
+            settings=settings(*(roles or (Role.ENTRY, Role.CONTROL))),
+            configuration=self.configuration,
+            status=self.status,
+            source=self.source,
+            log=self._log,
+            metrics=self.metrics,
+            is_ready=lambda: self.ready,
+            clock=SystemClock(),
+        )
+        self.loop.run(server.async_start())
+        self._stack.callback(lambda: self.loop.run(server.async_stop()))
+        return server.port
+
+
+def ask(port, method, path, query=None, body=None, token=None):
+    """Send one request; return status, headers and JSON document."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=30)
+    target = f"{path}?{urlencode(query)}" if query else path
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    if body is not None and not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    try:
+        connection.request(method, target, body=body, headers=headers)
+        response = connection.getresponse()
+        text = response.read()
+    finally:
+        connection.close()
+    is_json = response.getheader("Content-Type", "").startswith("application/json")
+    return response.status, response.headers, json.loads(text) if is_json else text
