Add the command line for contracts, drains and status

Purpose: operators and scripts talk to the administration API only, through any control instance that answers.

Weighed: leaving repeats to aiohttp; ruled out, as it repeats a PUT unseen on a kept-alive connection. Each request uses a connection of its own.

Conclusion: thin path stands; members, operators, audit and codes need their operations in the API.

--- /dev/null
+++ b/mothshunt/cli/client.py
@@ -0,0 +1,233 @@
+"""Requests to the administration API, repeated at other instances where needed."""
+
+import asyncio
+import json
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Self
+
+import aiohttp
+from expression import Error, Ok, Result
+
+from mothshunt.admin import codes
+from mothshunt.cli.const import (
+    ATTEMPT_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    MAX_UNREACHABLE_ROUNDS,
+    ROUND_PAUSE_S,
+)
+from mothshunt.cli.model import CommandFailure, ExitCode
+
+#: Refusals that the replicated state gave; no earlier copy can be accepted after.
+_FINAL_CODES = frozenset({codes.CHANGE_CONFLICT.number, codes.CHANGE_REFUSED.number})
+
+
+class AttemptEnd(Enum):
+    """How one request to one instance ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    #: The instance certainly did not carry it out.
+    NOT_RUN = "not_run"
+    #: No connection was made.
+    UNREACHABLE = "unreachable"
+    #: The instance may have carried it out.
+    LOST = "lost"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ApiRequest:
+    """Describe a request.
+
+    :param method: HTTP method.
+    :param path: Path.
+    :param query: Parameters.
+    :param body: Body.
+    """
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    body: bytes | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """Tell how one request to one instance ended.
+
+    :param end: How it ended.
+    :param document: JSON document of the answer.
+    :param text: What went wrong.
+    """
+
+    end: AttemptEnd
+    document: Any = None
+    text: str = ""
+
+
+class ApiClient:
+    """Ask the instances in turn until one answers.
+
+    :param urls: Base URLs of administration APIs.
+    :param token: Token of the operator.
+    :param timeout_s: Seconds after which no further attempt is begun.
+    """
+
+    def __init__(self, urls: list[str], token: str | None, timeout_s: float) -> None:
+        self._urls = [url.rstrip("/") for url in urls]
+        self._token = token
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        """Open the session."""
+        # A kept-alive connection would let aiohttp repeat a request unseen.
+        connector = aiohttp.TCPConnector(force_close=True)
+        timeout = aiohttp.ClientTimeout(
+            total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def async_read(
+        self, path: str, query: Mapping[str, str] | None = None
+    ) -> Result[Any, CommandFailure]:
+        """Read a document.
+
+        :param path: Path.
+        :param query: Parameters.
+        """
+        return await self.async_send(
+            ApiRequest(method="GET", path=path, query=query or {})
+        )
+
+    async def async_send(self, request: ApiRequest) -> Result[Any, CommandFailure]:
+        """Send a request, and send it again unchanged while its outcome is not known.
+
+        :param request: A read, or a change that carries its change id.
+        :return: The answer, or why there is none.
+        """
+        deadline = time.monotonic() + self._timeout_s
+        last = Attempt(end=AttemptEnd.UNREACHABLE, text="no address was tried")
+        lost: Attempt | None = None
+        unreachable_rounds = 0
+        while unreachable_rounds < MAX_UNREACHABLE_ROUNDS:
+            unreachable_rounds += 1
+            # A copy: an answer may name further control instances.
+            for url in list(self._urls):
+                last = await self._async_attempt(url, request)
+                if last.end is AttemptEnd.ANSWERED:
+                    return Ok(last.document)
+                if last.end is AttemptEnd.REFUSED:
+                    return Error(_refused(last, lost))
+                if last.end is AttemptEnd.LOST:
+                    lost = last
+                if last.end is not AttemptEnd.UNREACHABLE:
+                    unreachable_rounds = 0
+            if time.monotonic() + ROUND_PAUSE_S > deadline:
+                break
+            await asyncio.sleep(ROUND_PAUSE_S)
+        return Error(_given_up(last, lost if request.method != "GET" else None))
+
+    async def async_get_from(
+        self, url: str, query: Mapping[str, str]
+    ) -> Result[Any, CommandFailure]:
+        """Read a document from one address outside the administration API.
+
+        :param url: Whole URL.
+        :param query: Parameters.
+        """
+        attempt = await self._async_exchange("GET", url, query, None, {})
+        if attempt.end is AttemptEnd.ANSWERED:
+            return Ok(attempt.document)
+        if attempt.end is AttemptEnd.REFUSED:
+            return Error(_refused(attempt, None))
+        return Error(_given_up(attempt, None))
+
+    async def _async_attempt(self, url: str, request: ApiRequest) -> Attempt:
+        headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
+        attempt = await self._async_exchange(
+            request.method, url + request.path, request.query, request.body, headers
+        )
+        if attempt.end is AttemptEnd.NOT_RUN:
+            self._learn(attempt.document)
+        return attempt
+
+    async def _async_exchange(
+        self,
+        method: str,
+        url: str,
+        query: Mapping[str, str],
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> Attempt:
+        assert self._session is not None
+        try:
+            async with self._session.request(
+                method,
+                url,
+                params=query,
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+            ) as response:
+                document = json.loads(await response.read())
+                return _attempt_of(response.status, document)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Attempt(end=AttemptEnd.UNREACHABLE, text=f"{url}: {error}")
+        except aiohttp.InvalidURL:
+            return Attempt(end=AttemptEnd.UNREACHABLE, text=f"{url}: no valid URL")
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            text = f"{url}: no answer ({type(error).__name__})"
+            return Attempt(end=AttemptEnd.LOST, text=text)
+
+    def _learn(self, document: Any) -> None:
+        for address in document.get("control", ()):
+            if address["url"] not in self._urls:
+                self._urls.append(address["url"])
+
+
+def _attempt_of(status: int, document: Any) -> Attempt:
+    if status < 300:
+        return Attempt(end=AttemptEnd.ANSWERED, document=document)
+    if not isinstance(document, dict) or "code" not in document:
+        return Attempt(end=AttemptEnd.LOST, text=f"status {status} without a code")
+    text = f"{document['code']} {document.get('name')}: {document.get('detail')}"
+    if document.get("ran") == "unknown":
+        return Attempt(end=AttemptEnd.LOST, document=document, text=text)
+    if status >= 500 or document["code"] == codes.NOT_CONTROL.number:
+        return Attempt(end=AttemptEnd.NOT_RUN, document=document, text=text)
+    return Attempt(end=AttemptEnd.REFUSED, document=document, text=text)
+
+
+def _refused(attempt: Attempt, lost: Attempt | None) -> CommandFailure:
+    number = attempt.document["code"]
+    exit_code = ExitCode.REFUSED
+    if number == codes.CHANGE_CONFLICT.number:
+        exit_code = ExitCode.CONFLICT
+    elif lost is not None and number not in _FINAL_CODES:
+        exit_code = ExitCode.UNKNOWN_OUTCOME
+    return CommandFailure(
+        exit_code=exit_code, text=attempt.text, document=attempt.document
+    )
+
+
+def _given_up(last: Attempt, lost: Attempt | None) -> CommandFailure:
+    if lost is not None:
+        return CommandFailure(
+            exit_code=ExitCode.UNKNOWN_OUTCOME,
+            text=f"the outcome is unknown: {lost.text}",
+            document=lost.document or {},
+        )
+    return CommandFailure(
+        exit_code=ExitCode.UNREACHABLE,
+        text=f"no instance answered: {last.text}",
+        document=last.document or {},
+    )
--- /dev/null
+++ b/mothshunt/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, by subject."""
--- /dev/null
+++ b/mothshunt/cli/output.py
@@ -0,0 +1,92 @@
+"""Printing of documents as JSON or as tables."""
+
+import json
+from collections.abc import Iterator, Sequence
+from typing import Any, TextIO
+
+from mothshunt.cli.model import CommandFailure
+
+FORMAT_JSON = "json"
+FORMAT_TABLE = "table"
+
+
+def print_document(document: Any, output: str, stream: TextIO) -> None:
+    """Print a document.
+
+    :param document: JSON document.
+    :param output: ``json`` or ``table``.
+    :param stream: Where to.
+    """
+    if output == FORMAT_JSON:
+        print(json.dumps(document, indent=2), file=stream)
+        return
+    for line in table_lines(document):
+        print(line, file=stream)
+
+
+def print_failure(failure: CommandFailure, output: str, stream: TextIO) -> None:
+    """Print why a command did not succeed.
+
+    :param failure: What went wrong.
+    :param output: ``json`` or ``table``.
+    :param stream: Where to.
+    """
+    if output == FORMAT_JSON:
+        document = {"error": failure.text, **failure.document}
+        print(json.dumps(document, indent=2), file=stream)
+        return
+    print(f"mothshunt: {failure.text}", file=stream)
+    for fault in failure.document.get("faults", ()):
+        line = f"  {fault['path']}: {fault['code']} {fault['name']}: {fault['detail']}"
+        print(line, file=stream)
+
+
+def table_lines(document: Any) -> Iterator[str]:
+    """Yield a document as lines: its lists as tables, its values as pairs.
+
+    :param document: JSON document.
+    """
+    if not isinstance(document, dict):
+        yield _cell(document)
+        return
+    plain = {key: value for key, value in document.items() if not _is_table(value)}
+    width = max((len(key) for key in plain), default=0)
+    for key, value in plain.items():
+        yield f"{key.ljust(width)}  {_cell(value)}"
+    for key, value in document.items():
+        if _is_table(value):
+            if plain:
+                yield ""
+                yield f"{key}:"
+            yield from _rows(value)
+
+
+def _is_table(value: Any) -> bool:
+    return isinstance(value, list) and all(isinstance(row, dict) for row in value)
+
+
+def _rows(rows: Sequence[dict[str, Any]]) -> Iterator[str]:
+    if not rows:
+        yield "(none)"
+        return
+    columns = list(rows[0])
+    cells = [[_cell(row.get(column)) for column in columns] for row in rows]
+    header = [column.replace("_", " ") for column in columns]
+    widths = [max(map(len, column)) for column in zip(header, *cells, strict=True)]
+    for line in (header, *cells):
+        padded = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        yield "  ".join(padded).rstrip()
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.2f}"
+    if isinstance(value, list) and all(isinstance(part, str) for part in value):
+        return ",".join(value) or "-"
+    if isinstance(value, dict | list):
+        return json.dumps(value)
+    return str(value)
--- /dev/null
+++ b/tests/steps/cli_commands.py
@@ -0,0 +1,134 @@
+"""Steps for the command line."""
+
+import json
+import os
+import shlex
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from tests.support import contracts
+from tests.support.admin_deployment import AdminDeployment
+from tests.support.answer_dropper import AnswerDropper
+
+COMMAND_TIMEOUT_S = 120
+
+
+@given("a command line whose deployment has one control instance")
+def deployment(context):
+    context.admin = AdminDeployment(context.stack)
+    context.admin_port = context.admin.start()
+    context.addresses = [f"http://127.0.0.1:{context.admin_port}"]
+    context.token = context.admin.token
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.folder = Path(folder)
+    write(context, "rackhaven.json", contracts.rackhaven())
+    write(context, "sleman.json", contracts.sleman())
+    write(context, "faulty.json", {**contracts.rackhaven(), "shift": {"cap": 999}})
+    (context.folder / "no-json.json").write_text("{")
+
+
+def write(context, name, document):
+    (context.folder / name).write_text(json.dumps(document))
+
+
+@given("the first address of the command line takes no connection")
+def unreachable_first(context):
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+    context.addresses.insert(0, f"http://127.0.0.1:{port}")
+
+
+@given("only the address that takes no connection is known")
+def only_unreachable(context):
+    unreachable_first(context)
+    del context.addresses[1:]
+
+
+@given("the answers to the first {count:d} {method} requests are lost")
+def answers_lost(context, count, method):
+    context.dropper = AnswerDropper(context.admin_port, method, count)
+    context.admin.loop.run(context.dropper.async_start())
+    context.stack.callback(lambda: context.admin.loop.run(context.dropper.async_stop()))
+    context.addresses = [f"http://127.0.0.1:{context.dropper.port}"]
+
+
+@given('the token of the command line is "{token}"')
+def token_of_command(context, token):
+    context.token = token
+
+
+@given('the command line\'s instance "{name}" reports revision {revision:d}')
+def instance_reports(context, name, revision):
+    context.admin.status.revision_by_id[name] = revision
+
+
+@given("the control instance of the command line has no majority")
+def no_majority(context):
+    context.admin.configuration.failing = True
+
+
+@given("the control instance of the command line never hears of commits")
+def commits_unheard(context):
+    context.admin.configuration.losing = True
+
+
+@when('"mothshunt {arguments}" is run')
+def run(context, arguments):
+    environment = {
+        **os.environ,
+        "MOTHSHUNT_ADMIN": ",".join(context.addresses),
+        "MOTHSHUNT_TOKEN": context.token,
+        "PYTHONPATH": str(Path.cwd()),
+    }
+    done = subprocess.run(
+        [sys.executable, "-m", "mothshunt.cli.main", *shlex.split(arguments)],
+        cwd=context.folder,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+        check=False,
+    )
+    context.done = done
+
+
+@then("the command exits with {code:d}")
+def exits(context, code):
+    done = context.done
+    assert done.returncode == code, (done.returncode, done.stdout, done.stderr)
+
+
+@then('the command prints "{text}"')
+def prints(context, text):
+    assert text in context.done.stdout, context.done
+
+
+@then('the command complains "{text}"')
+def complains(context, text):
+    assert text in context.done.stderr, context.done
+
+
+@then('the command\'s JSON has "{field}" {value}')
+def json_field(context, field, value):
+    found = json.loads(context.done.stdout)
+    for part in field.split("."):
+        found = found[int(part)] if part.isdigit() else found[part]
+    assert str(found) == value.strip('"'), context.done.stdout
+
+
+@then("{count:d} changes of the command line were accepted")
+def accepted(context, count):
+    assert len(context.admin.configuration.records) == count
+
+
+@then("the control instance was sent {count:d} copies of one change")
+def copies(context, count):
+    submissions = context.admin.configuration.submissions
+    ids = {change.change_id for change in submissions}
+    assert (len(submissions), len(ids)) == (count, 1), submissions
--- /dev/null
+++ b/tests/support/answer_dropper.py
@@ -0,0 +1,60 @@
+"""TCP proxy that hands requests on and drops the first answers."""
+
+import asyncio
+import contextlib
+
+CHUNK_BYTES = 65536
+
+
+class AnswerDropper:
+    """Drop the answers to the first requests of one method.
+
+    Each connection carries one request, as the command line does it. ``seen``
+    counts the requests of the method that reached the server.
+    """
+
+    def __init__(self, upstream_port, method, dropped):
+        self._upstream_port = upstream_port
+        self._method = method.encode()
+        self._left = dropped
+        self._server = None
+        self.seen = 0
+
+    @property
+    def port(self):
+        return self._server.sockets[0].getsockname()[1]
+
+    async def async_start(self):
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+
+    async def async_stop(self):
+        self._server.close()
+
+    async def _async_serve(self, reader, writer):
+        upstream_reader, upstream = await asyncio.open_connection(
+            "127.0.0.1", self._upstream_port
+        )
+        request = await reader.read(CHUNK_BYTES)
+        upstream.write(request)
+        sending = asyncio.create_task(_async_pump(reader, upstream))
+        answer = await upstream_reader.read(CHUNK_BYTES)
+        if not self._is_dropped(request):
+            writer.write(answer)
+            await _async_pump(upstream_reader, writer)
+        sending.cancel()
+        upstream.close()
+        writer.close()
+
+    def _is_dropped(self, request):
+        if not request.startswith(self._method + b" "):
+            return False
+        self.seen += 1
+        self._left -= 1
+        return self._left >= 0
+
+
+async def _async_pump(reader, writer):
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(CHUNK_BYTES):
+            writer.write(data)
+            await writer.drain()
