Serve the administration API only where its services are

An instance without the role control has no replicated log, so the services behind /v1 are absent there and no route is made.

--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -47,8 +47,9 @@
     """Serve the administration API, metrics and health of one instance.
 
     :param settings: Settings of this instance.
-    :param configuration: Changes and confirmed reads.
-    :param status: How the instances stand.
+    :param configuration: Changes and confirmed reads; ``None`` without the role
+        ``control``, as then no route under ``/v1`` is served.
+    :param status: How the instances stand; ``None`` likewise.
     :param source: Configuration in force here.
     :param log: Replicated log; ``None`` without the role ``control``.
     :param metrics: Metrics of the process.
@@ -61,8 +62,8 @@
         self,
         *,
         settings: Settings,
-        configuration: ConfigurationService,
-        status: StatusService,
+        configuration: ConfigurationService | None,
+        status: StatusService | None,
         source: ConfigurationSource,
         log: ReplicatedLog | None,
         metrics: Metrics,
@@ -75,10 +76,21 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
+        self._routes: tuple[Route, ...] = ()
+        if configuration is not None and status is not None:
+            self._add_routes(configuration, status, targets)
+        self._runner: web.AppRunner | None = None
+
+    def _add_routes(
+        self,
+        configuration: ConfigurationService,
+        status: StatusService,
+        targets: TargetDirectory | None,
+    ) -> None:
         self._gate = Gate(
             configuration=configuration,
-            bootstrap_token_sha256=settings.bootstrap_token_sha256,
-            clock=clock,
+            bootstrap_token_sha256=self._settings.bootstrap_token_sha256,
+            clock=self._clock,
         )
         changes = ChangeHandlers(configuration)
         self._routes = (
@@ -87,15 +99,14 @@
             *DrainHandlers(
                 configuration=configuration,
                 status=status,
-                source=source,
+                source=self._source,
                 targets=targets,
                 changes=changes,
             ).routes(),
             *InstanceHandlers(
-                instance=settings.instance.id, status=status, source=source
+                instance=self._settings.instance.id, status=status, source=self._source
             ).routes(),
         )
-        self._runner: web.AppRunner | None = None
 
     @property
     def port(self) -> int:
--- a/tests/support/dispatch_fakes.py
+++ b/tests/support/dispatch_fakes.py
@@ -91,9 +91,7 @@
             )
         )
 
-    async def async_choose(
-        self, *, contract, service, idempotent, excluded, deadline
-    ):
+    async def async_choose(self, *, contract, service, idempotent, excluded, deadline):
         for target in self.targets:
             if target.id not in excluded:
                 self.chosen.append(target.id)
