Add the measurement of slopes for the capacity page

Control: three real control processes with stand-ins, the control half of entry instances, many in one process.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each in a module with a function ``main(quick)``."""
--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,15 @@
+"""Slopes that docs/CAPACITY.md is worked out from.
+
+They are measured at three sizes or more on one machine; a straight line is fitted to
+the points, and the largest distance of a point from it is reported beside it.
+"""
+
+from bench.slopes import control, tables
+
+
+def main(quick: bool) -> dict[str, object]:
+    """Measure all slopes.
+
+    :param quick: Whether to measure at smaller sizes.
+    """
+    return {"tables": tables.measure(quick), "control": control.measure(quick)}
--- /dev/null
+++ b/bench/slopes/control.py
@@ -0,0 +1,256 @@
+"""Cost of control against the number of instances: real control processes, stand-ins.
+
+Three control instances run as processes of their own; all other instances are
+stand-ins, many in one process: the control half of an entry instance, without HTTP.
+"""
+
+import json
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from bench.slopes.fit import Point, fit
+from testkit.admin_client import Operator, new_change_id
+from testkit.contracts import contract_document
+from testkit.deployment import DEPLOYMENT_KEY, Deployment, Instance
+from testkit.ports import HOST
+from testkit.process import ManagedProcess, wait_until
+from testkit.shape import REGIONS, ZONES_PER_REGION, InstancePlan
+
+JOIN_TIMEOUT_S = 120.0
+SETTLE_S = 3.0
+PERCENT = 100.0
+MEBIBYTE = 1024 * 1024
+STAND_INS_PER_PROCESS = 64
+IN_FORCE_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Usage:
+    """Hold what a process has used so far.
+
+    :param cpu_s: Processor time, in seconds.
+    :param peer_bytes: Bytes sent and received on streams between instances.
+    :param memory_bytes: Resident memory.
+    """
+
+    cpu_s: float
+    peer_bytes: float
+    memory_bytes: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sample:
+    """Hold what was measured at one size.
+
+    :param stand_ins: Number of stand-ins.
+    :param idle: Rates at rest of each control instance, by name.
+    :param stand_in_cpu_percent: Processor time of a stand-in at rest.
+    :param change_cpu_ms: Processor time of all control instances for a change.
+    :param change_bytes: Bytes on streams of all control instances for a change.
+    """
+
+    stand_ins: int
+    idle: dict[str, dict[str, float]]
+    stand_in_cpu_percent: float
+    change_cpu_ms: float
+    change_bytes: float
+
+
+def measure(quick: bool) -> dict[str, object]:
+    """Return the slopes of control against the number of instances.
+
+    :param quick: Whether to measure at smaller sizes and for a shorter time.
+    """
+    sizes = (6, 24, 48) if quick else (8, 64, 192, 384)
+    rest_s = 3.0 if quick else 15.0
+    changes = 5 if quick else 20
+    samples = [_measure_at(size, rest_s, changes) for size in sizes]
+    return _document(samples)
+
+
+def _document(samples: list[Sample]) -> dict[str, object]:
+    def line(read: Any, unit: str) -> object:
+        points = [Point(size=s.stand_ins, value=read(s)) for s in samples]
+        return fit(points).document(unit)
+
+    def busiest(name: str) -> Any:
+        return lambda s: max(rates[name] for rates in s.idle.values())
+
+    return {
+        "control_idle_cpu_percent_per_instance": line(busiest("cpu_percent"), "%"),
+        "control_idle_bytes_per_s_per_instance": line(busiest("bytes_per_s"), "B/s"),
+        "control_memory_mib_per_instance": line(busiest("memory_mib"), "MiB"),
+        "stand_in_idle_cpu_percent": line(lambda s: s.stand_in_cpu_percent, "%"),
+        "change_cpu_ms_per_instance": line(lambda s: s.change_cpu_ms, "ms"),
+        "change_bytes_per_instance": line(lambda s: s.change_bytes, "B"),
+        "idle_by_size": {str(s.stand_ins): s.idle for s in samples},
+    }
+
+
+def _measure_at(size: int, rest_s: float, changes: int) -> Sample:
+    with Deployment(_control_plans(), log_level="warning") as deployment:
+        deployment.start()
+        document = contract_document("rackhaven")
+        operator = Operator(deployment.instances[0])
+        revision = _apply(operator, document, 0)
+        stand_ins = _start_stand_ins(deployment, size)
+        try:
+            time.sleep(SETTLE_S)
+            idle, stand_in_cpu = _at_rest(deployment, stand_ins, rest_s, size)
+            cpu_ms, sent = _per_change(deployment, document, revision, changes, idle)
+        finally:
+            for process in stand_ins:
+                process.terminate()
+                process.wait(JOIN_TIMEOUT_S)
+    return Sample(
+        stand_ins=size,
+        idle=idle,
+        stand_in_cpu_percent=stand_in_cpu,
+        change_cpu_ms=cpu_ms,
+        change_bytes=sent,
+    )
+
+
+def _control_plans() -> tuple[InstancePlan, ...]:
+    return tuple(
+        InstancePlan(
+            id=f"{region}-control",
+            region=region,
+            availability_zone=f"{region}-a",
+            roles=("control",),
+        )
+        for region in REGIONS
+    )
+
+
+def _start_stand_ins(deployment: Deployment, size: int) -> list[ManagedProcess]:
+    paths = [_settings_path(deployment, number) for number in range(size)]
+    processes = []
+    for first in range(0, size, STAND_INS_PER_PROCESS):
+        plan = deployment.folder / f"plan-{first}.json"
+        chosen = paths[first : first + STAND_INS_PER_PROCESS]
+        plan.write_text(json.dumps([str(path) for path in chosen]))
+        process = ManagedProcess(
+            name=f"stand-ins-{first}",
+            module="bench.stand_ins",
+            arguments=[str(plan)],
+            log_path=deployment.folder / f"stand-ins-{first}.log",
+        )
+        process.start()
+        processes.append(process)
+    for process in processes:
+        wait_until(
+            lambda process=process: "ready" in process.log_tail(),
+            JOIN_TIMEOUT_S,
+            "all stand-ins have joined",
+        )
+    return processes
+
+
+def _settings_path(deployment: Deployment, number: int) -> Path:
+    region = REGIONS[number % len(REGIONS)]
+    zone = ZONES_PER_REGION[number // len(REGIONS) % len(ZONES_PER_REGION)]
+    settings = {
+        "instance": {
+            "id": f"{region}-stand-in-{number}",
+            "region": region,
+            "availability_zone": f"{region}-{zone}",
+            "roles": ["entry"],
+        },
+        "listen": {
+            name: {"host": HOST, "port": deployment.ports.take()}
+            for name in ("traffic", "admin", "peer")
+        },
+        "control": [
+            {"id": peer.id, "host": HOST, "port": peer.peer_port}
+            for peer in deployment.control_instances
+        ],
+        "deployment_key": DEPLOYMENT_KEY,
+    }
+    path = deployment.folder / f"stand-in-{number}.json"
+    path.write_text(json.dumps(settings))
+    return path
+
+
+def _at_rest(
+    deployment: Deployment, stand_ins: list[ManagedProcess], rest_s: float, size: int
+) -> tuple[dict[str, dict[str, float]], float]:
+    before = {item.id: _usage(item) for item in deployment.instances}
+    cpu_before = sum(_cpu_s(process.pid) for process in stand_ins)
+    time.sleep(rest_s)
+    cpu_after = sum(_cpu_s(process.pid) for process in stand_ins)
+    idle = {
+        item.id: _rates(before[item.id], _usage(item), rest_s)
+        for item in deployment.instances
+    }
+    return idle, (cpu_after - cpu_before) / rest_s * PERCENT / size
+
+
+def _per_change(
+    deployment: Deployment,
+    document: dict[str, Any],
+    revision: int,
+    changes: int,
+    idle: dict[str, dict[str, float]],
+) -> tuple[float, float]:
+    """Return processor time in ms and bytes of a change, the rest taken off."""
+    operator = Operator(deployment.instances[0])
+    before = [_usage(item) for item in deployment.instances]
+    began = time.monotonic()
+    for number in range(changes):
+        document["lookup_lifetime_s"] = 1.0 + number / 10
+        revision = _apply(operator, document, revision)
+    wait_until(
+        lambda: all(item.revision() >= revision for item in deployment.instances),
+        IN_FORCE_TIMEOUT_S,
+        "the last change is in force",
+    )
+    time.sleep(1.0)
+    took_s = time.monotonic() - began
+    after = [_usage(item) for item in deployment.instances]
+    idle_cpu_s = sum(r["cpu_percent"] for r in idle.values()) / PERCENT * took_s
+    idle_bytes = sum(r["bytes_per_s"] for r in idle.values()) * took_s
+    cpu_s = sum(a.cpu_s - b.cpu_s for a, b in zip(after, before, strict=True))
+    sent = sum(a.peer_bytes - b.peer_bytes for a, b in zip(after, before, strict=True))
+    return (cpu_s - idle_cpu_s) * 1000 / changes, (sent - idle_bytes) / changes
+
+
+def _apply(operator: Operator, document: dict[str, Any], revision: int) -> int:
+    reply = operator.put_contract(
+        document, base_revision=revision, change_id=new_change_id()
+    )
+    assert reply.is_accepted, reply
+    return reply.revision
+
+
+def _usage(instance: Instance) -> Usage:
+    process = psutil.Process(instance.process.pid)
+    metrics = instance.metrics()
+    return Usage(
+        cpu_s=_cpu_s(instance.process.pid),
+        peer_bytes=metrics["mothshunt_peer_bytes_sent"]
+        + metrics["mothshunt_peer_bytes_received"],
+        memory_bytes=process.memory_info().rss,
+    )
+
+
+def _cpu_s(pid: int) -> float:
+    times = psutil.Process(pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def _rates(before: Usage, after: Usage, seconds: float) -> dict[str, float]:
+    return {
+        "cpu_percent": (after.cpu_s - before.cpu_s) / seconds * PERCENT,
+        "bytes_per_s": (after.peer_bytes - before.peer_bytes) / seconds,
+        "memory_mib": after.memory_bytes / MEBIBYTE,
+    }
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure("--quick" in sys.argv)))
