Add the replicated log: elections, replication, reads, disk and coordinator

Purpose: control instances have to agree on durable state without an outside store.

A node is a state machine without input or output: events and the present time in, writes, messages, applied entries and read answers out. Messages that depend on a write are held back by the node until it is told that the write is synced.

--- /dev/null
+++ b/mothshunt/consensus/config.py
@@ -0,0 +1,30 @@
+"""Timing and sizes of the replicated log."""
+
+from dataclasses import dataclass
+
+from mothshunt.consensus import const
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConsensusConfig:
+    """Hold what tests and deployments may set.
+
+    :param heartbeat_s: Time between heartbeats of a leader, in seconds.
+    :param election_min_s: Shortest silence after which an election starts, in
+        seconds; a voter that heard the leader within it grants no vote.
+    :param election_max_s: Longest silence after which an election starts, in seconds.
+    :param resend_s: Time after which an unanswered append is sent again, in seconds.
+    :param snapshot_after_entries: Applied entries between two snapshots.
+    :param keep_entries: Entries kept before a snapshot.
+    :param snapshot_chunk_bytes: Largest part of a snapshot in one message.
+    :param segment_bytes: Size after which a new file of the log is begun.
+    """
+
+    heartbeat_s: float = const.HEARTBEAT_S
+    election_min_s: float = const.ELECTION_MIN_S
+    election_max_s: float = const.ELECTION_MAX_S
+    resend_s: float = const.RESEND_S
+    snapshot_after_entries: int = const.SNAPSHOT_AFTER_ENTRIES
+    keep_entries: int = const.KEEP_ENTRIES
+    snapshot_chunk_bytes: int = const.SNAPSHOT_CHUNK_BYTES
+    segment_bytes: int = const.SEGMENT_BYTES
--- /dev/null
+++ b/mothshunt/consensus/const.py
@@ -0,0 +1,33 @@
+"""Constants of the replicated log."""
+
+HEARTBEAT_S = 0.15
+ELECTION_MIN_S = 0.7
+ELECTION_MAX_S = 1.4
+#: Appends without an answer are sent again after this long.
+RESEND_S = 0.5
+#: Longest time in which a leader tries to hand over its leadership.
+TRANSFER_TIMEOUT_S = 1.5
+
+#: Most voters and learners together.
+MAX_MEMBERS = 7
+MAX_APPEND_BYTES = 256 * 1024
+MAX_APPENDS_IN_FLIGHT = 8
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+MAX_COMMAND_BYTES = 1024 * 1024
+#: Proposals are refused while more than this waits to be committed.
+MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
+
+#: Entries applied since the last snapshot after which a new one is taken.
+SNAPSHOT_AFTER_ENTRIES = 4096
+#: Entries kept before a snapshot for followers that lag a little.
+KEEP_ENTRIES = 1024
+SEGMENT_BYTES = 8 * 1024 * 1024
+
+HELLO_INTERVAL_S = 0.5
+HELLO_TIMEOUT_S = 1.0
+#: Time after which a caller may try again while there is no leader.
+RETRY_AFTER_S = 1.0
+#: Pause before a proposal or read that was surely not taken is tried again.
+RETRY_PAUSE_S = 0.05
+#: Longest wait for one answer to a read before it is asked again.
+READ_ATTEMPT_S = 1.0
--- /dev/null
+++ b/mothshunt/consensus/driver.py
@@ -0,0 +1,289 @@
+"""Task around one node: its timer, its writes, its messages and what it applies."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Error
+
+from mothshunt.consensus import codes, const
+from mothshunt.consensus.disk import DiskWriter
+from mothshunt.consensus.messages import NodeMessage
+from mothshunt.consensus.node import Node
+from mothshunt.consensus.state import NodeState, Outputs
+from mothshunt.consensus.types import (
+    NO_INDEX,
+    Entry,
+    EntryKind,
+    NodeRole,
+    Snapshot,
+    WriteNumber,
+)
+from mothshunt.consensus.voters import Membership
+from mothshunt.consensus.waiting import (
+    IndexWaiters,
+    Outcome,
+    Proposal,
+    ProposalWaiters,
+    settle,
+)
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.network import PeerNetwork
+from mothshunt.core.state_machine import StateMachine
+from mothshunt.core.types import InstanceId, LogIndex
+from mothshunt.helpers.log import get_logger
+from mothshunt.metrics.registry import Metrics
+
+_LOGGER = get_logger("consensus")
+
+
+class NodeDriver:
+    """Run one node.
+
+    :param node: The node.
+    :param writer: Its data folder.
+    :param network: Streams to the other nodes.
+    :param state_machine: State that the log carries.
+    :param clock: Source of the present time.
+    :param metrics: Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        writer: DiskWriter,
+        network: PeerNetwork,
+        state_machine: StateMachine,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.node = node
+        self.applied_index = LogIndex(node.state.commit_index)
+        self.membership = node.state.membership
+        self.membership_changed = asyncio.Event()
+        self._writer = writer
+        self._network = network
+        self._state_machine = state_machine
+        self._clock = clock
+        self._metrics = metrics
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_due_at = 0.0
+        self._proposals: list[Proposal] = []
+        self._waiters = ProposalWaiters()
+        self._applied_waiters = IndexWaiters()
+        self._read_by_token: dict[int, asyncio.Future[LogIndex | None]] = {}
+        self._new_reads: list[int] = []
+        self._last_token = 0
+        self._applied_listeners: list[Callable[[LogIndex], None]] = []
+        self._membership_listeners: list[Callable[[Membership], None]] = []
+        self._is_stopped = False
+        self._role = node.state.role
+
+    @property
+    def state(self) -> NodeState:
+        """Return the state of the node, to be read only."""
+        return self.node.state
+
+    def start(self) -> None:
+        """Restore the state from the snapshot and start the timer."""
+        snapshot = self.state.snapshot
+        if snapshot is not None and snapshot.index > NO_INDEX:
+            self._state_machine.restore(snapshot.index, snapshot.data)
+        self._arm()
+
+    def stop(self) -> None:
+        """Stop the timer and answer all who wait."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        failure = Failure(code=codes.STOPPED, retry_after_s=const.RETRY_AFTER_S)
+        for proposal in self._proposals:
+            settle(proposal.outcome, Error(failure))
+        self._proposals.clear()
+        self._waiters.give_up("the instance stopped")
+        for read in self._read_by_token.values():
+            settle(read, None)
+        self._read_by_token.clear()
+
+    def on_applied(self, listener: Callable[[LogIndex], None]) -> None:
+        """Call a listener after commands were applied."""
+        self._applied_listeners.append(listener)
+
+    def on_membership(self, listener: Callable[[Membership], None]) -> None:
+        """Call a listener after the newest membership of the log changed."""
+        self._membership_listeners.append(listener)
+
+    def now(self) -> float:
+        """Return the monotonic time, in seconds."""
+        return self._clock.monotonic()
+
+    def receive(self, peer: InstanceId, message: NodeMessage) -> None:
+        """Take a message from another node.
+
+        :param peer: Sender.
+        :param message: The message.
+        """
+        if not self._is_stopped:
+            self.perform(self.node.receive(peer, message, self.now()))
+
+    def synced(self, number: WriteNumber) -> None:
+        """Note that writes are synced.
+
+        :param number: Number of the last of them.
+        """
+        self.perform(self.node.synced(number, self.now()))
+
+    def propose(self, command: bytes) -> asyncio.Future[Outcome]:
+        """Append a command together with all others of this turn of the event loop.
+
+        :param command: The command.
+        :return: Its outcome, once known.
+        """
+        loop = asyncio.get_running_loop()
+        outcome: asyncio.Future[Outcome] = loop.create_future()
+        if not self._proposals:
+            loop.call_soon(self._append_proposals)
+        self._proposals.append(Proposal(command=command, outcome=outcome))
+        return outcome
+
+    def _append_proposals(self) -> None:
+        proposals = self._proposals
+        self._proposals = []
+        if self._is_stopped or not proposals:
+            return
+        leading = self.state.leading
+        if leading and leading.uncommitted_bytes > const.MAX_UNCOMMITTED_BYTES:
+            self._refuse(proposals, codes.OVERLOADED)
+            return
+        first = self.state.log.last_index + 1
+        commands = [proposal.command for proposal in proposals]
+        outputs = self.node.propose(commands, self.now())
+        if outputs is None:
+            self._refuse(proposals, codes.NOT_LEADER)
+            return
+        for offset, proposal in enumerate(proposals):
+            index = LogIndex(first + offset)
+            self._waiters.add(index, self.state.term, proposal.outcome)
+        self.perform(outputs)
+
+    def _refuse(self, proposals: list[Proposal], code: ResultCode) -> None:
+        failure = Failure(code=code, retry_after_s=const.RETRY_AFTER_S)
+        for proposal in proposals:
+            settle(proposal.outcome, Error(failure))
+
+    def read(self) -> asyncio.Future[LogIndex | None]:
+        """Ask for a commit index confirmed by a majority in a round begun from now.
+
+        :return: The index; ``None`` when this node does not lead.
+        """
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[LogIndex | None] = loop.create_future()
+        if self._is_stopped:
+            answer.set_result(None)
+            return answer
+        self._last_token += 1
+        self._read_by_token[self._last_token] = answer
+        if not self._new_reads:
+            loop.call_soon(self._start_reads)
+        self._new_reads.append(self._last_token)
+        return answer
+
+    def _start_reads(self) -> None:
+        tokens = self._new_reads
+        self._new_reads = []
+        if not self._is_stopped:
+            self.perform(self.node.read(tokens, self.now()))
+
+    async def async_wait_applied(self, index: LogIndex) -> None:
+        """Wait until an index is applied here.
+
+        :param index: The index.
+        """
+        if self.applied_index < index:
+            await self._applied_waiters.wait(index)
+
+    def perform(self, outputs: Outputs) -> None:
+        """Do what the node decided.
+
+        :param outputs: What is to be done.
+        """
+        if outputs.writes:
+            self._writer.submit(outputs.writes, outputs.last_write)
+        for outgoing in outputs.messages:
+            self._network.post(outgoing.peer, outgoing.message)
+        if outputs.applies:
+            self._apply(outputs.applies)
+        for answer in outputs.reads:
+            read = self._read_by_token.pop(answer.token, None)
+            if read is not None:
+                settle(read, answer.index)
+        self._note_changes()
+        self._arm()
+        self._compact_if_due()
+
+    def _apply(self, applies: list[Entry | Snapshot]) -> None:
+        for item in applies:
+            if isinstance(item, Snapshot):
+                self._restore(item)
+                continue
+            outcome = b""
+            if item.kind is EntryKind.COMMAND:
+                outcome = self._state_machine.apply(item.index, item.data)
+            self.applied_index = item.index
+            self._waiters.applied(item.index, item.term, outcome)
+        self._applied_waiters.reached(self.applied_index)
+        for listener in self._applied_listeners:
+            listener(self.applied_index)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self._state_machine.restore(snapshot.index, snapshot.data)
+        self.applied_index = snapshot.index
+        self._waiters.skipped(snapshot.index, "a snapshot took the place of its entry")
+        self._metrics.count("consensus_snapshots_installed_total")
+        _LOGGER.info("installed a snapshot", index=snapshot.index)
+
+    def _compact_if_due(self) -> None:
+        state = self.state
+        held = state.snapshot.index if state.snapshot else NO_INDEX
+        if self.applied_index - held < state.config.snapshot_after_entries:
+            return
+        data = self._state_machine.snapshot()
+        self._metrics.count("consensus_snapshots_taken_total")
+        self.perform(self.node.compact(self.applied_index, data, self.now()))
+
+    def _note_changes(self) -> None:
+        state = self.state
+        if state.role is not self._role:
+            self._role = state.role
+            self._metrics.count("consensus_role_changes_total", role=state.role.value)
+            if state.role is not NodeRole.PRE_CANDIDATE:
+                _LOGGER.info("role changed", role=state.role.value, term=state.term)
+        if state.membership is self.membership:
+            return
+        self.membership = state.membership
+        self.membership_changed.set()
+        for listener in self._membership_listeners:
+            listener(self.membership)
+
+    def _arm(self) -> None:
+        """Set the timer; one that is early is left, as messages mostly put it off."""
+        if self._is_stopped:
+            return
+        due_at = self.node.due_at()
+        if self._timer is not None and self._timer_due_at <= due_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_s = max(0.0, due_at - self.now())
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
+        self._timer_due_at = due_at
+
+    def _tick(self) -> None:
+        self._timer = None
+        if self._is_stopped:
+            return
+        if self.now() < self.node.due_at():
+            self._arm()
+            return
+        self.perform(self.node.tick(self.now()))
