Refuse a request whose body turns out malformed at once, and bound slow bodies

Cause: when a chunk of a request body is malformed, aiohttp's C parser drops the body and leaves the handler waiting for more of it. Seen: the scenario "A body with broken chunks is refused" had no answer within 10 s; the same for a caller that stops sending. Now the body gets the error when the parser reports it, and reading is bounded by the request's deadline. Ruled out: the deadline alone, which holds the answer back for seconds.

Features for bad input, retries and the graceful stop, by `script/test tests/dispatch`: all pass.

--- a/mothshunt/dispatch/body.py
+++ b/mothshunt/dispatch/body.py
@@ -1,5 +1,6 @@
 """Request bodies on their way from the caller to a target."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from aiohttp import hdrs, web
@@ -66,12 +67,13 @@
 
 
 async def async_read_body(
-    request: web.Request, *, keyed: bool
+    request: web.Request, *, keyed: bool, timeout_s: float
 ) -> Result[RequestBody, Failure]:
     """Read a request body whole where it is small, and leave it to stream if not.
 
     :param request: The caller's request.
     :param keyed: Whether the whole body is needed for its hash.
+    :param timeout_s: Seconds to wait for the body.
     """
     if not request.body_exists:
         return Ok(RequestBody(b"", request))
@@ -85,7 +87,11 @@
         request.writer.output_size = 0
     if not keyed and (length is None or length > limit):
         return Ok(RequestBody(None, request))
-    return await _async_read_whole(request, limit)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _async_read_whole(request, limit)
+    except TimeoutError:
+        return Error(_incomplete())
 
 
 async def _async_read_whole(
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -111,7 +111,10 @@
     async def _async_forward(
         self, request: web.Request, route: Route
     ) -> web.StreamResponse:
-        match await async_read_body(request, keyed=route.key is not None):
+        remaining_s = route.deadline - self._clock.monotonic()
+        match await async_read_body(
+            request, keyed=route.key is not None, timeout_s=remaining_s
+        ):
             case Result(tag="ok", ok=body):
                 pass
             case Result(error=failure):
--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -207,6 +207,21 @@
         super().__init__(manager, **options)
         self._traffic_server = server
 
+    def data_received(self, data: bytes) -> None:
+        """Parse what came in.
+
+        The library leaves a request whose body turns out malformed waiting for more.
+
+        :param data: Bytes of the caller.
+        """
+        super().data_received(data)
+        if self._current_request is None or not self._messages:
+            return
+        body = self._current_request.content
+        malformed = not isinstance(self._messages[-1][0], RawRequestMessage)
+        if malformed and not body.is_eof():
+            body.set_exception(web.RequestPayloadError("malformed body"))
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -14,6 +14,14 @@
       | sends chunks without an end |
       | sends an unframed body      |
 
+  Scenario: A malformed answer to a read is asked for elsewhere
+    Given a dispatch entry
+    And a raw target "t1" that sends broken chunks
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/a"
+    Then the dispatch caller got status 200 and "t2 /a"
+    And the outcomes were "t1 broken, t2 answered"
+
   Scenario Outline: A truncated answer to an order is told or broken off
     Given a dispatch entry
     And a raw target "t1" that <behaviour>
@@ -27,6 +35,7 @@
       | sends a short body          |
       | sends chunks without an end |
       | sends an unframed body      |
+      | sends broken chunks         |
 
   Scenario: A large answer that breaks off breaks the caller's connection
     Given a dispatch entry
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -121,6 +121,12 @@
     await asyncio.sleep(3600)
 
 
+async def slow(target, request, writer) -> None:
+    """Answer after a while."""
+    await asyncio.sleep(0.3)
+    await ok(target, request, writer)
+
+
 async def shed(target, request, writer) -> None:
     """Turn the request away without running it."""
     headers = "Mothshunt-Ran: no\r\nRetry-After: 7\r\n"
@@ -140,6 +146,14 @@
     writer.close()
 
 
+async def broken_chunks(target, request, writer) -> None:
+    """Send a malformed chunk and leave the connection open."""
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n"
+    )
+    await asyncio.sleep(3600)
+
+
 async def unframed(target, request, writer) -> None:
     """Mark the end of the answer by closing only."""
     writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf an answer")
@@ -171,9 +185,11 @@
     "answers": ok,
     "closes after reading": close_unanswered,
     "never answers": silent,
+    "answers after a while": slow,
     "sheds": shed,
     "sends a short body": short_length,
     "sends chunks without an end": endless_chunks,
+    "sends broken chunks": broken_chunks,
     "sends an unframed body": unframed,
     "answers twice": doubled,
     "sends a large answer": large,
