--- a/testkit/admin_client.py
+++ b/testkit/admin_client.py
@@ -59,6 +59,7 @@
     :param instance: The instance that is asked.
     :param token: Token of the operator.
     :param timeout_ms: Time that the API is given.
+    :param url: Start of URLs, such as a proxy's; by default the instance's own.
     """
 
     def __init__(
@@ -67,8 +68,9 @@
         *,
         token: str = BOOTSTRAP_TOKEN,
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
+        url: str | None = None,
     ) -> None:
-        self.instance = instance
+        self._url = url or instance.admin_url
         self._token = token
         self._timeout_ms = timeout_ms
 
@@ -148,7 +150,7 @@
         self, method: str, path: str, *, document: Any = None, **query: Any
     ) -> Reply:
         query["timeout_ms"] = self._timeout_ms
-        url = f"{self.instance.admin_url}{path}?{urlencode(query)}"
+        url = f"{self._url}{path}?{urlencode(query)}"
         status, body = http_send(
             method,
             url,
--- a/testkit/shape.py
+++ b/testkit/shape.py
@@ -63,6 +63,14 @@
     )
 
 
+def small_with_entry() -> tuple[InstancePlan, ...]:
+    """Return the small shape and one further entry instance, ``north-2``."""
+    entry = InstancePlan(
+        id="north-2", region="north", availability_zone="north-b", roles=("entry",)
+    )
+    return (*small(), entry)
+
+
 def single() -> tuple[InstancePlan, ...]:
     """Return one instance with both roles."""
     return small()[:1]
--- a/testkit/target/runs.py
+++ b/testkit/target/runs.py
@@ -19,6 +19,8 @@
     :param deadline_ms: Deadline header as received; empty when there was none.
     :param started_at_unix: Wall clock at the start, in seconds.
     :param ended: ``running``, ``answered``, ``cancelled`` or ``broken``.
+    :param ended_at_unix: Wall clock at the end, in seconds; 0 while it runs.
+    :param number: Number of the run at this process, from 0.
     """
 
     request_id: str
@@ -28,14 +30,16 @@
     deadline_ms: str
     started_at_unix: float = field(default_factory=time.time)
     ended: str = "running"
+    ended_at_unix: float = 0.0
+    number: int = 0
 
 
 @dataclass(slots=True)
 class RunRecord:
     """Keep all runs of one target.
 
-    :param journal: File that gets a line for each run before it begins, so that the
-        record outlives the process.
+    :param journal: File that gets a line for each run before it begins and after it
+        ends, so that the record outlives the process.
     """
 
     journal: BinaryIO | None = None
@@ -51,8 +55,8 @@
         :param run: The run.
         :return: How many times the request has been run here, this time included.
         """
-        if self.journal is not None:
-            self.journal.write(json.dumps(asdict(run)).encode() + b"\n")
+        run.number = len(self.runs)
+        self._note(run)
         self.runs.append(run)
         self.in_flight += 1
         self._count_by_id[run.request_id] += 1
@@ -65,13 +69,19 @@
         :param how: ``answered``, ``cancelled`` or ``broken``.
         """
         run.ended = how
+        run.ended_at_unix = time.time()
         self.in_flight -= 1
+        self._note(run)
 
     @property
     def finished(self) -> int:
         """Return how many runs have ended."""
         return len(self.runs) - self.in_flight
 
+    def _note(self, run: Run) -> None:
+        if self.journal is not None:
+            self.journal.write(json.dumps(asdict(run)).encode() + b"\n")
+
 
 def journal_path(folder: Path, target: str) -> Path:
     """Return the path of a target's journal.
@@ -90,4 +100,15 @@
     if not path.exists():
         return []
     lines = path.read_bytes().split(b"\n")[:-1]
-    return [json.loads(line) for line in lines]
+    runs: list[dict[str, Any]] = []
+    open_by_number: dict[int, int] = {}
+    for line in lines:
+        run = json.loads(line)
+        place = open_by_number.pop(run["number"], None)
+        if place is not None and run["ended"] != "running":
+            runs[place] = run
+            continue
+        # A restarted target counts its runs from 0 again.
+        open_by_number[run["number"]] = len(runs)
+        runs.append(run)
+    return runs
