--- a/testkit/environment.py
+++ b/testkit/environment.py
@@ -3,10 +3,10 @@
 import os
 import subprocess
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Coroutine, Iterable, Sequence
 from concurrent.futures import Future
 from types import TracebackType
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 
@@ -22,6 +22,8 @@
 from testkit.shape import InstancePlan
 from testkit.target.config import Endpoint, TargetConfig
 
+T = TypeVar("T")
+
 CLI_MODULE = "mothshunt.cli.main"
 CLI_TIMEOUT_S = 60.0
 #: Stated target for a change to be in force on every reachable instance.
@@ -254,6 +256,13 @@
         """
         return self._loop.run(caller.async_send(request))
 
+    def submit(self, work: Coroutine[Any, Any, T]) -> "Future[T]":
+        """Begin a coroutine in the event loop of the callers and return at once.
+
+        :param work: The coroutine.
+        """
+        return self._loop.submit(work)
+
     def begin(self, caller: Caller, request: Request) -> "Future[Result]":
         """Send one request and return at once.
 
--- a/testkit/proxy.py
+++ b/testkit/proxy.py
@@ -203,7 +203,9 @@
         :param directions: Where nothing passes.
         """
         self._cut = frozenset(directions)
-        self._may_dial.clear()
+        # Nothing answers a dial when nothing reaches the server.
+        if Direction.TO_SERVER in self._cut:
+            self._may_dial.clear()
         self._hold()
 
     def heal(self) -> None:
