Add history, rollback, operators, voters, audit and pages to the API

Purpose: the rest of the administration API.

Weighed: leaving a change that is sent again to the fingerprint of the replicated configuration alone; ruled out for operators and rollbacks, whose value is worked out at the API and may differ the second time. They look for the first answer in the audit trail before anything else.

The OpenAPI page is made from the routes and dataclasses. Lists in a contract have an upper length, and the check of idempotent rules takes time in proportion to the text, so that a large body can't hold up the event loop. Tests run over the real replicated configuration with a log of one replica in place of the fake configuration.

--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -12,7 +12,6 @@
 from pathlib import Path
 
 from expression import Result
-from mothshunt.limits.coordinator import LimitsHolderCoordinator
 
 from mothshunt.core.types import InstanceState
 from mothshunt.daemon.base import Base
@@ -20,6 +19,7 @@
 from mothshunt.discovery.coordinator import DiscoveryCoordinator
 from mothshunt.discovery.messages import TargetRows
 from mothshunt.discovery.state import TargetTable
+from mothshunt.limits.coordinator import LimitsHolderCoordinator
 from mothshunt.settings.config import Settings
 
 
--- /dev/null
+++ b/mothshunt/admin/api.py
@@ -0,0 +1,55 @@
+"""All operations of the administration API."""
+
+from mothshunt.admin.changes import ChangeHandlers
+from mothshunt.admin.contracts import ContractHandlers
+from mothshunt.admin.drains import DrainHandlers
+from mothshunt.admin.history import HistoryHandlers
+from mothshunt.admin.instances import InstanceHandlers
+from mothshunt.admin.messages import Route
+from mothshunt.admin.operators import OperatorHandlers
+from mothshunt.admin.pages import PageHandlers
+from mothshunt.admin.voters import VoterHandlers
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.configuration.service import ConfigurationService, StatusService
+from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.types import InstanceId
+from mothshunt.discovery.model import TargetDirectory
+
+
+def api_routes(
+    *,
+    instance: InstanceId,
+    configuration: ConfigurationService,
+    status: StatusService,
+    source: ConfigurationSource,
+    log: ReplicatedLog,
+    targets: TargetDirectory | None,
+) -> tuple[Route, ...]:
+    """Return all operations.
+
+    :param instance: Name of this instance.
+    :param configuration: Changes and confirmed reads.
+    :param status: How the instances stand.
+    :param source: Configuration in force here.
+    :param log: Replicated log.
+    :param targets: Targets known here, where there are any.
+    """
+    changes = ChangeHandlers(configuration)
+    drains = DrainHandlers(
+        configuration=configuration,
+        status=status,
+        source=source,
+        targets=targets,
+        changes=changes,
+    )
+    instances = InstanceHandlers(instance=instance, status=status, source=source)
+    routes = (
+        *ContractHandlers(configuration, changes).routes(),
+        *HistoryHandlers(configuration, changes).routes(),
+        *changes.routes(),
+        *drains.routes(),
+        *OperatorHandlers(configuration, changes).routes(),
+        *instances.routes(),
+        *VoterHandlers(log, source).routes(),
+    )
+    return (*routes, *PageHandlers(routes).routes())
--- a/mothshunt/admin/changes.py
+++ b/mothshunt/admin/changes.py
@@ -6,13 +6,13 @@
 
 from mothshunt.access.model import AccessRole
 from mothshunt.admin import codes
-from mothshunt.admin.const import ATTR_CHANGE_ID
+from mothshunt.admin.const import ATTR_CHANGE_ID, MAX_RECORDS
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
 from mothshunt.admin.model import ChangeDocument, WinnerDocument
 from mothshunt.admin.parameters import ChangeQuery, ReadQuery
 from mothshunt.configuration.messages import Change, ChangeOutcome, ChangeStatus
 from mothshunt.configuration.model import ItemKey
-from mothshunt.configuration.service import ConfigurationService, Item
+from mothshunt.configuration.service import AuditRecord, ConfigurationService, Item
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import ChangeId, Ran
 
@@ -38,21 +38,20 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_get,
-                query=ReadQuery,
                 answer=ChangeDocument,
             ),
         )
 
     async def async_submit(
-        self, call: Call, query: ChangeQuery, key: ItemKey, value: bytes | None
+        self, call: Call[ChangeQuery], key: ItemKey, value: bytes | None
     ) -> Result[Reply, Refusal]:
         """Have one change committed and answer with its outcome.
 
-        :param call: The request.
-        :param query: Names the change.
+        :param call: The request; its query names the change.
         :param key: The item.
         :param value: New JSON text of the item; ``None`` removes it.
         """
+        query = call.query
         change = Change(
             change_id=query.change_id,
             operator=call.operator.id,
@@ -67,17 +66,36 @@
             return Error(submission_refusal(result.error, query.change_id))
         return outcome_reply(result.ok, query.change_id)
 
-    async def _async_get(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def async_first_answer(
+        self, call: Call[ChangeQuery], key: ItemKey
+    ) -> Result[Reply | None, Refusal]:
+        """Return the first answer to a change that was sent again.
+
+        Needed where a change sent again would not be worked out alike, because the
+        state that it is worked out from has changed since.
+
+        :param call: The request; its query names the change.
+        :param key: The item.
+        :return: The answer, ``None`` where the change has not been accepted.
+        """
+        records = await self._configuration.async_audit(
+            key, MAX_RECORDS, call.query.timeout_s
+        )
+        if records.is_error():
+            return Error(Refusal(failure=records.error))
+        for record in records.ok:
+            if record.change_id == call.query.change_id:
+                return Ok(_first_answer(record))
+        return Ok(None)
+
+    async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         change_id = ChangeId(call.path_values[ATTR_CHANGE_ID])
-        found = await self._configuration.async_find(change_id, query.ok.timeout_s)
+        found = await self._configuration.async_find(change_id, call.query.timeout_s)
         if found.is_error():
             return Error(Refusal(failure=found.error, change_id=change_id))
         if found.ok is None:
             return refuse(codes.CHANGE_UNKNOWN, change_id)
-        return Ok(Reply(body=_document(found.ok)))
+        return Ok(Reply(body=_document(found.ok, change_id)))
 
 
 async def async_find_item(
@@ -124,15 +142,11 @@
     :param change_id: The change.
     """
     if outcome.status is ChangeStatus.ACCEPTED:
-        return Ok(Reply(body=_document(outcome), revision=outcome.revision))
+        return Ok(Reply(body=_document(outcome, change_id), revision=outcome.revision))
     if outcome.status is ChangeStatus.REFUSED:
         failure = Failure(code=codes.CHANGE_REFUSED, detail=outcome.detail)
         return Error(Refusal(failure=failure, change_id=change_id))
-    winner = WinnerDocument(
-        change_id=outcome.change_id,
-        operator=outcome.operator,
-        revision=outcome.revision,
-    )
+    winner = _winner(outcome)
     detail = (
         f"change {winner.change_id} of {winner.operator} was accepted at revision "
         f"{winner.revision}"
@@ -141,12 +155,35 @@
     return Error(Refusal(failure=failure, change_id=change_id, winner=winner))
 
 
-def _document(outcome: ChangeOutcome) -> ChangeDocument:
+def _document(outcome: ChangeOutcome, change_id: ChangeId) -> ChangeDocument:
+    # Only the outcome of an accepted change tells of the change itself.
+    is_accepted = outcome.status is ChangeStatus.ACCEPTED
+    is_conflict = outcome.status is ChangeStatus.CONFLICT
     return ChangeDocument(
         status=outcome.status.value,
+        change_id=change_id,
+        operator=outcome.operator if is_accepted else None,
+        revision=outcome.revision if is_accepted else None,
+        repeated=outcome.repeated,
+        detail=outcome.detail,
+        winner=_winner(outcome) if is_conflict else None,
+    )
+
+
+def _winner(outcome: ChangeOutcome) -> WinnerDocument:
+    return WinnerDocument(
         change_id=outcome.change_id,
         operator=outcome.operator,
         revision=outcome.revision,
-        repeated=outcome.repeated,
-        detail=outcome.detail,
     )
+
+
+def _first_answer(record: AuditRecord) -> Reply:
+    document = ChangeDocument(
+        status=ChangeStatus.ACCEPTED.value,
+        change_id=record.change_id,
+        operator=record.operator,
+        revision=record.revision,
+        repeated=True,
+    )
+    return Reply(body=document, revision=record.revision)
--- a/mothshunt/admin/const.py
+++ b/mothshunt/admin/const.py
@@ -29,5 +29,5 @@
 ATTR_VOTER = "voter"
 
 METRIC_REQUESTS = "mothshunt_admin_requests_total"
-METRIC_REFUSALS = "mothshunt_admin_refusals_total"
+METRIC_REFUSALS = "mothshunt_refusals_total"
 METRIC_LATENCY = "mothshunt_admin_request_seconds"
--- a/mothshunt/admin/contracts.py
+++ b/mothshunt/admin/contracts.py
@@ -50,7 +50,6 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_list,
-                query=ReadQuery,
                 answer=ContractList,
             ),
             Route(
@@ -60,7 +59,6 @@
                 role=AccessRole.READ,
                 scope=Scope.CUSTOMER,
                 handler=self._async_get,
-                query=ReadQuery,
                 answer=ContractDocument,
             ),
             Route(
@@ -101,18 +99,14 @@
                 role=AccessRole.READ,
                 scope=Scope.CUSTOMER,
                 handler=self._async_diff,
-                query=ReadQuery,
                 body=Contract,
                 answer=DiffDocument,
             ),
         )
 
-    async def _async_list(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         items = await self._configuration.async_items(
-            Section.CONTRACT, query.ok.timeout_s
+            Section.CONTRACT, call.query.timeout_s
         )
         if items.is_error():
             return Error(Refusal(failure=items.error))
@@ -124,13 +118,10 @@
         summaries.sort(key=lambda summary: summary.customer)
         return Ok(Reply(body=ContractList(contracts=tuple(summaries))))
 
-    async def _async_get(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         customer = call.customer()
         found = await async_find_item(
-            self._configuration, contract_key(customer), query.ok.timeout_s
+            self._configuration, contract_key(customer), call.query.timeout_s
         )
         if found.is_error():
             return Error(found.error)
@@ -143,46 +134,36 @@
         )
         return Ok(Reply(body=document, revision=found.ok.revision))
 
-    async def _async_put(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ChangeQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_put(self, call: Call[ChangeQuery]) -> Result[Reply, Refusal]:
         contract = _contract_of(call)
         if contract.is_error():
             return Error(contract.error)
         return await self._changes.async_submit(
             call,
-            query.ok,
             contract_key(call.customer()),
             schema.to_json(contract.ok),
         )
 
-    async def _async_delete(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ChangeQuery)
-        if query.is_error():
-            return Error(query.error)
-        if query.ok.base_revision == NO_REVISION:
+    async def _async_delete(self, call: Call[ChangeQuery]) -> Result[Reply, Refusal]:
+        if call.query.base_revision == NO_REVISION:
             return refuse(codes.CONTRACT_UNKNOWN, call.customer())
         return await self._changes.async_submit(
-            call, query.ok, contract_key(call.customer()), None
+            call, contract_key(call.customer()), None
         )
 
-    async def _async_validate(self, call: Call) -> Result[Reply, Refusal]:
+    async def _async_validate(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         checked = check_contract(call.body)
         if checked.is_error():
             return Error(faulty(checked.error))
         return Ok(Reply(body=ValidationDocument(customer=checked.ok.customer)))
 
-    async def _async_diff(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_diff(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         contract = _contract_of(call)
         if contract.is_error():
             return Error(contract.error)
         customer = call.customer()
         found = await async_find_item(
-            self._configuration, contract_key(customer), query.ok.timeout_s
+            self._configuration, contract_key(customer), call.query.timeout_s
         )
         if found.is_error():
             return Error(found.error)
@@ -216,7 +197,7 @@
     return Refusal(failure=failure, faults=faults)
 
 
-def _contract_of(call: Call) -> Result[Contract, Refusal]:
+def _contract_of(call: Call[object]) -> Result[Contract, Refusal]:
     checked = check_contract(call.body)
     if checked.is_error():
         return Error(faulty(checked.error))
--- a/mothshunt/admin/drains.py
+++ b/mothshunt/admin/drains.py
@@ -7,8 +7,9 @@
 from mothshunt.admin import codes
 from mothshunt.admin.changes import ChangeHandlers
 from mothshunt.admin.const import ATTR_KIND, ATTR_NAME
+from mothshunt.admin.deployment_model import DrainDocument, DrainList
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
-from mothshunt.admin.model import ChangeDocument, DrainDocument, DrainList
+from mothshunt.admin.model import ChangeDocument
 from mothshunt.admin.parameters import ChangeQuery, DrainBody, ReadQuery
 from mothshunt.admin.progress import drain_document
 from mothshunt.configuration.model import (
@@ -66,7 +67,6 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_list,
-                query=ReadQuery,
                 answer=DrainList,
             ),
             Route(
@@ -76,7 +76,6 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_get,
-                query=ReadQuery,
                 answer=DrainDocument,
             ),
             Route(
@@ -102,21 +101,15 @@
             ),
         )
 
-    async def _async_list(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
-        documents = await self._async_documents(query.ok.timeout_s)
+    async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        documents = await self._async_documents(call.query.timeout_s)
         return documents.map(lambda drains: Reply(body=DrainList(drains=drains)))
 
-    async def _async_get(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         drain = _drain_of(call, "")
         if drain.is_error():
             return Error(drain.error)
-        documents = await self._async_documents(query.ok.timeout_s)
+        documents = await self._async_documents(call.query.timeout_s)
         if documents.is_error():
             return Error(documents.error)
         for document in documents.ok:
@@ -124,10 +117,7 @@
                 return Ok(Reply(body=document, revision=document.revision))
         return refuse(codes.DRAIN_UNKNOWN, drain_key(drain.ok).name)
 
-    async def _async_put(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ChangeQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_put(self, call: Call[ChangeQuery]) -> Result[Reply, Refusal]:
         body = call.document(DrainBody)
         if body.is_error():
             return Error(body.error)
@@ -135,20 +125,17 @@
         if drain.is_error():
             return Error(drain.error)
         return await self._changes.async_submit(
-            call, query.ok, drain_key(drain.ok), schema.to_json(drain.ok)
+            call, drain_key(drain.ok), schema.to_json(drain.ok)
         )
 
-    async def _async_delete(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ChangeQuery)
-        if query.is_error():
-            return Error(query.error)
+    async def _async_delete(self, call: Call[ChangeQuery]) -> Result[Reply, Refusal]:
         drain = _drain_of(call, "").bind(lambda d: self._permitted(call, d))
         if drain.is_error():
             return Error(drain.error)
         key = drain_key(drain.ok)
-        if query.ok.base_revision == NO_REVISION:
+        if call.query.base_revision == NO_REVISION:
             return refuse(codes.DRAIN_UNKNOWN, key.name)
-        return await self._changes.async_submit(call, query.ok, key, None)
+        return await self._changes.async_submit(call, key, None)
 
     async def _async_documents(
         self, timeout_s: float
@@ -168,7 +155,7 @@
         documents.sort(key=lambda document: (document.kind, document.name))
         return Ok(tuple(documents))
 
-    def _permitted(self, call: Call, drain: Drain) -> Result[Drain, Refusal]:
+    def _permitted(self, call: Call[object], drain: Drain) -> Result[Drain, Refusal]:
         customer = None
         if drain.kind is DrainKind.TARGET:
             customer = self._customer_of(drain.name)
@@ -203,7 +190,7 @@
     return ItemKey(section=Section.DRAIN, name=f"{drain.kind.value}:{drain.name}")
 
 
-def _drain_of(call: Call, reason: str) -> Result[Drain, Refusal]:
+def _drain_of(call: Call[object], reason: str) -> Result[Drain, Refusal]:
     kind_text = call.path_values[ATTR_KIND].replace("-", "_")
     try:
         kind = DrainKind(kind_text)
--- a/mothshunt/admin/instances.py
+++ b/mothshunt/admin/instances.py
@@ -3,8 +3,9 @@
 from expression import Error, Ok, Result
 
 from mothshunt.access.model import AccessRole
+from mothshunt.admin.deployment_model import InstanceDocument, InstanceList
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope
-from mothshunt.admin.model import ControlAddress, InstanceDocument, InstanceList
+from mothshunt.admin.model import ControlAddress
 from mothshunt.admin.parameters import ReadQuery
 from mothshunt.configuration.model import Configuration, ConfigurationSource
 from mothshunt.configuration.service import InstanceStatus, StatusService
@@ -40,16 +41,12 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_list,
-                query=ReadQuery,
                 answer=InstanceList,
             ),
         )
 
-    async def _async_list(self, call: Call) -> Result[Reply, Refusal]:
-        query = call.query(ReadQuery)
-        if query.is_error():
-            return Error(query.error)
-        statuses = await self._status.async_instances(query.ok.timeout_s)
+    async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        statuses = await self._status.async_instances(call.query.timeout_s)
         if statuses.is_error():
             return Error(Refusal(failure=statuses.error))
         configuration = self._source.current()
--- a/mothshunt/admin/messages.py
+++ b/mothshunt/admin/messages.py
@@ -3,18 +3,21 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from mothshunt.access.model import AccessRole, Operator
 from mothshunt.admin import codes
+from mothshunt.admin.const import ATTR_CUSTOMER
 from mothshunt.admin.model import ControlAddress, WinnerDocument
+from mothshunt.admin.parameters import ReadQuery
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import ChangeId, CustomerId, Revision
 from mothshunt.util import schema
 
 T = TypeVar("T")
+Q_co = TypeVar("Q_co", covariant=True)
 
 
 class Scope(Enum):
@@ -63,42 +66,34 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Call:
+class Call(Generic[Q_co]):
     """Carry one authorized request.
 
     :param operator: Who asks.
     :param path_values: Values of the variable parts of the path.
-    :param query_values: Parameters of the query.
+    :param query: Parameters of the query, checked.
     :param body: Body of the request.
     """
 
     operator: Operator
     path_values: Mapping[str, str]
-    query_values: Mapping[str, str]
+    query: Q_co
     body: bytes
 
     def customer(self) -> CustomerId:
         """Return the customer that the path names."""
-        return CustomerId(self.path_values["customer"])
-
-    def query(self, cls: type[T]) -> Result[T, Refusal]:
-        """Read the query.
-
-        :param cls: Dataclass of its parameters.
-        """
-        return _checked(
-            schema.from_plain(cls, dict(self.query_values)), codes.PARAMETER_INVALID
-        )
+        return CustomerId(self.path_values[ATTR_CUSTOMER])
 
     def document(self, cls: type[T]) -> Result[T, Refusal]:
         """Read the body; an empty one stands for an empty JSON object.
 
         :param cls: Dataclass of the body.
         """
-        return _checked(schema.from_json(cls, self.body or b"{}"), codes.BODY_INVALID)
+        document = schema.from_json(cls, self.body or b"{}")
+        return document.map_error(lambda faults: _refusal(faults, codes.BODY_INVALID))
 
 
-Handler = Callable[[Call], Awaitable[Result[Reply, Refusal]]]
+Handler = Callable[[Call[Any]], Awaitable[Result[Reply, Refusal]]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -111,7 +106,7 @@
     :param role: Role that it needs.
     :param scope: What the role is needed for.
     :param handler: Carries it out.
-    :param query: Dataclass of its query, if it takes one.
+    :param query: Dataclass of its query.
     :param body: Dataclass of its body, if it takes one.
     :param answer: Dataclass of its answer.
     """
@@ -123,7 +118,7 @@
     scope: Scope
     handler: Handler
     answer: type[Any]
-    query: type[Any] | None = None
+    query: type[Any] = ReadQuery
     body: type[Any] | None = None
 
 
@@ -137,15 +132,18 @@
     return Error(Refusal(failure=Failure(code=code, detail=detail, path=path)))
 
 
-def _checked(
-    result: Result[T, tuple[schema.Fault, ...]], code: ResultCode
-) -> Result[T, Refusal]:
-    match result:
-        case Result(tag="ok", ok=value):
-            return Ok(value)
-        case Result(error=faults):
-            failures = tuple(
-                Failure(code=code, path=fault.path, detail=fault.problem)
-                for fault in faults
-            )
-            return Error(Refusal(failure=failures[0], faults=failures))
+def parsed_query(cls: type[T], values: Mapping[str, str]) -> Result[T, Refusal]:
+    """Read the query of a request.
+
+    :param cls: Dataclass of its parameters.
+    :param values: Value of each parameter.
+    """
+    query = schema.from_plain(cls, dict(values))
+    return query.map_error(lambda faults: _refusal(faults, codes.PARAMETER_INVALID))
+
+
+def _refusal(faults: tuple[schema.Fault, ...], code: ResultCode) -> Refusal:
+    failures = tuple(
+        Failure(code=code, path=fault.path, detail=fault.problem) for fault in faults
+    )
+    return Refusal(failure=failures[0], faults=failures)
--- a/mothshunt/admin/progress.py
+++ b/mothshunt/admin/progress.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from mothshunt.admin.model import DrainDocument
+from mothshunt.admin.deployment_model import DrainDocument
 from mothshunt.configuration.service import InstanceStatus
 from mothshunt.core.types import Revision
 from mothshunt.discovery.model import Target
--- a/mothshunt/admin/responses.py
+++ b/mothshunt/admin/responses.py
@@ -1,7 +1,6 @@
 """Conversion of replies and refusals to HTTP answers."""
 
 import json
-import math
 
 from aiohttp import web
 
@@ -9,7 +8,7 @@
 from mothshunt.admin.messages import Refusal, Reply
 from mothshunt.admin.model import ErrorDocument, FaultDocument
 from mothshunt.core.codes import Failure
-from mothshunt.core.const import HEADER_CODE, HEADER_RAN, HEADER_RETRY_AFTER
+from mothshunt.helpers.http import failure_headers
 from mothshunt.metrics.registry import Metrics
 from mothshunt.util import schema
 
@@ -36,16 +35,13 @@
     :param metrics: Where it is counted by its code.
     """
     failure = refusal.failure
-    metrics.count(METRIC_REFUSALS, code=failure.code.name)
+    metrics.count(METRIC_REFUSALS, reason=failure.code.name)
     response = web.Response(
         body=json.dumps(_document_without_gaps(refusal)).encode(),
         status=failure.code.http_status,
         content_type=CONTENT_TYPE,
+        headers=failure_headers(failure),
     )
-    response.headers[HEADER_CODE] = str(failure.code.number)
-    response.headers[HEADER_RAN] = failure.ran.value
-    if failure.retry_after_s is not None:
-        response.headers[HEADER_RETRY_AFTER] = str(math.ceil(failure.retry_after_s))
     if failure.code.http_status == web.HTTPUnauthorized.status_code:
         response.headers["WWW-Authenticate"] = "Bearer"
     return response
--- /dev/null
+++ b/mothshunt/admin/voters.py
@@ -0,0 +1,107 @@
+"""Operations on the voters of the replicated log."""
+
+from expression import Error, Ok, Result
+
+from mothshunt.access.model import AccessRole
+from mothshunt.admin import codes
+from mothshunt.admin.const import ATTR_VOTER
+from mothshunt.admin.deployment_model import VoterChangeDocument
+from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
+from mothshunt.admin.parameters import ReadQuery, VoterBody
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.consensus.model import ConsensusStatus, ReplicatedLog, Voter
+from mothshunt.core.types import InstanceId
+from mothshunt.settings.config import MAX_CONTROL_INSTANCES
+
+
+class VoterHandlers:
+    """Show and change the voters of the replicated log.
+
+    :param log: The replicated log.
+    :param source: Holds the peer addresses of the instances.
+    """
+
+    def __init__(self, log: ReplicatedLog, source: ConfigurationSource) -> None:
+        self._log = log
+        self._source = source
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the operations of this module."""
+        return (
+            Route(
+                method="GET",
+                path="/v1/voters",
+                summary="Show the replicated log as this instance sees it.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_get,
+                answer=ConsensusStatus,
+            ),
+            Route(
+                method="POST",
+                path="/v1/voters",
+                summary="Add one voter, which first catches up as a learner.",
+                role=AccessRole.ADMINISTER,
+                scope=Scope.DEPLOYMENT,
+                handler=self._async_add,
+                body=VoterBody,
+                answer=VoterChangeDocument,
+            ),
+            Route(
+                method="DELETE",
+                path="/v1/voters/{voter}",
+                summary="Remove one voter.",
+                role=AccessRole.ADMINISTER,
+                scope=Scope.DEPLOYMENT,
+                handler=self._async_remove,
+                answer=VoterChangeDocument,
+            ),
+        )
+
+    async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        return Ok(Reply(body=self._log.status()))
+
+    async def _async_add(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        body = call.document(VoterBody)
+        if body.is_error():
+            return Error(body.error)
+        voter = self._voter(body.ok)
+        if voter is None:
+            return refuse(codes.VOTER_UNKNOWN, f"no peer address of {body.ok.id}")
+        status = self._log.status()
+        if voter in status.voters:
+            return Ok(_reply(voter.id, None))
+        others = {v.id for v in (*status.voters, *status.learners)} - {voter.id}
+        if len(others) >= MAX_CONTROL_INSTANCES:
+            return refuse(codes.TOO_MANY_VOTERS, ", ".join(sorted(others)))
+        added = await self._log.async_add_voter(voter, call.query.timeout_s)
+        if added.is_error():
+            return Error(Refusal(failure=added.error))
+        return Ok(_reply(voter.id, added.ok))
+
+    async def _async_remove(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        id = InstanceId(call.path_values[ATTR_VOTER])
+        status = self._log.status()
+        known = {voter.id for voter in (*status.voters, *status.learners)}
+        if id not in known:
+            if id not in self._source.current().instance_by_id:
+                return refuse(codes.VOTER_UNKNOWN, id)
+            return Ok(_reply(id, None))
+        if [voter.id for voter in status.voters] == [id]:
+            return refuse(codes.LAST_VOTER, id)
+        removed = await self._log.async_remove_voter(id, call.query.timeout_s)
+        if removed.is_error():
+            return Error(Refusal(failure=removed.error))
+        return Ok(_reply(id, removed.ok))
+
+    def _voter(self, body: VoterBody) -> Voter | None:
+        if body.host is not None and body.port is not None:
+            return Voter(id=body.id, host=body.host, port=body.port)
+        record = self._source.current().instance_by_id.get(body.id)
+        if record is None or not record.peer_port:
+            return None
+        return Voter(id=body.id, host=record.peer_host, port=record.peer_port)
+
+
+def _reply(voter: InstanceId, log_index: int | None) -> Reply:
+    return Reply(body=VoterChangeDocument(voter=voter, log_index=log_index))
--- a/mothshunt/contract/model.py
+++ b/mothshunt/contract/model.py
@@ -14,6 +14,12 @@
 Identifier = Annotated[str, Field(pattern=ID_PATTERN)]
 Method = Literal["POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
+MAX_SERVICES = 256
+MAX_REGIONS = 64
+MAX_LINKS = MAX_REGIONS * (MAX_REGIONS - 1)
+#: Most idempotent rules of one service.
+MAX_RULES = 256
+
 #: Methods that are idempotent in every contract.
 ALWAYS_IDEMPOTENT = frozenset({"GET", "HEAD"})
 
@@ -57,7 +63,7 @@
     __pydantic_config__ = _STRICT
 
     service: Annotated[ServiceName, Field(pattern=ID_PATTERN)]
-    idempotent: tuple[IdempotentRule, ...] = ()
+    idempotent: Annotated[tuple[IdempotentRule, ...], Field(max_length=MAX_RULES)] = ()
     request_timeout_ms: Annotated[int, Field(ge=50, le=120_000)] = 10_000
     connections_per_target: Annotated[int, Field(ge=1, le=10_000)] = 300
     cold_ramp_s: Annotated[float, Field(ge=0, le=600)] = 10.0
@@ -152,9 +158,13 @@
     customer: Annotated[CustomerId, Field(pattern=ID_PATTERN)]
     weighs: Weighs
     lookup_lifetime_s: Annotated[float, Field(ge=0.5, le=300)] = 5.0
-    services: Annotated[tuple[ServiceContract, ...], Field(min_length=1)]
-    regions: Annotated[tuple[RegionCapacity, ...], Field(min_length=1)]
-    links: tuple[LinkLimit, ...] = ()
+    services: Annotated[
+        tuple[ServiceContract, ...], Field(min_length=1, max_length=MAX_SERVICES)
+    ]
+    regions: Annotated[
+        tuple[RegionCapacity, ...], Field(min_length=1, max_length=MAX_REGIONS)
+    ]
+    links: Annotated[tuple[LinkLimit, ...], Field(max_length=MAX_LINKS)] = ()
     shift: ShiftLimit
     retry: RetryBudget = RetryBudget()
 
--- a/mothshunt/contract/rules.py
+++ b/mothshunt/contract/rules.py
@@ -81,23 +81,33 @@
 
 
 def _rule_faults(path: str, rules: tuple[IdempotentRule, ...]) -> Iterator[Failure]:
+    index_by_stem: dict[tuple[str, str], int] = {}
+    first_index_by_rule: dict[tuple[str, str], int] = {}
+    for index, rule in enumerate(rules):
+        first_index_by_rule.setdefault((rule.method, rule.path), index)
+        if rule.path.endswith("*"):
+            index_by_stem.setdefault((rule.method, rule.path[:-1]), index)
     for index, rule in enumerate(rules):
         if "*" in rule.path[:-1]:
             yield _failure(codes.RULE_PATTERN, f"{path}/{index}/path", rule.path)
-        for other_index, other in enumerate(rules):
-            if other_index != index and _covers(other, other_index, rule, index):
-                detail = f"covered by {path}/{other_index}"
-                yield _failure(codes.RULE_REPEATED, f"{path}/{index}", detail)
-
-
-def _covers(
-    other: IdempotentRule, other_index: int, rule: IdempotentRule, index: int
-) -> bool:
-    if other.method != rule.method:
-        return False
-    if other.path == rule.path:
-        return other_index < index
-    return other.path.endswith("*") and rule.path.startswith(other.path[:-1])
+        covering = first_index_by_rule[(rule.method, rule.path)]
+        if covering == index:
+            covering = _wider_rule(rule, index_by_stem, index)
+        if covering != index:
+            detail = f"covered by {path}/{covering}"
+            yield _failure(codes.RULE_REPEATED, f"{path}/{index}", detail)
+
+
+def _wider_rule(
+    rule: IdempotentRule, index_by_stem: dict[tuple[str, str], int], default: int
+) -> int:
+    # A rule that ends with * does not cover itself.
+    longest = len(rule.path) - (2 if rule.path.endswith("*") else 0)
+    for length in range(longest + 1):
+        found = index_by_stem.get((rule.method, rule.path[:length]))
+        if found is not None:
+            return found
+    return default
 
 
 def _failure(code: ResultCode, path: str, detail: str) -> Failure:
--- a/tests/steps/admin_api.py
+++ b/tests/steps/admin_api.py
@@ -45,17 +45,17 @@
 
 @given("the administration API has no majority")
 def no_majority(context):
-    context.admin.configuration.failing = True
+    context.admin.log.failing = True
 
 
 @given("the answers of commits are lost on their way to the administration API")
 def commits_lost(context):
-    context.admin.configuration.losing = True
+    context.admin.log.losing = True
 
 
 @given("the answers of commits come through again")
 def commits_not_lost(context):
-    context.admin.configuration.losing = False
+    context.admin.log.losing = False
 
 
 @when('the contract of "{customer}" is put as change "{change}" on base {base:d}')
@@ -121,7 +121,7 @@
 @then('{count:d} administration refusals are counted as "{name}"')
 def counted(context, count, name):
     metrics = context.admin.metrics
-    found = metrics.value("mothshunt_admin_refusals_total", code=name)
+    found = metrics.value("mothshunt_refusals_total", reason=name)
     assert found == count, metrics.render()
 
 
@@ -146,13 +146,13 @@
 
 @then("{count:d} changes were accepted by the administration API")
 def changes_accepted(context, count):
-    records = context.admin.configuration.records
+    records = context.admin.state.audit
     assert len(records) == count, records
 
 
 @then('change {index:d} was made by "{operator}" with the summary "{summary}"')
 def change_made_by(context, index, operator, summary):
-    record = context.admin.configuration.records[index - 1]
+    record = context.admin.state.audit[index - 1]
     assert (record.operator, record.summary) == (operator, summary), record
 
 
--- a/tests/steps/cli_commands.py
+++ b/tests/steps/cli_commands.py
@@ -70,12 +70,12 @@
 
 @given("the control instance of the command line has no majority")
 def no_majority(context):
-    context.admin.configuration.failing = True
+    context.admin.log.failing = True
 
 
 @given("the control instance of the command line never hears of commits")
 def commits_unheard(context):
-    context.admin.configuration.losing = True
+    context.admin.log.losing = True
 
 
 @when('"mothshunt {arguments}" is run')
@@ -124,11 +124,11 @@
 
 @then("{count:d} changes of the command line were accepted")
 def accepted(context, count):
-    assert len(context.admin.configuration.records) == count
+    assert len(context.admin.state.audit) == count
 
 
 @then("the control instance was sent {count:d} copies of one change")
 def copies(context, count):
-    submissions = context.admin.configuration.submissions
+    submissions = context.admin.log.proposals
     ids = {change.change_id for change in submissions}
     assert (len(submissions), len(ids)) == (count, 1), submissions
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -6,6 +6,8 @@
 
 from mothshunt.access.state import token_sha256
 from mothshunt.admin.coordinator import AdminServer
+from mothshunt.configuration.coordinator import ConfigurationCoordinator
+from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.core.clock import SystemClock
 from mothshunt.core.types import Role
 from mothshunt.metrics.registry import Metrics
@@ -16,7 +18,7 @@
     ListenSettings,
     Settings,
 )
-from tests.support.fake_configuration import FakeConfiguration, FakeSource, FakeStatus
+from tests.support.admin_fakes import FakeLog, FakeSource, FakeStatus, FakeTargets
 from tests.support.loop_thread import LoopThread
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
@@ -40,29 +42,34 @@
 class AdminDeployment:
     """Run administration servers that share one configuration."""
 
-    def __init__(self, stack, log=None):
+    def __init__(self, stack):
         self.loop = LoopThread()
         stack.callback(self.loop.close)
         self._stack = stack
-        self._log = log
-        self.configuration = FakeConfiguration()
-        self.status = FakeStatus(self.configuration)
-        self.source = FakeSource(self.configuration)
+        self.state = ReplicatedConfiguration()
+        self.log = FakeLog(self.state)
+        self.status = FakeStatus(self.state)
+        self.source = FakeSource(self.state)
+        self.targets = FakeTargets()
         self.metrics = Metrics()
         self.ready = True
         self.token = BOOTSTRAP_TOKEN
 
     def start(self, *roles):
         """Start a server and return its port."""
+        roles = roles or (Role.ENTRY, Role.CONTROL)
+        is_control = Role.CONTROL in roles
+        configuration = ConfigurationCoordinator(self.state, self.log)
         server = AdminServer(
-            settings=settings(*(roles or (Role.ENTRY, Role.CONTROL))),
-            configuration=self.configuration,
-            status=self.status,
+            settings=settings(*roles),
+            configuration=configuration if is_control else None,
+            status=self.status if is_control else None,
             source=self.source,
-            log=self._log,
+            log=self.log if is_control else None,
             metrics=self.metrics,
             is_ready=lambda: self.ready,
             clock=SystemClock(),
+            targets=self.targets,
         )
         self.loop.run(server.async_start())
         self._stack.callback(lambda: self.loop.run(server.async_stop()))
