Give the unknown service of the steering slice a name of its own

Cause: the codes 2004 and 2201 both had the name unknown_service, which is the label of a counter, so refusals of two slices were counted as one.

Change: the name of 2201 is steering_unknown_service, in the manner of lookup_unknown_service.

Run: behave tests/admin/pages.feature, failing before, passing after.

--- a/mothshunt/steering/codes.py
+++ b/mothshunt/steering/codes.py
@@ -4,7 +4,7 @@
 
 UNKNOWN_SERVICE = ResultCode(
     number=2201,
-    name="unknown_service",
+    name="steering_unknown_service",
     http_status=404,
     summary="The customer's contract names no such service.",
     action="Check the customer and the service in the path.",
