Add members and operators to the command line, and features for the API

Purpose: the remaining operations of the API are reached from the command line and proved against a running server.

Weighed: leaving the making of tokens to the API; the command line makes them itself and sends the hash, so that a change sent again after a lost answer carries the same token.

Change: mothshunt members and operators; features for history, rollback, operators and roles, voters, pages and malformed requests. Result codes in nested packages are listed as well.

Conclusion: refusals for no token, a wrong token and another customer's contract are proved and counted.

--- a/mothshunt/admin/catalog.py
+++ b/mothshunt/admin/catalog.py
@@ -1,7 +1,6 @@
 """All result codes of the release."""
 
 import importlib
-import importlib.util
 import pkgutil
 from collections.abc import Iterator
 
@@ -35,10 +34,9 @@
 
 def _found_codes() -> Iterator[ResultCode]:
     modules = [wire]
-    for package in pkgutil.iter_modules(mothshunt.__path__, "mothshunt."):
-        name = f"{package.name}.{CODES_MODULE}"
-        if package.ispkg and importlib.util.find_spec(name) is not None:
-            modules.append(importlib.import_module(name))
+    for found in pkgutil.walk_packages(mothshunt.__path__, "mothshunt."):
+        if found.name.endswith(f".{CODES_MODULE}"):
+            modules.append(importlib.import_module(found.name))
     for module in modules:
         for value in vars(module).values():
             if isinstance(value, ResultCode):
--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Self
+from urllib.parse import quote
 
 import aiohttp
 from expression import Error, Ok, Result
@@ -45,12 +46,14 @@
     :param path: Path.
     :param query: Parameters.
     :param body: Body.
+    :param timeout_s: Seconds to wait for one answer.
     """
 
     method: str
     path: str
     query: Mapping[str, str]
     body: bytes | None = None
+    timeout_s: float = ATTEMPT_TIMEOUT_S
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,10 +88,7 @@
         """Open the session."""
         # A kept-alive connection would let aiohttp repeat a request unseen.
         connector = aiohttp.TCPConnector(force_close=True)
-        timeout = aiohttp.ClientTimeout(
-            total=ATTEMPT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
-        )
-        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._session = aiohttp.ClientSession(connector=connector)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -144,7 +144,8 @@
         :param url: Whole URL.
         :param query: Parameters.
         """
-        attempt = await self._async_exchange("GET", url, query, None, {})
+        request = ApiRequest(method="GET", path="", query=query)
+        attempt = await self._async_exchange(url, request, {})
         if attempt.end is AttemptEnd.ANSWERED:
             return Ok(attempt.document)
         if attempt.end is AttemptEnd.REFUSED:
@@ -153,30 +154,26 @@
 
     async def _async_attempt(self, url: str, request: ApiRequest) -> Attempt:
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
-        attempt = await self._async_exchange(
-            request.method, url + request.path, request.query, request.body, headers
-        )
+        attempt = await self._async_exchange(url + request.path, request, headers)
         if attempt.end is AttemptEnd.NOT_RUN:
             self._learn(attempt.document)
         return attempt
 
     async def _async_exchange(
-        self,
-        method: str,
-        url: str,
-        query: Mapping[str, str],
-        body: bytes | None,
-        headers: Mapping[str, str],
+        self, url: str, request: ApiRequest, headers: Mapping[str, str]
     ) -> Attempt:
         assert self._session is not None
         try:
             async with self._session.request(
-                method,
+                request.method,
                 url,
-                params=query,
-                data=body,
+                params=request.query,
+                data=request.body,
                 headers=headers,
                 allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
+                ),
             ) as response:
                 document = json.loads(await response.read())
                 return _attempt_of(response.status, document)
@@ -194,6 +191,14 @@
                 self._urls.append(address["url"])
 
 
+def path_of(*parts: str) -> str:
+    """Return a path of the API.
+
+    :param parts: Parts of the path below the version, as text of the user.
+    """
+    return "/v1/" + "/".join(quote(part, safe="") for part in parts)
+
+
 def _attempt_of(status: int, document: Any) -> Attempt:
     if status < 300:
         return Attempt(end=AttemptEnd.ANSWERED, document=document)
--- a/mothshunt/cli/commands/contract.py
+++ b/mothshunt/cli/commands/contract.py
@@ -13,7 +13,7 @@
     add_wait_option,
     async_change,
 )
-from mothshunt.cli.client import ApiClient, ApiRequest
+from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.const import DEFAULT_RECORDS
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
@@ -212,4 +212,4 @@
 
 
 def _path(customer: str) -> str:
-    return f"/v1/contracts/{customer}"
+    return path_of("contracts", customer)
--- a/mothshunt/cli/commands/drain.py
+++ b/mothshunt/cli/commands/drain.py
@@ -15,7 +15,7 @@
     add_wait_option,
     async_change,
 )
-from mothshunt.cli.client import ApiClient
+from mothshunt.cli.client import ApiClient, path_of
 from mothshunt.cli.const import POLL_INTERVAL_S
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
@@ -154,4 +154,4 @@
 
 
 def _path(arguments: argparse.Namespace) -> str:
-    return f"/v1/drains/{arguments.kind}/{arguments.name}"
+    return path_of("drains", arguments.kind, arguments.name)
--- a/mothshunt/cli/commands/status.py
+++ b/mothshunt/cli/commands/status.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from mothshunt.cli.client import ApiClient
+from mothshunt.cli.client import ApiClient, path_of
 from mothshunt.cli.const import DEFAULT_RECORDS
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
@@ -59,7 +59,7 @@
 async def _async_change(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
-    answer = await client.async_read(f"/v1/changes/{arguments.change_id}")
+    answer = await client.async_read(path_of("changes", arguments.change_id))
     return answer.map(lambda document: CommandOutput(document=document))
 
 
--- a/mothshunt/cli/const.py
+++ b/mothshunt/cli/const.py
@@ -7,6 +7,9 @@
 DEFAULT_TIMEOUT_S = 20.0
 #: Seconds to wait for one answer; longer than the API waits for a commit.
 ATTEMPT_TIMEOUT_S = 6.0
+#: Milliseconds that the API waits for a new voter to catch up.
+MEMBER_TIMEOUT_MS = 30_000
+MEMBER_ATTEMPT_TIMEOUT_S = 31.0
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds between two rounds over the addresses.
 ROUND_PAUSE_S = 0.2
--- a/mothshunt/cli/main.py
+++ b/mothshunt/cli/main.py
@@ -10,7 +10,7 @@
 
 from mothshunt import __version__
 from mothshunt.cli.client import ApiClient
-from mothshunt.cli.commands import contract, drain, status
+from mothshunt.cli.commands import contract, drain, members, operators, status
 from mothshunt.cli.const import (
     DEFAULT_TIMEOUT_S,
     DEFAULT_WAIT_S,
@@ -57,6 +57,8 @@
     contract.add_commands(subparsers)
     drain.add_commands(subparsers)
     status.add_commands(subparsers)
+    members.add_commands(subparsers)
+    operators.add_commands(subparsers)
     return parser
 
 
--- a/tests/support/contracts.py
+++ b/tests/support/contracts.py
@@ -1,5 +1,9 @@
 """Contracts of the two customers, as plain documents."""
 
+import json
+
+from mothshunt.contract.check import check_contract
+
 
 def rackhaven():
     """Return the contract of a customer that weighs latency."""
@@ -34,3 +38,8 @@
         ],
         "shift": {"cap": 60, "step": 10},
     }
+
+
+def parsed(document):
+    """Return a contract from its plain document."""
+    return check_contract(json.dumps(document).encode()).ok
