Ask for all the room that a request lacks with one renewal

Cause: a request out of its home region needs room under the region, the link and the shift cap. A holder counted the demand only under the first limit without room, so an idle entry needed three renewals, 0.1 s apart, and the request was refused after the wait of 0.25 s.

Ruled out: a longer wait (it hides the cause) and a slow confirmation of the leader (a change is in force in 0.012 s).

--- a/mothshunt/limits/holder.py
+++ b/mothshunt/limits/holder.py
@@ -108,21 +108,34 @@
         :param now: Monotonic time, in seconds.
         :return: The permit; or a failure that names the limit without room.
         """
-        leased = now < self._lease_end
-        for key in keys:
-            account = self._account_by_key.get(key)
-            if account is None:
-                return Error(_full(key))
-            capacity = account.static + (account.share if leased else 0)
-            room = capacity - account.in_use
-            if room <= 0:
-                account.refused += 1
-                return Error(_full(key))
-            if idempotent and room <= _reserve(capacity):
-                account.refused += 1
-                return Error(Failure(code=codes.RESERVED, detail=_name(key)))
+        failures = [
+            failure
+            for key in keys
+            if (failure := self._lack(key, idempotent=idempotent, now=now)) is not None
+        ]
+        if failures:
+            return Error(failures[0])
         return Ok(self._take(keys))
 
+    def _lack(self, key: LimitKey, *, idempotent: bool, now: float) -> Failure | None:
+        """Return why a request finds no room under a limit, and count the demand.
+
+        It is counted under each limit without room: asked for one by one, the room
+        for one request would take as many renewals as there are limits.
+        """
+        account = self._account_by_key.get(key)
+        if account is None:
+            return _full(key)
+        capacity = account.static + (account.share if now < self._lease_end else 0)
+        room = capacity - account.in_use
+        if room <= 0:
+            account.refused += 1
+            return _full(key)
+        if idempotent and room <= _reserve(capacity):
+            account.refused += 1
+            return Failure(code=codes.RESERVED, detail=_name(key))
+        return None
+
     def _take(self, keys: tuple[LimitKey, ...]) -> Permit:
         for key in keys:
             account = self._account_by_key[key]
--- /dev/null
+++ b/tests/steps/limits_holder.py
@@ -0,0 +1,47 @@
+"""Steps for one holder of shares."""
+
+from behave import given, then, when
+
+from mothshunt.core.types import CustomerId, InstanceId
+from mothshunt.limits.holder import Holder
+from mothshunt.limits.messages import Grant, GrantedShare
+from mothshunt.limits.model import LimitKey, LimitKind
+
+CUSTOMER = CustomerId("sleman")
+KEYS = (
+    LimitKey(customer=CUSTOMER, kind=LimitKind.REGION, name="south"),
+    LimitKey(customer=CUSTOMER, kind=LimitKind.LINK, name="north>south"),
+    LimitKey(customer=CUSTOMER, kind=LimitKind.SHIFT, name=""),
+)
+
+
+@given("an idle holder of shares of a region, a link and the shift cap")
+def idle_holder(context):
+    context.holder = Holder(InstanceId("north-1"), 1)
+    context.holder.configure(5, dict.fromkeys(KEYS, 0))
+
+
+@given("the holder has a share of {share:d} of the region only")
+def region_share(context, share):
+    renewal = context.holder.prepare_renewal(0.0)
+    shares = (GrantedShare(key=KEYS[0], share=share),)
+    grant = Grant(sequence=renewal.sequence, term=1, lease_s=5.0, shares=shares)
+    assert context.holder.accept(grant, 0.1)
+
+
+@when("a request is refused for want of room")
+def refused(context):
+    result = context.holder.try_acquire(KEYS, idempotent=False, now=0.2)
+    assert result.is_error(), result
+
+
+@then("the next renewal asks for room under all three limits")
+def asks_for_all(context):
+    renewal = context.holder.prepare_renewal(0.3)
+    wanted = {holding.key: holding.wanted for holding in renewal.holdings}
+    assert all(wanted.get(key, 0) > 0 for key in KEYS), wanted
+
+
+@then("nothing is in use under any limit")
+def nothing_in_use(context):
+    assert all(context.holder.in_use(key) == 0 for key in KEYS)
