Send requests through aiohttp's connector, without a session

Purpose: half of an entry's time over the bare pass-through was the session's own work and a middleware that kept it from sending requests twice. The connector with a request of ours never sends twice, so that the middleware is gone as well.

Ruled out: the private attribute _retry_connection of the session. The features of dispatch and ledger pass (script/test tests/dispatch, tests/ledger).

--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -1,19 +1,18 @@
 """HTTP client towards targets: each request is handed to one connection once.
 
-Two properties of ``aiohttp`` are pinned here and nowhere else. A session sends
-idempotent methods, PUT and DELETE included, a second time when a connection breaks;
-the middleware ends that by raising an error that the session does not know. And a
-kept-alive connection on which unasked bytes arrived would give them out as the next
-answer; ``TargetRequest`` turns such a connection down before a byte is handed over.
+Requests go to the connector directly, not through a session of ``aiohttp``: a session
+sends idempotent methods, PUT and DELETE included, a second time when a connection
+breaks. A kept-alive connection on which unasked bytes arrived would give them out as
+the next answer; it is turned down before a byte is handed over.
 """
 
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import aiohttp
 from aiohttp import ClientRequest, ClientResponse, hdrs
-from aiohttp.client_middlewares import ClientHandlerType
 from aiohttp.connector import Connection
+from aiohttp.typedefs import LooseHeaders
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -23,8 +22,7 @@
     MAX_LINE_BYTES,
 )
 
-_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-_SKIPPED_HEADERS = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
 class NotConnectedError(Exception):
@@ -35,71 +33,42 @@
     """Tell that a connection broke after the request was handed to it."""
 
 
-class StaleConnectionError(Exception):
-    """Tell that a kept-alive connection held bytes that nobody asked for."""
-
-
 class LeaseEndedError(Exception):
     """Tell that the room for the request ended before a byte was handed over."""
 
 
 class TargetRequest(ClientRequest):
-    """Note the moment at which a request is handed to a connection."""
+    """Send the header fields as they are given."""
+
+    def update_headers(self, headers: LooseHeaders | None) -> None:
+        """Take the header fields without a copy.
 
-    handed_over = False
-    handover: "Handover | None" = None
+        :param headers: Header fields; owned by this request.
+        """
+        assert isinstance(headers, CIMultiDict)
+        if hdrs.HOST not in headers:
+            headers[hdrs.HOST] = self.url.host_port_subcomponent or ""
+        self.headers = headers
 
-    async def send(self, conn: Connection) -> ClientResponse:
-        """Hand the request to a connection.
+    def update_auto_headers(self, skip_auto_headers: Iterable[str] | None) -> None:
+        """Add nothing.
 
-        :param conn: The connection.
+        :param skip_auto_headers: Not used.
         """
-        protocol = conn.protocol
-        if protocol is None or protocol.should_close:
-            raise StaleConnectionError
-        # The process may have been frozen since the room was taken.
-        if self.handover is not None and not self.handover.may_send():
-            raise LeaseEndedError
-        self.handed_over = True
-        return await super().send(conn)
 
 
 class Handover:
-    """Follow one request to a target; a client middleware of that request.
+    """Follow one request to a target.
 
     :param may_send: Tells, right before the request is sent, whether it may be.
     """
 
-    __slots__ = ("_request", "may_send")
+    __slots__ = ("done", "may_send")
 
     def __init__(self, may_send: Callable[[], bool]) -> None:
         self.may_send = may_send
-        self._request: TargetRequest | None = None
-
-    @property
-    def done(self) -> bool:
-        """Whether a byte of the request may have been handed to a connection."""
-        return self._request is not None and self._request.handed_over
-
-    async def __call__(
-        self, request: ClientRequest, handler: ClientHandlerType
-    ) -> ClientResponse:
-        """Send the request once.
-
-        :param request: The request.
-        :param handler: Connects and sends.
-        """
-        assert isinstance(request, TargetRequest)
-        self._request = request
-        request.handover = self
-        try:
-            return await handler(request)
-        except _CONNECT_ERRORS as error:
-            raise NotConnectedError(str(error)) from error
-        except (aiohttp.ClientError, OSError) as error:
-            if not request.handed_over:
-                raise NotConnectedError(str(error)) from error
-            raise BrokenError(str(error)) from error
+        #: Whether a byte of the request may have been handed to a connection.
+        self.done = False
 
 
 class TargetClient:
@@ -110,12 +79,11 @@
     """
 
     def __init__(self) -> None:
-        self._pooled = _session(
-            aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False
-            )
+        self._loop = asyncio.get_running_loop()
+        self._pooled = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False
         )
-        self._single = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._single = aiohttp.TCPConnector(limit=0, force_close=True)
 
     async def async_send(
         self,
@@ -140,35 +108,55 @@
         :raises LeaseEndedError: The request might not be sent any more.
         :raises BrokenError: The request may have reached the target.
         """
-        session = self._pooled if reuse else self._single
-        options: dict[str, Any] = {"data": body} if body is not None else {}
-        while True:
-            try:
-                return await session.request(
-                    method,
-                    url,
-                    headers=headers,
-                    allow_redirects=False,
-                    middlewares=(handover,),
-                    **options,
-                )
-            except StaleConnectionError:
-                continue
+        request = TargetRequest(
+            method, url, headers=headers, data=body, loop=self._loop
+        )
+        connection = await self._async_connect(request, reuse)
+        try:
+            # The process may have been frozen since the room was taken.
+            if not handover.may_send():
+                raise LeaseEndedError
+            handover.done = True
+            return await _async_exchange(request, connection)
+        except (aiohttp.ClientError, OSError) as error:
+            connection.close()
+            raise BrokenError(str(error)) from error
+        except BaseException:
+            connection.close()
+            raise
 
     async def async_close(self) -> None:
         """Close all connections."""
         await self._pooled.close()
         await self._single.close()
 
-
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        request_class=TargetRequest,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        auto_decompress=False,
-        skip_auto_headers=_SKIPPED_HEADERS,
-        max_line_size=MAX_LINE_BYTES,
-        max_field_size=MAX_LINE_BYTES,
-    )
+    async def _async_connect(self, request: TargetRequest, reuse: bool) -> Connection:
+        connector = self._pooled if reuse else self._single
+        while True:
+            try:
+                connection = await connector.connect(request, [], _TIMEOUT)
+            except (aiohttp.ClientError, OSError) as error:
+                raise NotConnectedError(str(error)) from error
+            protocol = connection.protocol
+            if protocol is not None and not protocol.should_close:
+                break
+            connection.close()
+        protocol.set_response_params(
+            skip_payload=request.method == hdrs.METH_HEAD,
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        return connection
+
+
+async def _async_exchange(
+    request: TargetRequest, connection: Connection
+) -> ClientResponse:
+    response = await request.send(connection)
+    try:
+        return await response.start(connection)
+    except BaseException:
+        response.close()
+        raise
