Mend five faults of the forwarder and limit the silence of kept-alive connections

Each scenario was seen failing first (behave, the feature alone), then passing: - A large answer that outlasted the deadline left the caller waiting, and an idempotent request would have been answered twice on one connection: the time-out did not know that a part had been passed on. Now the connection is broken off. - A streamed body after a failed connect gave 500, as the header fields of the first attempt were changed by it. Each attempt has its own copy now. - A caller that broke its body off, or left during an answer, was held against the target. Both count as cancelled now. - An answer in small chunks to a keyed request was not kept, though small. - A contract without retries allowed one.

A kept-alive connection can go silent for good. An idempotent request on a reused connection waits at most 3 times (mean + 4 deviations) of the service's time to an answer, within 0.25 to 2 s, and then goes elsewhere; the other kept-alive connections to that target are not used again. Only while the retry budget has a token, so that a slow target does not cost answers. Ruled out: a probe before each use (6 ms).

--- a/mothshunt/dispatch/answer.py
+++ b/mothshunt/dispatch/answer.py
@@ -17,7 +17,7 @@
 _BODYLESS = frozenset({204, 304})
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class Answer:
     """Hold an answer, whole or begun.
 
@@ -57,21 +57,25 @@
 
 
 async def async_read_answer(
-    response: ClientResponse, method: str, *, repeatable: bool
+    response: ClientResponse, method: str, *, ahead: bool
 ) -> Answer:
     """Read a small answer whole, so that a truncated one can be tried again.
 
     :param response: Head of the answer.
     :param method: Method of the request.
-    :param repeatable: Whether it is worth a short wait to find a truncation early.
+    :param ahead: Whether to wait a little for the end of an answer whose length is
+        not known.
     :raises aiohttp.ClientError: The answer was truncated.
     """
     if method == hdrs.METH_HEAD or response.status in _BODYLESS:
         return Answer(response=response, whole=b"")
+    content = response.content
+    if content.is_eof() and content.exception() is None:
+        return Answer(response=response, whole=content.read_nowait())
     length = response.content_length
     if length is not None and length <= WHOLE_ANSWER_BYTES:
-        return Answer(response=response, whole=await response.read())
-    if length is None and repeatable:
+        return Answer(response=response, whole=await content.read())
+    if length is None and ahead:
         return await _async_read_ahead(response)
     return Answer(response=response, whole=None)
 
--- a/mothshunt/dispatch/body.py
+++ b/mothshunt/dispatch/body.py
@@ -20,10 +20,6 @@
 class CallerBodyError(Exception):
     """Tell that the caller's body could not be read to its end."""
 
-    def __init__(self, failure: Failure) -> None:
-        super().__init__(failure.code.name)
-        self.failure = failure
-
 
 class RequestBody:
     """Give a request body to one or more attempts.
@@ -32,10 +28,12 @@
     :param request: The caller's request, of which a streamed body is read.
     """
 
-    __slots__ = ("_request", "_taken", "whole")
+    __slots__ = ("_request", "_taken", "failure", "whole")
 
     def __init__(self, whole: bytes | None, request: web.Request) -> None:
         self.whole = whole
+        #: Why the caller's body could not be read to its end.
+        self.failure: Failure | None = None
         self._request = request
         self._taken = False
 
@@ -56,13 +54,15 @@
             try:
                 part = await self._request.content.readany()
             except Exception as error:
-                raise CallerBodyError(_incomplete()) from error
+                self.failure = _incomplete()
+                raise CallerBodyError from error
             if not part:
                 return
             self._taken = True
             size += len(part)
             if size > MAX_BODY_BYTES:
-                raise CallerBodyError(Failure(code=codes.BODY_TOO_LARGE))
+                self.failure = Failure(code=codes.BODY_TOO_LARGE)
+                raise CallerBodyError
             yield part
 
 
--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -1,32 +1,22 @@
 """HTTP client towards targets: each request is handed to one connection once.
 
-Requests go to the connector directly, not through a session of ``aiohttp``: a session
+Requests go to a connector directly, not through a session of ``aiohttp``: a session
 sends idempotent methods, PUT and DELETE included, a second time when a connection
-breaks. A kept-alive connection on which unasked bytes arrived would give them out as
-the next answer; it is turned down before a byte is handed over.
+breaks.
 """
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import ClientRequest, ClientResponse, hdrs
-from aiohttp.connector import Connection
 from aiohttp.typedefs import LooseHeaders
 from multidict import CIMultiDict
 from yarl import URL
 
-from mothshunt.dispatch.const import (
-    CONNECT_TIMEOUT_S,
-    IDLE_CONNECTION_S,
-    MAX_LINE_BYTES,
-)
-
-_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-
-
-class NotConnectedError(Exception):
-    """Tell that no connection was opened, so that not one byte was handed over."""
+from mothshunt.dispatch.const import MAX_LINE_BYTES
+from mothshunt.dispatch.pool import ConnectionPools, OpenConnection
 
 
 class BrokenError(Exception):
@@ -37,6 +27,10 @@
     """Tell that the room for the request ended before a byte was handed over."""
 
 
+class SilentError(Exception):
+    """Tell that a kept-alive connection stayed silent for too long."""
+
+
 class TargetRequest(ClientRequest):
     """Send the header fields as they are given."""
 
@@ -71,8 +65,31 @@
         self.done = False
 
 
+@dataclass(slots=True)
+class Outgoing:
+    """Hold a request as it goes to a target.
+
+    :param method: HTTP method.
+    :param authority: Host and port of the target.
+    :param tail: Path and query, encoded.
+    :param headers: Header fields, owned by this request.
+    :param body: Whole body, or its parts; ``None`` for no body.
+    :param reuse: Whether a kept-alive connection may be used.
+    :param silence_limit_s: How long a kept-alive connection may stay silent;
+        ``None`` for as long as it likes.
+    """
+
+    method: str
+    authority: str
+    tail: str
+    headers: CIMultiDict[str]
+    body: bytes | AsyncIterator[bytes] | None
+    reuse: bool
+    silence_limit_s: float | None
+
+
 class TargetClient:
-    """Keep the connections to targets.
+    """Send requests to targets.
 
     Requests that may not be repeated, and those whose body is streamed, get a
     connection of their own, which is closed after the answer.
@@ -80,83 +97,79 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._pooled = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False
-        )
-        self._single = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._pools = ConnectionPools()
 
     async def async_send(
-        self,
-        handover: Handover,
-        *,
-        method: str,
-        url: URL,
-        headers: CIMultiDict[str],
-        body: bytes | AsyncIterator[bytes] | None,
-        reuse: bool,
+        self, outgoing: Outgoing, handover: Handover
     ) -> ClientResponse:
         """Send a request and wait for the head of the answer.
 
+        :param outgoing: The request.
         :param handover: Follows this request.
-        :param method: HTTP method.
-        :param url: Address at the target.
-        :param headers: Header fields, without those of one connection.
-        :param body: Whole body, or its parts; ``None`` for no body.
-        :param reuse: Whether a kept-alive connection may be used.
         :return: The answer; whoever gets it closes or reads it.
         :raises NotConnectedError: Not one byte was handed over.
         :raises LeaseEndedError: The request might not be sent any more.
+        :raises SilentError: A kept-alive connection stayed silent for too long.
         :raises BrokenError: The request may have reached the target.
         """
+        url = URL(f"http://{outgoing.authority}{outgoing.tail}", encoded=True)
         request = TargetRequest(
-            method, url, headers=headers, data=body, loop=self._loop
+            outgoing.method,
+            url,
+            headers=outgoing.headers,
+            data=outgoing.body,
+            loop=self._loop,
+        )
+        opened = await self._pools.async_connect(
+            request, outgoing.authority, reuse=outgoing.reuse
         )
-        connection = await self._async_connect(request, reuse)
         try:
             # The process may have been frozen since the room was taken.
             if not handover.may_send():
                 raise LeaseEndedError
             handover.done = True
-            return await _async_exchange(request, connection)
+            response = await _async_exchange(request, opened, outgoing)
+        except aiohttp.SocketTimeoutError as error:
+            opened.connection.close()
+            # What lost track of one connection may have lost the others as well.
+            self._pools.retire(outgoing.authority)
+            raise SilentError from error
         except (aiohttp.ClientError, OSError) as error:
-            connection.close()
+            opened.connection.close()
             raise BrokenError(str(error)) from error
         except BaseException:
-            connection.close()
+            opened.connection.close()
             raise
+        if outgoing.reuse:
+            self._pools.note_answer(opened.protocol)
+        return response
 
     async def async_close(self) -> None:
         """Close all connections."""
-        await self._pooled.close()
-        await self._single.close()
-
-    async def _async_connect(self, request: TargetRequest, reuse: bool) -> Connection:
-        connector = self._pooled if reuse else self._single
-        while True:
-            try:
-                connection = await connector.connect(request, [], _TIMEOUT)
-            except (aiohttp.ClientError, OSError) as error:
-                raise NotConnectedError(str(error)) from error
-            protocol = connection.protocol
-            if protocol is not None and not protocol.should_close:
-                break
-            connection.close()
-        protocol.set_response_params(
-            skip_payload=request.method == hdrs.METH_HEAD,
-            read_until_eof=True,
-            auto_decompress=False,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
-        return connection
+        await self._pools.async_close()
 
 
 async def _async_exchange(
-    request: TargetRequest, connection: Connection
+    request: TargetRequest, opened: OpenConnection, outgoing: Outgoing
 ) -> ClientResponse:
-    response = await request.send(connection)
+    protocol = opened.protocol
+    limited = opened.reused and outgoing.silence_limit_s is not None
+    protocol.set_response_params(
+        skip_payload=request.method == hdrs.METH_HEAD,
+        read_until_eof=True,
+        auto_decompress=False,
+        read_timeout=outgoing.silence_limit_s if limited else None,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+    )
+    response = await request.send(opened.connection)
     try:
-        return await response.start(connection)
+        await response.start(opened.connection)
     except BaseException:
         response.close()
         raise
+    if limited:
+        # Only the head is limited; this ends the timer.
+        protocol.read_timeout = None
+        protocol.start_timeout()
+    return response
--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -18,6 +18,18 @@
 CONNECT_TIMEOUT_S = 1.0
 #: Idle connections to targets are closed after this time.
 IDLE_CONNECTION_S = 15.0
+#: Targets to which connections are kept alive.
+MAX_POOLS = 1000
+#: Connections to a target that are not used again are closed after this time, when
+#: the longest request on them has ended.
+RETIRED_POOL_S = 150.0
+#: Bounds of the time for which a kept-alive connection may stay silent.
+MIN_SILENCE_S = 0.25
+MAX_SILENCE_S = 2.0
+SILENCE_DEVIATIONS = 4.0
+SILENCE_FACTOR = 3.0
+#: Longest time to come back that a target may name.
+MAX_RETRY_AFTER_S = 3600.0
 #: Idle connections of callers are closed after this time.
 CALLER_KEEPALIVE_S = 75.0
 #: Connections that may wait to be accepted.
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -12,16 +12,13 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import CustomerId, Ran, TargetId
 from mothshunt.dispatch.answer import Answer, answer_headers
-from mothshunt.dispatch.attempt import (
-    AnswerBrokenOffError,
-    Attempter,
-    AttemptFailure,
-    Exchange,
-)
+from mothshunt.dispatch.attempt import Attempter, Exchange
+from mothshunt.dispatch.attempt_failure import AttemptFailure
 from mothshunt.dispatch.body import RequestBody, async_read_body
 from mothshunt.dispatch.client import TargetClient
 from mothshunt.dispatch.const import (
     KEPT_HEADERS,
+    MAX_ATTEMPTS,
     METRIC_BROKEN,
     METRIC_GIVEN_UP,
     METRIC_LATENCY,
@@ -30,6 +27,7 @@
 )
 from mothshunt.dispatch.model import AsyncTargetChooser
 from mothshunt.dispatch.refusal import refuse
+from mothshunt.dispatch.relay import AnswerBrokenOffError
 from mothshunt.dispatch.request import (
     Route,
     fingerprint,
@@ -192,7 +190,10 @@
                 case Result(error=failure):
                     return failure if last is None else last
             number += 1
-            result = await self._async_attempt(exchange, choice)
+            may_retry = number < MAX_ATTEMPTS and bucket.has_one(
+                self._clock.monotonic()
+            )
+            result = await self._async_attempt(exchange, choice, may_retry)
             if not isinstance(result, AttemptFailure):
                 return result
             last = _worse(last, result.failure)
@@ -201,11 +202,13 @@
                 return last
 
     async def _async_attempt(
-        self, exchange: Exchange, choice: Choice
+        self, exchange: Exchange, choice: Choice, may_retry: bool
     ) -> web.StreamResponse | AttemptFailure:
         assert self._attempter is not None
         try:
-            return await self._attempter.async_attempt(exchange, choice)
+            return await self._attempter.async_attempt(
+                exchange, choice, may_retry=may_retry
+            )
         except AnswerBrokenOffError:
             self._metrics.count(METRIC_BROKEN, customer=exchange.route.customer)
             transport = exchange.request.transport
--- /dev/null
+++ b/mothshunt/dispatch/pool.py
@@ -0,0 +1,117 @@
+"""Connections to targets, kept alive per target or opened for one request."""
+
+import asyncio
+import weakref
+from dataclasses import dataclass
+
+import aiohttp
+from aiohttp import ClientRequest
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+from mothshunt.dispatch.const import (
+    CONNECT_TIMEOUT_S,
+    IDLE_CONNECTION_S,
+    MAX_POOLS,
+    RETIRED_POOL_S,
+)
+
+_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+
+
+class NotConnectedError(Exception):
+    """Tell that no connection was opened, so that not one byte was handed over."""
+
+
+@dataclass(slots=True)
+class OpenConnection:
+    """Hold a connection for one request.
+
+    :param connection: The connection.
+    :param protocol: Its protocol, also after the connection was given back.
+    :param reused: Whether an earlier request was answered on it.
+    """
+
+    connection: Connection
+    protocol: ResponseHandler
+    reused: bool
+
+
+class ConnectionPools:
+    """Keep the connections to all targets."""
+
+    def __init__(self) -> None:
+        self._connector_by_authority: dict[str, aiohttp.TCPConnector] = {}
+        self._single = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._retired: set[aiohttp.TCPConnector] = set()
+        self._closing: set[asyncio.Future[None]] = set()
+        self._answered: weakref.WeakSet[ResponseHandler] = weakref.WeakSet()
+
+    async def async_connect(
+        self, request: ClientRequest, authority: str, *, reuse: bool
+    ) -> OpenConnection:
+        """Return a connection for one request.
+
+        A kept-alive connection on which unasked bytes arrived would give them out as
+        the next answer; it is closed.
+
+        :param request: The request.
+        :param authority: Host and port of the target.
+        :param reuse: Whether a kept-alive connection may be used.
+        :raises NotConnectedError: No connection could be opened.
+        """
+        connector = self._connector(authority) if reuse else self._single
+        while True:
+            try:
+                connection = await connector.connect(request, [], _TIMEOUT)
+            except (aiohttp.ClientError, OSError) as error:
+                raise NotConnectedError(str(error)) from error
+            protocol = connection.protocol
+            if protocol is not None and not protocol.should_close:
+                reused = reuse and protocol in self._answered
+                return OpenConnection(connection, protocol, reused)
+            connection.close()
+
+    def note_answer(self, protocol: ResponseHandler) -> None:
+        """Note that a request was answered on a connection.
+
+        :param protocol: Protocol of the connection.
+        """
+        self._answered.add(protocol)
+
+    def retire(self, authority: str) -> None:
+        """Use none of the connections that are kept alive to a target again.
+
+        Requests that are in flight on them are not touched.
+
+        :param authority: Host and port of the target.
+        """
+        connector = self._connector_by_authority.pop(authority, None)
+        if connector is None:
+            return
+        self._retired.add(connector)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETIRED_POOL_S, self._close_retired, connector)
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        connectors = {*self._connector_by_authority.values(), *self._retired}
+        for connector in (*connectors, self._single):
+            await connector.close()
+
+    def _connector(self, authority: str) -> aiohttp.TCPConnector:
+        connector = self._connector_by_authority.get(authority)
+        if connector is None:
+            if len(self._connector_by_authority) >= MAX_POOLS:
+                self.retire(next(iter(self._connector_by_authority)))
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_CONNECTION_S
+            )
+            self._connector_by_authority[authority] = connector
+        return connector
+
+    def _close_retired(self, connector: aiohttp.TCPConnector) -> None:
+        self._retired.discard(connector)
+        closing = asyncio.ensure_future(connector.close())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
--- a/mothshunt/dispatch/retry.py
+++ b/mothshunt/dispatch/retry.py
@@ -15,7 +15,9 @@
     SHED = "shed"
     BROKEN = "broken"
     TRUNCATED = "truncated"
+    SILENT = "silent"
     TIMED_OUT = "timed_out"
+    CALLER = "caller"
     LEASE_ENDED = "lease_ended"
 
 
@@ -23,11 +25,11 @@
     """Why no further attempt is made."""
 
     NOT_REPEATABLE = "not_repeatable"
-    PASSED_ON = "passed_on"
     BODY_GONE = "body_gone"
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
     BUDGET = "budget"
+    CALLER = "caller"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,14 +39,12 @@
     :param reason: How it failed.
     :param ran: Whether the target may have run the request.
     :param number: Attempts made so far, this one included.
-    :param passed_on: Whether a part of the answer has reached the caller.
     :param body_gone: Whether a part of the request body can't be sent again.
     """
 
     reason: RetryReason
     ran: Ran
     number: int
-    passed_on: bool = False
     body_gone: bool = False
 
 
@@ -58,8 +58,8 @@
     __slots__ = ("_burst", "_tokens", "_updated_at", "budget")
 
     def __init__(self, budget: RetryBudget, now: float) -> None:
-        self._burst = max(1.0, budget.minimum_per_s * BUDGET_BURST_S)
-        self._tokens = self._burst
+        self._tokens = budget.minimum_per_s * BUDGET_BURST_S
+        self._burst = max(1.0, self._tokens)
         self._updated_at = now
         self.budget = budget
 
@@ -76,6 +76,14 @@
         """Add the share of a retry that a first attempt brings."""
         self._tokens = min(self._burst, self._tokens + self.budget.ratio)
 
+    def has_one(self, now: float) -> bool:
+        """Tell whether the budget allows a retry.
+
+        :param now: Monotonic time, in seconds.
+        """
+        gained = max(0.0, now - self._updated_at) * self.budget.minimum_per_s
+        return self._tokens + gained >= 1.0
+
     def take(self, now: float) -> bool:
         """Take one retry.
 
@@ -109,8 +117,8 @@
     :param now: Monotonic time, in seconds.
     :param deadline: Monotonic time at which the request ends, in seconds.
     """
-    if failed.passed_on:
-        return GiveUpReason.PASSED_ON
+    if failed.reason is RetryReason.CALLER:
+        return GiveUpReason.CALLER
     if failed.ran is not Ran.NO and not idempotent:
         return GiveUpReason.NOT_REPEATABLE
     if failed.body_gone:
--- a/tests/dispatch/forward.feature
+++ b/tests/dispatch/forward.feature
@@ -36,3 +36,18 @@
     When a dispatch caller leaves 150 ms after GET "/a"
     Then target "t1" lost its connection
     And the outcomes were "t1 cancelled"
+
+  Scenario: A streamed body goes to another target when no connection could be opened
+    Given a dispatch entry
+    And a raw target "t1" whose port is closed
+    And a raw target "t2" that answers
+    When a dispatch caller streams 200000 bytes with POST "/orders"
+    Then the dispatch caller got status 200 and "t2 /orders"
+    And target "t2" got 200000 bytes
+
+  Scenario: A caller that breaks its body off is not held against the target
+    Given a dispatch entry
+    And a raw target "t1" that answers
+    When a dispatch caller breaks off a streamed body
+    Then the raw answer has code 2007
+    And the outcomes were "t1 cancelled"
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -59,3 +59,41 @@
     When a dispatch caller sends GET "/a"
     Then the dispatch caller got code 2014 with ran unknown
     And target "t1" lost its connection
+
+  Scenario: A large answer that outlasts the deadline breaks the caller's connection
+    Given a dispatch entry with a request timeout of 300 ms
+    And a raw target "t1" that goes silent in a large answer
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/a"
+    Then the dispatch caller's connection was visibly broken
+    And target "t2" was reached 0 times
+    And the outcomes were "t1 timed_out"
+    And the dispatch counter mothshunt_answers_broken_off_total with customer "rackhaven" is 1
+
+  Scenario: A kept-alive connection that goes silent costs an idempotent request little
+    Given a dispatch entry
+    And a raw target "t1" that answers the first request of a connection only
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/a"
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t2 /b"
+    And the last dispatch answer took less than 4500 ms
+    And the dispatch counter mothshunt_retries_total with reason "silent" is 1
+    When a dispatch caller sends GET "/c"
+    Then the dispatch caller got status 200 and "t1 /c"
+    And target "t1" saw 2 connections
+
+  Scenario: Without a retry left a kept-alive connection is waited for
+    Given a dispatch entry without retries and a request timeout of 700 ms
+    And a raw target "t1" that answers the first request of a connection only
+    When a dispatch caller sends GET "/a"
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got code 2014 with ran unknown
+    And the dispatch counter mothshunt_retries_given_up_total with why "deadline" is 1
+
+  Scenario: A caller that leaves during an answer is not held against the target
+    Given a dispatch entry
+    And a raw target "t1" that answers without an end
+    When a dispatch caller leaves 300 ms after GET "/a"
+    Then the outcomes were "t1 cancelled"
+    And target "t1" lost its connection
--- a/tests/ledger/keys.feature
+++ b/tests/ledger/keys.feature
@@ -117,3 +117,11 @@
     And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
     Then the dispatch caller got code 2403 with ran unknown
     And target "t1" was reached 1 times
+
+  Scenario: An answer in small chunks is replayed whole
+    Given a dispatch entry
+    And a raw target "t1" that answers in small chunks
+    When a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
+    And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
+    Then the dispatch caller got status 200 and "four"
+    And target "t1" was reached 1 times
--- a/tests/steps/dispatch_forward.py
+++ b/tests/steps/dispatch_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from behave import given, then, when
 
@@ -41,7 +42,12 @@
 
 @given("a dispatch entry with a budget of one retry")
 def entry_with_budget(context):
-    set_up(context, contract(ratio=0.0, minimum=0.0))
+    set_up(context, contract(ratio=0.0, minimum=0.1))
+
+
+@given("a dispatch entry without retries and a request timeout of {timeout_ms:d} ms")
+def entry_without_retries(context, timeout_ms):
+    set_up(context, contract(timeout_ms=timeout_ms, ratio=0.0, minimum=0.0))
 
 
 @given('a raw target "{name}" that {behaviour}')
@@ -63,7 +69,9 @@
 
 @when('a dispatch caller sends {method} "{path}"')
 def caller_sends(context, method, path):
+    started_at = time.monotonic()
     context.answers.append(context.runner.run(send(context, method, BASE + path)))
+    context.took_s = time.monotonic() - started_at
 
 
 @when('a dispatch caller uploads {size:d} bytes with {method} "{path}"')
@@ -116,6 +124,11 @@
     assert context.answers[-1][0] is None, context.answers[-1][0]
 
 
+@then("the last dispatch answer took less than {limit_ms:d} ms")
+def took_less(context, limit_ms):
+    assert context.took_s * 1000 < limit_ms, context.took_s
+
+
 @then("the dispatch caller got {size:d} bytes")
 def got_bytes(context, size):
     assert len(context.answers[-1][2]) == size, len(context.answers[-1][2])
--- a/tests/steps/dispatch_input.py
+++ b/tests/steps/dispatch_input.py
@@ -50,6 +50,39 @@
     context.raw = context.runner.run(exchange())
 
 
+@when('a dispatch caller streams {size:d} bytes with {method} "{path}"')
+def streams(context, size, method, path):
+    async def parts():
+        for _ in range(10):
+            yield b"b" * (size // 10)
+
+    coroutine = send(context, method, BASE + path, body=parts())
+    context.answers.append(context.runner.run(coroutine))
+
+
+@when("a dispatch caller breaks off a streamed body")
+def breaks_off(context):
+    head = (
+        f"POST {BASE}/orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+
+    async def exchange():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.server.port)
+        writer.write(head.encode() + b"5\r\nhello\r\n")
+        await asyncio.sleep(0.1)
+        writer.write(b"not a size\r\n")
+        answer = await asyncio.wait_for(reader.read(100_000), 10)
+        writer.close()
+        return answer
+
+    context.raw = context.runner.run(exchange())
+
+
+@then('target "{name}" got {size:d} bytes')
+def target_got(context, name, size):
+    assert len(context.target_by_name[name].requests[-1].body) == size
+
+
 @when('a dispatch caller reads the traffic path "{path}"')
 def get_path(context, path):
     context.answers.append(context.runner.run(send(context, "GET", path)))
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -181,7 +181,42 @@
     writer.close()
 
 
+async def first_only(target, request, writer) -> None:
+    """Answer the first request of each connection, then go silent."""
+    on_connection = [r for r in target.requests if r.connection == request.connection]
+    if len(on_connection) == 1:
+        await ok(target, request, writer)
+    else:
+        await asyncio.sleep(3600)
+
+
+async def large_then_silent(target, request, writer) -> None:
+    """Go silent in the middle of a large answer."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
+    await asyncio.sleep(3600)
+
+
+async def endless(target, request, writer) -> None:
+    """Send parts of an answer for as long as somebody reads them."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n")
+    while True:
+        writer.write(b"x" * 100_000)
+        await writer.drain()
+        await asyncio.sleep(0.005)
+
+
+async def small_chunks(target, request, writer) -> None:
+    """Answer in chunks, with an end."""
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n"
+    )
+
+
 BEHAVIOURS = {
+    "answers the first request of a connection only": first_only,
+    "goes silent in a large answer": large_then_silent,
+    "answers without an end": endless,
+    "answers in small chunks": small_chunks,
     "answers": ok,
     "closes after reading": close_unanswered,
     "never answers": silent,
