Flatten tables, print contracts as files, and prove the remaining commands

Purpose: tables showed nested values as JSON text, and a contract could not be taken from the deployment, edited and applied again.

Tokens live in a module without pydantic, which the command line then need not import.

--- a/mothshunt/access/state.py
+++ b/mothshunt/access/state.py
@@ -1,40 +1,18 @@
 """Decisions on who may do what."""
 
-import hashlib
 import hmac
-import secrets
 from collections.abc import Sequence
 
 from expression import Error, Ok, Result
 
 from mothshunt.access import codes
-from mothshunt.access.const import (
-    ALL_CUSTOMERS,
-    BOOTSTRAP_OPERATOR,
-    TOKEN_BYTES,
-    TOKEN_PREFIX,
-)
+from mothshunt.access.const import ALL_CUSTOMERS, BOOTSTRAP_OPERATOR
 from mothshunt.access.model import AccessRole, Grant, Operator
+from mothshunt.access.token import token_sha256
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import CustomerId, OperatorId
 
 
-def token_sha256(token: str) -> str:
-    """Return the hash under which a token is kept.
-
-    A plain hash is enough, as a token holds 256 random bits.
-
-    :param token: The token.
-    :return: SHA-256 in hexadecimal digits.
-    """
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
-def new_token() -> str:
-    """Return a new random token."""
-    return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
-
-
 def bootstrap_operator(bootstrap_token_sha256: str) -> Operator:
     """Return the administrator that the settings name.
 
--- a/mothshunt/admin/operators.py
+++ b/mothshunt/admin/operators.py
@@ -8,7 +8,8 @@
 from mothshunt.access import codes as access_codes
 from mothshunt.access.const import BOOTSTRAP_OPERATOR
 from mothshunt.access.model import AccessRole, Operator
-from mothshunt.access.state import check_replacement, new_token, token_sha256
+from mothshunt.access.state import check_replacement
+from mothshunt.access.token import new_token, token_sha256
 from mothshunt.admin.changes import ChangeHandlers
 from mothshunt.admin.const import ATTR_OPERATOR
 from mothshunt.admin.deployment_model import (
--- a/mothshunt/cli/changes.py
+++ b/mothshunt/cli/changes.py
@@ -133,15 +133,17 @@
         if (instances and not missing) or elapsed_s > timeout_s:
             break
         await asyncio.sleep(POLL_INTERVAL_S)
-    return Ok(
-        {
-            "revision": revision,
-            "took_s": max(after_s_by_instance.values(), default=None),
-            "after_s_by_instance": after_s_by_instance,
-            "missing": missing,
-            "lost": [i["id"] for i in instances if i["state"] == STATE_LOST],
-        }
-    )
+    document = {
+        "revision": revision,
+        "took_s": max(after_s_by_instance.values(), default=None),
+        "missing": missing,
+        "lost": [i["id"] for i in instances if i["state"] == STATE_LOST],
+        "instances": [
+            {"id": id, "after_s": after_s}
+            for id, after_s in sorted(after_s_by_instance.items())
+        ],
+    }
+    return Ok(document)
 
 
 def _api_request(
--- a/mothshunt/cli/commands/contract.py
+++ b/mothshunt/cli/commands/contract.py
@@ -16,6 +16,7 @@
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.const import DEFAULT_RECORDS
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
+from mothshunt.cli.output import FORMAT_JSON
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
 
 STANDARD_INPUT = "-"
@@ -30,6 +31,11 @@
     add_command(group, "list", "list the contracts", _async_list)
     show = add_command(group, "show", "show a contract", _async_show)
     show.add_argument("customer")
+    show.add_argument(
+        "--file",
+        action="store_true",
+        help="print the contract alone, as the JSON file that apply takes",
+    )
     validate = add_command(
         group, "validate", "check a contract and change nothing", _async_validate
     )
@@ -81,6 +87,9 @@
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
     answer = await client.async_read(_path(arguments.customer))
+    if arguments.file:
+        arguments.output = FORMAT_JSON
+        answer = answer.map(lambda document: document["contract"])
     return answer.map(lambda document: CommandOutput(document=document))
 
 
--- a/mothshunt/cli/commands/operators.py
+++ b/mothshunt/cli/commands/operators.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from mothshunt.access.state import new_token, token_sha256
+from mothshunt.access.token import new_token, token_sha256
 from mothshunt.cli.changes import (
     ChangeRequest,
     add_change_options,
--- a/mothshunt/cli/commands/status.py
+++ b/mothshunt/cli/commands/status.py
@@ -52,7 +52,7 @@
     if answer.is_error():
         return Error(answer.error)
     lacking = [i["id"] for i in answer.ok["instances"] if not i["holds_newest"]]
-    document = {"lacking_newest_revision": lacking, **answer.ok}
+    document = {**answer.ok, "lacking_newest_revision": lacking}
     return Ok(CommandOutput(document=document))
 
 
--- a/mothshunt/cli/output.py
+++ b/mothshunt/cli/output.py
@@ -42,34 +42,48 @@
 
 
 def table_lines(document: Any) -> Iterator[str]:
-    """Yield a document as lines: its lists as tables, its values as pairs.
+    """Yield a document as lines: its values as pairs, its lists as tables.
 
     :param document: JSON document.
     """
     if not isinstance(document, dict):
         yield _cell(document)
         return
-    plain = {key: value for key, value in document.items() if not _is_table(value)}
-    width = max((len(key) for key in plain), default=0)
-    for key, value in plain.items():
-        yield f"{key.ljust(width)}  {_cell(value)}"
+    leaves = list(_leaves(document, ""))
+    pairs = [(name, value) for name, value in leaves if not _is_table(value)]
+    width = max((len(name) for name, _ in pairs), default=0)
+    for name, value in pairs:
+        yield f"{name.ljust(width)}  {_cell(value)}".rstrip()
+    for name, value in leaves:
+        if not _is_table(value):
+            continue
+        if len(leaves) > 1:
+            yield ""
+            yield f"{name}:"
+        yield from _rows(value)
+
+
+def _leaves(document: dict[str, Any], prefix: str) -> Iterator[tuple[str, Any]]:
     for key, value in document.items():
-        if _is_table(value):
-            if plain:
-                yield ""
-                yield f"{key}:"
-            yield from _rows(value)
+        name = f"{prefix}{key}".replace("_", " ")
+        if isinstance(value, dict):
+            yield from _leaves(value, f"{name}: ")
+        elif value not in (None, ""):
+            yield name, value
 
 
 def _is_table(value: Any) -> bool:
-    return isinstance(value, list) and all(isinstance(row, dict) for row in value)
+    if not isinstance(value, list) or not value:
+        return False
+    return all(isinstance(row, dict) for row in value)
 
 
 def _rows(rows: Sequence[dict[str, Any]]) -> Iterator[str]:
-    if not rows:
-        yield "(none)"
-        return
-    columns = list(rows[0])
+    columns = [
+        column
+        for column in rows[0]
+        if any(row.get(column) not in (None, "") for row in rows)
+    ]
     cells = [[_cell(row.get(column)) for column in columns] for row in rows]
     header = [column.replace("_", " ") for column in columns]
     widths = [max(map(len, column)) for column in zip(header, *cells, strict=True)]
@@ -85,8 +99,8 @@
         return "yes" if value else "no"
     if isinstance(value, float):
         return f"{value:.2f}"
-    if isinstance(value, list) and all(isinstance(part, str) for part in value):
-        return ",".join(value) or "-"
-    if isinstance(value, dict | list):
-        return json.dumps(value)
+    if isinstance(value, list):
+        return ", ".join(_cell(part) for part in value) or "-"
+    if isinstance(value, dict):
+        return "=".join(_cell(part) for part in value.values())
     return str(value)
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -13,7 +13,7 @@
     Then the command's JSON has "contract.weighs" "latency"
     When "mothshunt status" is run
     Then the command exits with 0
-    And the command prints "newest_revision"
+    And the command prints "newest revision          1"
 
   Scenario: An instance that lacks the change is named
     Given the command line's instance "b1" reports revision 0
--- a/tests/steps/access_roles.py
+++ b/tests/steps/access_roles.py
@@ -3,12 +3,8 @@
 from behave import given, then
 
 from mothshunt.access.model import AccessRole, Grant, Operator
-from mothshunt.access.state import (
-    authorize,
-    check_replacement,
-    new_token,
-    token_sha256,
-)
+from mothshunt.access.state import authorize, check_replacement
+from mothshunt.access.token import new_token, token_sha256
 
 
 def parsed_grants(text):
--- a/tests/steps/cli_commands.py
+++ b/tests/steps/cli_commands.py
@@ -1,5 +1,6 @@
 """Steps for the command line."""
 
+import asyncio
 import json
 import os
 import shlex
@@ -27,6 +28,11 @@
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     context.folder = Path(folder)
     write(context, "rackhaven.json", contracts.rackhaven())
+    write(
+        context,
+        "smaller-cap.json",
+        {**contracts.rackhaven(), "shift": {"cap": 50, "step": 10}},
+    )
     write(context, "sleman.json", contracts.sleman())
     write(context, "faulty.json", {**contracts.rackhaven(), "shift": {"cap": 999}})
     (context.folder / "no-json.json").write_text("{")
@@ -78,8 +84,48 @@
     context.admin.log.losing = True
 
 
+@given('"mothshunt {arguments}" was run')
+def was_run(context, arguments):
+    run(context, arguments)
+    exits(context, 0)
+
+
+@given("a traffic address that answers look-ups with {text}")
+def traffic_address(context, text):
+    context.lookup_paths = []
+
+    async def async_answer(reader, writer):
+        request = await reader.readuntil(b"\r\n\r\n")
+        context.lookup_paths.append(request.split(b" ")[1].decode())
+        body = text.encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        writer.close()
+
+    loop = context.admin.loop
+    server = loop.run(asyncio.start_server(async_answer, "127.0.0.1", 0))
+    context.stack.callback(lambda: loop.call(server.close))
+    context.traffic = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+@when("the command line uses the token that was printed")
+def uses_printed_token(context):
+    context.token = json.loads(context.done.stdout)["token"]
+
+
+@when("the command line uses the token of the bootstrap administrator")
+def uses_bootstrap_token(context):
+    context.token = context.admin.token
+
+
+@then('the look-up asked for "{query}"')
+def lookup_asked(context, query):
+    assert context.lookup_paths == [f"/v1/lookup?{query}"], context.lookup_paths
+
+
 @when('"mothshunt {arguments}" is run')
 def run(context, arguments):
+    arguments = arguments.replace("$TRAFFIC", getattr(context, "traffic", ""))
     environment = {
         **os.environ,
         "MOTHSHUNT_ADMIN": ",".join(context.addresses),
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -4,7 +4,7 @@
 import json
 from urllib.parse import urlencode
 
-from mothshunt.access.state import token_sha256
+from mothshunt.access.token import token_sha256
 from mothshunt.admin.coordinator import AdminServer
 from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.state import ReplicatedConfiguration
@@ -18,8 +18,8 @@
     ListenSettings,
     Settings,
 )
+from testkit.loop_thread import LoopThread
 from tests.support.admin_fakes import FakeLog, FakeSource, FakeStatus, FakeTargets
-from tests.support.loop_thread import LoopThread
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
 FREE_PORT = 0
