Make the pages on result codes and configuration from the code

Purpose: pages written by hand drift from the code.

Weighed: a documentation generator from a library; ruled out, as the texts are in the reST fields and the JSON schemas already, and no library may be added.

--- a/tests/support/run_all.py
+++ b/tests/support/run_all.py
@@ -22,6 +22,7 @@
     "check:formatter": ["ruff", "format", "--check", "."],
     "check:linter": ["ruff", "check", "."],
     "check:types": ["mypy", "mothshunt"],
+    "check:pages": ["tools.generate_docs", "--check"],
 }
 
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers; no part of what is installed."""
