--- a/mothshunt/admin/api.py
+++ b/mothshunt/admin/api.py
@@ -12,6 +12,7 @@
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.configuration.service import ConfigurationService, StatusService
 from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.clock import Clock
 from mothshunt.core.types import InstanceId
 from mothshunt.discovery.model import TargetDirectory
 
@@ -24,6 +25,7 @@
     source: ConfigurationSource,
     log: ReplicatedLog,
     targets: TargetDirectory | None,
+    clock: Clock,
 ) -> tuple[Route, ...]:
     """Return all operations.
 
@@ -33,6 +35,7 @@
     :param source: Configuration in force here.
     :param log: Replicated log.
     :param targets: Targets known here, where there are any.
+    :param clock: Source of the present time.
     """
     changes = ChangeHandlers(configuration)
     drains = DrainHandlers(
@@ -41,6 +44,7 @@
         source=source,
         targets=targets,
         changes=changes,
+        clock=clock,
     )
     instances = InstanceHandlers(instance=instance, status=status, source=source)
     routes = (
--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -31,6 +31,7 @@
 
 TOKEN_SCHEME = "Bearer "
 READING_METHODS = ("GET", "HEAD")
+METHODS = (*READING_METHODS, "PUT", "POST", "DELETE")
 API_PREFIX = "/v1"
 ANONYMOUS = Operator(id=OperatorId("anonymous"), token_sha256="0" * 64, grants=())
 
@@ -81,6 +82,7 @@
                 source=source,
                 log=log,
                 targets=targets,
+                clock=clock,
             )
         self._listener = HttpListener(
             host=settings.listen.admin.host,
@@ -105,7 +107,7 @@
     async def _async_handle(self, request: web.Request) -> web.StreamResponse:
         response = await self._async_response(request)
         self._metrics.count(
-            METRIC_REQUESTS, method=request.method, status=str(response.status)
+            METRIC_REQUESTS, method=_label(request), status=str(response.status)
         )
         return response
 
@@ -210,6 +212,11 @@
     return header.removeprefix(TOKEN_SCHEME).strip()
 
 
+def _label(request: web.Request) -> str:
+    # Strangers must not be able to make series without end.
+    return request.method if request.method in METHODS else "other"
+
+
 def _failed(code: ResultCode, request: web.Request) -> Result[Reply, Refusal]:
     # A handler that broke off may have submitted its change before.
     is_unknown = code is codes.INTERNAL and request.method not in READING_METHODS
--- a/mothshunt/admin/deployment_model.py
+++ b/mothshunt/admin/deployment_model.py
@@ -20,8 +20,10 @@
     :param lost: Instances that are unreachable.
     :param in_flight: Requests still in flight at what is drained; ``None`` where
         that is not known.
-    :param complete: Whether the drain is in force on all reachable instances and
-        nothing is known to be in flight.
+    :param cached_lookups_s: Seconds for which callers may still use look-ups that
+        name what is drained.
+    :param complete: Whether the drain is in force on all reachable instances, those
+        look-ups have expired, and reports made since show nothing in flight.
     """
 
     kind: str
@@ -32,6 +34,7 @@
     pending_on: tuple[InstanceId, ...]
     lost: tuple[InstanceId, ...]
     in_flight: int | None
+    cached_lookups_s: float
     complete: bool
 
 
--- a/mothshunt/admin/drains.py
+++ b/mothshunt/admin/drains.py
@@ -11,7 +11,7 @@
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
 from mothshunt.admin.model import ChangeDocument
 from mothshunt.admin.parameters import ChangeQuery, DrainBody, ReadQuery
-from mothshunt.admin.progress import drain_document
+from mothshunt.admin.progress import DrainWatch, Surroundings
 from mothshunt.configuration.model import (
     NO_REVISION,
     ConfigurationSource,
@@ -20,10 +20,12 @@
 )
 from mothshunt.configuration.service import (
     ConfigurationService,
+    InstanceStatus,
     Item,
     StatusService,
 )
-from mothshunt.core.types import CustomerId
+from mothshunt.core.clock import Clock
+from mothshunt.core.types import CustomerId, Revision
 from mothshunt.discovery.model import Target, TargetDirectory
 from mothshunt.drain.model import Drain, DrainKind
 from mothshunt.helpers.log import get_logger
@@ -40,6 +42,7 @@
     :param source: Names the customers and services whose targets are looked at.
     :param targets: Targets known at this instance, where it knows any.
     :param changes: Commits the changes.
+    :param clock: Tells since when a drain has been in force.
     """
 
     def __init__(
@@ -50,12 +53,15 @@
         source: ConfigurationSource,
         targets: TargetDirectory | None,
         changes: ChangeHandlers,
+        clock: Clock,
     ) -> None:
         self._configuration = configuration
         self._status = status
         self._source = source
         self._targets = targets
         self._changes = changes
+        self._clock = clock
+        self._watch = DrainWatch()
 
     def routes(self) -> tuple[Route, ...]:
         """Return the operations of this module."""
@@ -146,15 +152,23 @@
         statuses = await self._status.async_instances(timeout_s)
         if statuses.is_error():
             return Error(Refusal(failure=statuses.error))
-        targets = [target for _, target in self._known_targets()]
-        documents = [
-            drain_document(drain, item.revision, statuses.ok, targets)
-            for item in items.ok
-            if (drain := _decoded(item)) is not None
-        ]
+        drains = [pair for item in items.ok if (pair := _decoded(item)) is not None]
+        self._watch.keep_only(drains)
+        around = self._surroundings(statuses.ok)
+        documents = [self._watch.document(*pair, around) for pair in drains]
         documents.sort(key=lambda document: (document.kind, document.name))
         return Ok(tuple(documents))
 
+    def _surroundings(self, statuses: tuple[InstanceStatus, ...]) -> Surroundings:
+        contracts = self._source.current().contract_by_customer.values()
+        lifetimes_s = [contract.lookup_lifetime_s for contract in contracts]
+        return Surroundings(
+            statuses=statuses,
+            targets=[target for _, target in self._known_targets()],
+            lookup_lifetime_s=max(lifetimes_s, default=0.0),
+            now=self._clock.monotonic(),
+        )
+
     def _permitted(self, call: Call[object], drain: Drain) -> Result[Drain, Refusal]:
         customer = None
         if drain.kind is DrainKind.TARGET:
@@ -200,9 +214,9 @@
     return Ok(Drain(kind=kind, name=call.path_values[ATTR_NAME], reason=reason))
 
 
-def _decoded(item: Item) -> Drain | None:
+def _decoded(item: Item) -> tuple[Drain, Revision] | None:
     decoded = schema.from_json(Drain, item.value or b"")
     if decoded.is_ok():
-        return decoded.ok
+        return decoded.ok, item.revision
     _LOGGER.error("A drain can't be decoded", drain=item.key.name)
     return None
--- a/mothshunt/admin/gate.py
+++ b/mothshunt/admin/gate.py
@@ -13,6 +13,7 @@
     OPERATORS_STALE_S,
 )
 from mothshunt.admin.messages import Scope
+from mothshunt.admin.shared_read import SharedRead
 from mothshunt.configuration.model import Section
 from mothshunt.configuration.service import ConfigurationService, Item
 from mothshunt.core.clock import Clock
@@ -39,7 +40,11 @@
         bootstrap_token_sha256: str | None,
         clock: Clock,
     ) -> None:
-        self._configuration = configuration
+        self._read = SharedRead(
+            lambda: configuration.async_items(
+                Section.OPERATOR, DEFAULT_TIMEOUT_MS / MS_PER_S
+            )
+        )
         self._bootstrap_token_sha256 = bootstrap_token_sha256
         self._clock = clock
         self._operators: tuple[Operator, ...] = ()
@@ -85,9 +90,7 @@
         reads_only = role is AccessRole.READ
         if reads_only and self._age_s() <= OPERATORS_FRESH_S:
             return Ok(self._operators)
-        items = await self._configuration.async_items(
-            Section.OPERATOR, DEFAULT_TIMEOUT_MS / MS_PER_S
-        )
+        items = await self._read.async_get()
         if items.is_ok():
             self._operators = operators_of(items.ok)
             self._read_at = self._clock.monotonic()
--- a/mothshunt/admin/history.py
+++ b/mothshunt/admin/history.py
@@ -131,7 +131,6 @@
 
 
 def _document(record: AuditRecord, with_value: bool) -> RecordDocument:
-    made_at = datetime.fromtimestamp(record.made_at_unix_ms / MS_PER_S, UTC)
     return RecordDocument(
         revision=record.revision,
         change_id=record.change_id,
@@ -139,12 +138,19 @@
         section=record.key.section.value,
         name=record.key.name,
         summary=record.summary,
-        made_at=made_at.isoformat(timespec="milliseconds"),
+        made_at=_wall_clock_text(record.made_at_unix_ms),
         removed=record.value is None,
         value=_shown_value(record) if with_value else None,
     )
 
 
+def _wall_clock_text(unix_ms: int) -> str | None:
+    if not unix_ms:
+        return None
+    made_at = datetime.fromtimestamp(unix_ms / MS_PER_S, UTC)
+    return made_at.isoformat(timespec="milliseconds")
+
+
 def _shown_value(record: AuditRecord) -> Any:
     if record.value is None:
         return None
--- a/mothshunt/admin/model.py
+++ b/mothshunt/admin/model.py
@@ -172,7 +172,8 @@
     :param section: Kind of the item that it changed.
     :param name: Name of the item.
     :param summary: Text of the operator.
-    :param made_at: Wall clock of the instance that took it, ISO 8601 in UTC.
+    :param made_at: Wall clock of the instance that took it, ISO 8601 in UTC; ``None``
+        for what the system did itself.
     :param removed: Whether the change removed the item.
     :param value: The item after the change, where the request asks for it.
     """
@@ -183,7 +184,7 @@
     section: str
     name: str
     summary: str
-    made_at: str
+    made_at: str | None
     removed: bool
     value: Any = None
 
--- a/mothshunt/admin/progress.py
+++ b/mothshunt/admin/progress.py
@@ -1,6 +1,7 @@
 """How far drains have come."""
 
 from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
 
 from mothshunt.admin.deployment_model import DrainDocument
 from mothshunt.configuration.service import InstanceStatus
@@ -11,66 +12,115 @@
 STATE_LOST = "lost"
 
 
-def drain_document(
-    drain: Drain,
-    revision: Revision,
-    statuses: Sequence[InstanceStatus],
-    targets: Sequence[Target],
-) -> DrainDocument:
-    """Describe a drain and how far it has come.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """Hold what the progress of drains is worked out from.
 
-    :param drain: The drain.
-    :param revision: Revision at which it was made.
     :param statuses: State of every recorded instance.
     :param targets: Targets that are known here.
+    :param lookup_lifetime_s: Longest time for which callers cache a look-up.
+    :param now: Monotonic time, in seconds.
     """
-    reachable = [status for status in statuses if status.state != STATE_LOST]
-    pending = tuple(s.id for s in reachable if s.revision < revision)
-    counts = tuple(_in_flight(drain, reachable, targets))
-    in_flight = sum(counts) if counts else None
-    return DrainDocument(
-        kind=drain.kind.value,
-        name=drain.name,
-        reason=drain.reason,
-        revision=revision,
-        in_force_on=tuple(s.id for s in reachable if s.revision >= revision),
-        pending_on=pending,
-        lost=tuple(s.id for s in statuses if s.state == STATE_LOST),
-        in_flight=in_flight,
-        complete=not pending and not in_flight,
-    )
-
-
-def _in_flight(
-    drain: Drain, reachable: Sequence[InstanceStatus], targets: Sequence[Target]
-) -> Iterator[int]:
-    for status in reachable:
-        if drain.name == _instance_place(drain.kind, status):
-            yield status.in_flight
-    for target in targets:
-        if drain.name == _target_place(drain.kind, target) and target.report:
+
+    statuses: Sequence[InstanceStatus]
+    targets: Sequence[Target]
+    lookup_lifetime_s: float
+    now: float
+
+
+@dataclass(slots=True)
+class DrainWatch:
+    """Remember since when each drain has been seen in force everywhere."""
+
+    since_by_drain: dict[tuple[Drain, Revision], float] = field(default_factory=dict)
+
+    def document(
+        self, drain: Drain, revision: Revision, around: Surroundings
+    ) -> DrainDocument:
+        """Describe a drain and how far it has come.
+
+        :param drain: The drain.
+        :param revision: Revision at which it was made.
+        :param around: What its progress is worked out from.
+        """
+        reachable = [s for s in around.statuses if s.state != STATE_LOST]
+        pending = tuple(s.id for s in reachable if s.revision < revision)
+        since = self._since((drain, revision), not pending, around.now)
+        counts = tuple(_in_flight(drain, around))
+        in_flight = sum(counts) if counts else None
+        cached_s = _cached_lookups_s(drain, around, since)
+        is_current = not any(at < since for at in _measured_at(drain, around))
+        return DrainDocument(
+            kind=drain.kind.value,
+            name=drain.name,
+            reason=drain.reason,
+            revision=revision,
+            in_force_on=tuple(s.id for s in reachable if s.revision >= revision),
+            pending_on=pending,
+            lost=tuple(s.id for s in around.statuses if s.state == STATE_LOST),
+            in_flight=in_flight,
+            cached_lookups_s=round(cached_s, 1),
+            complete=not (pending or in_flight or cached_s) and is_current,
+        )
+
+    def keep_only(self, drains: Sequence[tuple[Drain, Revision]]) -> None:
+        """Forget drains that are no longer there.
+
+        :param drains: Drains that are there.
+        """
+        for key in self.since_by_drain.keys() - set(drains):
+            del self.since_by_drain[key]
+
+    def _since(
+        self, key: tuple[Drain, Revision], is_in_force: bool, now: float
+    ) -> float:
+        if not is_in_force:
+            self.since_by_drain.pop(key, None)
+            return now
+        return self.since_by_drain.setdefault(key, now)
+
+
+def _cached_lookups_s(drain: Drain, around: Surroundings, since: float) -> float:
+    # Look-ups name entries, never targets.
+    if drain.kind is DrainKind.TARGET:
+        return 0.0
+    return max(0.0, since + around.lookup_lifetime_s - around.now)
+
+
+def _in_flight(drain: Drain, around: Surroundings) -> Iterator[int]:
+    for status in _instances(drain, around):
+        yield status.in_flight
+    for target in _targets(drain, around):
+        if target.report is not None:
             yield target.report.in_flight
 
 
-def _instance_place(kind: DrainKind, status: InstanceStatus) -> str | None:
-    match kind:
-        case DrainKind.INSTANCE:
-            return status.id
-        case DrainKind.AVAILABILITY_ZONE:
-            return status.availability_zone
-        case DrainKind.REGION:
-            return status.region
-        case DrainKind.TARGET:
-            return None
-
-
-def _target_place(kind: DrainKind, target: Target) -> str | None:
-    match kind:
-        case DrainKind.TARGET:
-            return target.id
-        case DrainKind.AVAILABILITY_ZONE:
-            return target.availability_zone
-        case DrainKind.REGION:
-            return target.region
-        case DrainKind.INSTANCE:
-            return None
+def _measured_at(drain: Drain, around: Surroundings) -> Iterator[float]:
+    for status in _instances(drain, around):
+        if status.age_s is not None:
+            yield around.now - status.age_s
+    for target in _targets(drain, around):
+        if target.report is not None:
+            yield target.report.measured_at
+
+
+def _instances(drain: Drain, around: Surroundings) -> Iterator[InstanceStatus]:
+    for status in around.statuses:
+        name = {
+            DrainKind.INSTANCE: status.id,
+            DrainKind.AVAILABILITY_ZONE: status.availability_zone,
+            DrainKind.REGION: status.region,
+        }.get(drain.kind)
+        if name == drain.name and status.state != STATE_LOST:
+            yield status
+
+
+def _targets(drain: Drain, around: Surroundings) -> Iterator[Target]:
+    for target in around.targets:
+        name = {
+            DrainKind.TARGET: target.id,
+            DrainKind.AVAILABILITY_ZONE: target.availability_zone,
+            DrainKind.REGION: target.region,
+        }.get(drain.kind)
+        if name == drain.name:
+            yield target
--- a/mothshunt/cli/changes.py
+++ b/mothshunt/cli/changes.py
@@ -97,7 +97,8 @@
         client, revision, started_at, arguments.wait_timeout
     )
     if waited.is_error():
-        return Error(waited.error)
+        document["in_force"] = {"unknown": waited.error.text}
+        return Ok(CommandOutput(document=document, exit_code=ExitCode.NOT_IN_FORCE))
     document["in_force"] = waited.ok
     complete = not waited.ok["missing"]
     exit_code = ExitCode.OK if complete else ExitCode.NOT_IN_FORCE
--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -79,7 +79,7 @@
     """
 
     def __init__(self, urls: list[str], token: str | None, timeout_s: float) -> None:
-        self._urls = [url.rstrip("/") for url in urls]
+        self._urls = [_base_url(url) for url in urls]
         self._token = token
         self._timeout_s = timeout_s
         self._session: aiohttp.ClientSession | None = None
@@ -199,6 +199,11 @@
     return "/v1/" + "/".join(quote(part, safe="") for part in parts)
 
 
+def _base_url(url: str) -> str:
+    with_scheme = url if "://" in url else f"http://{url}"
+    return with_scheme.rstrip("/")
+
+
 def _attempt_of(status: int, document: Any) -> Attempt:
     if status < 300:
         return Attempt(end=AttemptEnd.ANSWERED, document=document)
--- a/mothshunt/cli/commands/drain.py
+++ b/mothshunt/cli/commands/drain.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import math
 import sys
 import time
 from typing import Any
@@ -89,12 +90,11 @@
     if changed.is_error() or not arguments.wait:
         return changed
     waited = await _async_wait(client, arguments)
-    return waited.map(
-        lambda output: CommandOutput(
-            document={**changed.ok.document, "drain": output.document},
-            exit_code=output.exit_code,
-        )
-    )
+    if waited.is_error():
+        document = {**changed.ok.document, "drain": {"unknown": waited.error.text}}
+        return Ok(CommandOutput(document=document, exit_code=ExitCode.NOT_IN_FORCE))
+    document = {**changed.ok.document, "drain": waited.ok.document}
+    return Ok(CommandOutput(document=document, exit_code=waited.ok.exit_code))
 
 
 async def _async_remove(
@@ -150,7 +150,9 @@
     in_force = len(drain["in_force_on"])
     reachable = in_force + len(drain["pending_on"])
     in_flight = "unknown" if drain["in_flight"] is None else drain["in_flight"]
-    return f"in force on {in_force} of {reachable} instances, in flight: {in_flight}"
+    line = f"in force on {in_force} of {reachable} instances, in flight: {in_flight}"
+    cached_s = math.ceil(drain["cached_lookups_s"])
+    return f"{line}, cached look-ups end in {cached_s} s" if cached_s else line
 
 
 def _path(arguments: argparse.Namespace) -> str:
--- a/mothshunt/cli/main.py
+++ b/mothshunt/cli/main.py
@@ -30,7 +30,8 @@
   4  conflict: another change was accepted first
   5  the outcome is unknown; ask with: mothshunt change show ID
   6  no instance could be reached
-  7  accepted, but not in force or not drained within --wait-timeout
+  7  accepted, but not seen in force or drained within --wait-timeout
+  130  interrupted; a change that was sent may have been accepted
 
 examples:
   export MOTHSHUNT_ADMIN=http://127.0.0.1:7002,http://127.0.0.1:7012
@@ -69,7 +70,7 @@
     try:
         exit_code = run(arguments)
     except KeyboardInterrupt:
-        exit_code = ExitCode.UNKNOWN_OUTCOME
+        exit_code = ExitCode.INTERRUPTED
     except BrokenPipeError:
         # The reader has gone, as head does; keep the interpreter from flushing.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/mothshunt/cli/model.py
+++ b/mothshunt/cli/model.py
@@ -15,6 +15,7 @@
     UNKNOWN_OUTCOME = 5
     UNREACHABLE = 6
     NOT_IN_FORCE = 7
+    INTERRUPTED = 130
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mothshunt/cli/output.py
+++ b/mothshunt/cli/output.py
@@ -103,4 +103,5 @@
         return ", ".join(_cell(part) for part in value) or "-"
     if isinstance(value, dict):
         return "=".join(_cell(part) for part in value.values())
-    return str(value)
+    # Texts of other operators must not be able to steer the terminal.
+    return "".join(c if c.isprintable() else "?" for c in str(value))
--- a/tests/admin/requests.feature
+++ b/tests/admin/requests.feature
@@ -30,6 +30,17 @@
     And 1 administration refusals are counted as "token_missing"
     And 1 administration refusals are counted as "token_unknown"
 
+  Scenario: Many requests with guessed tokens share their reads
+    Given an administration API whose reads take long
+    When 20 requests with guessed tokens are sent at the same time
+    Then all of them are refused with code 3202
+    And the operators were read at most 3 times
+
+  Scenario: Methods made up by strangers make no series of their own
+    Given an administration API
+    When MADEUP /v1/contracts is asked without a token
+    Then the requests are counted under the method "other"
+
   Scenario: The bootstrap administrator gets in without a majority
     Given an administration API
     And the administration API has no majority
--- a/tests/steps/admin_api.py
+++ b/tests/steps/admin_api.py
@@ -1,10 +1,14 @@
 """Steps for the administration API."""
 
+from concurrent.futures import ThreadPoolExecutor
+
 from behave import given, then, when
 
 from mothshunt.core.types import Role
 from tests.support import contracts
 from tests.support.admin_deployment import AdminDeployment, ask
+from tests.support.admin_fakes import ManualClock
+from tests.support.contracts import parsed
 
 CONTRACT_BY_CUSTOMER = {
     "rackhaven": contracts.rackhaven(),
@@ -27,7 +31,7 @@
 
 @given("an administration API")
 def administration(context):
-    context.admin = AdminDeployment(context.stack)
+    context.admin = AdminDeployment(context.stack, ManualClock())
     context.admin_port = context.admin.start()
 
 
@@ -180,3 +184,54 @@
 @given("every instance reports {count:d} requests in flight")
 def reports_in_flight(context, count):
     context.admin.status.in_flight = count
+
+
+@given('the contract of "{customer}" is in force at the administration API')
+def in_force_here(context, customer):
+    contract = parsed(CONTRACT_BY_CUSTOMER[customer])
+    context.admin.source.contract_by_customer[customer] = contract
+
+
+@when("{seconds:g} seconds pass at the administration API")
+def seconds_pass(context, seconds):
+    context.admin.clock.now += seconds
+
+
+@given("the last report of every instance is {seconds:g} seconds old")
+@when("the last report of every instance is {seconds:g} seconds old")
+def reports_old(context, seconds):
+    context.admin.status.age_s = seconds
+
+
+@given("an administration API whose reads take long")
+def slow_reads(context):
+    administration(context)
+    context.admin.log.read_s = 1.0
+
+
+@when("{count:d} requests with guessed tokens are sent at the same time")
+def guessed_tokens(context, count):
+    def guess(number):
+        return ask(
+            context.admin_port, "GET", "/v1/contracts", token=f"guessed-{number}"
+        )
+
+    with ThreadPoolExecutor(count) as pool:
+        context.guesses = list(pool.map(guess, range(count)))
+
+
+@then("all of them are refused with code {code:d}")
+def all_refused(context, code):
+    found = {answer["code"] for _, _, answer in context.guesses}
+    assert found == {code}, found
+
+
+@then("the operators were read at most {count:d} times")
+def reads_at_most(context, count):
+    assert context.admin.log.reads <= count, context.admin.log.reads
+
+
+@then('the requests are counted under the method "{method}"')
+def counted_under(context, method):
+    series = f'mothshunt_admin_requests_total{{method="{method}"'
+    assert series in context.admin.metrics.render(), context.admin.metrics.render()
--- a/tests/steps/dispatch_input.py
+++ b/tests/steps/dispatch_input.py
@@ -40,7 +40,7 @@
     async def exchange():
         reader, writer = await asyncio.open_connection("127.0.0.1", context.server.port)
         writer.write(head.encode() + b"5\r\nhello\r\n")
-        while context.server.in_flight() == 0:  # noqa: ASYNC110
+        while context.server.in_flight() == 0:
             await asyncio.sleep(0.01)
         writer.write(b"not a size\r\n")
         answer = await asyncio.wait_for(reader.read(100_000), 10)
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -42,7 +42,8 @@
 class AdminDeployment:
     """Run administration servers that share one configuration."""
 
-    def __init__(self, stack):
+    def __init__(self, stack, clock=None):
+        self.clock = clock or SystemClock()
         self.loop = LoopThread()
         stack.callback(self.loop.close)
         self._stack = stack
@@ -68,7 +69,7 @@
             log=self.log if is_control else None,
             metrics=self.metrics,
             is_ready=lambda: self.ready,
-            clock=SystemClock(),
+            clock=self.clock,
             targets=self.targets,
         )
         self.loop.run(server.async_start())
--- a/tests/support/admin_fakes.py
+++ b/tests/support/admin_fakes.py
@@ -1,5 +1,6 @@
 """Stand-ins for what the administration API is built on."""
 
+import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -18,6 +19,16 @@
 )
 
 
+@dataclass
+class ManualClock:
+    """Tell the time that the test sets."""
+
+    now: float = 1000.0
+
+    def monotonic(self):
+        return self.now
+
+
 @dataclass
 class FakeLog:
     """Apply every command at once, as a log of one replica would.
@@ -32,6 +43,8 @@
     voters: tuple = (Voter(id="a1", host="127.0.0.1", port=1),)
     failing: bool = False
     losing: bool = False
+    reads: int = 0
+    read_s: float = 0.0
 
     async def async_propose(self, command, timeout_s):
         message = wire.unpack(command).ok
@@ -45,6 +58,8 @@
         return Ok(wire.pack(outcome))
 
     async def async_read_barrier(self, timeout_s):
+        self.reads += 1
+        await asyncio.sleep(self.read_s)
         if self.failing:
             return Error(Failure(code=NO_MAJORITY))
         return Ok(self.index)
@@ -80,6 +95,7 @@
     revision_by_id: dict = field(default_factory=dict)
     lost: set = field(default_factory=set)
     in_flight: int = 0
+    age_s: float = 0.1
 
     async def async_instances(self, timeout_s):
         return Ok(tuple(map(self._status, self.ids)))
@@ -92,7 +108,7 @@
             roles=("entry", "control"),
             state="lost" if name in self.lost else "ready",
             revision=self.revision_by_id.get(name, self.state.store.revision),
-            age_s=0.1,
+            age_s=self.age_s,
             in_flight=self.in_flight,
         )
 
