--- a/mothshunt/cli/changes.py
+++ b/mothshunt/cli/changes.py
@@ -97,7 +97,8 @@
         client, revision, started_at, arguments.wait_timeout
     )
     if waited.is_error():
-        return Error(waited.error)
+        document["in_force"] = {"unknown": waited.error.text}
+        return Ok(CommandOutput(document=document, exit_code=ExitCode.NOT_IN_FORCE))
     document["in_force"] = waited.ok
     complete = not waited.ok["missing"]
     exit_code = ExitCode.OK if complete else ExitCode.NOT_IN_FORCE
@@ -133,15 +134,17 @@
         if (instances and not missing) or elapsed_s > timeout_s:
             break
         await asyncio.sleep(POLL_INTERVAL_S)
-    return Ok(
-        {
-            "revision": revision,
-            "took_s": max(after_s_by_instance.values(), default=None),
-            "after_s_by_instance": after_s_by_instance,
-            "missing": missing,
-            "lost": [i["id"] for i in instances if i["state"] == STATE_LOST],
-        }
-    )
+    document = {
+        "revision": revision,
+        "took_s": max(after_s_by_instance.values(), default=None),
+        "missing": missing,
+        "lost": [i["id"] for i in instances if i["state"] == STATE_LOST],
+        "instances": [
+            {"id": id, "after_s": after_s}
+            for id, after_s in sorted(after_s_by_instance.items())
+        ],
+    }
+    return Ok(document)
 
 
 def _api_request(
