Send each request of the kit's caller once

The kit's caller used aiohttp with new connections, in the belief that only kept ones are repeated; aiohttp repeats GET, PUT and DELETE on any connection that breaks, new ones too (client.py, the loop around handler(req)). When the entry broke the caller's connection, as it must for a truncated answer, the caller's library sent the PUT again.

Ruled out: a second dispatch by the entry; its own client turns the repeat off (tests/dispatch/at_most_once.feature).

The kit's client now hides a broken connection from aiohttp behind an error of its own.

--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 import aiohttp
+from aiohttp.client_middlewares import ClientHandlerType
 
 from mothshunt.core.const import (
     HEADER_DEADLINE_MS,
@@ -230,15 +231,35 @@
             return ended(Outcome.BROKEN, repr(error))
 
 
+class ConnectionBrokenError(aiohttp.ClientError):
+    """Tell that a connection broke after the request was handed to it."""
+
+
+async def _async_send_once(
+    request: aiohttp.ClientRequest, handler: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Hide a broken connection from aiohttp, which would send the request again."""
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionBrokenError(repr(error)) from error
+
+
 def make_session(*, kept_connections: bool = True) -> aiohttp.ClientSession:
-    """Return an HTTP client for callers.
+    """Return an HTTP client for callers, which sends each request once.
+
+    By itself aiohttp repeats GET, PUT, DELETE and others when a connection breaks,
+    a new one too; a caller that counts runs can't use that.
 
-    :param kept_connections: Whether connections are used again. aiohttp repeats some
-        requests by itself when a kept connection turns out closed; a caller that
-        counts runs of PUT or DELETE needs new ones.
+    :param kept_connections: Whether connections are used again.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=not kept_connections)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, force_close=not kept_connections),
+        auto_decompress=False,
+        middlewares=(_async_send_once,),
+    )
 
 
 def _judge(
--- a/tests/steps/promise_requests.py
+++ b/tests/steps/promise_requests.py
@@ -201,7 +201,8 @@
     violations = context.env.violations(LoadReport(results=context.bookings))
     assert not violations, violations
     last = context.bookings[-1]
-    assert last.outcome is Outcome.WHOLE, [item.outcome for item in context.bookings]
+    told = [(item.outcome.value, item.detail) for item in context.bookings]
+    assert last.outcome is Outcome.WHOLE, told
 
 
 @when("bookings and reads arrive all the time")
