Let a restarted entry start nothing before its former requests ended

Found by the random walks once they made whole renewals often: an entry restarts, then the leader changes; the new leader heard from every holder and let shares grow, while leased requests of the former process still ran (41 of 40).

Weighed: no growth under a new leader until each holder's process is older than the longest timeout, which keeps a deployment that was started whole at its static shares for ten seconds or more; a durable mark of each holder, a write for each join. Taken: a new process starts nothing in its first second. The kernel has closed its predecessor's connections by then, and targets accept that as cancellation.

Eleven faults were put in one by one on a scratch copy (hold-back, recovery, sequence, lease ends, confirmation, reserve, use beyond the share): the walks caught all of them.

--- a/mothshunt/limits/const.py
+++ b/mothshunt/limits/const.py
@@ -13,6 +13,10 @@
 #: Time to wait for a majority to confirm the leader, in seconds.
 CONFIRM_TIMEOUT_S = 1.5
 
+#: Time in which targets end the requests of a process that died, in seconds; the
+#: kernel closes its connections, and targets accept that as cancellation.
+CANCELLED_WITHIN_S = 1.0
+
 #: Seats among which the static share of a region is split.
 ENTRY_SEATS_PER_REGION = 4
 #: The static share is one part in this many of a limit.
--- a/mothshunt/limits/coordinator.py
+++ b/mothshunt/limits/coordinator.py
@@ -16,6 +16,7 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.limits import codes
 from mothshunt.limits.const import (
+    CANCELLED_WITHIN_S,
     CONFIRM_TIMEOUT_S,
     RENEWAL_INTERVAL_S,
     RENEWAL_JITTER_RATIO,
@@ -52,7 +53,8 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        self.holder = Holder(instance, incarnation)
+        opens_at = clock.monotonic() + CANCELLED_WITHIN_S
+        self.holder = Holder(instance, incarnation, opens_at)
         self._configuration = configuration
         self._control = control
         self._clock = clock
@@ -100,6 +102,7 @@
         self._listeners.append(listener)
 
     async def _async_run(self) -> None:
+        await asyncio.sleep(self.holder.opens_at - self._clock.monotonic())
         while True:
             self._starved.clear()
             try:
--- a/mothshunt/limits/holder.py
+++ b/mothshunt/limits/holder.py
@@ -69,10 +69,13 @@
 
     :param instance: Name of this instance.
     :param incarnation: Incarnation of this instance.
+    :param opens_at: Monotonic time before which nothing may start, in seconds, so
+        that the requests of a former process of this instance have ended.
     """
 
     instance: InstanceId
     incarnation: Incarnation
+    opens_at: float
     _revision: Revision = NO_REVISION
     _account_by_key: dict[LimitKey, _Account] = field(default_factory=dict)
     _lease_end: float = -math.inf
@@ -114,6 +117,8 @@
             if account is None:
                 return Error(_full(key))
             capacity = account.static + (account.share if leased else 0)
+            if now < self.opens_at:
+                capacity = 0
             room = capacity - account.in_use
             if room <= 0:
                 account.refused += 1
@@ -172,7 +177,7 @@
         :param now: Monotonic time, in seconds.
         """
         account = self._account_by_key.get(key)
-        if account is None:
+        if account is None or now < self.opens_at:
             return 0
         return account.static + (account.share if now < self._lease_end else 0)
 
