Watch over all attempts with one timer, and read requests without Results

Now: read_route and async_read_body return the value or the Failure; the histogram's recorder is kept per service; one timer of 10 ms looks at all attempts.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -25,10 +25,8 @@
 from mothshunt.dispatch.body import RequestBody
 from mothshunt.dispatch.client import (
     BrokenError,
-    Handover,
     LeaseEndedError,
     Outgoing,
-    SilentError,
     TargetClient,
 )
 from mothshunt.dispatch.model import AsyncTargetChooser
@@ -37,12 +35,17 @@
 from mothshunt.dispatch.request import MILLISECONDS_PER_SECOND, Route
 from mothshunt.dispatch.retry import RetryReason
 from mothshunt.dispatch.silence import AnswerTime
+from mothshunt.dispatch.watch import (
+    AttemptWatch,
+    Expiry,
+    Handover,
+    ended_by_watch,
+)
 from mothshunt.steering.model import Choice, Outcome
 
 _REASON_BY_ERROR: dict[type[Exception], RetryReason] = {
     NotConnectedError: RetryReason.CONNECT_FAILED,
     LeaseEndedError: RetryReason.LEASE_ENDED,
-    SilentError: RetryReason.SILENT,
     BrokenError: RetryReason.BROKEN,
 }
 _SEND_ERRORS = tuple(_REASON_BY_ERROR)
@@ -84,6 +87,7 @@
     def __init__(
         self, *, client: TargetClient, chooser: AsyncTargetChooser, clock: Clock
     ) -> None:
+        self._watch = AttemptWatch(clock)
         self._client = client
         self._chooser = chooser
         self._clock = clock
@@ -103,45 +107,54 @@
         :raises AnswerBrokenOffError: A part of the answer had been passed on.
         """
         outcome = Outcome.CANCELLED
+        now = self._clock.monotonic()
         deadline = exchange.route.deadline
 
         def may_send() -> bool:
             now = self._clock.monotonic()
             return now < deadline and self._chooser.may_dispatch(choice, now)
 
-        handover = Handover(may_send)
+        handover = self._watch.begin(deadline, may_send)
+        outgoing = self._outgoing(exchange, choice, may_retry, now)
         try:
-            remaining_s = deadline - self._clock.monotonic()
-            async with asyncio.timeout(remaining_s):
-                result = await self._async_exchange(
-                    exchange, self._outgoing(exchange, choice, may_retry), handover
-                )
+            result = await self._async_exchange(exchange, outgoing, handover)
             outcome = _outcome(result)
-        except TimeoutError:
+        except asyncio.CancelledError:
+            if not ended_by_watch(handover):
+                raise
             outcome = Outcome.TIMED_OUT
             if exchange.passed_on:
                 raise AnswerBrokenOffError("the deadline passed") from None
-            return AttemptFailure.from_reason(
-                RetryReason.TIMED_OUT, handed_over=handover.done
-            )
+            return self._timed_out(handover, outgoing)
         except AnswerBrokenOffError:
             outcome = Outcome.BROKEN
             raise
         finally:
+            self._watch.end(handover)
             self._chooser.finish(choice, outcome, self._clock.monotonic())
         return result
 
+    def _timed_out(self, handover: Handover, outgoing: Outgoing) -> AttemptFailure:
+        reason = RetryReason.TIMED_OUT
+        if handover.expiry is Expiry.SILENCE:
+            reason = RetryReason.SILENT
+            # What lost track of one connection may have lost the others as well.
+            self._client.retire(outgoing.authority)
+        return AttemptFailure.from_reason(reason, handed_over=handover.done)
+
     def _outgoing(
-        self, exchange: Exchange, choice: Choice, may_retry: bool
+        self, exchange: Exchange, choice: Choice, may_retry: bool, now: float
     ) -> Outgoing:
         route = exchange.route
         target = choice.target
-        remaining_s = route.deadline - self._clock.monotonic()
+        remaining_s = route.deadline - now
         headers = CIMultiDict(exchange.headers)
         remaining_ms = max(1, int(remaining_s * MILLISECONDS_PER_SECOND))
         headers[HEADER_DEADLINE_MS] = str(remaining_ms)
         reuse = route.idempotent and exchange.body.whole is not None
-        answer_time = self._answer_time(route)
+        limit_s = None
+        if reuse and may_retry:
+            limit_s = self._answer_time(route).silence_limit_s()
         host = f"[{target.host}]" if ":" in target.host else target.host
         return Outgoing(
             method=route.method,
@@ -150,25 +163,28 @@
             headers=headers,
             body=exchange.body.for_attempt(),
             reuse=reuse,
-            silence_limit_s=answer_time.silence_limit_s() if may_retry else None,
+            silence_limit_s=limit_s,
         )
 
     async def _async_exchange(
         self, exchange: Exchange, outgoing: Outgoing, handover: Handover
     ) -> web.StreamResponse | AttemptFailure:
-        sent_at = self._clock.monotonic()
+        started_at = self._clock.monotonic()
         try:
             response = await self._client.async_send(outgoing, handover)
         except _SEND_ERRORS as error:
             if exchange.body.failure is not None:
                 return _caller_failure(exchange.body.failure, handover)
+            reason = _REASON_BY_ERROR[type(error)]
+            if handover.expired(self._clock.monotonic()) is Expiry.DEADLINE:
+                reason = RetryReason.TIMED_OUT
             return AttemptFailure.from_reason(
-                _REASON_BY_ERROR[type(error)],
-                handed_over=handover.done,
-                detail=str(error),
+                reason, handed_over=handover.done, detail=str(error)
             )
         if outgoing.reuse:
-            self._answer_time(exchange.route).observe(self._clock.monotonic() - sent_at)
+            self._answer_time(exchange.route).observe(
+                self._clock.monotonic() - started_at
+            )
         try:
             return await self._async_answer(exchange, response)
         finally:
--- a/mothshunt/dispatch/body.py
+++ b/mothshunt/dispatch/body.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator
 
 from aiohttp import hdrs, web
-from expression import Error, Ok, Result
 
 from mothshunt.core.codes import Failure
 from mothshunt.dispatch import codes
@@ -68,47 +67,43 @@
 
 async def async_read_body(
     request: web.Request, *, keyed: bool, timeout_s: float
-) -> Result[RequestBody, Failure]:
+) -> RequestBody | Failure:
     """Read a request body whole where it is small, and leave it to stream if not.
 
     :param request: The caller's request.
     :param keyed: Whether the whole body is needed for its hash.
     :param timeout_s: Seconds to wait for the body.
     """
-    if not request.body_exists:
-        return Ok(RequestBody(b"", request))
     limit = KEYED_BODY_BYTES if keyed else REPEATABLE_BODY_BYTES
     length = request.content_length
     if length is not None and length > (limit if keyed else MAX_BODY_BYTES):
-        return Error(Failure(code=codes.BODY_TOO_LARGE))
+        return Failure(code=codes.BODY_TOO_LARGE)
     if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
         await request.writer.write(_CONTINUE)
         # The interim answer does not count as a begun answer.
         request.writer.output_size = 0
     if not keyed and (length is None or length > limit):
-        return Ok(RequestBody(None, request))
+        return RequestBody(None, request)
     try:
         async with asyncio.timeout(timeout_s):
             return await _async_read_whole(request, limit)
     except TimeoutError:
-        return Error(_incomplete())
+        return _incomplete()
 
 
-async def _async_read_whole(
-    request: web.Request, limit: int
-) -> Result[RequestBody, Failure]:
+async def _async_read_whole(request: web.Request, limit: int) -> RequestBody | Failure:
     parts: list[bytes] = []
     size = 0
     while True:
         try:
             part = await request.content.readany()
         except Exception:
-            return Error(_incomplete())
+            return _incomplete()
         if not part:
-            return Ok(RequestBody(b"".join(parts), request))
+            return RequestBody(b"".join(parts), request)
         size += len(part)
         if size > limit:
-            return Error(Failure(code=codes.BODY_TOO_LARGE))
+            return Failure(code=codes.BODY_TOO_LARGE)
         parts.append(part)
 
 
--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 
 import aiohttp
@@ -15,8 +15,10 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from mothshunt.core.clock import Clock
 from mothshunt.dispatch.const import MAX_LINE_BYTES
 from mothshunt.dispatch.pool import ConnectionPools, OpenConnection
+from mothshunt.dispatch.watch import Handover
 
 
 class BrokenError(Exception):
@@ -27,10 +29,6 @@
     """Tell that the room for the request ended before a byte was handed over."""
 
 
-class SilentError(Exception):
-    """Tell that a kept-alive connection stayed silent for too long."""
-
-
 class TargetRequest(ClientRequest):
     """Send the header fields as they are given."""
 
@@ -51,20 +49,6 @@
         """
 
 
-class Handover:
-    """Follow one request to a target.
-
-    :param may_send: Tells, right before the request is sent, whether it may be.
-    """
-
-    __slots__ = ("done", "may_send")
-
-    def __init__(self, may_send: Callable[[], bool]) -> None:
-        self.may_send = may_send
-        #: Whether a byte of the request may have been handed to a connection.
-        self.done = False
-
-
 @dataclass(slots=True)
 class Outgoing:
     """Hold a request as it goes to a target.
@@ -93,9 +77,12 @@
 
     Requests that may not be repeated, and those whose body is streamed, get a
     connection of their own, which is closed after the answer.
+
+    :param clock: Source of the present time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._pools = ConnectionPools()
 
@@ -109,7 +96,6 @@
         :return: The answer; whoever gets it closes or reads it.
         :raises NotConnectedError: Not one byte was handed over.
         :raises LeaseEndedError: The request might not be sent any more.
-        :raises SilentError: A kept-alive connection stayed silent for too long.
         :raises BrokenError: The request may have reached the target.
         """
         url = URL(f"http://{outgoing.authority}{outgoing.tail}", encoded=True)
@@ -128,12 +114,10 @@
             if not handover.may_send():
                 raise LeaseEndedError
             handover.done = True
-            response = await _async_exchange(request, opened, outgoing)
-        except aiohttp.SocketTimeoutError as error:
-            opened.connection.close()
-            # What lost track of one connection may have lost the others as well.
-            self._pools.retire(outgoing.authority)
-            raise SilentError from error
+            if opened.reused and outgoing.silence_limit_s is not None:
+                handover.silent_at = self._clock.monotonic() + outgoing.silence_limit_s
+            response = await _async_exchange(request, opened)
+            handover.silent_at = None
         except (aiohttp.ClientError, OSError) as error:
             opened.connection.close()
             raise BrokenError(str(error)) from error
@@ -144,32 +128,31 @@
             self._pools.note_answer(opened.protocol)
         return response
 
+    def retire(self, authority: str) -> None:
+        """Use none of the connections that are kept alive to a target again.
+
+        :param authority: Host and port of the target.
+        """
+        self._pools.retire(authority)
+
     async def async_close(self) -> None:
         """Close all connections."""
         await self._pools.async_close()
 
 
 async def _async_exchange(
-    request: TargetRequest, opened: OpenConnection, outgoing: Outgoing
+    request: TargetRequest, opened: OpenConnection
 ) -> ClientResponse:
-    protocol = opened.protocol
-    limited = opened.reused and outgoing.silence_limit_s is not None
-    protocol.set_response_params(
+    opened.protocol.set_response_params(
         skip_payload=request.method == hdrs.METH_HEAD,
         read_until_eof=True,
         auto_decompress=False,
-        read_timeout=outgoing.silence_limit_s if limited else None,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
     )
     response = await request.send(opened.connection)
     try:
-        await response.start(opened.connection)
+        return await response.start(opened.connection)
     except BaseException:
         response.close()
         raise
-    if limited:
-        # Only the head is limited; this ends the timer.
-        protocol.read_timeout = None
-        protocol.start_timeout()
-    return response
--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -28,6 +28,8 @@
 MAX_SILENCE_S = 2.0
 SILENCE_DEVIATIONS = 4.0
 SILENCE_FACTOR = 3.0
+#: Steps in which attempts are looked at whose time may be over.
+WATCH_INTERVAL_S = 0.01
 #: Longest time to come back that a target may name.
 MAX_RETRY_AFTER_S = 3600.0
 #: Idle connections of callers are closed after this time.
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding of requests to targets, with retries and at-most-once."""
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from aiohttp import hdrs, web
@@ -10,7 +11,7 @@
 from mothshunt.contract.model import Contract
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import CustomerId, Ran, TargetId
+from mothshunt.core.types import CustomerId, Ran, ServiceName, TargetId
 from mothshunt.dispatch.answer import Answer, answer_headers
 from mothshunt.dispatch.attempt import Attempter, Exchange
 from mothshunt.dispatch.attempt_failure import AttemptFailure
@@ -71,12 +72,15 @@
         self._metrics = metrics
         self._clock = clock
         self._bucket_by_customer: dict[CustomerId, TokenBucket] = {}
+        self._recorder_by_service: dict[
+            tuple[CustomerId, ServiceName], Callable[[float], None]
+        ] = {}
         self._client: TargetClient | None = None
         self._attempter: Attempter | None = None
 
     async def async_start(self) -> None:
         """Make ready to open connections to targets."""
-        self._client = TargetClient()
+        self._client = TargetClient(self._clock)
         self._attempter = Attempter(
             client=self._client, chooser=self._chooser, clock=self._clock
         )
@@ -92,31 +96,34 @@
         :param request: The caller's request.
         """
         started_at = self._clock.monotonic()
-        match read_route(request, self._configuration.current(), started_at):
-            case Result(tag="ok", ok=route):
-                pass
-            case Result(error=failure):
-                return refuse(self._metrics, failure)
+        route = read_route(request, self._configuration.current(), started_at)
+        if isinstance(route, Failure):
+            return refuse(self._metrics, route)
         response = await self._async_forward(request, route)
-        self._metrics.observe(
-            METRIC_LATENCY,
-            self._clock.monotonic() - started_at,
-            customer=route.customer,
-            service=route.service.service,
-        )
+        self._recorder(route)(self._clock.monotonic() - started_at)
         return response
 
+    def _recorder(self, route: Route) -> Callable[[float], None]:
+        key = (route.customer, route.service.service)
+        recorder = self._recorder_by_service.get(key)
+        if recorder is None:
+            recorder = self._recorder_by_service[key] = self._metrics.recorder(
+                METRIC_LATENCY, customer=key[0], service=key[1]
+            )
+        return recorder
+
     async def _async_forward(
         self, request: web.Request, route: Route
     ) -> web.StreamResponse:
-        remaining_s = route.deadline - self._clock.monotonic()
-        match await async_read_body(
-            request, keyed=route.key is not None, timeout_s=remaining_s
-        ):
-            case Result(tag="ok", ok=body):
-                pass
-            case Result(error=failure):
-                return refuse(self._metrics, failure)
+        if request.body_exists:
+            remaining_s = route.deadline - self._clock.monotonic()
+            body = await async_read_body(
+                request, keyed=route.key is not None, timeout_s=remaining_s
+            )
+            if isinstance(body, Failure):
+                return refuse(self._metrics, body)
+        else:
+            body = RequestBody(b"", request)
         if route.key is not None:
             return await self._async_keyed(request, route, body)
         exchange = Exchange(
--- a/mothshunt/dispatch/request.py
+++ b/mothshunt/dispatch/request.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from aiohttp import web
-from expression import Error, Ok, Result
 from multidict import CIMultiDict
 
 from mothshunt.configuration.model import Configuration
@@ -30,7 +29,7 @@
 _KEY = re.compile(ID_PATTERN)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(slots=True)
 class Route:
     """Hold what a caller asks for, before its body is read.
 
@@ -59,12 +58,13 @@
 
 def read_route(
     request: web.Request, configuration: Configuration, now: float
-) -> Result[Route, Failure]:
+) -> Route | Failure:
     """Read what a caller asks for from the head of its request.
 
     :param request: The request; its path begins with ``/v1/services/``.
     :param configuration: Configuration in force.
     :param now: Monotonic time, in seconds.
+    :return: What is asked for, or why that can't be told.
     """
     path, _, query = _raw_target(request)[len(_PREFIX) :].partition("?")
     parts = path.split("/", 2)
@@ -84,16 +84,14 @@
     timeout_ms = _timeout_ms(request.headers.get(HEADER_DEADLINE_MS), service)
     if timeout_ms is None:
         return _refuse(codes.BAD_HEADER, HEADER_DEADLINE_MS)
-    return Ok(
-        Route(
-            contract=contract,
-            service=service,
-            method=request.method,
-            tail=f"{below}?{query}" if query else below,
-            idempotent=idempotent,
-            key=None if key is None else IdempotencyKey(key),
-            deadline=now + timeout_ms / MILLISECONDS_PER_SECOND,
-        )
+    return Route(
+        contract,
+        service,
+        request.method,
+        f"{below}?{query}" if query else below,
+        idempotent,
+        None if key is None else IdempotencyKey(key),
+        now + timeout_ms / MILLISECONDS_PER_SECOND,
     )
 
 
@@ -150,5 +148,5 @@
     return [name.strip() for name in value.split(",") if name.strip()]
 
 
-def _refuse(code: ResultCode, detail: str = "") -> Result[Route, Failure]:
-    return Error(Failure(code=code, detail=detail))
+def _refuse(code: ResultCode, detail: str = "") -> Failure:
+    return Failure(code=code, detail=detail)
--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -144,7 +144,10 @@
 
     async def _async_answer(self, request: web.Request) -> web.StreamResponse:
         try:
-            if request.path.startswith(_SERVICES_PREFIX):
+            # The first form is usual; the second covers an absolute request target.
+            if request.raw_path.startswith(_SERVICES_PREFIX) or (
+                request.path.startswith(_SERVICES_PREFIX)
+            ):
                 return await self._forwarder.async_handle(request)
             handler = self._handler_by_route.get((request.method, request.path))
             if handler is None:
