--- a/mothshunt/metrics/registry.py
+++ b/mothshunt/metrics/registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 
@@ -77,6 +78,17 @@
         :param seconds: The latency.
         :param labels: Labels of the series.
         """
+        _record(self._histogram(name, labels), seconds)
+
+    def recorder(self, name: str, **labels: str) -> Callable[[float], None]:
+        """Return a function that records latencies of one series, in seconds.
+
+        :param name: Metric name; ends in ``_seconds``.
+        :param labels: Labels of the series.
+        """
+        return partial(_record, self._histogram(name, labels))
+
+    def _histogram(self, name: str, labels: dict[str, str]) -> HdrHistogram:
         series = _series(name, labels)
         histogram = self.histogram_by_series.get(series)
         if histogram is None:
@@ -84,8 +96,7 @@
                 LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS
             )
             self.histogram_by_series[series] = histogram
-        value_us = max(LOWEST_LATENCY_US, int(seconds * MICROSECONDS_PER_SECOND))
-        histogram.record_value(min(value_us, HIGHEST_LATENCY_US))
+        return histogram
 
     def render(self) -> str:
         """Return all metrics in the text exposition format."""
@@ -104,6 +115,11 @@
     return Series(name, tuple(sorted(labels.items())))
 
 
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    value_us = max(LOWEST_LATENCY_US, int(seconds * MICROSECONDS_PER_SECOND))
+    histogram.record_value(min(value_us, HIGHEST_LATENCY_US))
+
+
 def _by_text(item: tuple[Series, object]) -> str:
     return item[0].render()
 
