--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -4,7 +4,7 @@
 import json
 from urllib.parse import urlencode
 
-from mothshunt.access.state import token_sha256
+from mothshunt.access.token import token_sha256
 from mothshunt.admin.coordinator import AdminServer
 from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.state import ReplicatedConfiguration
@@ -18,8 +18,8 @@
     ListenSettings,
     Settings,
 )
+from testkit.loop_thread import LoopThread
 from tests.support.admin_fakes import FakeLog, FakeSource, FakeStatus, FakeTargets
-from tests.support.loop_thread import LoopThread
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
 FREE_PORT = 0
@@ -42,7 +42,8 @@
 class AdminDeployment:
     """Run administration servers that share one configuration."""
 
-    def __init__(self, stack):
+    def __init__(self, stack, clock=None):
+        self.clock = clock or SystemClock()
         self.loop = LoopThread()
         stack.callback(self.loop.close)
         self._stack = stack
@@ -68,7 +69,7 @@
             log=self.log if is_control else None,
             metrics=self.metrics,
             is_ready=lambda: self.ready,
-            clock=SystemClock(),
+            clock=self.clock,
             targets=self.targets,
         )
         self.loop.run(server.async_start())
