--- a/tests/dispatch/at_most_once.feature
+++ b/tests/dispatch/at_most_once.feature
@@ -77,3 +77,16 @@
     When a dispatch caller uploads 10 bytes with PUT "/orders/7"
     Then the dispatch caller got code 2017 with ran no
     And target "t1" was reached 0 times
+
+  Scenario Outline: A caller that repeats a PUT by itself is given no cause to
+    Given a dispatch entry
+    And a raw target "t1" that <behaviour>
+    When a dispatch caller whose library repeats requests sends PUT "/orders/7" 20 times
+    Then target "t1" was reached 20 times
+
+    Examples:
+      | behaviour                   |
+      | closes after reading        |
+      | sends a short body          |
+      | sends chunks without an end |
+      | breaks off a large answer   |
--- a/tests/steps/dispatch_input.py
+++ b/tests/steps/dispatch_input.py
@@ -60,6 +60,24 @@
     context.answers.append(context.runner.run(coroutine))
 
 
+@when(
+    "a dispatch caller whose library repeats requests "
+    'sends {method} "{path}" {times:d} times'
+)
+def repeats(context, method, path, times):
+    async def send_all():
+        url = f"http://127.0.0.1:{context.server.port}{BASE}{path}"
+        async with aiohttp.ClientSession() as session:
+            for _ in range(times):
+                try:
+                    async with session.request(method, url, data=b"x") as response:
+                        await response.read()
+                except aiohttp.ClientError:
+                    pass
+
+    context.runner.run(send_all())
+
+
 @when("a dispatch caller breaks off a streamed body")
 def breaks_off(context):
     head = (
