Log a fault of a handler at most once a second, and bound an answer before it is recorded

Refusals are counted all the same. An answer larger than the ledger keeps is cut off at the entry in place of at the log.

--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -39,6 +39,8 @@
 #: A drain has ended when nothing was in flight for this time.
 DRAIN_QUIET_S = 0.2
 DRAIN_POLL_S = 0.02
+#: At most one fault of a handler is logged in this time.
+FAULT_LOG_INTERVAL_S = 1.0
 #: Longest wait for requests in flight when the server stops without a drain.
 STOP_TIMEOUT_S = 10.0
 #: Attempts at one request, the first included.
--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -1,6 +1,7 @@
 """HTTP server on the traffic address of an entry instance."""
 
 import asyncio
+import traceback
 from collections.abc import Mapping
 from typing import Any
 
@@ -18,6 +19,7 @@
     CALLER_KEEPALIVE_S,
     DRAIN_POLL_S,
     DRAIN_QUIET_S,
+    FAULT_LOG_INTERVAL_S,
     MAX_HEADERS,
     MAX_LINE_BYTES,
     METRIC_CANCELLED,
@@ -68,6 +70,7 @@
         self._metrics = metrics
         self._in_flight = 0
         self._leaving = False
+        self._next_fault_log_at = 0.0
         self._protocols: _ProtocolFactory | None = None
         self._server: asyncio.Server | None = None
 
@@ -156,12 +159,21 @@
         except (ConnectionError, web.HTTPException):
             raise
         except Exception as error:
-            _LOGGER.error("a request met a fault", error=repr(error))
+            self._log_fault(error)
             failure = Failure(
                 code=codes.INTERNAL, detail=type(error).__name__, ran=Ran.UNKNOWN
             )
             return refuse(self._metrics, failure)
 
+    def _log_fault(self, error: Exception) -> None:
+        """Log a fault, but not each of a flood; the refusals are all counted."""
+        now = asyncio.get_running_loop().time()
+        if now < self._next_fault_log_at:
+            return
+        self._next_fault_log_at = now + FAULT_LOG_INTERVAL_S
+        trace = traceback.format_exception(error)
+        _LOGGER.error("a request met a fault", error=repr(error), trace=trace)
+
 
 class _ProtocolFactory(web.Server):
     """Make the protocol of each connection."""
--- a/mothshunt/ledger/client.py
+++ b/mothshunt/ledger/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
 
@@ -15,6 +15,7 @@
 from mothshunt.ledger.const import (
     ASK_PAUSE_S,
     ASK_TIMEOUT_S,
+    MAX_BODY_BYTES,
     MAX_UNSETTLED,
     METRIC_CLAIM_LATENCY,
     METRIC_CLAIMS,
@@ -158,6 +159,8 @@
 
         :param answer: What the target answered.
         """
+        if answer.body is not None and len(answer.body) > MAX_BODY_BYTES:
+            answer = replace(answer, headers=(), body=None)
         command = Record(
             key=self.command.key, attempt=self.command.attempt, answer=answer
         )
