Keep the kit's caller from repeating requests by itself

Cause: the caller's aiohttp session sent each once more when the killed entry's connection broke, got a refused connection, and the caller then took that for 'not sent' and went to the next entry. Ruled out: the entries, whose client opens connections without a session.

--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -231,14 +231,16 @@
 
 
 def make_session(*, kept_connections: bool = True) -> aiohttp.ClientSession:
-    """Return an HTTP client for callers.
+    """Return an HTTP client for callers; it sends each request once.
 
-    :param kept_connections: Whether connections are used again. aiohttp repeats some
-        requests by itself when a kept connection turns out closed; a caller that
-        counts runs of PUT or DELETE needs new ones.
+    :param kept_connections: Whether connections are used again.
     """
     connector = aiohttp.TCPConnector(limit=0, force_close=not kept_connections)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+    # aiohttp repeats GET, PUT and DELETE by itself when a connection breaks, new ones
+    # included. Its own test client turns that off in this way; there is no other.
+    session._retry_connection = False
+    return session
 
 
 def _judge(
--- a/testkit/fleet.py
+++ b/testkit/fleet.py
@@ -136,7 +136,8 @@
 
         :param name: Name of the target.
         """
-        return read_journal(journal_path(self._folder, name))
+        runs = read_journal(journal_path(self._folder, name))
+        return [{**run, "target": name} for run in runs]
 
     def stats(self, name: str) -> dict[str, Any]:
         """Return the sums that a target keeps.
