--- a/tests/steps/promise_setup.py
+++ b/tests/steps/promise_setup.py
@@ -1,5 +1,7 @@
 """Steps that set up real processes, shared by the features of promises."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from testkit.environment import Environment
@@ -98,6 +100,14 @@
     add_by_region(context, customer, targets)
 
 
+@given("today's warm targets of {service} of {customer}")
+def full_warm(context, service, customer):
+    profiles = PROFILES_BY_CUSTOMER[customer]
+    targets = [t for p in profiles if p.service == service for t in full_targets(p)]
+    warm = [replace(target, cold_requests=0) for target in targets]
+    add_by_region(context, customer, warm)
+
+
 @given("one target of {service} of {customer} in each region")
 def thin_of_service(context, service, customer):
     profiles = PROFILES_BY_CUSTOMER[customer]
