--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -1,174 +1,175 @@
 """HTTP client towards targets: each request is handed to one connection once.
 
-Two properties of ``aiohttp`` are pinned here and nowhere else. A session sends
-idempotent methods, PUT and DELETE included, a second time when a connection breaks;
-the middleware ends that by raising an error that the session does not know. And a
-kept-alive connection on which unasked bytes arrived would give them out as the next
-answer; ``TargetRequest`` turns such a connection down before a byte is handed over.
+Requests go to a connector directly, not through a session of ``aiohttp``: a session
+sends idempotent methods, PUT and DELETE included, a second time when a connection
+breaks.
 """
 
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+import asyncio
+from collections.abc import AsyncIterator, Callable, Iterable
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import ClientRequest, ClientResponse, hdrs
-from aiohttp.client_middlewares import ClientHandlerType
-from aiohttp.connector import Connection
+from aiohttp.typedefs import LooseHeaders
 from multidict import CIMultiDict
 from yarl import URL
 
-from mothshunt.dispatch.const import (
-    CONNECT_TIMEOUT_S,
-    IDLE_CONNECTION_S,
-    MAX_LINE_BYTES,
-)
-
-_CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-_SKIPPED_HEADERS = (hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.USER_AGENT)
-
-
-class NotConnectedError(Exception):
-    """Tell that no connection was opened, so that not one byte was handed over."""
+from mothshunt.dispatch.const import MAX_LINE_BYTES
+from mothshunt.dispatch.pool import ConnectionPools, OpenConnection
 
 
 class BrokenError(Exception):
     """Tell that a connection broke after the request was handed to it."""
 
 
-class StaleConnectionError(Exception):
-    """Tell that a kept-alive connection held bytes that nobody asked for."""
-
-
 class LeaseEndedError(Exception):
     """Tell that the room for the request ended before a byte was handed over."""
 
 
+class SilentError(Exception):
+    """Tell that a kept-alive connection stayed silent for too long."""
+
+
 class TargetRequest(ClientRequest):
-    """Note the moment at which a request is handed to a connection."""
+    """Send the header fields as they are given."""
+
+    def update_headers(self, headers: LooseHeaders | None) -> None:
+        """Take the header fields without a copy.
 
-    handed_over = False
-    handover: "Handover | None" = None
+        :param headers: Header fields; owned by this request.
+        """
+        assert isinstance(headers, CIMultiDict)
+        if hdrs.HOST not in headers:
+            headers[hdrs.HOST] = self.url.host_port_subcomponent or ""
+        self.headers = headers
 
-    async def send(self, conn: Connection) -> ClientResponse:
-        """Hand the request to a connection.
+    def update_auto_headers(self, skip_auto_headers: Iterable[str] | None) -> None:
+        """Add nothing.
 
-        :param conn: The connection.
+        :param skip_auto_headers: Not used.
         """
-        protocol = conn.protocol
-        if protocol is None or protocol.should_close:
-            raise StaleConnectionError
-        # The process may have been frozen since the room was taken.
-        if self.handover is not None and not self.handover.may_send():
-            raise LeaseEndedError
-        self.handed_over = True
-        return await super().send(conn)
 
 
 class Handover:
-    """Follow one request to a target; a client middleware of that request.
+    """Follow one request to a target.
 
     :param may_send: Tells, right before the request is sent, whether it may be.
     """
 
-    __slots__ = ("_request", "may_send")
+    __slots__ = ("done", "may_send")
 
     def __init__(self, may_send: Callable[[], bool]) -> None:
         self.may_send = may_send
-        self._request: TargetRequest | None = None
-
-    @property
-    def done(self) -> bool:
-        """Whether a byte of the request may have been handed to a connection."""
-        return self._request is not None and self._request.handed_over
-
-    async def __call__(
-        self, request: ClientRequest, handler: ClientHandlerType
-    ) -> ClientResponse:
-        """Send the request once.
+        #: Whether a byte of the request may have been handed to a connection.
+        self.done = False
+
+
+@dataclass(slots=True)
+class Outgoing:
+    """Hold a request as it goes to a target.
+
+    :param method: HTTP method.
+    :param authority: Host and port of the target.
+    :param tail: Path and query, encoded.
+    :param headers: Header fields, owned by this request.
+    :param body: Whole body, or its parts; ``None`` for no body.
+    :param reuse: Whether a kept-alive connection may be used.
+    :param silence_limit_s: How long a kept-alive connection may stay silent;
+        ``None`` for as long as it likes.
+    """
 
-        :param request: The request.
-        :param handler: Connects and sends.
-        """
-        assert isinstance(request, TargetRequest)
-        self._request = request
-        request.handover = self
-        try:
-            return await handler(request)
-        except _CONNECT_ERRORS as error:
-            raise NotConnectedError(str(error)) from error
-        except (aiohttp.ClientError, OSError) as error:
-            if not request.handed_over:
-                raise NotConnectedError(str(error)) from error
-            raise BrokenError(str(error)) from error
+    method: str
+    authority: str
+    tail: str
+    headers: CIMultiDict[str]
+    body: bytes | AsyncIterator[bytes] | None
+    reuse: bool
+    silence_limit_s: float | None
 
 
 class TargetClient:
-    """Keep the connections to targets.
+    """Send requests to targets.
 
     Requests that may not be repeated, and those whose body is streamed, get a
     connection of their own, which is closed after the answer.
     """
 
     def __init__(self) -> None:
-        self._pooled = _session(
-            aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_CONNECTION_S, use_dns_cache=False
-            )
-        )
-        self._single = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._loop = asyncio.get_running_loop()
+        self._pools = ConnectionPools()
 
     async def async_send(
-        self,
-        handover: Handover,
-        *,
-        method: str,
-        url: URL,
-        headers: CIMultiDict[str],
-        body: bytes | AsyncIterator[bytes] | None,
-        reuse: bool,
+        self, outgoing: Outgoing, handover: Handover
     ) -> ClientResponse:
         """Send a request and wait for the head of the answer.
 
+        :param outgoing: The request.
         :param handover: Follows this request.
-        :param method: HTTP method.
-        :param url: Address at the target.
-        :param headers: Header fields, without those of one connection.
-        :param body: Whole body, or its parts; ``None`` for no body.
-        :param reuse: Whether a kept-alive connection may be used.
         :return: The answer; whoever gets it closes or reads it.
         :raises NotConnectedError: Not one byte was handed over.
         :raises LeaseEndedError: The request might not be sent any more.
+        :raises SilentError: A kept-alive connection stayed silent for too long.
         :raises BrokenError: The request may have reached the target.
         """
-        session = self._pooled if reuse else self._single
-        options: dict[str, Any] = {"data": body} if body is not None else {}
-        while True:
-            try:
-                return await session.request(
-                    method,
-                    url,
-                    headers=headers,
-                    allow_redirects=False,
-                    middlewares=(handover,),
-                    **options,
-                )
-            except StaleConnectionError:
-                continue
+        url = URL(f"http://{outgoing.authority}{outgoing.tail}", encoded=True)
+        request = TargetRequest(
+            outgoing.method,
+            url,
+            headers=outgoing.headers,
+            data=outgoing.body,
+            loop=self._loop,
+        )
+        opened = await self._pools.async_connect(
+            request, outgoing.authority, reuse=outgoing.reuse
+        )
+        try:
+            # The process may have been frozen since the room was taken.
+            if not handover.may_send():
+                raise LeaseEndedError
+            handover.done = True
+            response = await _async_exchange(request, opened, outgoing)
+        except aiohttp.SocketTimeoutError as error:
+            opened.connection.close()
+            # What lost track of one connection may have lost the others as well.
+            self._pools.retire(outgoing.authority)
+            raise SilentError from error
+        except (aiohttp.ClientError, OSError) as error:
+            opened.connection.close()
+            raise BrokenError(str(error)) from error
+        except BaseException:
+            opened.connection.close()
+            raise
+        if outgoing.reuse:
+            self._pools.note_answer(opened.protocol)
+        return response
 
     async def async_close(self) -> None:
         """Close all connections."""
-        await self._pooled.close()
-        await self._single.close()
+        await self._pools.async_close()
 
 
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        request_class=TargetRequest,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+async def _async_exchange(
+    request: TargetRequest, opened: OpenConnection, outgoing: Outgoing
+) -> ClientResponse:
+    protocol = opened.protocol
+    limited = opened.reused and outgoing.silence_limit_s is not None
+    protocol.set_response_params(
+        skip_payload=request.method == hdrs.METH_HEAD,
+        read_until_eof=True,
         auto_decompress=False,
-        skip_auto_headers=_SKIPPED_HEADERS,
+        read_timeout=outgoing.silence_limit_s if limited else None,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
     )
+    response = await request.send(opened.connection)
+    try:
+        await response.start(opened.connection)
+    except BaseException:
+        response.close()
+        raise
+    if limited:
+        # Only the head is limited; this ends the timer.
+        protocol.read_timeout = None
+        protocol.start_timeout()
+    return response
