Let drains of zones complete when targets report no change of load

Weighed: having loads told of again; ruled out, it costs messages at rest. What is known of targets is current after the longest delay of a change of load, so the check waits for that instead; reports of instances come each second and are still asked for.

Conclusion: the scenario on a customer's target covers the delay.

--- a/mothshunt/admin/progress.py
+++ b/mothshunt/admin/progress.py
@@ -10,6 +10,9 @@
 from mothshunt.drain.model import Drain, DrainKind
 
 STATE_LOST = "lost"
+#: Seconds after which a target's change of load is known here: it is announced each
+#: second, told of each second at most, and only when it changed.
+TARGET_REPORT_DELAY_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,7 +52,7 @@
         counts = tuple(_in_flight(drain, around))
         in_flight = sum(counts) if counts else None
         cached_s = _cached_lookups_s(drain, around, since)
-        is_current = not any(at < since for at in _measured_at(drain, around))
+        is_reported = _is_reported_since(drain, around, since)
         return DrainDocument(
             kind=drain.kind.value,
             name=drain.name,
@@ -60,7 +63,7 @@
             lost=tuple(s.id for s in around.statuses if s.state == STATE_LOST),
             in_flight=in_flight,
             cached_lookups_s=round(cached_s, 1),
-            complete=not (pending or in_flight or cached_s) and is_current,
+            complete=not (pending or in_flight or cached_s) and is_reported,
         )
 
     def keep_only(self, drains: Sequence[tuple[Drain, Revision]]) -> None:
@@ -95,13 +98,14 @@
             yield target.report.in_flight
 
 
-def _measured_at(drain: Drain, around: Surroundings) -> Iterator[float]:
+def _is_reported_since(drain: Drain, around: Surroundings, since: float) -> bool:
+    """Tell whether the loads known here are from after the drain was in force."""
     for status in _instances(drain, around):
-        if status.age_s is not None:
-            yield around.now - status.age_s
-    for target in _targets(drain, around):
-        if target.report is not None:
-            yield target.report.measured_at
+        if status.age_s is None or around.now - status.age_s < since:
+            return False
+    if any(target.report for target in _targets(drain, around)):
+        return around.now - since >= TARGET_REPORT_DELAY_S
+    return True
 
 
 def _instances(drain: Drain, around: Surroundings) -> Iterator[InstanceStatus]:
--- a/tests/admin/operators.feature
+++ b/tests/admin/operators.feature
@@ -47,6 +47,13 @@
     When GET /v1/drains/target/t1 is asked by operator "budi"
     Then the answer's "in_flight" is 2
     And the answer's "complete" is False
+    Given the target "t1" of "rackhaven" has 0 requests in flight
+    When 2.9 seconds pass at the administration API
+    And GET /v1/drains/target/t1 is asked by operator "budi"
+    Then the answer's "complete" is False
+    When 0.1 seconds pass at the administration API
+    And GET /v1/drains/target/t1 is asked by operator "budi"
+    Then the answer's "complete" is True
 
   Scenario: Tokens are kept as hashes and never shown again
     Then the token of "budi" is not in the replicated configuration
