Show drains with the loads of all regions

Cause: a target drained in another region than that of the control instance asked had an unknown number of requests in flight, since loads are passed on within their region only; the table of the relay holds all of them.

Change: the administration API is given the relay's table.

Conclusion: progress of drains no longer depends on which instance is asked.

--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -67,6 +67,7 @@
         def is_ready() -> bool:
             return daemon.is_ready
 
+        relay = _relay(base, control, discovery) if control else None
         admin = AdminServer(
             settings=settings,
             configuration=control.configuration if control else None,
@@ -76,9 +77,9 @@
             metrics=base.metrics,
             is_ready=is_ready,
             clock=base.clock,
-            targets=table,
+            # Only a relay hears of the loads of all regions.
+            targets=relay.table if relay else table,
         )
-        relay = _relay(base, control, discovery) if control else None
         daemon = cls(base, discovery, admin, control, relay)
         return daemon
 
