Don't call a target drained that reports no load

Cause: a target without reports had nothing known in flight, which counted as nothing in flight.

Change: such a target's drain is not complete while the target is known.

Conclusion: complete means that reports say so.

--- a/mothshunt/admin/progress.py
+++ b/mothshunt/admin/progress.py
@@ -103,9 +103,10 @@
     for status in _instances(drain, around):
         if status.age_s is None or around.now - status.age_s < since:
             return False
-    if any(target.report for target in _targets(drain, around)):
-        return around.now - since >= TARGET_REPORT_DELAY_S
-    return True
+    targets = list(_targets(drain, around))
+    if not all(target.report for target in targets):
+        return False
+    return not targets or around.now - since >= TARGET_REPORT_DELAY_S
 
 
 def _instances(drain: Drain, around: Surroundings) -> Iterator[InstanceStatus]:
--- a/tests/admin/operators.feature
+++ b/tests/admin/operators.feature
@@ -55,6 +55,15 @@
     And GET /v1/drains/target/t1 is asked by operator "budi"
     Then the answer's "complete" is True
 
+  Scenario: A target that reports no load is never said to be drained
+    Given the target "t1" of "rackhaven" is known without a report
+    When PUT /v1/drains/target/t1?change_id=x&base_revision=0 is asked by operator "budi"
+    And GET /v1/drains/target/t1 is asked by operator "budi"
+    And 60 seconds pass at the administration API
+    And GET /v1/drains/target/t1 is asked by operator "budi"
+    Then the answer's "in_flight" is None
+    And the answer's "complete" is False
+
   Scenario: Tokens are kept as hashes and never shown again
     Then the token of "budi" is not in the replicated configuration
     When GET /v1/audit?values=true is asked by the bootstrap administrator
--- a/tests/steps/admin_operators.py
+++ b/tests/steps/admin_operators.py
@@ -41,6 +41,12 @@
 
 @given('the target "{name}" of "{customer}" has {in_flight:d} requests in flight')
 def know_target(context, name, customer, in_flight):
+    report = LoadReport(in_flight=in_flight, connections=1, measured_at=0.0)
+    know_target_with(context, name, customer, report)
+
+
+@given('the target "{name}" of "{customer}" is known without a report')
+def know_target_with(context, name, customer, report=None):
     contract = parsed(contracts.rackhaven())
     service = contract.services[0].service
     target = Target(
@@ -55,7 +61,7 @@
         slots=3,
         state=TargetState.SERVING,
         first_seen_at=0.0,
-        report=LoadReport(in_flight=in_flight, connections=1, measured_at=0.0),
+        report=report,
     )
     context.admin.source.contract_by_customer[customer] = contract
     context.admin.targets.targets_by_service[customer, service] = (target,)
