Keep aiohttp from repeating the requests of the command line

Cause: aiohttp's session sends GET, PUT and DELETE again by itself when the connection breaks, on a new connection as well as on a kept-alive one. The command line took a refusal of the second copy as proof that nothing was changed and exited with 3, although the first copy may have been accepted.

Weighed: force_close, which was there and doesn't prevent it; a private attribute of the session, ruled out. A client middleware sees each sending and ends the second one.

Change: each copy of a request is sent by the command line itself, which remembers lost answers; a refusal after one exits with 5. Reads are told apart from changes, so a read that is refused after a lost answer exits with 3. An instance without the role control is refused as a voter (3021); before, members add waited for a learner that never catches up.

Run: behave tests/cli -n 'No copy is sent|A refusal after' failed before (two copies; exit 3) and passes after; behave tests/cli (33 scenarios passed).

Conclusion: exit code 3 means that nothing was changed.

--- a/mothshunt/admin/codes.py
+++ b/mothshunt/admin/codes.py
@@ -128,6 +128,13 @@
     summary="The only voter can't be removed.",
     action="Add another voter first.",
 )
+VOTER_WITHOUT_ROLE = ResultCode(
+    number=3021,
+    name="voter_without_role",
+    http_status=409,
+    summary="The instance doesn't have the role control and keeps no log.",
+    action="Give it the role and a data folder in its settings and start it again.",
+)
 INTERNAL = ResultCode(
     number=3019,
     name="admin_internal_error",
--- a/mothshunt/admin/voters.py
+++ b/mothshunt/admin/voters.py
@@ -10,7 +10,8 @@
 from mothshunt.admin.parameters import ReadQuery, VoterBody
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.consensus.model import ConsensusStatus, ReplicatedLog, Voter
-from mothshunt.core.types import InstanceId
+from mothshunt.core.types import InstanceId, Role
+from mothshunt.membership.model import InstanceRecord
 from mothshunt.settings.config import MAX_CONTROL_INSTANCES
 
 
@@ -65,7 +66,10 @@
         body = call.document(VoterBody)
         if body.is_error():
             return Error(body.error)
-        voter = self._voter(body.ok)
+        record = self._source.current().instance_by_id.get(body.ok.id)
+        if record is not None and Role.CONTROL not in record.roles:
+            return refuse(codes.VOTER_WITHOUT_ROLE, record.id)
+        voter = _voter(body.ok, record)
         if voter is None:
             return refuse(codes.VOTER_UNKNOWN, f"no peer address of {body.ok.id}")
         status = self._log.status()
@@ -94,13 +98,13 @@
             return Error(Refusal(failure=removed.error))
         return Ok(_reply(id, removed.ok))
 
-    def _voter(self, body: VoterBody) -> Voter | None:
-        if body.host is not None and body.port is not None:
-            return Voter(id=body.id, host=body.host, port=body.port)
-        record = self._source.current().instance_by_id.get(body.id)
-        if record is None or not record.peer_port:
-            return None
-        return Voter(id=body.id, host=record.peer_host, port=record.peer_port)
+
+def _voter(body: VoterBody, record: InstanceRecord | None) -> Voter | None:
+    if body.host is not None and body.port is not None:
+        return Voter(id=body.id, host=body.host, port=body.port)
+    if record is None:
+        return None
+    return Voter(id=body.id, host=record.peer_host, port=record.peer_port)
 
 
 def _reply(voter: InstanceId, log_index: int | None) -> Reply:
--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -4,7 +4,7 @@
 import json
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Self
 from urllib.parse import quote
@@ -46,13 +46,15 @@
     :param path: Path.
     :param query: Parameters.
     :param body: Body.
+    :param is_read: Whether it changes nothing.
     :param timeout_s: Seconds to wait for one answer.
     """
 
     method: str
     path: str
-    query: Mapping[str, str]
+    query: Mapping[str, str] = field(default_factory=dict)
     body: bytes | None = None
+    is_read: bool = False
     timeout_s: float = ATTEMPT_TIMEOUT_S
 
 
@@ -70,6 +72,30 @@
     text: str = ""
 
 
+class SendOnce:
+    """Keep aiohttp from sending a request again by itself.
+
+    It does so for GET, PUT and DELETE when the connection breaks, also a new one; a
+    refusal of the second copy would then hide that the first one may have been run.
+    """
+
+    def __init__(self) -> None:
+        self._is_sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send the request, the first time only.
+
+        :param request: The request.
+        :param handler: Sends it.
+        """
+        if self._is_sent:
+            raise aiohttp.ServerDisconnectedError
+        self._is_sent = True
+        return await handler(request)
+
+
 class ApiClient:
     """Ask the instances in turn until one answers.
 
@@ -86,7 +112,7 @@
 
     async def __aenter__(self) -> Self:
         """Open the session."""
-        # A kept-alive connection would let aiohttp repeat a request unseen.
+        # A kept-alive connection may have gone silent.
         connector = aiohttp.TCPConnector(force_close=True)
         self._session = aiohttp.ClientSession(connector=connector)
         return self
@@ -105,7 +131,7 @@
         :param query: Parameters.
         """
         return await self.async_send(
-            ApiRequest(method="GET", path=path, query=query or {})
+            ApiRequest(method="GET", path=path, query=query or {}, is_read=True)
         )
 
     async def async_send(self, request: ApiRequest) -> Result[Any, CommandFailure]:
@@ -127,14 +153,14 @@
                     return Ok(last.document)
                 if last.end is AttemptEnd.REFUSED:
                     return Error(_refused(last, lost))
-                if last.end is AttemptEnd.LOST:
+                if last.end is AttemptEnd.LOST and not request.is_read:
                     lost = last
                 if last.end is not AttemptEnd.UNREACHABLE:
                     unreachable_rounds = 0
-            if time.monotonic() + ROUND_PAUSE_S > deadline:
-                break
+                if time.monotonic() > deadline:
+                    return Error(_given_up(last, lost))
             await asyncio.sleep(ROUND_PAUSE_S)
-        return Error(_given_up(last, lost if request.method != "GET" else None))
+        return Error(_given_up(last, lost))
 
     async def async_get_from(
         self, url: str, query: Mapping[str, str]
@@ -144,7 +170,7 @@
         :param url: Whole URL.
         :param query: Parameters.
         """
-        request = ApiRequest(method="GET", path="", query=query)
+        request = ApiRequest(method="GET", path="", query=query, is_read=True)
         attempt = await self._async_exchange(url, request, {})
         if attempt.end is AttemptEnd.ANSWERED:
             return Ok(attempt.document)
@@ -171,6 +197,7 @@
                 data=request.body,
                 headers=headers,
                 allow_redirects=False,
+                middlewares=(SendOnce(),),
                 timeout=aiohttp.ClientTimeout(
                     total=request.timeout_s, sock_connect=CONNECT_TIMEOUT_S
                 ),
--- a/mothshunt/cli/commands/contract.py
+++ b/mothshunt/cli/commands/contract.py
@@ -111,7 +111,9 @@
         return Error(contract.error)
     customer, text = contract.ok
     answer = await client.async_send(
-        ApiRequest(method="POST", path=f"{_path(customer)}/diff", query={}, body=text)
+        ApiRequest(
+            method="POST", path=f"{_path(customer)}/diff", body=text, is_read=True
+        )
     )
     return answer.map(lambda document: CommandOutput(document=document))
 
@@ -198,7 +200,9 @@
 
 
 def _validation(text: bytes) -> ApiRequest:
-    return ApiRequest(method="POST", path="/v1/contracts/validate", query={}, body=text)
+    return ApiRequest(
+        method="POST", path="/v1/contracts/validate", body=text, is_read=True
+    )
 
 
 def _customer_of(text: bytes) -> str | None:
--- a/tests/admin/voters.feature
+++ b/tests/admin/voters.feature
@@ -26,6 +26,11 @@
     When DELETE /v1/voters/b1 is asked by the bootstrap administrator
     Then the administration API refuses with 404 and code 3017 "voter_unknown"
 
+  Scenario: An instance without the role control can't vote
+    Given the instance "b1" is recorded as an entry only
+    When a voter is posted as {"id": "b1"}
+    Then the administration API refuses with 409 and code 3021 "voter_without_role"
+
   Scenario: The only voter stays
     When DELETE /v1/voters/a1 is asked by the bootstrap administrator
     Then the administration API refuses with 409 and code 3018 "last_voter"
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -46,6 +46,19 @@
     And the control instance was sent 2 copies of one change
     And 1 changes of the command line were accepted
 
+  Scenario: No copy is sent without the command line knowing
+    Given the answers to the first 9 PUT requests are lost
+    When "mothshunt contract apply rackhaven.json --timeout 0" is run
+    Then the command exits with 5
+    And the control instance was sent 1 copies of one change
+
+  Scenario: A refusal after a lost answer doesn't say that nothing was changed
+    Given the answers to the first 1 PUT requests are lost
+    And the operator of the command line is removed after the first change
+    When "mothshunt contract apply rackhaven.json" is run
+    Then the command exits with 5
+    And 3 changes of the command line were accepted
+
   Scenario: An outcome that stays unknown can be asked for
     Given the control instance of the command line never hears of commits
     When "mothshunt contract apply rackhaven.json --change-id first --timeout 0.5" is run
@@ -72,6 +85,12 @@
     When "mothshunt status" is run
     Then the command exits with 6
 
+  Scenario: No attempt is begun after the time given
+    Given two addresses of the command line take requests and never answer
+    When "mothshunt contract apply rackhaven.json --base-revision 0 --timeout 0.1" is run
+    Then the command exits with 5
+    And 1 request was taken and not answered
+
   Scenario: A wrong token is refused
     Given the token of the command line is "guessed"
     When "mothshunt status" is run
--- a/tests/cli/reads.feature
+++ b/tests/cli/reads.feature
@@ -46,6 +46,12 @@
     Then the command exits with 3
     And the command complains "3012 change_unknown"
 
+  Scenario: A read whose answer is lost is asked again and its refusal is known
+    Given the answers to the first 1 GET requests are lost
+    When "mothshunt change show third" is run
+    Then the command exits with 3
+    And the command complains "3012 change_unknown"
+
   Scenario: An operator is made, used and removed
     When "mothshunt operators set budi --grant rackhaven=change --output json" is run
     Then the command exits with 0
--- a/tests/steps/admin_operators.py
+++ b/tests/steps/admin_operators.py
@@ -69,11 +69,20 @@
 
 @given('the instance "{name}" is recorded')
 def instance_is_recorded(context, name):
+    record_instance(context, name, Role.CONTROL)
+
+
+@given('the instance "{name}" is recorded as an entry only')
+def entry_is_recorded(context, name):
+    record_instance(context, name, Role.ENTRY)
+
+
+def record_instance(context, name, role):
     context.admin.source.instance_by_id[name] = InstanceRecord(
         id=name,
         region="north",
         availability_zone="north-b",
-        roles=(Role.CONTROL,),
+        roles=(role,),
         traffic_host="",
         traffic_port=0,
         admin_host="127.0.0.1",
--- a/tests/steps/cli_commands.py
+++ b/tests/steps/cli_commands.py
@@ -12,6 +12,8 @@
 
 from behave import given, then, when
 
+from mothshunt.configuration.messages import Change
+from mothshunt.configuration.model import ItemKey, Section
 from tests.support import contracts
 from tests.support.admin_deployment import AdminDeployment
 from tests.support.answer_dropper import AnswerDropper
@@ -50,6 +52,27 @@
     context.addresses.insert(0, f"http://127.0.0.1:{port}")
 
 
+@given("two addresses of the command line take requests and never answer")
+def silent_addresses(context):
+    context.unanswered = 0
+
+    async def async_keep(reader, writer):
+        context.unanswered += 1
+        await reader.read()
+        writer.close()
+
+    loop = context.admin.loop
+    server = loop.run(asyncio.start_server(async_keep, "127.0.0.1", 0))
+    context.stack.callback(lambda: loop.call(server.close))
+    port = server.sockets[0].getsockname()[1]
+    context.addresses = [f"http://127.0.0.1:{port}", f"http://127.0.0.1:{port}/"]
+
+
+@then("{count:d} request was taken and not answered")
+def requests_unanswered(context, count):
+    assert context.unanswered == count, context.unanswered
+
+
 @given("only the address that takes no connection is known")
 def only_unreachable(context):
     unreachable_first(context)
@@ -64,6 +87,31 @@
     context.addresses = [f"http://127.0.0.1:{context.dropper.port}"]
 
 
+@given("the operator of the command line is removed after the first change")
+def operator_removed_after_change(context):
+    run(context, "operators set budi --grant *=change --output json")
+    context.token = json.loads(context.done.stdout)["token"]
+    # The set was sent through the dropper as well; drop the next answer instead.
+    context.dropper.drop_next(1)
+    context.admin.log.after_proposal = lambda: remove_operator(context, "budi")
+
+
+def remove_operator(context, name):
+    context.admin.log.after_proposal = lambda: None
+    key = ItemKey(section=Section.OPERATOR, name=name)
+    change = Change(
+        change_id="removal",
+        operator="bootstrap",
+        key=key,
+        base_revision=context.admin.state.store.revision_of(key),
+        value=None,
+        summary="",
+        made_at_unix_ms=0,
+    )
+    context.admin.log.index += 1
+    context.admin.state.apply(context.admin.log.index, change)
+
+
 @given('the token of the command line is "{token}"')
 def token_of_command(context, token):
     context.token = token
--- a/tests/support/admin_fakes.py
+++ b/tests/support/admin_fakes.py
@@ -1,7 +1,7 @@
 """Stand-ins for what the administration API is built on."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from expression import Error, Ok
@@ -43,6 +43,7 @@
     voters: tuple = (Voter(id="a1", host="127.0.0.1", port=1),)
     failing: bool = False
     losing: bool = False
+    after_proposal: Callable[[], None] = lambda: None
     reads: int = 0
     read_s: float = 0.0
 
@@ -53,6 +54,7 @@
             return Error(Failure(code=NO_MAJORITY, retry_after_s=1.0))
         self.index += 1
         outcome = self.state.apply(self.index, message)
+        self.after_proposal()
         if self.losing:
             return Error(Failure(code=NO_MAJORITY, ran=Ran.UNKNOWN))
         return Ok(wire.pack(outcome))
--- a/tests/support/answer_dropper.py
+++ b/tests/support/answer_dropper.py
@@ -24,6 +24,10 @@
     def port(self):
         return self._server.sockets[0].getsockname()[1]
 
+    def drop_next(self, count):
+        """Drop the answers to the next requests of the method."""
+        self._left = count
+
     async def async_start(self):
         self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
 
