--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -28,6 +28,8 @@
 MAX_SILENCE_S = 2.0
 SILENCE_DEVIATIONS = 4.0
 SILENCE_FACTOR = 3.0
+#: Steps in which attempts are looked at whose time may be over.
+WATCH_INTERVAL_S = 0.01
 #: Longest time to come back that a target may name.
 MAX_RETRY_AFTER_S = 3600.0
 #: Idle connections of callers are closed after this time.
@@ -37,6 +39,8 @@
 #: A drain has ended when nothing was in flight for this time.
 DRAIN_QUIET_S = 0.2
 DRAIN_POLL_S = 0.02
+#: At most one fault of a handler is logged in this time.
+FAULT_LOG_INTERVAL_S = 1.0
 #: Longest wait for requests in flight when the server stops without a drain.
 STOP_TIMEOUT_S = 10.0
 #: Attempts at one request, the first included.
