--- a/tests/steps/admin_operators.py
+++ b/tests/steps/admin_operators.py
@@ -36,6 +36,17 @@
 
 @given('the target "{name}" of "{customer}" is known')
 def target_is_known(context, name, customer):
+    know_target(context, name, customer, 2)
+
+
+@given('the target "{name}" of "{customer}" has {in_flight:d} requests in flight')
+def know_target(context, name, customer, in_flight):
+    report = LoadReport(in_flight=in_flight, connections=1, measured_at=0.0)
+    know_target_with(context, name, customer, report)
+
+
+@given('the target "{name}" of "{customer}" is known without a report')
+def know_target_with(context, name, customer, report=None):
     contract = parsed(contracts.rackhaven())
     service = contract.services[0].service
     target = Target(
@@ -50,7 +61,7 @@
         slots=3,
         state=TargetState.SERVING,
         first_seen_at=0.0,
-        report=LoadReport(in_flight=2, connections=1, measured_at=0.0),
+        report=report,
     )
     context.admin.source.contract_by_customer[customer] = contract
     context.admin.targets.targets_by_service[customer, service] = (target,)
@@ -58,11 +69,20 @@
 
 @given('the instance "{name}" is recorded')
 def instance_is_recorded(context, name):
+    record_instance(context, name, Role.CONTROL)
+
+
+@given('the instance "{name}" is recorded as an entry only')
+def entry_is_recorded(context, name):
+    record_instance(context, name, Role.ENTRY)
+
+
+def record_instance(context, name, role):
     context.admin.source.instance_by_id[name] = InstanceRecord(
         id=name,
         region="north",
         availability_zone="north-b",
-        roles=(Role.CONTROL,),
+        roles=(role,),
         traffic_host="",
         traffic_port=0,
         admin_host="127.0.0.1",
