--- a/mothshunt/consensus/election.py
+++ b/mothshunt/consensus/election.py
@@ -48,7 +48,7 @@
     """
     state.reset_election(now)
     state.leader = None
-    if not state.is_voter:
+    if not state.may_campaign:
         return
     state.role = NodeRole.PRE_CANDIDATE
     state.votes = {state.replica}
--- a/mothshunt/consensus/replication.py
+++ b/mothshunt/consensus/replication.py
@@ -15,7 +15,7 @@
     :param progress: The member.
     :param now: Monotonic time, in seconds.
     """
-    if progress.snapshot_index:
+    if progress.sending:
         return
     if progress.probing:
         if progress.in_flight == 0:
@@ -24,7 +24,7 @@
     while (
         progress.next <= state.log.last_index
         and progress.in_flight < const.MAX_APPENDS_IN_FLIGHT
-        and not progress.snapshot_index
+        and not progress.sending
     ):
         _send_append(state, progress, now)
 
@@ -65,11 +65,11 @@
     behind = progress.match < state.log.last_index
     if not behind and not progress.probing:
         return
-    waits = progress.in_flight > 0 or progress.snapshot_index > 0
+    waits = progress.in_flight > 0 or progress.sending is not None
     if waits and now - progress.sent_at < state.config.resend_s:
         return
     progress.in_flight = 0
-    if progress.snapshot_index:
+    if progress.sending:
         snapshots.send_chunk(state, progress, now)
         return
     if not progress.probing:
@@ -182,7 +182,7 @@
 
 
 def _is_stale_refusal(progress: Progress, answer: AppendAnswer) -> bool:
-    if progress.snapshot_index or answer.index <= progress.match:
+    if progress.sending or answer.index <= progress.match:
         return True
     return progress.probing and answer.index != progress.next - 1
 
--- a/mothshunt/consensus/snapshots.py
+++ b/mothshunt/consensus/snapshots.py
@@ -22,25 +22,22 @@
     """
     if state.snapshot is None:
         raise AssertionError("entries were dropped without a snapshot")
-    progress.snapshot_index = state.snapshot.index
+    progress.sending = state.snapshot
     progress.snapshot_offset = 0
     progress.in_flight = 0
     send_chunk(state, progress, now)
 
 
 def send_chunk(state: NodeState, progress: Progress, now: float) -> None:
-    """Send the next part of a snapshot; of a newer one where there is one.
+    """Send the next part of a snapshot.
 
     :param state: The node, a leader.
     :param progress: The member.
     :param now: Monotonic time, in seconds.
     """
-    snapshot = state.snapshot
+    snapshot = progress.sending
     if snapshot is None:
         return
-    if snapshot.index != progress.snapshot_index:
-        progress.snapshot_index = snapshot.index
-        progress.snapshot_offset = 0
     start = progress.snapshot_offset
     chunk = SnapshotChunk(
         term=state.term,
@@ -67,7 +64,7 @@
     :param answer: How far it is.
     :param now: Monotonic time, in seconds.
     """
-    if answer.index != progress.snapshot_index:
+    if progress.sending is None or answer.index != progress.sending.index:
         return
     if answer.received == progress.snapshot_offset and answer.received > 0:
         return
@@ -81,8 +78,8 @@
     :param progress: The member.
     :param index: Last index that it acknowledged.
     """
-    if progress.snapshot_index and index >= progress.snapshot_index:
-        progress.snapshot_index = LogIndex(0)
+    if progress.sending is not None and index >= progress.sending.index:
+        progress.sending = None
         progress.snapshot_offset = 0
         progress.in_flight = 0
         progress.next = LogIndex(index + 1)
--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -99,7 +99,8 @@
     :param sent_at: Monotonic time of the oldest step that waits for an answer.
     :param heard_at: Monotonic time of its last answer.
     :param round: Last round that it has answered.
-    :param snapshot_index: Snapshot being sent; 0 for none.
+    :param sending: Snapshot being sent; one begun is sent to its end, as a newer
+        one could come up before each end.
     :param snapshot_offset: Bytes of it that have arrived.
     :param catch_up_target: Index that a learner has to reach in time.
     :param catch_up_since: Monotonic time at which the target was set.
@@ -113,7 +114,7 @@
     sent_at: float = 0.0
     heard_at: float = 0.0
     round: int = 0
-    snapshot_index: LogIndex = NO_INDEX
+    sending: Snapshot | None = None
     snapshot_offset: int = 0
     catch_up_target: LogIndex = NO_INDEX
     catch_up_since: float = 0.0
@@ -235,6 +236,18 @@
         """Tell whether this replica votes."""
         return self.membership.is_voter(self.replica)
 
+    @property
+    def may_campaign(self) -> bool:
+        """Tell whether this replica votes until the newest membership is committed.
+
+        A voter whose own removal is not committed may hold the longest log, without
+        which the others can elect nobody.
+        """
+        committed = [at for at in self.memberships if at.index <= self.commit_index]
+        pending = [at for at in self.memberships if at.index > self.commit_index]
+        in_force = committed[-1:] + pending
+        return any(at.membership.is_voter(self.replica) for at in in_force)
+
     @classmethod
     def from_durable(
         cls,
