Test the data folder of the replicated log; stop on a failed apply

Purpose: a torn last frame is cut off, anything else that is damaged or missing stops the instance with a numbered error. The first file of the log is now made with the folder's identity, as a log that is gone altogether was taken for an empty one (seen: the outline's last example). A command that can't be applied, or a disk that fails, ends this node's part, and calls that wait are answered at once.

--- a/mothshunt/consensus/codes.py
+++ b/mothshunt/consensus/codes.py
@@ -128,6 +128,13 @@
     summary="A write to the data folder failed; the instance takes no part any more.",
     action="Check the disk and its free space, then start the instance again.",
 )
+APPLY_FAILED = ResultCode(
+    number=4026,
+    name="consensus_apply_failed",
+    http_status=500,
+    summary="An accepted command could not be applied; the instance takes no part.",
+    action="Start the instance again; report the fault when it stays.",
+)
 STOPPED = ResultCode(
     number=4025,
     name="consensus_stopped",
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -170,6 +170,7 @@
             state_machine=self._state_machine,
             clock=self._clock,
             metrics=self._metrics,
+            on_failed=self._on_failed,
         )
         own = Member(
             id=self._own.id,
@@ -232,11 +233,12 @@
         try:
             await self._writer.async_run(driver.synced)
         except (OSError, MothshuntError) as error:
-            failure = Failure(code=codes.DISK_FAILED, detail=str(error))
-            _LOGGER.failure("the replicated log stops", failure)
-            driver.stop()
-            for listener in self._fatal_listeners:
-                listener(failure)
+            driver.fail(Failure(code=codes.DISK_FAILED, detail=str(error)))
+
+    def _on_failed(self, failure: Failure) -> None:
+        self._metrics.count("consensus_failures_total", reason=failure.code.name)
+        for listener in self._fatal_listeners:
+            listener(failure)
 
     async def async_stop(self) -> None:
         """Hand leadership over, sync what is queued, and stop. May be called twice."""
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -46,6 +46,7 @@
     :param state_machine: State that the log carries.
     :param clock: Source of the present time.
     :param metrics: Counters and histograms.
+    :param on_failed: Called when the node can take no part any more.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         state_machine: StateMachine,
         clock: Clock,
         metrics: Metrics,
+        on_failed: Callable[[Failure], None],
     ) -> None:
         self.node = node
         self.applied_index = LogIndex(node.state.commit_index)
@@ -67,6 +69,7 @@
         self._state_machine = state_machine
         self._clock = clock
         self._metrics = metrics
+        self._on_failed = on_failed
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = 0.0
         self._proposals: list[Proposal] = []
@@ -97,15 +100,22 @@
         self._is_stopped = True
         if self._timer is not None:
             self._timer.cancel()
-        failure = Failure(code=codes.STOPPED, retry_after_s=const.RETRY_AFTER_S)
-        for proposal in self._proposals:
-            settle(proposal.outcome, Error(failure))
+        self._refuse(self._proposals, codes.STOPPED)
         self._proposals.clear()
         self._waiters.give_up("the instance stopped")
         for read in self._read_by_token.values():
             settle(read, None)
         self._read_by_token.clear()
 
+    def fail(self, failure: Failure) -> None:
+        """Take no part any more.
+
+        :param failure: Why.
+        """
+        _LOGGER.failure("the replicated log stops", failure)
+        self.stop()
+        self._on_failed(failure)
+
     def on_applied(self, listener: Callable[[LogIndex], None]) -> None:
         """Call a listener after commands were applied."""
         self._applied_listeners.append(listener)
@@ -150,7 +160,8 @@
     def _append_proposals(self) -> None:
         proposals = self._proposals
         self._proposals = []
-        if self._is_stopped or not proposals:
+        if self._is_stopped:
+            self._refuse(proposals, codes.STOPPED)
             return
         leading = self.state.leading
         if leading and leading.uncommitted_bytes > const.MAX_UNCOMMITTED_BYTES:
@@ -208,12 +219,14 @@
 
         :param outputs: What is to be done.
         """
+        if self._is_stopped:
+            return
         if outputs.writes:
             self._writer.submit(outputs.writes, outputs.last_write)
         for outgoing in outputs.messages:
             self._network.post(outgoing.peer, outgoing.message)
-        if outputs.applies:
-            self._apply(outputs.applies)
+        if outputs.applies and not self._apply(outputs.applies):
+            return
         for answer in outputs.reads:
             read = self._read_by_token.pop(answer.token, None)
             if read is not None:
@@ -222,19 +235,29 @@
         self._arm()
         self._compact_if_due()
 
-    def _apply(self, applies: list[Entry | Snapshot]) -> None:
-        for item in applies:
-            if isinstance(item, Snapshot):
-                self._restore(item)
-                continue
-            outcome = b""
-            if item.kind is EntryKind.COMMAND:
-                outcome = self._state_machine.apply(item.index, item.data)
-            self.applied_index = item.index
-            self._waiters.applied(item.index, item.term, outcome)
+    def _apply(self, applies: list[Entry | Snapshot]) -> bool:
+        try:
+            for item in applies:
+                self._apply_one(item)
+        # Whatever went wrong, going on would leave this replica unlike the others.
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"
+            self.fail(Failure(code=codes.APPLY_FAILED, detail=detail))
+            return False
         self._applied_waiters.reached(self.applied_index)
         for listener in self._applied_listeners:
             listener(self.applied_index)
+        return True
+
+    def _apply_one(self, item: Entry | Snapshot) -> None:
+        if isinstance(item, Snapshot):
+            self._restore(item)
+            return
+        outcome = b""
+        if item.kind is EntryKind.COMMAND:
+            outcome = self._state_machine.apply(item.index, item.data)
+        self.applied_index = item.index
+        self._waiters.applied(item.index, item.term, outcome)
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._state_machine.restore(snapshot.index, snapshot.data)
--- a/mothshunt/consensus/segments.py
+++ b/mothshunt/consensus/segments.py
@@ -22,6 +22,7 @@
 from mothshunt.core.types import LogIndex, Term
 
 PREFIX = "log-"
+FIRST_NUMBER = 1
 _ENTRIES = 0
 _RESET = 1
 
@@ -68,6 +69,12 @@
         self._segments: list[Segment] = []
         self._file: BinaryIO | None = None
 
+    def create(self) -> None:
+        """Make the first file, so that a missing one is noticed later."""
+        path = self._path(FIRST_NUMBER)
+        path.touch()
+        sync_folder(self._folder)
+
     def load(self) -> tuple[Entry, ...]:
         """Read all entries; cut a torn frame off the end.
 
@@ -87,7 +94,9 @@
             int(path.name.removeprefix(PREFIX))
             for path in self._folder.glob(f"{PREFIX}*")
         )
-        if numbers and numbers != list(range(numbers[0], numbers[-1] + 1)):
+        if not numbers:
+            raise _damaged(self._folder, "there is no file of the log")
+        if numbers != list(range(numbers[0], numbers[-1] + 1)):
             raise _damaged(self._folder, f"a file is missing among {numbers}")
         return [Segment(number=n, path=self._path(n)) for n in numbers]
 
@@ -133,8 +142,7 @@
             return self._file
         if self._file is not None:
             self._file.close()
-        if self._file is not None or not self._segments:
-            number = self._segments[-1].number + 1 if self._segments else 1
+            number = self._segments[-1].number + 1
             self._segments.append(Segment(number=number, path=self._path(number)))
         self._file = self._segments[-1].path.open("ab")
         sync_folder(self._folder)
--- a/mothshunt/consensus/storage.py
+++ b/mothshunt/consensus/storage.py
@@ -56,7 +56,7 @@
         for aside in self._folder.glob(f"*{files.ASIDE_SUFFIX}"):
             aside.unlink()
         replica = self._read_identity()
-        self._log = SegmentedLog(self._folder, replica, self._segment_bytes)
+        self._log = self._segmented_log(replica)
         durable = DurableState(
             replica=replica,
             hard_state=self._read_vote(),
@@ -91,14 +91,19 @@
         return ReplicaId(replica)
 
     def _make_identity(self, path: Path) -> ReplicaId:
-        others = [p.name for p in self._folder.iterdir() if p.name != LOCK_NAME]
+        # A process that ended at this place before has left an empty file of the log.
+        others = [p.name for p in self._folder.iterdir() if p.stat().st_size > 0]
         if others:
             raise files.damaged(path, f"missing beside {sorted(others)}")
         replica = ReplicaId(secrets.randbits(REPLICA_BITS) + 1)
+        self._segmented_log(replica).create()
         files.replace(path, _pack([self._instance, replica]))
         files.sync_folder(self._folder.parent)
         return replica
 
+    def _segmented_log(self, replica: ReplicaId) -> SegmentedLog:
+        return SegmentedLog(self._folder, replica, self._segment_bytes)
+
     def _read_vote(self) -> HardState:
         content = files.read(self._folder / VOTE_NAME)
         if content is None:
--- /dev/null
+++ b/tests/consensus/storage.feature
@@ -0,0 +1,54 @@
+Feature: The data folder keeps what was synced, and nothing damaged is passed over
+
+  Scenario: Term, vote, entries and snapshot are read back
+    Given a data folder with entries 1 to 30 in small files
+    When a snapshot at index 20 is written that keeps entries from 15 on
+    Then reading the folder gives entries 15 to 30 and the snapshot at 20
+    And files that hold only entries before 15 are gone
+
+  Scenario: A torn last frame is cut off wherever it is torn
+    Given a data folder with entries 1 to 5 in one file
+    Then cutting the file at any byte of the last frame leaves entries 1 to 4
+    And after the cut entries are written and read back
+
+  Scenario: A torn last frame whose content looks like a frame is cut off
+    Given a data folder with entries 1 to 5 in one file
+    When a frame is torn whose command holds the bytes of a frame
+    Then reading the folder gives entries 1 to 5
+
+  Scenario: Damage in the middle stops the instance wherever it is
+    Given a data folder with entries 1 to 5 in one file
+    Then damaging any byte before the last frame fails with code 4020
+
+  Scenario: A file of the log that is cut short or missing stops the instance
+    Given a data folder with entries 1 to 30 in small files
+    Then cutting the first file short fails with code 4020
+    And removing a file between others fails with code 4020
+
+  Scenario Outline: A damaged or missing state file stops the instance
+    Given a data folder with entries 1 to 5 in one file
+    When the file "<file>" is <done>
+    Then reading the folder fails with code <code>
+
+    Examples:
+      | file     | done    | code |
+      | vote     | damaged | 4021 |
+      | vote     | removed | 4021 |
+      | identity | damaged | 4021 |
+      | identity | removed | 4021 |
+      | log-000000000001 | removed | 4020 |
+
+  Scenario: A folder in use, and one of another instance, are refused
+    Given a data folder with entries 1 to 5 in one file
+    Then reading it twice at a time fails with code 4022
+    And reading it as another instance fails with code 4023
+
+  Scenario: Entries replace those that an earlier leader left
+    Given a data folder with entries 1 to 5 in one file
+    When entries 4 to 6 of term 2 replace the earlier ones
+    Then reading the folder gives entries 1 to 6 of terms "1, 1, 1, 2, 2, 2"
+
+  Scenario: A crash between a snapshot and the reset of the log
+    Given a data folder with entries 1 to 5 in one file
+    When a snapshot at index 4 of term 2 is written without its reset
+    Then a node started from the folder holds the snapshot and no entry
--- /dev/null
+++ b/tests/steps/consensus_storage.py
@@ -0,0 +1,263 @@
+"""Steps for the data folder of the replicated log."""
+
+import shutil
+import tempfile
+from pathlib import Path
+from random import Random
+
+from behave import given, then, when
+
+from mothshunt.consensus import files, records
+from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.segments import SegmentedLog
+from mothshunt.consensus.state import NodeState
+from mothshunt.consensus.storage import Storage
+from mothshunt.consensus.types import (
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+)
+from mothshunt.consensus.voters import Membership
+from mothshunt.core.codes import MothshuntError
+
+SMALL_BYTES = 200
+LARGE_BYTES = 1 << 20
+FIRST_LOG = "log-000000000001"
+
+
+def entry(index, term=1, data=None):
+    command = data if data is not None else f"command {index}".encode()
+    return Entry(term=term, index=index, kind=EntryKind.COMMAND, data=command)
+
+
+def snapshot(index, term=1):
+    return Snapshot(index=index, term=term, membership=Membership(), data=b"state")
+
+
+def storage(folder, segment_bytes=LARGE_BYTES, instance="a"):
+    return Storage(folder, instance, segment_bytes)
+
+
+def read(folder, **arguments):
+    opened = storage(folder, **arguments)
+    try:
+        return opened.open()
+    finally:
+        opened.close()
+
+
+def code_of_reading(folder, **arguments):
+    try:
+        read(folder, **arguments)
+    except MothshuntError as error:
+        return error.failure.code.number
+    return None
+
+
+def write(folder, writes, segment_bytes=LARGE_BYTES):
+    opened = storage(folder, segment_bytes)
+    opened.open()
+    for batch in writes:
+        opened.write(batch)
+    opened.close()
+
+
+def make_folder(context, last, segment_bytes):
+    context.folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    batches = [[WriteHardState(hard_state=HardState(term=2, voted_for=7))]]
+    batches += [[WriteEntries(entries=(entry(i),))] for i in range(1, last + 1)]
+    write(context.folder, batches, segment_bytes)
+
+
+def copies(context):
+    """Give one fresh copy of the folder after another."""
+    base = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
+    number = 0
+    while True:
+        number += 1
+        shutil.copytree(context.folder, base / str(number))
+        yield base / str(number)
+
+
+@given("a data folder with entries 1 to {last:d} in one file")
+def one_file(context, last):
+    make_folder(context, last, LARGE_BYTES)
+
+
+@given("a data folder with entries 1 to {last:d} in small files")
+def small_files(context, last):
+    make_folder(context, last, SMALL_BYTES)
+
+
+@when("a snapshot at index {index:d} is written that keeps entries from {first:d} on")
+def snapshot_written(context, index, first):
+    context.logs_before = sorted(context.folder.glob("log-*"))
+    done = WriteSnapshot(snapshot=snapshot(index), reset=False, first_kept=first)
+    write(context.folder, [[done]], SMALL_BYTES)
+
+
+@then(
+    "reading the folder gives entries {first:d} to {last:d} and the snapshot at {at:d}"
+)
+def reads_with_snapshot(context, first, last, at):
+    durable = read(context.folder)
+    kept = [e for e in durable.entries if e.index >= first]
+    assert kept == [entry(i) for i in range(first, last + 1)], durable.entries
+    assert durable.snapshot == snapshot(at), durable.snapshot
+    assert durable.hard_state == HardState(term=2, voted_for=7), durable.hard_state
+
+
+@then("files that hold only entries before {first:d} are gone")
+def files_gone(context, first):
+    remaining = sorted(context.folder.glob("log-*"))
+    assert len(remaining) < len(context.logs_before), remaining
+    lowest = read(context.folder).entries[0].index
+    assert lowest <= first, lowest
+    assert len(list(context.folder.glob("snapshot-*"))) == 1
+
+
+@then("reading the folder gives entries {first:d} to {last:d}")
+def reads_entries(context, first, last):
+    durable = read(context.folder)
+    assert [e.index for e in durable.entries] == list(range(first, last + 1))
+
+
+def frame_ends(folder):
+    data = (folder / FIRST_LOG).read_bytes()
+    starts = [i for i in range(len(data)) if data.startswith(records.MAGIC, i)]
+    return [*starts[1:], len(data)]
+
+
+@then("cutting the file at any byte of the last frame leaves entries 1 to {last:d}")
+def cut_anywhere(context, last):
+    ends = frame_ends(context.folder)
+    folders = copies(context)
+    for size in range(ends[-2], ends[-1]):
+        folder = next(folders)
+        with (folder / FIRST_LOG).open("rb+") as file:
+            file.truncate(size)
+        indices = [e.index for e in read(folder).entries]
+        assert indices == list(range(1, last + 1)), (size, indices)
+        assert (folder / FIRST_LOG).stat().st_size == ends[-2]
+    context.folder = folder
+
+
+@then("after the cut entries are written and read back")
+def written_after_cut(context):
+    write(context.folder, [[WriteEntries(entries=(entry(5), entry(6)))]])
+    assert [e.index for e in read(context.folder).entries] == [1, 2, 3, 4, 5, 6]
+
+
+@when("a frame is torn whose command holds the bytes of a frame")
+def tear_frame_in_frame(context):
+    path = context.folder / FIRST_LOG
+    size = path.stat().st_size
+    inner = records.encode(b"inner", 0)
+    write(context.folder, [[WriteEntries(entries=(entry(6, data=inner * 3),))]])
+    data = path.read_bytes()
+    path.write_bytes(data[:-1])
+    assert path.stat().st_size > size + len(inner) * 2
+
+
+@then("damaging any byte before the last frame fails with code {number:d}")
+def damage_anywhere(context, number):
+    ends = frame_ends(context.folder)
+    folders = copies(context)
+    for position in range(ends[-2]):
+        folder = next(folders)
+        data = bytearray((folder / FIRST_LOG).read_bytes())
+        data[position] ^= 0x01
+        (folder / FIRST_LOG).write_bytes(data)
+        assert code_of_reading(folder) == number, position
+
+
+@then("cutting the first file short fails with code {number:d}")
+def cut_first_file(context, number):
+    folder = next(copies(context))
+    with (folder / FIRST_LOG).open("rb+") as file:
+        file.truncate(file.seek(0, 2) - 1)
+    assert code_of_reading(folder) == number
+
+
+@then("removing a file between others fails with code {number:d}")
+def remove_middle_file(context, number):
+    folder = next(copies(context))
+    (folder / "log-000000000002").unlink()
+    assert code_of_reading(folder) == number
+
+
+@when('the file "{name}" is damaged')
+def damage_file(context, name):
+    path = context.folder / name
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 0xFF
+    path.write_bytes(data)
+
+
+@when('the file "{name}" is removed')
+def remove_file(context, name):
+    (context.folder / name).unlink()
+
+
+@then("reading the folder fails with code {number:d}")
+def reading_fails(context, number):
+    assert code_of_reading(context.folder) == number, code_of_reading(context.folder)
+
+
+@then("reading it twice at a time fails with code {number:d}")
+def read_twice(context, number):
+    first = storage(context.folder)
+    first.open()
+    assert code_of_reading(context.folder) == number
+    first.close()
+    assert code_of_reading(context.folder) is None
+
+
+@then("reading it as another instance fails with code {number:d}")
+def read_as_other(context, number):
+    assert code_of_reading(context.folder, instance="b") == number
+
+
+@when("entries {first:d} to {last:d} of term {term:d} replace the earlier ones")
+def entries_replace(context, first, last, term):
+    entries = tuple(entry(i, term) for i in range(first, last + 1))
+    write(context.folder, [[WriteEntries(entries=entries)]])
+
+
+@then('reading the folder gives entries 1 to {last:d} of terms "{terms}"')
+def reads_terms(context, last, terms):
+    entries = read(context.folder).entries
+    expected = [int(term) for term in terms.split(",")]
+    assert [e.term for e in entries] == expected, entries
+    assert [e.index for e in entries] == list(range(1, last + 1)), entries
+
+
+@when("a snapshot at index {index:d} of term {term:d} is written without its reset")
+def snapshot_without_reset(context, index, term):
+    done = WriteSnapshot(
+        snapshot=snapshot(index, term), reset=True, first_kept=index + 1
+    )
+    with_reset = SegmentedLog.append
+    # The process ends after the snapshot is renamed and before the log is written.
+    SegmentedLog.append = lambda *_: None
+    try:
+        write(context.folder, [[done]])
+    finally:
+        SegmentedLog.append = with_reset
+    assert not list(context.folder.glob(f"*{files.ASIDE_SUFFIX}"))
+
+
+@then("a node started from the folder holds the snapshot and no entry")
+def node_holds_snapshot(context):
+    durable = read(context.folder)
+    assert len(durable.entries) == 5, durable.entries
+    state = NodeState.from_durable(
+        durable, instance="a", config=ConsensusConfig(), random=Random(1), now=0.0
+    )
+    assert (state.log.base_index, state.log.base_term) == (4, 2)
+    assert state.log.last_index == 4, state.log.last_index
+    assert state.synced_index == 4, state.synced_index
