--- a/mothshunt/consensus/client.py
+++ b/mothshunt/consensus/client.py
@@ -70,7 +70,7 @@
         match result:
             case Result(tag="ok", ok=answer):
                 took_s = self._clock.monotonic() - started_at
-                self._metrics.observe("consensus_propose_seconds", took_s)
+                self._metrics.observe("mothshunt_consensus_propose_seconds", took_s)
                 return Ok(answer.outcome)
             case Result(error=failure):
                 self._count(failure)
@@ -154,7 +154,9 @@
                 return Error(failure)
 
     def _count(self, failure: Failure) -> None:
-        self._metrics.count("consensus_failures_total", reason=failure.code.name)
+        self._metrics.count(
+            "mothshunt_consensus_failures_total", reason=failure.code.name
+        )
 
 
 def stopped() -> Failure:
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -236,7 +236,9 @@
             driver.fail(Failure(code=codes.DISK_FAILED, detail=str(error)))
 
     def _on_failed(self, failure: Failure) -> None:
-        self._metrics.count("consensus_failures_total", reason=failure.code.name)
+        self._metrics.count(
+            "mothshunt_consensus_failures_total", reason=failure.code.name
+        )
         for listener in self._fatal_listeners:
             listener(failure)
 
--- a/mothshunt/consensus/diagnostics.py
+++ b/mothshunt/consensus/diagnostics.py
@@ -56,8 +56,10 @@
     :param metrics: Metrics of the process.
     """
     state = driver.state
-    metrics.gauge("consensus_term", lambda: state.term)
-    metrics.gauge("consensus_commit_index", lambda: state.commit_index)
-    metrics.gauge("consensus_applied_index", lambda: driver.applied_index)
-    metrics.gauge("consensus_voters", lambda: len(state.membership.voters))
-    metrics.gauge("consensus_is_leader", lambda: float(state.role is NodeRole.LEADER))
+    metrics.gauge("mothshunt_consensus_term", lambda: state.term)
+    metrics.gauge("mothshunt_consensus_commit_index", lambda: state.commit_index)
+    metrics.gauge("mothshunt_consensus_applied_index", lambda: driver.applied_index)
+    metrics.gauge("mothshunt_consensus_voters", lambda: len(state.membership.voters))
+    metrics.gauge(
+        "mothshunt_consensus_is_leader", lambda: float(state.role is NodeRole.LEADER)
+    )
--- a/mothshunt/consensus/disk.py
+++ b/mothshunt/consensus/disk.py
@@ -61,7 +61,7 @@
             started_at = self._clock.monotonic()
             await loop.run_in_executor(self._executor, self._storage.write, writes)
             took_s = self._clock.monotonic() - started_at
-            self._metrics.observe("consensus_sync_seconds", took_s)
+            self._metrics.observe("mothshunt_consensus_sync_seconds", took_s)
             on_synced(number)
 
     def finish(self) -> None:
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -263,7 +263,7 @@
         self._state_machine.restore(snapshot.index, snapshot.data)
         self.applied_index = snapshot.index
         self._waiters.skipped(snapshot.index, "a snapshot took the place of its entry")
-        self._metrics.count("consensus_snapshots_installed_total")
+        self._metrics.count("mothshunt_consensus_snapshots_installed_total")
         _LOGGER.info("installed a snapshot", index=snapshot.index)
 
     def _compact_if_due(self) -> None:
@@ -272,14 +272,16 @@
         if self.applied_index - held < state.config.snapshot_after_entries:
             return
         data = self._state_machine.snapshot()
-        self._metrics.count("consensus_snapshots_taken_total")
+        self._metrics.count("mothshunt_consensus_snapshots_taken_total")
         self.perform(self.node.compact(self.applied_index, data, self.now()))
 
     def _note_changes(self) -> None:
         state = self.state
         if state.role is not self._role:
             self._role = state.role
-            self._metrics.count("consensus_role_changes_total", role=state.role.value)
+            self._metrics.count(
+                "mothshunt_consensus_role_changes_total", role=state.role.value
+            )
             if state.role is not NodeRole.PRE_CANDIDATE:
                 _LOGGER.info("role changed", role=state.role.value, term=state.term)
         if state.membership is self.membership:
