--- a/tests/steps/testkit_caller.py
+++ b/tests/steps/testkit_caller.py
@@ -10,7 +10,7 @@
 from testkit.caller import make_session
 
 
-@given("a server that closes each connection after reading a request")
+@given("a kit server that closes each connection after reading a request")
 def closing_server(context):
     context.requests_read = 0
 
@@ -31,6 +31,6 @@
             await session.request(method, f"http://127.0.0.1:{port}/")
 
 
-@then("the server has read {count:d} request")
+@then("the kit server has read {count:d} request")
 def has_read(context, count):
     assert context.requests_read == count, context.requests_read
