--- a/tests/steps/limits_holder.py
+++ b/tests/steps/limits_holder.py
@@ -17,7 +17,7 @@
 
 @given("an idle holder of shares of a region, a link and the shift cap")
 def idle_holder(context):
-    context.holder = Holder(InstanceId("north-1"), 1)
+    context.holder = Holder(InstanceId("north-1"), 1, opens_at=0.0)
     context.holder.configure(5, dict.fromkeys(KEYS, 0))
 
 
