--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -3,8 +3,7 @@
 import json
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import dataclass, replace
 
 import aiohttp
 from aiohttp.client_middlewares import ClientHandlerType
@@ -18,89 +17,16 @@
     PATH_SERVICES,
 )
 from testkit import answers
+from testkit.request import Outcome, Request, Result
 from testkit.target.config import Endpoint
 from testkit.target.server import HEADER_TEST_ID
 
-DEFAULT_DEADLINE_MS = 10_000
 #: How much longer than the deadline the caller itself waits.
 CLIENT_GRACE_S = 5.0
-LOOKUP_TIMEOUT_S = 5.0
-
-
-class Outcome(Enum):
-    """How a request ended for the caller."""
-
-    WHOLE = "whole"
-    #: A numbered refusal or error answer of mothshunt.
-    REFUSED = "refused"
-    #: An answer with an error status of the target itself.
-    TARGET_ERROR = "target_error"
-    #: The connection broke, visibly.
-    BROKEN = "broken"
-    TIMED_OUT = "timed_out"
-    #: No entry could be connected to, so that nothing was sent.
-    NOT_SENT = "not_sent"
-    #: An answer that looked whole but was not the request's own: never allowed.
-    WRONG = "wrong"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Request:
-    """Describe one request.
-
-    :param request_id: Unique id, which the target records.
-    :param service: Service.
-    :param method: HTTP method.
-    :param path: Path below the service, with a leading slash.
-    :param key: Idempotency key, or ``None``.
-    :param body: Body; the answer tells its hash.
-    :param deadline_ms: Deadline that is passed on.
-    :param headers: Further headers.
-    """
+LOOKUP_TIMEOUT_S = 1.0
 
-    request_id: str
-    service: str
-    method: str = "GET"
-    path: str = "/"
-    key: str | None = None
-    body: bytes = b""
-    deadline_ms: int = DEFAULT_DEADLINE_MS
-    headers: dict[str, str] = field(default_factory=dict)
-
-    @property
-    def is_read(self) -> bool:
-        """Tell whether the request is idempotent by its method."""
-        return self.method in ("GET", "HEAD")
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Result:
-    """Tell how one request ended.
-
-    :param request: The request.
-    :param outcome: How it ended.
-    :param entry: Entry that it was sent to.
-    :param status: HTTP status; 0 without an answer.
-    :param code_name: Name of mothshunt's code; empty without one.
-    :param ran: ``no``, ``unknown`` or empty where nothing was said.
-    :param retry_after_s: When to come back, where said.
-    :param answer: What the body says, when it is whole.
-    :param started_at: Monotonic time at which it was due, in seconds.
-    :param latency_s: Seconds from then to the end.
-    :param detail: Text for a person.
-    """
 
-    request: Request
-    outcome: Outcome
-    entry: str = ""
-    status: int = 0
-    code_name: str = ""
-    ran: str = ""
-    retry_after_s: float | None = None
-    answer: answers.Answer | None = None
-    started_at: float = 0.0
-    latency_s: float = 0.0
-    detail: str = ""
+_ENTRY_FAILURES = frozenset({Outcome.NOT_SENT, Outcome.BROKEN, Outcome.TIMED_OUT})
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +42,7 @@
     :param client: Address of the client, as it is given in look-ups.
     :param ask: Instances to ask for look-ups; the next is asked when one fails.
     :param session: HTTP client; see ``make_session``.
+    :param grace_s: How much longer than the deadline it waits for an answer.
     """
 
     def __init__(
@@ -125,7 +52,9 @@
         client: str,
         ask: Sequence[Endpoint],
         session: aiohttp.ClientSession,
+        grace_s: float = CLIENT_GRACE_S,
     ) -> None:
+        self._grace_s = grace_s
         self._customer = customer
         self._client = client
         self._ask = tuple(ask)
@@ -161,11 +90,22 @@
         last = Result(request=request, outcome=Outcome.NOT_SENT, detail="no entries")
         for entry in await self.async_lookup(request.service):
             last = await self.async_send_to(entry, request)
+            if last.outcome in _ENTRY_FAILURES:
+                self._put_last(entry)
             if last.outcome is not Outcome.NOT_SENT:
                 break
         latency_s = time.monotonic() - started_at
         return replace(last, started_at=started_at, latency_s=latency_s)
 
+    def _put_last(self, entry: Endpoint) -> None:
+        """Use an entry that failed only after the others, until the next look-up."""
+        for service, cached in self._cached_by_service.items():
+            if entry in cached.entries:
+                others = tuple(item for item in cached.entries if item != entry)
+                self._cached_by_service[service] = _CachedLookup(
+                    (*others, entry), cached.valid_until
+                )
+
     async def _async_ask(self, entry: Endpoint, service: str) -> _CachedLookup | None:
         query = {
             "customer": self._customer,
@@ -205,7 +145,7 @@
             headers[HEADER_IDEMPOTENCY_KEY] = request.key
         url = f"{entry.url}{PATH_SERVICES}/{self._customer}/{request.service}"
         timeout = aiohttp.ClientTimeout(
-            total=request.deadline_ms / 1000 + CLIENT_GRACE_S
+            total=request.deadline_ms / 1000 + self._grace_s
         )
 
         def ended(outcome: Outcome, detail: str = "") -> Result:
--- a/testkit/environment.py
+++ b/testkit/environment.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from testkit.admin_client import Operator, Reply, new_change_id
-from testkit.caller import Caller, Request, Result, make_session
+from testkit.caller import Caller, make_session
 from testkit.contracts import contract_document, contract_path
 from testkit.deployment import BOOTSTRAP_TOKEN, Deployment, Instance
 from testkit.fleet import TargetFleet
@@ -19,6 +19,8 @@
 from testkit.loop_thread import LoopThread
 from testkit.ports import HOST
 from testkit.process import REPOSITORY, wait_until
+from testkit.request import Request, Result
+from testkit.running_load import RunningLoad
 from testkit.shape import InstancePlan
 from testkit.target.config import Endpoint, TargetConfig
 
@@ -30,43 +32,12 @@
 IN_FORCE_TARGET_S = 5.0
 IN_FORCE_TIMEOUT_S = 20.0
 TARGETS_TIMEOUT_S = 20.0
-LOAD_END_TIMEOUT_S = 60.0
 LEADER_TIMEOUT_S = 30.0
-METRIC_IS_LEADER = "consensus_is_leader"
-METRIC_TERM = "consensus_term"
+METRIC_IS_LEADER = "mothshunt_consensus_is_leader"
+METRIC_TERM = "mothshunt_consensus_term"
 IN_FORCE_POLL_S = 0.02
 
 
-class RunningLoad:
-    """A load that is being sent.
-
-    :param loop: Event loop that it runs in.
-    :param driver: The driver.
-    """
-
-    def __init__(self, loop: LoopThread, driver: LoadDriver) -> None:
-        self._loop = loop
-        self._driver = driver
-        self._future: Future[LoadReport] = loop.submit(driver.async_run())
-
-    @property
-    def report(self) -> LoadReport:
-        """Return what has been answered so far."""
-        return self._driver.report
-
-    def finish(self, timeout_s: float = LOAD_END_TIMEOUT_S) -> LoadReport:
-        """Wait for the end of the load.
-
-        :param timeout_s: Seconds to wait.
-        """
-        return self._future.result(timeout_s)
-
-    def stop(self) -> LoadReport:
-        """Send no more, and wait for the answers in flight."""
-        self._loop.call(self._driver.stop)
-        return self.finish()
-
-
 class Environment:
     """Run a deployment with all that surrounds it.
 
@@ -246,7 +217,13 @@
                 self._wait_served(instance, customer, service)
 
     def caller(
-        self, customer: str, region: str, number: int = 1, *, kept: bool = True
+        self,
+        customer: str,
+        region: str,
+        number: int = 1,
+        *,
+        kept: bool = True,
+        **options: Any,
     ) -> Caller:
         """Return a caller in a region; it asks the entries of its region first.
 
@@ -254,6 +231,7 @@
         :param region: Region of the caller.
         :param number: Number of the caller; callers differ in their address block.
         :param kept: Whether it uses connections again.
+        :param options: Further parameters of ``Caller``.
         """
         entries = self.deployment.entry_instances
         near_first = sorted(entries, key=lambda item: item.plan.region != region)
@@ -268,6 +246,7 @@
             client=f"10.{number // 256}.{number % 256}.1",
             ask=[self.entry(item) for item in near_first],
             session=session,
+            **options,
         )
 
     def send(self, caller: Caller, request: Request) -> Result:
--- a/testkit/load.py
+++ b/testkit/load.py
@@ -11,7 +11,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from testkit.caller import DEFAULT_DEADLINE_MS, Caller, Outcome, Request, Result
+from testkit.caller import Caller
+from testkit.request import DEFAULT_DEADLINE_MS, Outcome, Request, Result
 
 LOWEST_LATENCY_US = 1
 HIGHEST_LATENCY_US = 600_000_000
--- a/testkit/tour.py
+++ b/testkit/tour.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from testkit.caller import Outcome, Request
 from testkit.contracts import contract_document
-from testkit.environment import IN_FORCE_TARGET_S, Environment, RunningLoad
+from testkit.environment import IN_FORCE_TARGET_S, Environment
 from testkit.load import LoadPlan, LoadReport, RequestKind
 from testkit.profiles import PROFILES_BY_CUSTOMER, thin_targets
+from testkit.request import Outcome, Request
+from testkit.running_load import RunningLoad
 from testkit.shape import REGIONS
 
 #: Seconds after which a drained target may get no new work, as the brief asks.
--- a/tests/steps/promise_answers.py
+++ b/tests/steps/promise_answers.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
-from testkit.caller import Outcome, Request
 from testkit.load import LoadReport
+from testkit.request import Outcome, Request
 from tests.steps.promise_requests import BOUND_S
 
 HASTE_MS = 200
--- a/tests/steps/promise_drains.py
+++ b/tests/steps/promise_drains.py
@@ -4,9 +4,9 @@
 
 from behave import then, when
 
-from testkit.caller import Outcome, Request
 from testkit.plain_http import http_get
 from testkit.process import wait_until
+from testkit.request import Outcome, Request
 from testkit.shape import REGIONS
 from tests.steps.promise_limits import processes_in
 from tests.steps.promise_requests import BOUND_S, answered
--- a/tests/steps/promise_limits.py
+++ b/tests/steps/promise_limits.py
@@ -4,8 +4,8 @@
 
 from behave import then, when
 
-from testkit.caller import Outcome
 from testkit.load import RequestKind
+from testkit.request import Outcome
 from testkit.shape import REGIONS
 from tests.steps.promise_requests import start_load
 from tests.support import occupancy
--- a/tests/steps/promise_requests.py
+++ b/tests/steps/promise_requests.py
@@ -4,11 +4,12 @@
 
 from behave import then, when
 
-from testkit.caller import Caller, Outcome, Request, make_session
+from testkit.caller import Caller, make_session
 from testkit.load import LoadPlan, LoadReport, RequestKind
 from testkit.ports import HOST
 from testkit.process import wait_until
 from testkit.proxy import Direction
+from testkit.request import Outcome, Request
 from testkit.shape import REGIONS
 from testkit.target.config import Endpoint
 from tests.steps.promise_setup import instance
--- a/tests/steps/testkit_load.py
+++ b/tests/steps/testkit_load.py
@@ -4,10 +4,11 @@
 
 from behave import given, then, when
 
-from testkit.caller import Caller, Outcome, Request, Result, make_session
+from testkit.caller import Caller, make_session
 from testkit.load import LoadReport
 from testkit.loop_thread import LoopThread
 from testkit.ports import HOST
+from testkit.request import Outcome, Request, Result
 from testkit.target.config import Endpoint
 
 
