Count the bytes that streams receive, and print gauges in full

Cause: the reader of frames dropped the length, so mothshunt_peer_bytes_received stayed 0 for good; and gauges were printed with 6 digits, which rounds byte counts over a million. Found by the control measurement, which showed less than a byte a change. Ruled out: deltas that were not sent (revisions came through).

--- a/mothshunt/helpers/peer/frame.py
+++ b/mothshunt/helpers/peer/frame.py
@@ -74,16 +74,16 @@
             return _malformed(failure.detail)
 
 
-async def async_read(reader: asyncio.StreamReader) -> Result[Frame, Failure]:
-    """Read one frame.
+async def async_read(reader: asyncio.StreamReader) -> Result[bytes, Failure]:
+    """Read one frame without decoding it.
 
     :param reader: Incoming half of a stream.
-    :return: The frame, or a failure with code 1102 or 1103.
+    :return: What ``decode`` takes, or a failure with code 1102.
     """
     size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
     if size > const.MAX_FRAME_BYTES:
         return Error(Failure(code=codes.FRAME_TOO_LARGE, detail=f"{size} bytes"))
-    return decode(await reader.readexactly(size))
+    return Ok(await reader.readexactly(size))
 
 
 def _malformed(detail: str) -> Result[Frame, Failure]:
--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -132,18 +132,23 @@
     async def _async_receive(self) -> Failure | None:
         while True:
             try:
-                result = await frame.async_read(self.reader)
+                data = await frame.async_read(self.reader)
             except (OSError, asyncio.IncompleteReadError):
                 return None
-            match result:
+            self._count_received(data)
+            match data.bind(frame.decode):
                 case Result(tag="ok", ok=item):
                     self._take(item)
                 case Result(error=failure):
                     return failure
 
+    def _count_received(self, data: Result[bytes, Failure]) -> None:
+        if data.is_ok():
+            self.traffic.frames_received += 1
+            self.traffic.bytes_received += frame.LENGTH_BYTES + len(data.ok)
+
     def _take(self, item: Frame) -> None:
         self._heard_at = self.clock.monotonic()
-        self.traffic.frames_received += 1
         if item.kind is FrameKind.HEARTBEAT:
             return
         if item.kind is FrameKind.ANSWER:
--- a/mothshunt/metrics/registry.py
+++ b/mothshunt/metrics/registry.py
@@ -10,6 +10,8 @@
 HIGHEST_LATENCY_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
+#: Digits of a gauge; 6, the default of Python, would round byte counts.
+GAUGE_DIGITS = 15
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
@@ -106,7 +108,7 @@
         for series, count in sorted(self.counter_by_series.items(), key=_by_text):
             yield f"{series.render()} {count}"
         for series, read in sorted(self.gauge_by_series.items(), key=_by_text):
-            yield f"{series.render()} {read():g}"
+            yield f"{series.render()} {read():.{GAUGE_DIGITS}g}"
         for series, histogram in sorted(self.histogram_by_series.items(), key=_by_text):
             yield from _histogram_lines(series, histogram)
 
