--- a/tests/testkit/load.feature
+++ b/tests/testkit/load.feature
@@ -16,14 +16,3 @@
       | POST   | broken  | -       | 2    | 1          |
       | GET    | whole   | -       | 2    | 0          |
       | GET    | wrong   | -       | 1    | 1          |
-
-  Scenario Outline: A caller sends a request once, also when its connection breaks
-    Given a server that closes each connection after reading a request
-    When a caller sends a PUT to it over a <kind> connection
-    Then the server has read 1 request
-    And the caller was told that the connection broke
-
-    Examples:
-      | kind |
-      | new  |
-      | kept |
