Keep large contracts and long waits from loading the control instances

A wait asked ten times a second, however long it lasted.

Change: contracts are checked and compared in a thread; an answer names the first 1000 faults and counts all; the pauses of a wait grow from 0.1 s to 1 s.

--- a/mothshunt/admin/const.py
+++ b/mothshunt/admin/const.py
@@ -13,6 +13,8 @@
 MAX_RECORDS = 1_000
 
 MAX_SUMMARY_LENGTH = 500
+#: Most faults of a document in one answer; its detail tells how many there are.
+MAX_FAULTS = 1_000
 
 #: Seconds for which reads trust the operators of the last confirmed read.
 OPERATORS_FRESH_S = 1.0
--- a/mothshunt/admin/contracts.py
+++ b/mothshunt/admin/contracts.py
@@ -1,5 +1,6 @@
 """Operations on contracts."""
 
+import asyncio
 import json
 
 from expression import Error, Ok, Result
@@ -7,6 +8,7 @@
 from mothshunt.access.model import AccessRole
 from mothshunt.admin import codes
 from mothshunt.admin.changes import ChangeHandlers, async_find_item
+from mothshunt.admin.const import MAX_FAULTS
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
 from mothshunt.admin.model import (
     ChangeDocument,
@@ -18,9 +20,9 @@
 )
 from mothshunt.admin.parameters import ChangeQuery, ReadQuery
 from mothshunt.configuration.model import NO_REVISION, ItemKey, Section
-from mothshunt.configuration.service import ConfigurationService
+from mothshunt.configuration.service import ConfigurationService, Item
 from mothshunt.contract.check import check_contract
-from mothshunt.contract.diff import diff_contracts
+from mothshunt.contract.diff import DiffLine, diff_contracts
 from mothshunt.contract.model import Contract
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import CustomerId
@@ -135,7 +137,7 @@
         return Ok(Reply(body=document, revision=found.ok.revision))
 
     async def _async_put(self, call: Call[ChangeQuery]) -> Result[Reply, Refusal]:
-        contract = _contract_of(call)
+        contract = await _async_contract_of(call)
         if contract.is_error():
             return Error(contract.error)
         return await self._changes.async_submit(
@@ -152,13 +154,13 @@
         )
 
     async def _async_validate(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
-        checked = check_contract(call.body)
+        checked = await asyncio.to_thread(check_contract, call.body)
         if checked.is_error():
             return Error(faulty(checked.error))
         return Ok(Reply(body=ValidationDocument(customer=checked.ok.customer)))
 
     async def _async_diff(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
-        contract = _contract_of(call)
+        contract = await _async_contract_of(call)
         if contract.is_error():
             return Error(contract.error)
         customer = call.customer()
@@ -167,13 +169,11 @@
         )
         if found.is_error():
             return Error(found.error)
-        present = None
-        if found.ok is not None:
-            present = check_contract(found.ok.value or b"").default_value(None)
+        lines = await asyncio.to_thread(_diff_lines, found.ok, contract.ok)
         document = DiffDocument(
             customer=customer,
             revision=found.ok.revision if found.ok else NO_REVISION,
-            lines=diff_contracts(present, contract.ok),
+            lines=lines,
         )
         return Ok(Reply(body=document, revision=document.revision))
 
@@ -194,11 +194,18 @@
     first = faults[0]
     detail = f"{len(faults)} faults, the first: {first.path} {first.detail}"
     failure = Failure(code=codes.CONTRACT_FAULTY, detail=detail, path=first.path)
-    return Refusal(failure=failure, faults=faults)
+    return Refusal(failure=failure, faults=faults[:MAX_FAULTS])
 
 
-def _contract_of(call: Call[object]) -> Result[Contract, Refusal]:
-    checked = check_contract(call.body)
+def _diff_lines(present: Item | None, contract: Contract) -> tuple[DiffLine, ...]:
+    text = present.value if present is not None else None
+    before = check_contract(text).default_value(None) if text is not None else None
+    return diff_contracts(before, contract)
+
+
+async def _async_contract_of(call: Call[object]) -> Result[Contract, Refusal]:
+    # A large body would hold up the heartbeats of this instance.
+    checked = await asyncio.to_thread(check_contract, call.body)
     if checked.is_error():
         return Error(faulty(checked.error))
     if checked.ok.customer != call.customer():
--- a/mothshunt/admin/model.py
+++ b/mothshunt/admin/model.py
@@ -61,7 +61,7 @@
     :param detail: Text for a person.
     :param ran: ``no`` when nothing was changed, ``unknown`` when it may be.
     :param path: Place of the fault in the document, where there is one.
-    :param faults: Every fault of the document that was sent.
+    :param faults: Every fault of the document that was sent, the first 1000 of more.
     :param retry_after_s: Seconds after which to try again.
     :param change_id: The change that was asked for.
     :param winner: The change that was accepted in its place.
--- a/mothshunt/cli/changes.py
+++ b/mothshunt/cli/changes.py
@@ -1,7 +1,6 @@
 """Changes that commands send, and the wait until they are in force."""
 
 import argparse
-import asyncio
 import time
 import uuid
 from dataclasses import dataclass
@@ -10,8 +9,8 @@
 from expression import Error, Ok, Result
 
 from mothshunt.cli.client import ApiClient, ApiRequest
-from mothshunt.cli.const import POLL_INTERVAL_S
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
+from mothshunt.cli.polling import async_polls
 
 STATE_LOST = "lost"
 
@@ -117,7 +116,7 @@
     :return: On which instances it is in force, since when, and which lack it.
     """
     after_s_by_instance: dict[str, float] = {}
-    while True:
+    async for _ in async_polls():
         answer = await client.async_read("/v1/instances")
         if answer.is_error():
             return Error(answer.error)
@@ -133,7 +132,6 @@
         ]
         if (instances and not missing) or elapsed_s > timeout_s:
             break
-        await asyncio.sleep(POLL_INTERVAL_S)
     document = {
         "revision": revision,
         "took_s": max(after_s_by_instance.values(), default=None),
--- a/mothshunt/cli/commands/drain.py
+++ b/mothshunt/cli/commands/drain.py
@@ -1,7 +1,6 @@
 """Commands on drains."""
 
 import argparse
-import asyncio
 import json
 import math
 import sys
@@ -17,9 +16,9 @@
     async_change,
 )
 from mothshunt.cli.client import ApiClient, path_of
-from mothshunt.cli.const import POLL_INTERVAL_S
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
+from mothshunt.cli.polling import async_polls
 
 KINDS = ("target", "instance", "availability-zone", "region")
 
@@ -114,7 +113,7 @@
 ) -> Result[CommandOutput, CommandFailure]:
     deadline = time.monotonic() + arguments.wait_timeout
     shown = ""
-    while True:
+    async for _ in async_polls():
         answer = await client.async_read(_path(arguments))
         if answer.is_error():
             return Error(answer.error)
@@ -125,10 +124,8 @@
         if answer.ok["complete"]:
             return Ok(CommandOutput(document=answer.ok))
         if time.monotonic() > deadline:
-            return Ok(
-                CommandOutput(document=answer.ok, exit_code=ExitCode.NOT_IN_FORCE)
-            )
-        await asyncio.sleep(POLL_INTERVAL_S)
+            break
+    return Ok(CommandOutput(document=answer.ok, exit_code=ExitCode.NOT_IN_FORCE))
 
 
 async def _async_base(
--- a/mothshunt/cli/const.py
+++ b/mothshunt/cli/const.py
@@ -18,6 +18,9 @@
 
 #: Seconds to wait for a change to be in force everywhere.
 DEFAULT_WAIT_S = 30.0
-POLL_INTERVAL_S = 0.1
+#: Seconds between two looks at what is waited for; grows from the first to the last.
+FIRST_POLL_INTERVAL_S = 0.1
+LAST_POLL_INTERVAL_S = 1.0
+POLL_INTERVAL_GROWTH = 1.3
 
 DEFAULT_RECORDS = 100
--- a/tests/admin/contracts.feature
+++ b/tests/admin/contracts.feature
@@ -43,6 +43,12 @@
     Then the administration API refuses with 422 and code 3007 "contract_faulty"
     And the answer's "faults.0.code" is 3101
 
+  Scenario: Of very many faults the first thousand are named and all counted
+    When the contract of "rackhaven" is put with 3000 links that name nothing
+    Then the administration API refuses with 422 and code 3007 "contract_faulty"
+    And the answer's "faults" has 1000 entries
+    And the answer's detail begins with "9000 faults"
+
   Scenario: A contract of another customer than the path is refused
     When the contract of "sleman" is put to the path of "rackhaven"
     Then the administration API refuses with 422 and code 3008 "customer_mismatch"
--- a/tests/steps/admin_api.py
+++ b/tests/steps/admin_api.py
@@ -235,3 +235,14 @@
 def counted_under(context, method):
     series = f'mothshunt_admin_requests_total{{method="{method}"'
     assert series in context.admin.metrics.render(), context.admin.metrics.render()
+
+
+@when('the contract of "{customer}" is put with {count:d} links that name nothing')
+def contract_with_bad_links(context, customer, count):
+    body = {**CONTRACT_BY_CUSTOMER[customer], "links": [{}] * count}
+    put_contract(context, customer, "faulty", 0, body)
+
+
+@then('the answer\'s detail begins with "{text}"')
+def detail_begins(context, text):
+    assert context.answer["detail"].startswith(text), context.answer["detail"]
