Refuse a change id that is that of another rollback or operator change

Cause: a rollback or change of an operator looked for its id in the audit trail and gave the first answer without comparing what was asked for, so a different change under a used id was said to be accepted.

Weighed: leaving operators to the replicated configuration alone; ruled out, since a token made by the API differs each time and the same change would be refused. Rollbacks are worked out alike each time and need no look of their own.

Change: the first answer is given only for the same operator, roles and token; rollbacks are left to the replicated configuration.

Conclusion: the same id means the same change everywhere in the API.

--- a/mothshunt/admin/changes.py
+++ b/mothshunt/admin/changes.py
@@ -1,6 +1,7 @@
 """Submission of changes, and what became of them."""
 
 import time
+from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
@@ -67,15 +68,19 @@
         return outcome_reply(result.ok, query.change_id)
 
     async def async_first_answer(
-        self, call: Call[ChangeQuery], key: ItemKey
+        self,
+        call: Call[ChangeQuery],
+        key: ItemKey,
+        is_same: Callable[[AuditRecord], bool],
     ) -> Result[Reply | None, Refusal]:
         """Return the first answer to a change that was sent again.
 
-        Needed where a change sent again would not be worked out alike, because the
-        state that it is worked out from has changed since.
+        Needed where a change sent again is not worked out alike, so that the
+        replicated configuration can't tell that it is the same.
 
         :param call: The request; its query names the change.
         :param key: The item.
+        :param is_same: Tells whether an accepted change is what is asked for.
         :return: The answer, ``None`` where the change has not been accepted.
         """
         records = await self._configuration.async_audit(
@@ -83,10 +88,13 @@
         )
         if records.is_error():
             return Error(Refusal(failure=records.error))
-        for record in records.ok:
-            if record.change_id == call.query.change_id:
-                return Ok(_first_answer(record))
-        return Ok(None)
+        change_id = call.query.change_id
+        found = next((r for r in records.ok if r.change_id == change_id), None)
+        if found is None:
+            return Ok(None)
+        if found.operator != call.operator.id or not is_same(found):
+            return refuse(codes.CHANGE_REFUSED, "the id is that of another change")
+        return Ok(_first_answer(found))
 
     async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         change_id = ChangeId(call.path_values[ATTR_CHANGE_ID])
--- a/mothshunt/admin/history.py
+++ b/mothshunt/admin/history.py
@@ -84,11 +84,6 @@
         self, call: Call[RollbackQuery]
     ) -> Result[Reply, Refusal]:
         key = contract_key(call.customer())
-        first = await self._changes.async_first_answer(call, key)
-        if first.is_error():
-            return Error(first.error)
-        if first.ok is not None:
-            return Ok(first.ok)
         records = await self._configuration.async_audit(
             key, MAX_RECORDS, call.query.timeout_s
         )
--- a/mothshunt/admin/operators.py
+++ b/mothshunt/admin/operators.py
@@ -22,7 +22,7 @@
 from mothshunt.admin.model import ChangeDocument
 from mothshunt.admin.parameters import ChangeQuery, OperatorBody, ReadQuery
 from mothshunt.configuration.model import NO_REVISION, ItemKey, Section
-from mothshunt.configuration.service import ConfigurationService
+from mothshunt.configuration.service import AuditRecord, ConfigurationService
 from mothshunt.core.types import OperatorId
 from mothshunt.util import schema
 
@@ -100,7 +100,7 @@
         id = _operator_id(call)
         if id == BOOTSTRAP_OPERATOR:
             return refuse(access_codes.OPERATOR_INVALID, "reserved name", "/id")
-        prepared = await self._async_prepared(call, id)
+        prepared = await self._async_prepared(call, id, body.ok)
         if prepared.is_error():
             return Error(prepared.error)
         if isinstance(prepared.ok, Reply):
@@ -122,7 +122,7 @@
         id = _operator_id(call)
         if call.query.base_revision == NO_REVISION:
             return refuse(access_codes.OPERATOR_UNKNOWN, id)
-        prepared = await self._async_prepared(call, id)
+        prepared = await self._async_prepared(call, id, None)
         if prepared.is_error():
             return Error(prepared.error)
         if isinstance(prepared.ok, Reply):
@@ -134,10 +134,12 @@
         return changed.map(lambda reply: _with_token(reply, None))
 
     async def _async_prepared(
-        self, call: Call[ChangeQuery], id: OperatorId
+        self, call: Call[ChangeQuery], id: OperatorId, body: OperatorBody | None
     ) -> Result[Reply | tuple[Operator, ...], Refusal]:
         """Return the first answer of a change sent again, else all operators."""
-        first = await self._changes.async_first_answer(call, _key(id))
+        first = await self._changes.async_first_answer(
+            call, _key(id), lambda record: _is_same(record, body)
+        )
         if first.is_error():
             return Error(first.error)
         if first.ok is not None:
@@ -154,6 +156,16 @@
     return ItemKey(section=Section.OPERATOR, name=id)
 
 
+def _is_same(record: AuditRecord, body: OperatorBody | None) -> bool:
+    """Tell whether an accepted change is what a body asks for; no body removes."""
+    if record.value is None or body is None:
+        return record.value is None and body is None
+    accepted = schema.from_json(Operator, record.value)
+    if accepted.is_error() or accepted.ok.grants != body.grants:
+        return False
+    return body.token_sha256 in (None, accepted.ok.token_sha256)
+
+
 def _operator_id(call: Call[object]) -> OperatorId:
     return OperatorId(call.path_values[ATTR_OPERATOR])
 
--- a/tests/admin/history.feature
+++ b/tests/admin/history.feature
@@ -30,6 +30,11 @@
     And the answer's "repeated" is True
     And 4 changes were accepted by the administration API
 
+  Scenario: A change id that was used for another rollback is refused
+    When POST /v1/contracts/rackhaven/rollback?revision=1 is changed as "back" on base 2
+    And POST /v1/contracts/rackhaven/rollback?revision=2 is changed as "back" on base 2
+    Then the administration API refuses with 422 and code 3010 "change_refused"
+
   Scenario: A rollback to a revision that is not in the history is refused
     When POST /v1/contracts/rackhaven/rollback?revision=9 is changed as "back" on base 2
     Then the administration API refuses with 404 and code 3015 "revision_unknown"
--- a/tests/admin/operators.feature
+++ b/tests/admin/operators.feature
@@ -93,6 +93,13 @@
     Then the answer's "change.repeated" is True
     And the answer's "token" is None
 
+  Scenario: A change id that was used for another change of an operator is refused
+    When the operator "dewi" is put as change "same" with the grants "*=read"
+    And the operator "dewi" is put as change "same" with the grants "*=administer"
+    Then the administration API refuses with 422 and code 3010 "change_refused"
+    When DELETE /v1/operators/dewi is changed as "same" on base 4
+    Then the administration API refuses with 422 and code 3010 "change_refused"
+
   Scenario: The last administrator stays
     Given the operator "ada" was made with the grants "*=administer"
     When DELETE /v1/operators/ada is changed as "gone" on base 4
