Let a new operator read at once, and show regions without an entry

Cause: reads trusted the operators read within the last second, so a token made in that second was refused as unknown.

Weighed: dropping the kept list when operators change here; ruled out, as the change may have been made through another control instance.

Change: the kept list is only used to admit. Its age counts from before the read. The check of a contract also names regions in which no entry instance is recorded.

Conclusion: an operator's token works as soon as the change that made it is accepted.

--- a/mothshunt/admin/api.py
+++ b/mothshunt/admin/api.py
@@ -48,7 +48,7 @@
     )
     instances = InstanceHandlers(instance=instance, status=status, source=source)
     routes = (
-        *ContractHandlers(configuration, changes).routes(),
+        *ContractHandlers(configuration, source, changes).routes(),
         *HistoryHandlers(configuration, changes).routes(),
         *changes.routes(),
         *drains.routes(),
--- a/mothshunt/admin/contracts.py
+++ b/mothshunt/admin/contracts.py
@@ -19,13 +19,18 @@
     ValidationDocument,
 )
 from mothshunt.admin.parameters import ChangeQuery, ReadQuery
-from mothshunt.configuration.model import NO_REVISION, ItemKey, Section
+from mothshunt.configuration.model import (
+    NO_REVISION,
+    ConfigurationSource,
+    ItemKey,
+    Section,
+)
 from mothshunt.configuration.service import ConfigurationService, Item
 from mothshunt.contract.check import check_contract
 from mothshunt.contract.diff import DiffLine, diff_contracts
 from mothshunt.contract.model import Contract
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import CustomerId
+from mothshunt.core.types import CustomerId, RegionId, Role
 from mothshunt.util import schema
 
 
@@ -33,13 +38,18 @@
     """Read, check and change contracts.
 
     :param configuration: Holds the contracts.
+    :param source: Names the regions of the entry instances.
     :param changes: Commits the changes.
     """
 
     def __init__(
-        self, configuration: ConfigurationService, changes: ChangeHandlers
+        self,
+        configuration: ConfigurationService,
+        source: ConfigurationSource,
+        changes: ChangeHandlers,
     ) -> None:
         self._configuration = configuration
+        self._source = source
         self._changes = changes
 
     def routes(self) -> tuple[Route, ...]:
@@ -157,7 +167,17 @@
         checked = await asyncio.to_thread(check_contract, call.body)
         if checked.is_error():
             return Error(faulty(checked.error))
-        return Ok(Reply(body=ValidationDocument(customer=checked.ok.customer)))
+        document = ValidationDocument(
+            customer=checked.ok.customer,
+            regions_without_entry=self._regions_without_entry(checked.ok),
+        )
+        return Ok(Reply(body=document))
+
+    def _regions_without_entry(self, contract: Contract) -> tuple[RegionId, ...]:
+        records = self._source.current().instance_by_id.values()
+        known = {record.region for record in records if Role.ENTRY in record.roles}
+        regions = (region.region for region in contract.regions)
+        return tuple(region for region in regions if region not in known)
 
     async def _async_diff(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         contract = await _async_contract_of(call)
--- a/mothshunt/admin/gate.py
+++ b/mothshunt/admin/gate.py
@@ -79,26 +79,27 @@
         first = identify((), self._bootstrap_token_sha256, token)
         if first.is_ok() or not token:
             return first
-        operators = await self._async_operators(role)
-        if operators.is_error():
-            return Error(operators.error)
-        return identify(operators.ok, None, token)
-
-    async def _async_operators(
-        self, role: AccessRole
-    ) -> Result[tuple[Operator, ...], Failure]:
         reads_only = role is AccessRole.READ
-        if reads_only and self._age_s() <= OPERATORS_FRESH_S:
-            return Ok(self._operators)
-        items = await self._read.async_get()
-        if items.is_ok():
-            self._operators = operators_of(items.ok)
-            self._read_at = self._clock.monotonic()
-            return Ok(self._operators)
+        cached = identify(self._operators, None, token)
+        if reads_only and cached.is_ok() and self._age_s() <= OPERATORS_FRESH_S:
+            return cached
+        failure = await self._async_refresh()
+        if failure is None:
+            return identify(self._operators, None, token)
         # The state must be readable also while no majority answers.
         if reads_only and self._age_s() <= OPERATORS_STALE_S:
-            return Ok(self._operators)
-        return Error(items.error)
+            return cached
+        return Error(failure)
+
+    async def _async_refresh(self) -> Failure | None:
+        """Read the operators as a majority holds them; return why that failed."""
+        started_at = self._clock.monotonic()
+        items = await self._read.async_get()
+        if items.is_error():
+            return items.error
+        self._operators = operators_of(items.ok)
+        self._read_at = started_at
+        return None
 
     def _age_s(self) -> float:
         if self._read_at is None:
--- a/mothshunt/admin/model.py
+++ b/mothshunt/admin/model.py
@@ -7,7 +7,14 @@
 from typing import Any
 
 from mothshunt.contract.diff import DiffLine
-from mothshunt.core.types import ChangeId, CustomerId, InstanceId, OperatorId, Revision
+from mothshunt.core.types import (
+    ChangeId,
+    CustomerId,
+    InstanceId,
+    OperatorId,
+    RegionId,
+    Revision,
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -143,9 +150,12 @@
     """Tell that a contract has no fault.
 
     :param customer: Customer that the contract names.
+    :param regions_without_entry: Regions of the contract in which no entry instance
+        is recorded; a misspelt name shows here.
     """
 
     customer: CustomerId
+    regions_without_entry: tuple[RegionId, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/admin/contracts.feature
+++ b/tests/admin/contracts.feature
@@ -32,6 +32,11 @@
     And the answer's "winner.revision" is 1
     And 1 administration refusals are counted as "change_conflict"
 
+  Scenario: A check names regions in which there is no entry
+    Given the instance "n1" is recorded as an entry only
+    When the contract of "rackhaven" is posted to /v1/contracts/validate
+    Then the answer's "regions_without_entry" is ['centre', 'south']
+
   Scenario: Every fault of a contract is named and nothing is changed
     When the contract of "rackhaven" is put with shift cap 141 and step 142
     Then the administration API refuses with 422 and code 3007 "contract_faulty"
--- a/tests/admin/operators.feature
+++ b/tests/admin/operators.feature
@@ -64,6 +64,12 @@
     Then the answer's "in_flight" is None
     And the answer's "complete" is False
 
+  Scenario: A new operator may read at once
+    When GET /v1/contracts is asked by operator "budi"
+    Given the operator "citra" was made with the grants "sleman=read"
+    When GET /v1/contracts is asked by operator "citra"
+    Then the administration API answers 200
+
   Scenario: Tokens are kept as hashes and never shown again
     Then the token of "budi" is not in the replicated configuration
     When GET /v1/audit?values=true is asked by the bootstrap administrator
