--- a/mothshunt/admin/model.py
+++ b/mothshunt/admin/model.py
@@ -7,7 +7,14 @@
 from typing import Any
 
 from mothshunt.contract.diff import DiffLine
-from mothshunt.core.types import ChangeId, CustomerId, InstanceId, OperatorId, Revision
+from mothshunt.core.types import (
+    ChangeId,
+    CustomerId,
+    InstanceId,
+    OperatorId,
+    RegionId,
+    Revision,
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,7 +68,7 @@
     :param detail: Text for a person.
     :param ran: ``no`` when nothing was changed, ``unknown`` when it may be.
     :param path: Place of the fault in the document, where there is one.
-    :param faults: Every fault of the document that was sent.
+    :param faults: Every fault of the document that was sent, the first 1000 of more.
     :param retry_after_s: Seconds after which to try again.
     :param change_id: The change that was asked for.
     :param winner: The change that was accepted in its place.
@@ -143,9 +150,12 @@
     """Tell that a contract has no fault.
 
     :param customer: Customer that the contract names.
+    :param regions_without_entry: Regions of the contract in which no entry instance
+        is recorded; a misspelt name shows here.
     """
 
     customer: CustomerId
+    regions_without_entry: tuple[RegionId, ...]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/admin/contracts.feature
+++ b/tests/admin/contracts.feature
@@ -32,6 +32,11 @@
     And the answer's "winner.revision" is 1
     And 1 administration refusals are counted as "change_conflict"
 
+  Scenario: A check names regions in which there is no entry
+    Given the instance "n1" is recorded as an entry only
+    When the contract of "rackhaven" is posted to /v1/contracts/validate
+    Then the answer's "regions_without_entry" is ['centre', 'south']
+
   Scenario: Every fault of a contract is named and nothing is changed
     When the contract of "rackhaven" is put with shift cap 141 and step 142
     Then the administration API refuses with 422 and code 3007 "contract_faulty"
@@ -43,6 +48,12 @@
     Then the administration API refuses with 422 and code 3007 "contract_faulty"
     And the answer's "faults.0.code" is 3101
 
+  Scenario: Of very many faults the first thousand are named and all counted
+    When the contract of "rackhaven" is put with 3000 links that name nothing
+    Then the administration API refuses with 422 and code 3007 "contract_faulty"
+    And the answer's "faults" has 1000 entries
+    And the answer's detail begins with "9000 faults"
+
   Scenario: A contract of another customer than the path is refused
     When the contract of "sleman" is put to the path of "rackhaven"
     Then the administration API refuses with 422 and code 3008 "customer_mismatch"
--- a/tests/admin/operators.feature
+++ b/tests/admin/operators.feature
@@ -64,6 +64,12 @@
     Then the answer's "in_flight" is None
     And the answer's "complete" is False
 
+  Scenario: A new operator may read at once
+    When GET /v1/contracts is asked by operator "budi"
+    Given the operator "citra" was made with the grants "sleman=read"
+    When GET /v1/contracts is asked by operator "citra"
+    Then the administration API answers 200
+
   Scenario: Tokens are kept as hashes and never shown again
     Then the token of "budi" is not in the replicated configuration
     When GET /v1/audit?values=true is asked by the bootstrap administrator
@@ -93,6 +99,13 @@
     Then the answer's "change.repeated" is True
     And the answer's "token" is None
 
+  Scenario: A change id that was used for another change of an operator is refused
+    When the operator "dewi" is put as change "same" with the grants "*=read"
+    And the operator "dewi" is put as change "same" with the grants "*=administer"
+    Then the administration API refuses with 422 and code 3010 "change_refused"
+    When DELETE /v1/operators/dewi is changed as "same" on base 4
+    Then the administration API refuses with 422 and code 3010 "change_refused"
+
   Scenario: The last administrator stays
     Given the operator "ada" was made with the grants "*=administer"
     When DELETE /v1/operators/ada is changed as "gone" on base 4
