Notice a leader whose process ended by its closed stream, and beat less often

Cause: at a heartbeat every 150 ms, wake-ups made up most of the idle processor time: 0.75 to 0.90 % of a core for a leader of three, 0.62 to 0.70 % for a follower, of 1.1 % that control may take in all. Longer intervals alone would make every failover slower.

Change: a heartbeat every 400 ms and elections after 1.4 to 2.4 s of silence. A follower whose stream to the leader closed waits 0.15 to 0.45 s; it changes no term by that, as the others refuse a pre-vote while they hear the leader. A request forwarded to a leader that was replaced is answered at once with an unknown outcome.

--- a/mothshunt/consensus/const.py
+++ b/mothshunt/consensus/const.py
@@ -1,10 +1,16 @@
 """Constants of the replicated log."""
 
-HEARTBEAT_S = 0.15
-ELECTION_MIN_S = 0.7
-ELECTION_MAX_S = 1.4
+HEARTBEAT_S = 0.4
+ELECTION_MIN_S = 1.4
+ELECTION_MAX_S = 2.4
 #: Appends without an answer are sent again after this long.
-RESEND_S = 0.5
+RESEND_S = 0.8
+#: Time between two looks at whether the stream to the leader is open.
+LEADER_CHECK_S = 0.1
+#: After the stream to the leader closed, an election starts within these times; the
+#: others have noticed by then.
+LOST_MIN_S = 0.15
+LOST_MAX_S = 0.45
 #: Longest time in which a leader tries to hand over its leadership.
 TRANSFER_TIMEOUT_S = 1.5
 
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -72,6 +72,7 @@
         self._on_failed = on_failed
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = 0.0
+        self._watch: asyncio.TimerHandle | None = None
         self._proposals: list[Proposal] = []
         self._waiters = ProposalWaiters()
         self._applied_waiters = IndexWaiters()
@@ -94,12 +95,14 @@
         if snapshot is not None and snapshot.index > NO_INDEX:
             self._state_machine.restore(snapshot.index, snapshot.data)
         self._arm()
+        self._watch_leader()
 
     def stop(self) -> None:
         """Stop the timer and answer all who wait."""
         self._is_stopped = True
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._watch):
+            if timer is not None:
+                timer.cancel()
         self._refuse(self._proposals, codes.STOPPED)
         self._proposals.clear()
         self._waiters.give_up("the instance stopped")
@@ -312,3 +315,16 @@
             self._arm()
             return
         self.perform(self.node.tick(self.now()))
+
+    def _watch_leader(self) -> None:
+        """Notice that the stream to the leader closed, as when its process ended."""
+        if self._is_stopped:
+            return
+        loop = asyncio.get_running_loop()
+        self._watch = loop.call_later(const.LEADER_CHECK_S, self._watch_leader)
+        leader = self.state.leader
+        if leader is None or leader == self.state.id:
+            return
+        if leader not in self._network.connected():
+            self._metrics.count("mothshunt_consensus_leader_streams_lost_total")
+            self.perform(self.node.leader_lost(self.now()))
--- a/mothshunt/consensus/election.py
+++ b/mothshunt/consensus/election.py
@@ -1,6 +1,6 @@
 """Elections: pre-vote, vote, and when a leader steps down."""
 
-from mothshunt.consensus import emit
+from mothshunt.consensus import const, emit
 from mothshunt.consensus.messages import VoteAnswer, VoteRequest
 from mothshunt.consensus.state import NodeState, ReadAnswer
 from mothshunt.consensus.types import NodeRole
@@ -120,6 +120,20 @@
     return now - state.leader_heard_at < state.config.election_min_s
 
 
+def expect_no_leader(state: NodeState, now: float) -> None:
+    """Start an election soon, and grant votes from now on.
+
+    :param state: The node.
+    :param now: Monotonic time, in seconds.
+    """
+    if state.role is not NodeRole.FOLLOWER or state.leader is None:
+        return
+    state.leader_heard_at = now - state.config.election_min_s
+    wait_s = state.random.uniform(const.LOST_MIN_S, const.LOST_MAX_S)
+    state.election_due = min(state.election_due, now + wait_s)
+    state.leader = None
+
+
 def on_vote_request(
     state: NodeState, peer: InstanceId, request: VoteRequest, now: float
 ) -> None:
--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -74,6 +74,17 @@
         for progress in tuple(leading.progress_by_replica.values()):
             replication.resend_if_late(state, progress, now)
 
+    def leader_lost(self, now: float) -> Outputs:
+        """Expect no more from the leader, to which no stream leads any longer.
+
+        Only the wait for its silence is cut short. The others still refuse a pre-vote
+        while they hear it.
+
+        :param now: Monotonic time, in seconds.
+        """
+        election.expect_no_leader(self.state, now)
+        return self._finish(now)
+
     def receive(self, peer: InstanceId, message: NodeMessage, now: float) -> Outputs:
         """Take a message from another node.
 
--- a/mothshunt/consensus/routing.py
+++ b/mothshunt/consensus/routing.py
@@ -139,7 +139,7 @@
         request = message(timeout_s)
         if leader == self._own:
             return from_answer(await handle(request))
-        reply = await self._network.async_request(leader, request, timeout_s)
+        reply = await self._async_forward(leader, request, timeout_s)
         match reply:
             case Result(tag="ok", ok=Answer() as answer):
                 return from_answer(answer)
@@ -148,3 +148,20 @@
                     return Error(no_leader(f"no stream to {leader}"))
                 return Error(unknown(failure.detail or f"no answer from {leader}"))
         return Error(unknown(f"{leader} gave an answer of another kind"))
+
+    async def _async_forward(
+        self, leader: InstanceId, request: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Wait for the leader's answer, but no longer than it is the leader."""
+        asked = asyncio.ensure_future(
+            self._network.async_request(leader, request, timeout_s)
+        )
+        try:
+            while not asked.done():
+                await asyncio.wait({asked}, timeout=const.LEADER_CHECK_S)
+                present = self._leader()
+                if not asked.done() and present not in (leader, None):
+                    return Error(unknown(f"{present} leads in place of {leader}"))
+            return asked.result()
+        finally:
+            asked.cancel()
--- a/tests/consensus/randomised.feature
+++ b/tests/consensus/randomised.feature
@@ -5,5 +5,5 @@
   # no commit index goes back; no read is older than what was accepted before it; no
   # message tells of what is not synced; memberships change one voter at a time.
   Scenario: Messages are lost, doubled and reordered, instances crash, disks are lost
-    When hypothesis draws 100 examples of up to 40 faults for pure nodes
+    When hypothesis draws 150 examples of up to 40 faults for pure nodes
     Then at least 20000 steps kept every promise, with lost disks among the faults
--- a/tests/steps/consensus_failures.py
+++ b/tests/steps/consensus_failures.py
@@ -163,6 +163,12 @@
     log = context.log
     name = next(name for name in log.names if name != context.cut_off)
     coordinator = log.coordinator_by_id[name]
+    # A command forwarded to the leader that was cut off has an unknown outcome.
+    log.run(
+        log.async_until(
+            lambda: coordinator.status().leader not in (None, context.cut_off)
+        )
+    )
     result = log.run(coordinator.async_propose(text.encode(), TIMEOUT_S))
     assert result.is_ok(), result
 
--- a/tests/support/consensus_machine.py
+++ b/tests/support/consensus_machine.py
@@ -43,7 +43,7 @@
         self.world = World(seed)
         self.world.run(300)
 
-    @rule(steps=st.integers(min_value=1, max_value=400), commands=st.integers(0, 3))
+    @rule(steps=st.integers(min_value=20, max_value=600), commands=st.integers(0, 3))
     def go_on(self, steps, commands):
         for _ in range(commands):
             self.world.propose()
@@ -95,6 +95,10 @@
         for leader in leaders:
             self.world.start(leader.id)
 
+    @rule(name=names)
+    def lose_stream(self, name):
+        self.world.lose_stream(name)
+
     @rule()
     def mend_cuts(self):
         self.world.cut.clear()
--- a/tests/support/consensus_net.py
+++ b/tests/support/consensus_net.py
@@ -24,19 +24,28 @@
     number=1106, name="peer_silent", http_status=504, summary="", action=""
 )
 SEED = 4
-CONFIG = ConsensusConfig(snapshot_after_entries=100, keep_entries=20)
+CONFIG = ConsensusConfig(
+    heartbeat_s=0.15,
+    election_min_s=0.7,
+    election_max_s=1.4,
+    snapshot_after_entries=100,
+    keep_entries=20,
+)
 
 
 class FakeHub:
-    """Connect networks; cut pairs lose everything."""
+    """Connect networks; between cut pairs all is lost and no stream closes."""
 
     def __init__(self):
         self.network_by_id = {}
         self.cut = set()
 
+    def has_stream(self, source, destination):
+        return {source, destination} <= self.network_by_id.keys()
+
     def reaches(self, source, destination):
         pair = frozenset((source, destination))
-        return destination in self.network_by_id and pair not in self.cut
+        return self.has_stream(source, destination) and pair not in self.cut
 
     def isolate(self, instance, others):
         self.cut |= {frozenset((instance, other)) for other in others}
@@ -52,7 +61,7 @@
         self.request_handler_by_class = {}
 
     def post(self, peer, message):
-        if not self.hub.reaches(self.instance, peer):
+        if not self.hub.has_stream(self.instance, peer):
             return False
         data = wire.pack(message)
         asyncio.get_running_loop().call_soon(self._deliver, peer, data)
@@ -66,8 +75,11 @@
         network.handler_by_class[type(message)](self.instance, message)
 
     async def async_request(self, peer, message, timeout_s):
-        if not self.hub.reaches(self.instance, peer):
+        if not self.hub.has_stream(self.instance, peer):
             return Error(Failure(code=NO_STREAM))
+        if not self.hub.reaches(self.instance, peer):
+            await asyncio.sleep(timeout_s)
+            return Error(Failure(code=NO_ANSWER))
         network = self.hub.network_by_id[peer]
         handler = network.request_handler_by_class.get(type(message))
         if handler is None:
@@ -78,6 +90,7 @@
         except TimeoutError:
             return Error(Failure(code=NO_ANSWER))
         if not self.hub.reaches(self.instance, peer):
+            await asyncio.sleep(timeout_s)
             return Error(Failure(code=NO_ANSWER))
         return Ok(wire.unpack(wire.pack(reply)).ok)
 
@@ -89,7 +102,7 @@
 
     def connected(self):
         others = self.hub.network_by_id
-        return frozenset(o for o in others if self.hub.reaches(self.instance, o))
+        return frozenset(o for o in others if self.hub.has_stream(self.instance, o))
 
 
 class CommandList:
--- a/tests/support/consensus_world.py
+++ b/tests/support/consensus_world.py
@@ -25,7 +25,13 @@
 INITIAL = ("a", "b", "c")
 SPARE = ("d", "e")
 CONFIG = ConsensusConfig(
-    snapshot_after_entries=12, keep_entries=4, snapshot_chunk_bytes=40
+    heartbeat_s=0.15,
+    election_min_s=0.7,
+    election_max_s=1.4,
+    resend_s=0.5,
+    snapshot_after_entries=12,
+    keep_entries=4,
+    snapshot_chunk_bytes=40,
 )
 REORDER_WINDOW = 6
 
@@ -165,6 +171,11 @@
         for process in self.leaders():
             self.perform(process, process.node.transfer(self.now(process)))
 
+    def lose_stream(self, name):
+        process = self.process_by_id[name]
+        if process.node is not None:
+            self.perform(process, process.node.leader_lost(self.now(process)))
+
     def add(self, name):
         member = self.process_by_id[name].member()
         for process in self.leaders():
