--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, each in a module with a function ``main(quick)``."""
+"""Measurements; each module with a ``run`` function is one of them."""
