Release a key when its caller left before anything was sent

Cause: a caller that left while its request waited for room left the key claimed, and later `unknown`, though nothing had run. Seen failing (behave tests/ledger/keys.feature: 409 in place of 200), then passing. The attempt loop has a module of its own now, as forwarder.py had grown over 300 lines.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -61,6 +61,7 @@
     :param body: Its body.
     :param on_answer: Called with the answer before the caller gets any of it.
     :param passed_on: Whether the caller has got a part of an answer.
+    :param may_have_run: Whether a target may have run the request.
     """
 
     request: web.Request
@@ -69,6 +70,7 @@
     body: RequestBody
     on_answer: Callable[[Answer], None] | None = None
     passed_on: bool = False
+    may_have_run: bool = False
 
     @property
     def reads_ahead(self) -> bool:
@@ -131,6 +133,8 @@
             raise
         finally:
             self._watch.end(handover)
+            if handover.done and outcome is not Outcome.SHED:
+                exchange.may_have_run = True
             self._chooser.finish(choice, outcome, self._clock.monotonic())
         return result
 
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -1,41 +1,33 @@
 """Forwarding of requests to targets, with retries and at-most-once."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from aiohttp import hdrs, web
 from expression import Result
 from multidict import CIMultiDict
 
 from mothshunt.configuration.model import ConfigurationSource
-from mothshunt.contract.model import Contract
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import CustomerId, Ran, ServiceName, TargetId
+from mothshunt.core.types import CustomerId, Ran, ServiceName
 from mothshunt.dispatch.answer import Answer, answer_headers
 from mothshunt.dispatch.attempt import Attempter, Exchange
-from mothshunt.dispatch.attempt_failure import AttemptFailure
 from mothshunt.dispatch.body import RequestBody, async_read_body
 from mothshunt.dispatch.client import TargetClient
 from mothshunt.dispatch.const import (
     KEPT_HEADERS,
-    MAX_ATTEMPTS,
-    METRIC_BROKEN,
-    METRIC_GIVEN_UP,
     METRIC_LATENCY,
     METRIC_REPLAYS,
-    METRIC_RETRIES,
 )
 from mothshunt.dispatch.model import AsyncTargetChooser
 from mothshunt.dispatch.refusal import refuse
-from mothshunt.dispatch.relay import AnswerBrokenOffError
 from mothshunt.dispatch.request import (
     Route,
     fingerprint,
     forwarded_headers,
     read_route,
 )
-from mothshunt.dispatch.retry import FailedAttempt, TokenBucket, give_up_reason
+from mothshunt.dispatch.retrier import Retrier
 from mothshunt.ledger.model import (
     HeldClaim,
     KeptAnswer,
@@ -44,7 +36,6 @@
     LedgerKey,
 )
 from mothshunt.metrics.registry import Metrics
-from mothshunt.steering.model import Choice
 
 
 class Forwarder:
@@ -71,19 +62,24 @@
         self._ledger = ledger
         self._metrics = metrics
         self._clock = clock
-        self._bucket_by_customer: dict[CustomerId, TokenBucket] = {}
         self._recorder_by_service: dict[
             tuple[CustomerId, ServiceName], Callable[[float], None]
         ] = {}
         self._client: TargetClient | None = None
-        self._attempter: Attempter | None = None
+        self._retrier: Retrier | None = None
 
     async def async_start(self) -> None:
         """Make ready to open connections to targets."""
         self._client = TargetClient(self._clock)
-        self._attempter = Attempter(
+        attempter = Attempter(
             client=self._client, chooser=self._chooser, clock=self._clock
         )
+        self._retrier = Retrier(
+            attempter=attempter,
+            chooser=self._chooser,
+            metrics=self._metrics,
+            clock=self._clock,
+        )
 
     async def async_stop(self) -> None:
         """Close the connections to targets."""
@@ -132,7 +128,8 @@
             headers=_headers_for_target(request),
             body=body,
         )
-        result = await self._async_attempts(exchange)
+        assert self._retrier is not None
+        result = await self._retrier.async_run(exchange)
         if isinstance(result, Failure):
             return refuse(self._metrics, result)
         return result
@@ -168,106 +165,20 @@
             body=body,
             on_answer=record,
         )
-        result = await self._async_attempts(exchange)
+        assert self._retrier is not None
+        try:
+            result = await self._retrier.async_run(exchange)
+        except BaseException:
+            # The caller may have left before anything was sent.
+            if not exchange.may_have_run:
+                claim.release()
+            raise
         if not isinstance(result, Failure):
             return result
         if result.ran is Ran.NO:
             claim.release()
         return refuse(self._metrics, result)
 
-    async def _async_attempts(self, exchange: Exchange) -> web.StreamResponse | Failure:
-        """Try targets until one answers or no further attempt is allowed."""
-        assert self._attempter is not None
-        route = exchange.route
-        bucket = self._bucket(route.contract)
-        bucket.count_first_attempt()
-        excluded: set[TargetId] = set()
-        last: Failure | None = None
-        number = 0
-        while True:
-            match await self._chooser.async_choose(
-                contract=route.contract,
-                service=route.service.service,
-                idempotent=route.idempotent,
-                excluded=excluded,
-                deadline=route.deadline,
-            ):
-                case Result(tag="ok", ok=choice):
-                    pass
-                case Result(error=failure):
-                    return failure if last is None else last
-            number += 1
-            may_retry = number < MAX_ATTEMPTS and bucket.has_one(
-                self._clock.monotonic()
-            )
-            result = await self._async_attempt(exchange, choice, may_retry)
-            if not isinstance(result, AttemptFailure):
-                return result
-            last = _worse(last, result.failure)
-            excluded.add(choice.target.id)
-            if not self._allows_retry(exchange, result, last, number, bucket):
-                return last
-
-    async def _async_attempt(
-        self, exchange: Exchange, choice: Choice, may_retry: bool
-    ) -> web.StreamResponse | AttemptFailure:
-        assert self._attempter is not None
-        try:
-            return await self._attempter.async_attempt(
-                exchange, choice, may_retry=may_retry
-            )
-        except AnswerBrokenOffError:
-            self._metrics.count(METRIC_BROKEN, customer=exchange.route.customer)
-            transport = exchange.request.transport
-            if transport is not None:
-                transport.abort()
-            raise
-
-    def _allows_retry(
-        self,
-        exchange: Exchange,
-        result: AttemptFailure,
-        last: Failure,
-        number: int,
-        bucket: TokenBucket,
-    ) -> bool:
-        now = self._clock.monotonic()
-        customer = exchange.route.customer
-        failed = FailedAttempt(
-            reason=result.reason,
-            ran=last.ran,
-            number=number,
-            body_gone=exchange.body.gone,
-        )
-        given_up = give_up_reason(
-            failed,
-            idempotent=exchange.route.idempotent,
-            bucket=bucket,
-            now=now,
-            deadline=exchange.route.deadline,
-        )
-        if given_up is None:
-            self._metrics.count(
-                METRIC_RETRIES, customer=customer, reason=result.reason.value
-            )
-            return True
-        self._metrics.count(
-            METRIC_GIVEN_UP,
-            customer=customer,
-            reason=result.reason.value,
-            why=given_up.value,
-        )
-        return False
-
-    def _bucket(self, contract: Contract) -> TokenBucket:
-        bucket = self._bucket_by_customer.get(contract.customer)
-        if bucket is None:
-            bucket = TokenBucket(contract.retry, self._clock.monotonic())
-            self._bucket_by_customer[contract.customer] = bucket
-        elif bucket.budget is not contract.retry:
-            bucket.set_budget(contract.retry)
-        return bucket
-
 
 def _headers_for_target(request: web.Request) -> CIMultiDict[str]:
     headers = forwarded_headers(request.headers)
@@ -275,13 +186,6 @@
     return headers
 
 
-def _worse(last: Failure | None, failure: Failure) -> Failure:
-    """Keep it in mind when an earlier attempt may have run the request."""
-    if last is not None and last.ran is Ran.UNKNOWN:
-        return replace(failure, ran=Ran.UNKNOWN)
-    return failure
-
-
 def _recorded(answer: Answer) -> KeptAnswer:
     headers = answer_headers(answer.response)
     return KeptAnswer(
--- a/tests/ledger/keys.feature
+++ b/tests/ledger/keys.feature
@@ -125,3 +125,13 @@
     And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
     Then the dispatch caller got status 200 and "four"
     And target "t1" was reached 1 times
+
+  Scenario: A caller that leaves while it waits for room leaves the key free
+    Given a dispatch entry
+    And a raw target "t1" that answers
+    And the dispatch chooser finds room only after 1000 ms
+    When a dispatch caller with Idempotency-Key "k-1" leaves POST "/orders" after 150 ms
+    And the dispatch chooser finds room at once
+    And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
+    Then the dispatch caller got status 200 and "t1 /orders"
+    And target "t1" was reached 1 times
--- a/tests/steps/ledger_keys.py
+++ b/tests/steps/ledger_keys.py
@@ -84,3 +84,13 @@
         await asyncio.sleep(0.3)
 
     context.runner.run(leave())
+
+
+@given("the dispatch chooser finds room only after {delay_ms:d} ms")
+def room_later(context, delay_ms):
+    context.chooser.delay_s = delay_ms / 1000
+
+
+@when("the dispatch chooser finds room at once")
+def room_at_once(context):
+    context.chooser.delay_s = 0.0
--- a/tests/support/dispatch_fakes.py
+++ b/tests/support/dispatch_fakes.py
@@ -72,6 +72,7 @@
     chosen: list[str] = field(default_factory=list)
     outcomes: list[tuple[str, str]] = field(default_factory=list)
     open: int = 0
+    delay_s: float = 0.0
     lease_ended: bool = False
 
     def add(self, name: str, port: int) -> None:
@@ -92,6 +93,7 @@
         )
 
     async def async_choose(self, *, contract, service, idempotent, excluded, deadline):
+        await asyncio.sleep(self.delay_s)
         for target in self.targets:
             if target.id not in excluded:
                 self.chosen.append(target.id)
