Have the last outcomes recorded before an entry stops

Cause: the first answer is recorded in the background, and a graceful stop right after the answer dropped the record, so that the key became `unknown`. Seen failing (behave tests/ledger/keys.feature: 409 in place of the replay), then passing. The stop of the forwarder waits for it, 5 s at most.

--- a/bench/hop_entry.py
+++ b/bench/hop_entry.py
@@ -112,6 +112,9 @@
         """Refuse the claim."""
         return Error(Failure(code=INTERNAL))
 
+    async def async_stop(self) -> None:
+        """Do nothing."""
+
 
 async def _async_not_here(request: web.Request) -> web.StreamResponse:
     return web.Response(status=404)
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -82,7 +82,8 @@
         )
 
     async def async_stop(self) -> None:
-        """Close the connections to targets."""
+        """Have the last outcomes recorded and close the connections to targets."""
+        await self._ledger.async_stop()
         if self._client is not None:
             await self._client.async_close()
 
--- a/mothshunt/ledger/client.py
+++ b/mothshunt/ledger/client.py
@@ -22,6 +22,7 @@
     METRIC_SETTLES,
     RETRY_AFTER_S,
     SETTLE_TIMEOUT_S,
+    STOP_TIMEOUT_S,
 )
 from mothshunt.ledger.messages import (
     Claim,
@@ -68,9 +69,14 @@
         """Do nothing; claims may be made at once."""
 
     async def async_stop(self) -> None:
-        """Wait until every claim is settled, or its time for that is over."""
-        while self._settling:
-            await asyncio.wait(self._settling)
+        """Wait a bounded time until every claim is settled."""
+        if not self._settling:
+            return
+        _, unsettled = await asyncio.wait(self._settling, timeout=STOP_TIMEOUT_S)
+        for task in unsettled:
+            task.cancel()
+        if unsettled:
+            _LOGGER.warning("claims were not settled at the stop", count=len(unsettled))
 
     async def async_claim(
         self, request: KeyedRequest, deadline: float
--- a/mothshunt/ledger/const.py
+++ b/mothshunt/ledger/const.py
@@ -26,6 +26,8 @@
 ASK_PAUSE_S = 0.1
 #: An outcome or a release is offered to control for this long.
 SETTLE_TIMEOUT_S = 30.0
+#: Longest wait for outcomes and releases when an entry instance stops.
+STOP_TIMEOUT_S = 5.0
 #: Time to come back that is named when control can't be reached.
 RETRY_AFTER_S = 1.0
 #: Outcomes and releases that may wait for control at a time.
--- a/mothshunt/ledger/model.py
+++ b/mothshunt/ledger/model.py
@@ -81,3 +81,7 @@
             answer; or a failure, after which the request must not be dispatched.
         """
         ...
+
+    async def async_stop(self) -> None:
+        """Wait a bounded time until every claim is settled."""
+        ...
--- a/tests/ledger/keys.feature
+++ b/tests/ledger/keys.feature
@@ -135,3 +135,14 @@
     And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
     Then the dispatch caller got status 200 and "t1 /orders"
     And target "t1" was reached 1 times
+
+  Scenario: A stop waits until the outcome is recorded
+    Given a dispatch entry
+    And a raw target "t1" that answers
+    And asking control for a Record meets "unreachable" for 3 asks
+    When a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
+    And the dispatch entry stops
+    And the same ledger is asked through another entry
+    And a dispatch caller adds Idempotency-Key "k-1" to POST "/orders"
+    Then the dispatch caller got status 200 and "t1 /orders"
+    And target "t1" was reached 1 times
--- a/tests/steps/ledger_keys.py
+++ b/tests/steps/ledger_keys.py
@@ -94,3 +94,8 @@
 @when("the dispatch chooser finds room at once")
 def room_at_once(context):
     context.chooser.delay_s = 0.0
+
+
+@when("the dispatch entry stops")
+def entry_stops(context):
+    context.runner.run(context.server.async_stop())
