Give every request a name that logs, targets and refusals share

Cause: an unknown outcome could not be traced from the caller's refusal to the target's log. A caller's Mothshunt-Request-Id is kept where it is an identifier, and one is made where not; an unknown outcome of a request that may not be repeated is logged with it.

--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -9,6 +9,7 @@
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
+from mothshunt.core.const import HEADER_REQUEST_ID
 from mothshunt.core.types import CustomerId, Ran, ServiceName
 from mothshunt.dispatch.answer import Answer, answer_headers
 from mothshunt.dispatch.attempt import Attempter, Exchange
@@ -28,6 +29,7 @@
     read_route,
 )
 from mothshunt.dispatch.retrier import Retrier
+from mothshunt.helpers.log import get_logger
 from mothshunt.ledger.model import (
     HeldClaim,
     KeptAnswer,
@@ -37,6 +39,8 @@
 )
 from mothshunt.metrics.registry import Metrics
 
+_LOGGER = get_logger("dispatch")
+
 
 class Forwarder:
     """Forward callers' requests to targets.
@@ -100,6 +104,11 @@
         self._recorder(route)(self._clock.monotonic() - started_at)
         return response
 
+    def _refuse(self, route: Route, failure: Failure) -> web.Response:
+        if failure.ran is Ran.UNKNOWN and not route.idempotent:
+            _LOGGER.failure("an outcome is unknown", failure, route.request_id)
+        return refuse(self._metrics, failure, route.request_id)
+
     def _recorder(self, route: Route) -> Callable[[float], None]:
         key = (route.customer, route.service.service)
         recorder = self._recorder_by_service.get(key)
@@ -118,7 +127,7 @@
                 request, keyed=route.key is not None, timeout_s=remaining_s
             )
             if isinstance(body, Failure):
-                return refuse(self._metrics, body)
+                return self._refuse(route, body)
         else:
             body = RequestBody(b"", request)
         if route.key is not None:
@@ -126,13 +135,13 @@
         exchange = Exchange(
             request=request,
             route=route,
-            headers=_headers_for_target(request),
+            headers=_headers_for_target(request, route),
             body=body,
         )
         assert self._retrier is not None
         result = await self._retrier.async_run(exchange)
         if isinstance(result, Failure):
-            return refuse(self._metrics, result)
+            return self._refuse(route, result)
         return result
 
     async def _async_keyed(
@@ -147,7 +156,7 @@
             case Result(tag="ok", ok=held):
                 pass
             case Result(error=failure):
-                return refuse(self._metrics, failure)
+                return self._refuse(route, failure)
         if isinstance(held, KeptAnswer):
             self._metrics.count(METRIC_REPLAYS, customer=route.customer)
             return _replay(held)
@@ -162,7 +171,7 @@
         exchange = Exchange(
             request=request,
             route=route,
-            headers=_headers_for_target(request),
+            headers=_headers_for_target(request, route),
             body=body,
             on_answer=record,
         )
@@ -178,11 +187,12 @@
             return result
         if result.ran is Ran.NO:
             claim.release()
-        return refuse(self._metrics, result)
+        return self._refuse(route, result)
 
 
-def _headers_for_target(request: web.Request) -> CIMultiDict[str]:
+def _headers_for_target(request: web.Request, route: Route) -> CIMultiDict[str]:
     headers = forwarded_headers(request.headers)
+    headers[HEADER_REQUEST_ID] = route.request_id
     headers.popall(hdrs.EXPECT, None)
     return headers
 
--- a/mothshunt/dispatch/refusal.py
+++ b/mothshunt/dispatch/refusal.py
@@ -6,19 +6,31 @@
 from aiohttp import web
 
 from mothshunt.core.codes import Failure
-from mothshunt.core.const import HEADER_CODE, HEADER_RAN, HEADER_RETRY_AFTER
+from mothshunt.core.const import (
+    HEADER_CODE,
+    HEADER_RAN,
+    HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+)
+from mothshunt.core.types import RequestId
 from mothshunt.dispatch.const import METRIC_REFUSALS
 from mothshunt.metrics.registry import Metrics
 
 
-def refuse(metrics: Metrics, failure: Failure) -> web.Response:
+def refuse(
+    metrics: Metrics, failure: Failure, request_id: RequestId | None = None
+) -> web.Response:
     """Count a refusal and return the answer that tells it.
 
     :param metrics: Metrics of the process.
     :param failure: Why the request got no answer from a target.
+    :param request_id: Name of the request, where it has one.
     """
     metrics.count(METRIC_REFUSALS, code=failure.code.name)
-    return refusal(failure)
+    response = refusal(failure)
+    if request_id is not None:
+        response.headers[HEADER_REQUEST_ID] = request_id
+    return response
 
 
 def refusal(failure: Failure) -> web.Response:
--- a/mothshunt/dispatch/request.py
+++ b/mothshunt/dispatch/request.py
@@ -1,7 +1,9 @@
 """Reading of a caller's request into what the forwarder needs."""
 
 import hashlib
+import itertools
 import re
+import secrets
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -14,10 +16,16 @@
 from mothshunt.core.const import (
     HEADER_DEADLINE_MS,
     HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
     ID_PATTERN,
     PATH_SERVICES,
 )
-from mothshunt.core.types import CustomerId, IdempotencyKey, ServiceName
+from mothshunt.core.types import (
+    CustomerId,
+    IdempotencyKey,
+    RequestId,
+    ServiceName,
+)
 from mothshunt.dispatch import codes
 from mothshunt.dispatch.const import HOP_BY_HOP
 
@@ -27,6 +35,8 @@
 
 _PREFIX = PATH_SERVICES + "/"
 _KEY = re.compile(ID_PATTERN)
+_ID_PREFIX = secrets.token_hex(4)
+_ID_NUMBERS = itertools.count(1)
 
 
 @dataclass(slots=True)
@@ -40,6 +50,7 @@
     :param idempotent: Whether the request may be repeated.
     :param key: Idempotency key, for a request that may not be repeated.
     :param deadline: Monotonic time at which the request ends, in seconds.
+    :param request_id: Name of the request in logs here and at the target.
     """
 
     contract: Contract
@@ -49,6 +60,7 @@
     idempotent: bool
     key: IdempotencyKey | None
     deadline: float
+    request_id: RequestId
 
     @property
     def customer(self) -> CustomerId:
@@ -92,6 +104,7 @@
         idempotent,
         None if key is None else IdempotencyKey(key),
         now + timeout_ms / MILLISECONDS_PER_SECOND,
+        _request_id(request.headers.get(HEADER_REQUEST_ID)),
     )
 
 
@@ -119,6 +132,12 @@
     return digest.digest()[:FINGERPRINT_BYTES]
 
 
+def _request_id(given: str | None) -> RequestId:
+    if given is not None and _KEY.match(given) is not None:
+        return RequestId(given)
+    return RequestId(f"{_ID_PREFIX}-{next(_ID_NUMBERS):x}")
+
+
 def _raw_target(request: web.Request) -> str:
     raw = request.raw_path
     return raw if raw.startswith("/") else request.rel_url.raw_path_qs
--- a/tests/dispatch/forward.feature
+++ b/tests/dispatch/forward.feature
@@ -51,3 +51,12 @@
     When a dispatch caller breaks off a streamed body
     Then the raw answer has code 2007
     And the outcomes were "t1 cancelled"
+
+  Scenario: A request has a name in the logs of the target and in refusals
+    Given a dispatch entry
+    And a raw target "t1" that closes after reading
+    When a dispatch caller adds Mothshunt-Request-Id "r-17" to POST "/orders"
+    Then target "t1" was told the request id "r-17"
+    And the dispatch caller was told the request id "r-17"
+    When a dispatch caller adds Mothshunt-Request-Id "not an id" to POST "/orders"
+    Then target "t1" was told another request id than "not an id"
--- a/tests/steps/dispatch_forward.py
+++ b/tests/steps/dispatch_forward.py
@@ -183,3 +183,25 @@
     status, headers, _ = context.answers[-1]
     refused = headers.get("Mothshunt-Ran") == "unknown"
     assert status is None or refused, context.answers[-1]
+
+
+def told_request_id(context, name):
+    headers = context.target_by_name[name].requests[-1].header_by_name
+    return headers["mothshunt-request-id"]
+
+
+@then('target "{name}" was told the request id "{request_id}"')
+def target_told_id(context, name, request_id):
+    assert told_request_id(context, name) == request_id
+
+
+@then('target "{name}" was told another request id than "{request_id}"')
+def target_told_other_id(context, name, request_id):
+    told = told_request_id(context, name)
+    assert told
+    assert told != request_id
+
+
+@then('the dispatch caller was told the request id "{request_id}"')
+def caller_told_id(context, request_id):
+    assert context.answers[-1][1]["Mothshunt-Request-Id"] == request_id
