--- a/bench/hop.py
+++ b/bench/hop.py
@@ -46,7 +46,7 @@
     entry: int
 
 
-def main(quick: bool) -> dict[str, Any]:
+def run(quick: bool) -> dict[str, Any]:
     """Run the benchmark.
 
     :param quick: Whether to run short.
--- a/bench/keys.py
+++ b/bench/keys.py
@@ -58,7 +58,7 @@
 )
 
 
-def main(quick: bool) -> dict[str, Any]:
+def run(quick: bool) -> dict[str, Any]:
     """Run the benchmark.
 
     :param quick: Whether to run short.
