Send presence and loads as bounded deltas

Cause: a control instance told every attached instance of every changed load, one message for each report, each encoded anew for each receiver; an entry's bytes and both ends' processor time grew with the square of the deployment.

Ruled out: dropping reports of load (steering uses them) and a mesh (890 streams each).

Reports are sent when something changed, else every 5 s, and name the instance instead of carrying its record. States are published at a tick of 0.25 s, loads every 2 s and only in the instance's region. Loads of targets are passed on in their region within a budget, longest waiting first, with their age. A message for many receivers is encoded once, and subscribers at one revision share one delta.

--- a/bench/slopes/control.py
+++ b/bench/slopes/control.py
@@ -2,6 +2,7 @@
 
 Three control instances run as processes of their own; all other instances are
 stand-ins, many in one process: the control half of an entry instance, without HTTP.
+Each stand-in has three targets announced to it, and all loads change all the time.
 """
 
 import json
@@ -27,6 +28,7 @@
 MEBIBYTE = 1024 * 1024
 STAND_INS_PER_PROCESS = 64
 IN_FORCE_TIMEOUT_S = 5.0
+READY_LINES = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,20 +45,32 @@
     memory_bytes: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AtRest:
+    """Hold rates while nothing is changed.
+
+    :param rates_by_control: Rates of each control instance, by name.
+    :param stand_in_cpu_percent: Processor time of a stand-in.
+    :param stand_in_bytes_per_s: Bytes that a stand-in sends and receives.
+    """
+
+    rates_by_control: dict[str, dict[str, float]]
+    stand_in_cpu_percent: float
+    stand_in_bytes_per_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Sample:
     """Hold what was measured at one size.
 
     :param stand_ins: Number of stand-ins.
-    :param idle: Rates at rest of each control instance, by name.
-    :param stand_in_cpu_percent: Processor time of a stand-in at rest.
+    :param rest: Rates while nothing is changed.
     :param change_cpu_ms: Processor time of all control instances for a change.
     :param change_bytes: Bytes on streams of all control instances for a change.
     """
 
     stand_ins: int
-    idle: dict[str, dict[str, float]]
-    stand_in_cpu_percent: float
+    rest: AtRest
     change_cpu_ms: float
     change_bytes: float
 
@@ -79,16 +93,26 @@
         return fit(points).document(unit)
 
     def busiest(name: str) -> Any:
-        return lambda s: max(rates[name] for rates in s.idle.values())
+        return lambda s: max(rates[name] for rates in s.rest.rates_by_control.values())
+
+    def least(name: str) -> Any:
+        return lambda s: min(rates[name] for rates in s.rest.rates_by_control.values())
 
     return {
-        "control_idle_cpu_percent_per_instance": line(busiest("cpu_percent"), "%"),
-        "control_idle_bytes_per_s_per_instance": line(busiest("bytes_per_s"), "B/s"),
+        "leader_cpu_percent_per_instance": line(busiest("cpu_percent"), "%"),
+        "follower_cpu_percent_per_instance": line(least("cpu_percent"), "%"),
+        "leader_bytes_per_s_per_instance": line(busiest("bytes_per_s"), "B/s"),
+        "follower_bytes_per_s_per_instance": line(least("bytes_per_s"), "B/s"),
         "control_memory_mib_per_instance": line(busiest("memory_mib"), "MiB"),
-        "stand_in_idle_cpu_percent": line(lambda s: s.stand_in_cpu_percent, "%"),
+        "entry_cpu_percent_per_instance": line(
+            lambda s: s.rest.stand_in_cpu_percent, "%"
+        ),
+        "entry_bytes_per_s_per_instance": line(
+            lambda s: s.rest.stand_in_bytes_per_s, "B/s"
+        ),
         "change_cpu_ms_per_instance": line(lambda s: s.change_cpu_ms, "ms"),
         "change_bytes_per_instance": line(lambda s: s.change_bytes, "B"),
-        "idle_by_size": {str(s.stand_ins): s.idle for s in samples},
+        "rates_by_size": {str(s.stand_ins): s.rest.rates_by_control for s in samples},
     }
 
 
@@ -101,16 +125,15 @@
         stand_ins = _start_stand_ins(deployment, size)
         try:
             time.sleep(SETTLE_S)
-            idle, stand_in_cpu = _at_rest(deployment, stand_ins, rest_s, size)
-            cpu_ms, sent = _per_change(deployment, document, revision, changes, idle)
+            rest = _at_rest(deployment, stand_ins, rest_s, size)
+            cpu_ms, sent = _per_change(deployment, document, revision, changes, rest)
         finally:
             for process in stand_ins:
                 process.terminate()
                 process.wait(JOIN_TIMEOUT_S)
     return Sample(
         stand_ins=size,
-        idle=idle,
-        stand_in_cpu_percent=stand_in_cpu,
+        rest=rest,
         change_cpu_ms=cpu_ms,
         change_bytes=sent,
     )
@@ -145,7 +168,7 @@
         processes.append(process)
     for process in processes:
         wait_until(
-            lambda process=process: "ready" in process.log_tail(),
+            lambda process=process: "ready" in process.log_tail(READY_LINES),
             JOIN_TIMEOUT_S,
             "all stand-ins have joined",
         )
@@ -179,16 +202,26 @@
 
 def _at_rest(
     deployment: Deployment, stand_ins: list[ManagedProcess], rest_s: float, size: int
-) -> tuple[dict[str, dict[str, float]], float]:
+) -> AtRest:
     before = {item.id: _usage(item) for item in deployment.instances}
     cpu_before = sum(_cpu_s(process.pid) for process in stand_ins)
+    bytes_before = sum(_stand_in_bytes(process) for process in stand_ins)
     time.sleep(rest_s)
     cpu_after = sum(_cpu_s(process.pid) for process in stand_ins)
-    idle = {
-        item.id: _rates(before[item.id], _usage(item), rest_s)
-        for item in deployment.instances
-    }
-    return idle, (cpu_after - cpu_before) / rest_s * PERCENT / size
+    bytes_after = sum(_stand_in_bytes(process) for process in stand_ins)
+    return AtRest(
+        rates_by_control={
+            item.id: _rates(before[item.id], _usage(item), rest_s)
+            for item in deployment.instances
+        },
+        stand_in_cpu_percent=(cpu_after - cpu_before) / rest_s * PERCENT / size,
+        stand_in_bytes_per_s=(bytes_after - bytes_before) / rest_s / size,
+    )
+
+
+def _stand_in_bytes(process: ManagedProcess) -> int:
+    line = process.log_tail(1)
+    return int(json.loads(line)["bytes"])
 
 
 def _per_change(
@@ -196,7 +229,7 @@
     document: dict[str, Any],
     revision: int,
     changes: int,
-    idle: dict[str, dict[str, float]],
+    rest: AtRest,
 ) -> tuple[float, float]:
     """Return processor time in ms and bytes of a change, the rest taken off."""
     operator = Operator(deployment.instances[0])
@@ -213,8 +246,10 @@
     time.sleep(1.0)
     took_s = time.monotonic() - began
     after = [_usage(item) for item in deployment.instances]
-    idle_cpu_s = sum(r["cpu_percent"] for r in idle.values()) / PERCENT * took_s
-    idle_bytes = sum(r["bytes_per_s"] for r in idle.values()) * took_s
+    idle_cpu_s = (
+        sum(r["cpu_percent"] for r in rest.rates_by_control.values()) / PERCENT * took_s
+    )
+    idle_bytes = sum(r["bytes_per_s"] for r in rest.rates_by_control.values()) * took_s
     cpu_s = sum(a.cpu_s - b.cpu_s for a, b in zip(after, before, strict=True))
     sent = sum(a.peer_bytes - b.peer_bytes for a, b in zip(after, before, strict=True))
     return (cpu_s - idle_cpu_s) * 1000 / changes, (sent - idle_bytes) / changes
--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -1,27 +1,34 @@
 """Stand-ins for many entry instances: their control half in one process.
 
 Usage: ``python -m bench.stand_ins PLAN``; the plan is a JSON file with a list of
-settings files. Prints ``ready`` when all have joined, then runs until ``SIGTERM``.
+settings files. Prints ``ready`` when all have joined, then the bytes on their streams
+from time to time, until ``SIGTERM``.
 """
 
 import asyncio
 import json
+import random
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from expression import Result
 
 from mothshunt.core.types import InstanceState
 from mothshunt.daemon.base import Base
+from mothshunt.discovery import const
 from mothshunt.discovery.announcements import Announcements
 from mothshunt.discovery.coordinator import DiscoveryCoordinator
-from mothshunt.discovery.messages import TargetRows
+from mothshunt.discovery.messages import AnnouncedLoad, Announcement, TargetRows
 from mothshunt.discovery.state import TargetTable
 from mothshunt.limits.coordinator import LimitsHolderCoordinator
 from mothshunt.settings.config import Settings
 
+TARGETS_PER_STAND_IN = 3
+COUNT_INTERVAL_S = 0.5
+LOADS = (0, 1, 2, 3, 4)
+
 
 @dataclass(slots=True, eq=False)
 class ControlHalf:
@@ -33,6 +40,8 @@
 
     base: Base
     discovery: DiscoveryCoordinator
+    _announced: set[int] = field(default_factory=set)
+    _task: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(cls, settings: Settings) -> "ControlHalf":
@@ -82,6 +91,38 @@
         )
         await limits.async_start()
         base.reporter.set_state(InstanceState.READY)
+        base.load.read = lambda: random.choice(LOADS)
+        self._task = asyncio.create_task(self._async_announce())
+
+    async def _async_announce(self) -> None:
+        """Renew the announcements of a few targets, with a load that changes."""
+        while True:
+            for number in range(TARGETS_PER_STAND_IN):
+                announcement = self._announcement(number)
+                now = self.base.clock.monotonic()
+                match self.discovery.announcements.announce(announcement, now):
+                    case Result(tag="ok", ok=row):
+                        if number not in self._announced:
+                            self.discovery.spread_soon(row)
+                            self._announced.add(number)
+                    case Result(error=failure):
+                        raise SystemExit(failure.detail)
+            await asyncio.sleep(const.RENEW_INTERVAL_MS / 1000)
+
+    def _announcement(self, number: int) -> Announcement:
+        own = self.base.settings.instance
+        return Announcement(
+            target=f"{own.id}-target-{number}",
+            incarnation=1,
+            customer="rackhaven",
+            service="cabinet-status",
+            host="127.0.0.1",
+            port=9000,
+            region=own.region,
+            availability_zone=own.availability_zone,
+            slots=4,
+            load=AnnouncedLoad(in_flight=random.choice(LOADS)),
+        )
 
 
 async def async_run(paths: list[Path]) -> None:
@@ -98,9 +139,11 @@
         halves.append(ControlHalf.from_config(settings.ok))
     await asyncio.gather(*(half.async_start() for half in halves))
     print("ready", flush=True)
-    await stop.wait()
-    revisions = {half.base.holder.current().revision for half in halves}
-    print(json.dumps({"revisions": sorted(revisions)}), flush=True)
+    while not stop.is_set():
+        traffic = [half.base.network.traffic for half in halves]
+        count = sum(item.bytes_sent + item.bytes_received for item in traffic)
+        print(json.dumps({"bytes": count}), flush=True)
+        await asyncio.sleep(COUNT_INTERVAL_S)
 
 
 if __name__ == "__main__":
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -16,7 +16,6 @@
 )
 from mothshunt.configuration.holder import ConfigurationHolder
 from mothshunt.configuration.model import NO_REVISION, Section
-from mothshunt.configuration.service import Item
 from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.configuration.store import ItemStore
 from mothshunt.consensus.model import ReplicatedLog
@@ -85,42 +84,35 @@
                 self.delivered.put(item)
         self.delivered.revision = self.state.store.revision
         self.holder.put_in_force(self.delivered)
-        for subscriber in list(self.revision_by_subscriber):
-            self._push(subscriber)
+        self._push_all()
 
     def _on_subscribe(self, peer: InstanceId, message: Subscribe) -> None:
-        self.revision_by_subscriber[peer] = message.revision
-        if message.is_whole:
-            items = tuple(self.delivered.item_by_key.values())
-            self._post_delta(peer, NO_REVISION, items=items, is_whole=True)
-        else:
-            self._push(peer)
-
-    def _push(self, subscriber: InstanceId) -> None:
-        since = self.revision_by_subscriber[subscriber]
-        items = self.delivered.changed_since(since)
-        self._post_delta(subscriber, since, items=items, is_whole=False)
-
-    def _post_delta(
-        self,
-        subscriber: InstanceId,
-        since: Revision,
-        *,
-        items: tuple[Item, ...],
-        is_whole: bool,
-    ) -> None:
-        delta = Delta(
+        self.revision_by_subscriber[peer] = self.delivered.revision
+        since = NO_REVISION if message.is_whole else message.revision
+        delta = self._delta(since, is_whole=message.is_whole)
+        self.network.post(peer, delta)
+
+    def _push_all(self) -> None:
+        """Send each subscriber what it lacks; the same delta is made only once.
+
+        A delta that a full queue does not take is repaired after the next beat.
+        """
+        subscribers_by_revision: dict[Revision, list[InstanceId]] = {}
+        for subscriber, revision in self.revision_by_subscriber.items():
+            subscribers_by_revision.setdefault(revision, []).append(subscriber)
+        for since, subscribers in subscribers_by_revision.items():
+            self.network.post_all(subscribers, self._delta(since, is_whole=False))
+        for subscriber in self.revision_by_subscriber:
+            self.revision_by_subscriber[subscriber] = self.delivered.revision
+
+    def _delta(self, since: Revision, *, is_whole: bool) -> Delta:
+        return Delta(
             from_revision=since,
             to_revision=self.delivered.revision,
             digest=self.delivered.digest,
-            items=items,
+            items=self.delivered.changed_since(since),
             is_whole=is_whole,
         )
-        if self.network.post(subscriber, delta):
-            self.revision_by_subscriber[subscriber] = self.delivered.revision
-        else:
-            # It subscribes again when its stream is back.
-            self.forget(subscriber)
 
     async def _async_confirm(
         self, peer: InstanceId, message: ConfirmedRevisionRequest
@@ -142,6 +134,5 @@
                 digest=self.delivered.digest,
                 confirmed_age_ms=self.confirmed_age_ms(self.clock.monotonic()),
             )
-            for subscriber in list(self.revision_by_subscriber):
-                self.network.post(subscriber, beat)
+            self.network.post_all(self.revision_by_subscriber, beat)
             await asyncio.sleep(const.BEAT_INTERVAL_S * random.uniform(0.8, 1.2))
--- a/mothshunt/core/network.py
+++ b/mothshunt/core/network.py
@@ -1,6 +1,6 @@
 """Streams between instances as the slices use them."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, Protocol, TypeVar
 
 from expression import Result
@@ -27,6 +27,14 @@
         """
         ...
 
+    def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
+        """Queue one message for several peers without waiting; it is encoded once.
+
+        :param peers: Receivers; those that no stream leads to are passed over.
+        :param message: A registered message.
+        """
+        ...
+
     async def async_request(
         self, peer: InstanceId, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -165,8 +165,12 @@
         return frozenset(row.instance for row in rows if row.state is not None)
 
     def receivers() -> list[Receiver]:
-        reports = [attached.report for attached in table.attached_by_id.values()]
-        return [Receiver(id=r.record.id, region=r.record.region) for r in reports]
+        region_by_id = {i: control.presence.region_of(i) for i in table.attached_by_id}
+        return [
+            Receiver(id=instance, region=region)
+            for instance, region in region_by_id.items()
+            if region is not None
+        ]
 
     relay = TargetRelay(
         own_id=base.settings.instance.id,
--- a/mothshunt/discovery/const.py
+++ b/mothshunt/discovery/const.py
@@ -11,3 +11,6 @@
 MAX_ANNOUNCEMENT_BYTES = 16 * 1024
 SWEEP_INTERVAL_S = 1.0
 FULL_RELAY_INTERVAL_S = 30.0
+LOAD_FLUSH_S = 0.5
+#: Load reports that a control instance passes on in one flush.
+LOADS_PER_FLUSH = 60
--- a/mothshunt/discovery/relay.py
+++ b/mothshunt/discovery/relay.py
@@ -7,8 +7,9 @@
 
 from mothshunt.core.clock import Clock
 from mothshunt.core.network import PeerNetwork
-from mothshunt.core.types import InstanceId, RegionId
+from mothshunt.core.types import InstanceId, RegionId, TargetId
 from mothshunt.discovery import const
+from mothshunt.discovery.load_budget import LoadBudget
 from mothshunt.discovery.messages import LoadRow, TargetRow, TargetRows
 from mothshunt.discovery.state import TargetTable
 
@@ -31,7 +32,7 @@
 
     News of an attached instance go to the other control instances and to all
     attached ones; news of a control instance go to the attached ones only. Loads
-    go to attached instances of the target's region only.
+    go to attached instances of the target's region only, within a budget.
 
     :param own_id: Name of this instance.
     :param network: Streams of this instance.
@@ -50,17 +51,19 @@
     control_peers: Callable[[], Iterable[InstanceId]]
     take_locally: Callable[[TargetRows], None]
     table: TargetTable = field(default_factory=TargetTable)
-    _task: asyncio.Task[None] | None = None
+    budget: LoadBudget = field(default_factory=LoadBudget)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def async_start(self) -> None:
         """Begin to pass on."""
-        self.network.on_message(TargetRows, self._on_rows)
-        self._task = asyncio.create_task(self._async_sweep())
+        self.network.on_message(TargetRows, self.handle)
+        self._tasks.append(asyncio.create_task(self._async_sweep()))
+        self._tasks.append(asyncio.create_task(self._async_pass_on_loads()))
 
     async def async_stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
 
     def welcome(self, instance: InstanceId) -> None:
         """Tell an instance that has just attached of all targets.
@@ -89,8 +92,8 @@
             self.table.sweep(self.reachable(), now)
             if now >= full_at:
                 # Repairs what a lost stream swallowed.
-                for control in self.control_peers():
-                    self.network.post(control, TargetRows(rows=self._own_rows()))
+                news = TargetRows(rows=self._own_rows())
+                self.network.post_all(self.control_peers(), news)
                 full_at = now + const.FULL_RELAY_INTERVAL_S
 
     def _own_rows(self) -> tuple[TargetRow, ...]:
@@ -101,34 +104,56 @@
             if known.row.owner in attached
         )
 
-    def _on_rows(self, peer: InstanceId, news: TargetRows) -> None:
+    def handle(self, peer: InstanceId, news: TargetRows) -> None:
+        """Take news and pass them on.
+
+        :param peer: Who tells.
+        :param news: Targets and loads.
+        """
         now = self.clock.monotonic()
         rows = tuple(row for row in news.rows if self.table.take(row, now))
-        loads = tuple(load for load in news.loads if self.table.take_load(load, now))
-        if not rows and not loads:
+        loads = [load for load in news.loads if self.table.take_load(load, now)]
+        self.budget.add(load.target for load in loads)
+        if not rows:
             return
         controls = frozenset(self.control_peers())
         if peer not in controls:
-            for control in controls:
-                self.network.post(control, TargetRows(rows=rows, loads=loads))
-        for receiver in self.receivers():
-            if receiver.id != peer:
-                self._pass_on(receiver, rows, loads)
-
-    def _pass_on(
-        self,
-        receiver: Receiver,
-        rows: tuple[TargetRow, ...],
-        loads: tuple[LoadRow, ...],
-    ) -> None:
-        near = tuple(load for load in loads if self._region(load) == receiver.region)
-        if not rows and not near:
-            return
-        news = TargetRows(rows=rows, loads=near)
-        if receiver.id == self.own_id:
+            self.network.post_all(controls, TargetRows(rows=rows))
+        receivers = [item.id for item in self.receivers() if item.id != peer]
+        self._pass_on(receivers, TargetRows(rows=rows))
+
+    def _pass_on(self, receivers: list[InstanceId], news: TargetRows) -> None:
+        if self.own_id in receivers:
             self.take_locally(news)
-        else:
-            self.network.post(receiver.id, news)
+        others = [receiver for receiver in receivers if receiver != self.own_id]
+        self.network.post_all(others, news)
 
-    def _region(self, load: LoadRow) -> RegionId:
-        return self.table.known_by_target[load.target].row.announcement.region
+    async def _async_pass_on_loads(self) -> None:
+        while True:
+            await asyncio.sleep(const.LOAD_FLUSH_S)
+            self.flush_loads(self.clock.monotonic())
+
+    def flush_loads(self, now: float) -> None:
+        """Pass on the load reports whose turn it is.
+
+        :param now: Monotonic time, in seconds.
+        """
+        known = self.table.known_by_target
+        chosen = [t for t in self.budget.take(const.LOADS_PER_FLUSH) if t in known]
+        if not chosen:
+            return
+        receivers = list(self.receivers())
+        attached = frozenset(receiver.id for receiver in receivers)
+        own = [t for t in chosen if known[t].row.owner in attached]
+        if own:
+            news = TargetRows(loads=self._loads(own, now))
+            self.network.post_all(self.control_peers(), news)
+        for region in {receiver.region for receiver in receivers}:
+            near = [t for t in chosen if known[t].row.announcement.region == region]
+            if near:
+                ids = [item.id for item in receivers if item.region == region]
+                self._pass_on(ids, TargetRows(loads=self._loads(near, now)))
+
+    def _loads(self, targets: list[TargetId], now: float) -> tuple[LoadRow, ...]:
+        rows = (self.table.load_row(target, now) for target in targets)
+        return tuple(row for row in rows if row is not None)
--- a/mothshunt/discovery/state.py
+++ b/mothshunt/discovery/state.py
@@ -12,7 +12,7 @@
     TargetState,
 )
 from mothshunt.discovery import const
-from mothshunt.discovery.messages import LoadRow, RowState, TargetRow
+from mothshunt.discovery.messages import AnnouncedLoad, LoadRow, RowState, TargetRow
 from mothshunt.discovery.model import LoadReport, Target
 
 _RANK_BY_STATE = {RowState.SERVING: 0, RowState.LEAVING: 1, RowState.LEFT: 2}
@@ -103,6 +103,23 @@
         self._forget_cached(known, known.row)
         return True
 
+    def load_row(self, target: TargetId, now: float) -> LoadRow | None:
+        """Return the last load report of a target, aged to the present.
+
+        :param target: Name of the target.
+        :param now: Monotonic time, in seconds.
+        """
+        known = self.known_by_target.get(target)
+        if known is None or known.report is None:
+            return None
+        load = AnnouncedLoad(
+            in_flight=known.report.in_flight,
+            connections=known.report.connections,
+            age_ms=max(0, int((now - known.report.measured_at) * 1000)),
+        )
+        incarnation = known.row.announcement.incarnation
+        return LoadRow(target=target, incarnation=incarnation, load=load)
+
     def sweep(self, reachable: AbstractSet[InstanceId], now: float) -> None:
         """Drop targets whose owner is lost, and forget those that left long ago.
 
--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -64,10 +64,18 @@
         :param item: The frame.
         :return: ``False`` when the stream is closed or its queue is full.
         """
+        return self.post_encoded(frame.encode(item))
+
+    def post_encoded(self, data: bytes) -> bool:
+        """Queue an encoded frame without waiting.
+
+        :param data: What ``frame.encode`` returned.
+        :return: ``False`` when the stream is closed or its queue is full.
+        """
         if self.closed:
             return False
         try:
-            self._queue.put_nowait(frame.encode(item))
+            self._queue.put_nowait(data)
         except asyncio.QueueFull:
             return False
         return True
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -13,7 +13,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId
 from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.peer import codes, const, handshake
+from mothshunt.helpers.peer import codes, const, frame, handshake
 from mothshunt.helpers.peer.admission import HandshakeAdmission
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.link import PeerLink, Traffic
@@ -126,6 +126,16 @@
         link = self._link(peer)
         return link is not None and link.post(Frame(FrameKind.MESSAGE, 0, message))
 
+    def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
+        """Queue one message for several peers; see ``PeerNetwork``."""
+        data = frame.encode(Frame(FrameKind.MESSAGE, 0, message))
+        for peer in peers:
+            link = self._link(peer)
+            if link is not None:
+                link.post_encoded(data)
+            elif peer == self.own_id:
+                self.post(peer, message)
+
     async def async_request(
         self, peer: InstanceId, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -1,6 +1,8 @@
 """Constants of the membership."""
 
 REPORT_INTERVAL_S = 1.0
+#: Time after which a report is sent although nothing changed.
+FULL_REPORT_INTERVAL_S = 5.0
 UPLINK_CHECK_INTERVAL_S = 0.25
 #: A control instance that no majority confirmed for this time is left for another.
 MAX_CONFIRMED_AGE_S = 4.0
--- a/mothshunt/membership/hub.py
+++ b/mothshunt/membership/hub.py
@@ -18,7 +18,7 @@
 from mothshunt.configuration.service import InstanceStatus
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import Incarnation, InstanceId, Revision, Role
+from mothshunt.core.types import Incarnation, InstanceId, RegionId, Revision, Role
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership import const
 from mothshunt.membership.messages import (
@@ -37,6 +37,7 @@
 from mothshunt.membership.state import PresenceTable
 
 TICK_S = 0.25
+LOADS_INTERVAL_S = 2.0
 FULL_ROWS_INTERVAL_S = 5.0
 
 
@@ -57,6 +58,7 @@
     clock: Clock
     table: PresenceTable
     _attach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
+    _changed_loads: set[InstanceId] = field(default_factory=set)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -124,13 +126,21 @@
             in_flight=0 if report is None or is_lost else report.load,
         )
 
+    def region_of(self, instance: InstanceId) -> RegionId | None:
+        """Return the region of a recorded instance.
+
+        :param instance: Name of the instance.
+        """
+        record = self.source.current().instance_by_id.get(instance)
+        return None if record is None else record.region
+
     def _on_report(self, peer: InstanceId, report: Report) -> None:
-        if report.record.id != peer:
+        if report.instance != peer:
             return
         is_new = self.table.is_new_attachment(report)
         self.table.report(report, self.clock.monotonic())
-        self._publish()
         if is_new:
+            self._publish()
             rows = tuple(self.table.published_by_instance.values())
             self.network.post(peer, Rows(rows=rows, is_whole=True))
             for listener in self._attach_listeners:
@@ -140,16 +150,35 @@
         self.table.hub_back(hub)
         for row in rows.rows:
             self.table.take(row, hub)
-        self._publish()
 
     def _publish(self) -> None:
         changed = self.table.publish(self.clock.monotonic())
         if not changed:
             return
-        for instance in self.table.attached_by_id:
-            self.network.post(instance, Rows(rows=changed))
-        own = [row for row in changed if self._is_own(row)]
-        self._post_to_hubs(own)
+        states = tuple(item.row for item in changed if not item.is_load_only)
+        if states:
+            self.network.post_all(self.table.attached_by_id, Rows(rows=states))
+        self._changed_loads.update(
+            item.row.instance for item in changed if item.is_load_only
+        )
+        self._post_to_hubs(item.row for item in changed if self._is_own(item.row))
+
+    def _publish_loads(self) -> None:
+        """Tell of loads in the instance's region only: others don't choose by them."""
+        rows_by_region: dict[RegionId, list[Row]] = {}
+        for instance in self._changed_loads:
+            region = self.region_of(instance)
+            row = self.table.published_by_instance[instance]
+            if region is not None:
+                rows_by_region.setdefault(region, []).append(row)
+        self._changed_loads.clear()
+        for region, near in rows_by_region.items():
+            receivers = [
+                instance
+                for instance in self.table.attached_by_id
+                if self.region_of(instance) == region
+            ]
+            self.network.post_all(receivers, Rows(rows=tuple(near)))
 
     def _is_own(self, row: Row) -> bool:
         return self.table.hub_by_instance[row.instance] == self.network.own_id
@@ -158,8 +187,7 @@
         message = HubRows(rows=tuple(rows))
         if not message.rows:
             return
-        for peer in self._control_peers():
-            self.network.post(peer, message)
+        self.network.post_all(self._control_peers(), message)
 
     def _control_peers(self) -> list[InstanceId]:
         records = self.source.current().instance_by_id.values()
@@ -181,11 +209,14 @@
             self.table.hub_lost(peer, now)
 
     async def _async_tick(self) -> None:
-        full_at = self.clock.monotonic()
+        full_at = loads_at = self.clock.monotonic()
         while True:
             await asyncio.sleep(TICK_S)
             self._publish()
             now = self.clock.monotonic()
+            if now >= loads_at:
+                self._publish_loads()
+                loads_at = now + LOADS_INTERVAL_S
             if now >= full_at:
                 # Repairs what a lost stream swallowed.
                 self._post_to_hubs(self.table.own_rows())
@@ -235,6 +266,6 @@
     standing_by_id: dict[InstanceId, Standing], standings: tuple[Standing, ...]
 ) -> None:
     for standing in standings:
-        held = standing_by_id.get(standing.report.record.id)
+        held = standing_by_id.get(standing.report.instance)
         if held is None or standing.age_ms < held.age_ms:
-            standing_by_id[standing.report.record.id] = standing
+            standing_by_id[standing.report.instance] = standing
--- a/mothshunt/membership/messages.py
+++ b/mothshunt/membership/messages.py
@@ -12,7 +12,7 @@
 class Report:
     """Tell the control instance that this instance is attached to how it stands.
 
-    :param record: The instance; its seat is ignored.
+    :param instance: Name of the instance.
     :param incarnation: Grows each time the instance starts again.
     :param attach: Grows each time the instance attaches to a control instance.
     :param state: State of the instance.
@@ -20,7 +20,7 @@
     :param revision: Revision in force.
     """
 
-    record: InstanceRecord
+    instance: InstanceId
     incarnation: Incarnation
     attach: int
     state: InstanceState
--- a/mothshunt/membership/reporter.py
+++ b/mothshunt/membership/reporter.py
@@ -42,6 +42,8 @@
     state: InstanceState = InstanceState.STARTING
     incarnation: Incarnation | None = None
     _task: asyncio.Task[None] | None = None
+    _last_report: Report | None = None
+    _reported_at: float = 0.0
 
     async def async_start(self) -> None:
         """Begin to take what the control instance tells."""
@@ -89,17 +91,30 @@
     def report(self) -> None:
         """Report how this instance stands."""
         hub = self.uplink.hub()
-        if hub is None or self.incarnation is None:
+        report = self._current()
+        if hub is None or report is None:
             return
-        report = Report(
-            record=self.record,
+        if self.uplink.network.post(hub, report):
+            self._last_report = report
+            self._reported_at = self.uplink.clock.monotonic()
+
+    def _current(self) -> Report | None:
+        if self.incarnation is None:
+            return None
+        return Report(
+            instance=self.record.id,
             incarnation=self.incarnation,
             attach=self.uplink.attach,
             state=self.state,
             load=load_bucket(self.load()),
             revision=self.source.current().revision,
         )
-        self.uplink.network.post(hub, report)
+
+    def _is_due(self, now: float) -> bool:
+        # The stream's own heartbeats tell that the instance lives.
+        if self._current() != self._last_report:
+            return True
+        return now - self._reported_at >= const.FULL_REPORT_INTERVAL_S
 
     def _on_attach(self, hub: InstanceId) -> None:
         self.report()
@@ -110,7 +125,8 @@
 
     async def _async_report(self) -> None:
         while True:
-            self.report()
+            if self._is_due(self.uplink.clock.monotonic()):
+                self.report()
             await asyncio.sleep(const.REPORT_INTERVAL_S * random.uniform(0.8, 1.2))
 
 
--- a/mothshunt/membership/state.py
+++ b/mothshunt/membership/state.py
@@ -21,6 +21,18 @@
     detached_at: float | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PublishedRow:
+    """Hold a row that changed.
+
+    :param row: The row.
+    :param is_load_only: Whether the state of the instance is as it was.
+    """
+
+    row: Row
+    is_load_only: bool
+
+
 @dataclass(slots=True)
 class PresenceTable:
     """Order the rows of all instances and tell which changed.
@@ -42,7 +54,7 @@
         :param report: The report.
         :param now: Monotonic time, in seconds.
         """
-        instance = report.record.id
+        instance = report.instance
         self.attached_by_id[instance] = Attached(report=report, heard_at=now)
         held = self.row_by_instance.get(instance)
         row = Row(
@@ -64,7 +76,7 @@
 
         :param report: The report.
         """
-        attached = self.attached_by_id.get(report.record.id)
+        attached = self.attached_by_id.get(report.instance)
         if attached is None or attached.detached_at is not None:
             return True
         held = attached.report
@@ -117,20 +129,22 @@
             if self.hub_by_instance[instance] == self.own_id
         )
 
-    def publish(self, now: float) -> tuple[Row, ...]:
+    def publish(self, now: float) -> tuple[PublishedRow, ...]:
         """Return the rows that changed since the last call.
 
         :param now: Monotonic time, in seconds.
         """
         self._expire(now)
-        changed = [
-            row
-            for row in (self._effective(i, now) for i in sorted(self._unpublished))
-            if self.published_by_instance.get(row.instance) != row
-        ]
+        changed = []
+        for instance in sorted(self._unpublished):
+            row = self._effective(instance, now)
+            published = self.published_by_instance.get(instance)
+            if published == row:
+                continue
+            self.published_by_instance[instance] = row
+            is_load_only = published is not None and published.state is row.state
+            changed.append(PublishedRow(row=row, is_load_only=is_load_only))
         self._unpublished.clear()
-        for row in changed:
-            self.published_by_instance[row.instance] = row
         return tuple(changed)
 
     def _instances_of(self, hub: InstanceId) -> list[InstanceId]:
--- a/tests/steps/discovery_ordering.py
+++ b/tests/steps/discovery_ordering.py
@@ -2,24 +2,11 @@
 
 from behave import given, then, when
 
-from mothshunt.core.types import InstanceId, TargetId
+from mothshunt.core.types import InstanceId
 from mothshunt.discovery.announcements import Announcements
-from mothshunt.discovery.messages import Announcement, RowState, TargetRow
+from mothshunt.discovery.messages import RowState, TargetRow
 from mothshunt.discovery.state import TargetTable
-
-
-def announcement(target, incarnation):
-    return Announcement(
-        target=TargetId(target),
-        incarnation=incarnation,
-        customer="rackhaven",
-        service="cabinet-status",
-        host="127.0.0.1",
-        port=9000,
-        region="north",
-        availability_zone="north-a",
-        slots=3,
-    )
+from tests.support.targets import announcement
 
 
 @given("a target table")
--- a/tests/steps/membership_presence.py
+++ b/tests/steps/membership_presence.py
@@ -2,9 +2,8 @@
 
 from behave import given, then, when
 
-from mothshunt.core.types import InstanceId, InstanceState, Role
+from mothshunt.core.types import InstanceId, InstanceState
 from mothshunt.membership.messages import Report, Row
-from mothshunt.membership.model import InstanceRecord
 from mothshunt.membership.state import PresenceTable, load_bucket
 
 
@@ -13,29 +12,13 @@
     context.presence = PresenceTable(own_id=InstanceId(instance))
 
 
-def record(instance):
-    return InstanceRecord(
-        id=instance,
-        region="north",
-        availability_zone="north-a",
-        roles=(Role.ENTRY,),
-        traffic_host="127.0.0.1",
-        traffic_port=1,
-        admin_host="127.0.0.1",
-        admin_port=2,
-        peer_host="127.0.0.1",
-        peer_port=3,
-        seat=0,
-    )
-
-
 @when(
     '"{instance}" reports "{state}" with incarnation {incarnation:d} '
     "and attach {attach:d} at {at:f} s"
 )
 def reports(context, instance, state, incarnation, attach, at):
     report = Report(
-        record=record(instance),
+        instance=instance,
         incarnation=incarnation,
         attach=attach,
         state=InstanceState(state),
--- /dev/null
+++ b/tests/support/recording_network.py
@@ -0,0 +1,31 @@
+"""Small fakes of the streams and of the clock."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass
+class ManualClock:
+    """Give the time that a test set."""
+
+    now: float = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+@dataclass
+class RecordingNetwork:
+    """Note what is posted to whom."""
+
+    posted_by_peer: dict[str, list] = field(default_factory=dict)
+
+    def post(self, peer, message):
+        self.posted_by_peer.setdefault(peer, []).append(message)
+        return True
+
+    def post_all(self, peers, message):
+        for peer in peers:
+            self.post(peer, message)
+
+    def on_message(self, cls, handler):
+        pass
