Lease shares by need, and give a region's own entries precedence

Before: entries of other regions held equal parts of each region's capacity, and refusals of every retry grew the demand, so shares lay idle. Demand is now the peak in use plus the rate of refusals times the time that requests hold room; a region's own needs go first, then what others want, then peaks. Shares that are of no use without another (region, link, shift) are trimmed to each other.

--- a/bench/steering_choosers.py
+++ b/bench/steering_choosers.py
@@ -70,7 +70,11 @@
     waits: bool
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        first_try: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         ...
@@ -103,7 +107,11 @@
         self._rng = Random(seed)
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        first_try: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -133,7 +141,11 @@
         self._turn_by_place: dict[tuple[int, ServiceName], int] = {}
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        first_try: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -181,7 +193,7 @@
         self._wake: Callable[[int], None] = lambda entry: None
 
     def _holder(self, record: InstanceRecord) -> Holder:
-        holder = Holder(record.id, Incarnation(1), opens_at=self._timeline.now)
+        holder = Holder(record.id, Incarnation(1), record.region, self._timeline.now)
         limits = limit_by_key(self._configuration)
         static_by_key = {
             key: static_share(key, limit, record) for key, limit in limits.items()
@@ -204,7 +216,11 @@
         )
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        first_try: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         result = self._choosers[arrival.entry].choose(
@@ -214,6 +230,7 @@
             excluded=excluded,
             drains=self._configuration.drains,
             now=now,
+            first_try=first_try,
         )
         if result.is_ok():
             return Picked(result.ok.target, result.ok)
--- a/bench/steering_model.py
+++ b/bench/steering_model.py
@@ -53,6 +53,7 @@
     excluded: frozenset[TargetId] = frozenset()
     tries: int = 0
     runs: int = 0
+    waited: bool = False
     done: bool = False
 
 
@@ -185,7 +186,8 @@
         if request.done:
             return
         now = self._timeline.now
-        picked = self._chooser.pick(request.arrival, request.excluded, now)
+        first_try = not request.waited
+        picked = self._chooser.pick(request.arrival, request.excluded, now, first_try)
         if picked is not None:
             self._send(request, picked)
         elif not (self._chooser.waits and self._wait(request, give_up_at)):
@@ -199,6 +201,9 @@
         place = (self._profile.name, arrival.service, arrival.idempotent, request)
         if not room.add(*place):
             return False
+        if request.waited:
+            return True
+        request.waited = True
         self._timeline.at(give_up_at, partial(self._end_wait, request))
         return True
 
--- a/mothshunt/limits/const.py
+++ b/mothshunt/limits/const.py
@@ -25,8 +25,16 @@
 #: Room asked for over the highest use, as a ratio and as a count of requests.
 DEMAND_MARGIN_RATIO = 0.25
 DEMAND_MARGIN = 2
-#: Least growth asked for when requests found no room.
-STARVED_GROWTH = 8
+#: Time that a request is taken to hold room before any was seen, in seconds.
+DEFAULT_HOLD_S = 0.2
+#: Weight of one request in the moving average of that time.
+HOLD_WEIGHT = 0.05
+#: Weight of one period in the moving average of use.
+MEAN_WEIGHT = 0.5
+#: Standard deviations over mean use that count as needed.
+NEED_DEVIATIONS = 1.5
+#: Least time over which the rate of refusals is taken, in seconds.
+LEAST_WINDOW_S = 0.2
 
 #: Room kept for requests that are not idempotent: one part in this many.
 COMMITMENT_RESERVE_DIVISOR = 10
--- a/mothshunt/limits/coordinator.py
+++ b/mothshunt/limits/coordinator.py
@@ -12,7 +12,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
 from mothshunt.core.network import ControlConnection, PeerNetwork
-from mothshunt.core.types import Incarnation, InstanceId, Term
+from mothshunt.core.types import Incarnation, InstanceId, RegionId, Term
 from mothshunt.helpers.log import get_logger
 from mothshunt.limits import codes
 from mothshunt.limits.const import (
@@ -37,6 +37,7 @@
 
     :param instance: Name of this instance.
     :param incarnation: Incarnation of this instance.
+    :param region: Region of this instance.
     :param configuration: Configuration in force.
     :param control: Connection to the control instances.
     :param clock: Source of the present time.
@@ -48,13 +49,14 @@
         *,
         instance: InstanceId,
         incarnation: Incarnation,
+        region: RegionId,
         configuration: ConfigurationSource,
         control: ControlConnection,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         opens_at = clock.monotonic() + CANCELLED_WITHIN_S
-        self.holder = Holder(instance, incarnation, opens_at)
+        self.holder = Holder(instance, incarnation, region, opens_at)
         self._configuration = configuration
         self._control = control
         self._clock = clock
--- a/mothshunt/limits/grantor.py
+++ b/mothshunt/limits/grantor.py
@@ -9,7 +9,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import CustomerId, Incarnation, InstanceId, Role, Term
 from mothshunt.limits import codes
-from mothshunt.limits.allocation import ShiftLevel, fair_share
+from mothshunt.limits.allocation import ShiftLevel, Wish, divide, trim_shifted
 from mothshunt.limits.const import LEASE_S
 from mothshunt.limits.messages import Grant, GrantedShare, Holding, Renewal
 from mothshunt.limits.model import LimitKey, LimitKind
@@ -86,10 +86,13 @@
         if refusal is not None:
             return Error(refusal)
         record = self._take_report(renewal)
-        shares = []
+        share_by_key = {
+            item.key: self._share(record, item, now) for item in renewal.holdings
+        }
+        instance = self._configuration.instance_by_id[renewal.holder]
+        trim_shifted(share_by_key, instance.region)
         for holding in renewal.holdings:
-            share = self._share(record, holding, now)
-            shares.append(GrantedShare(key=holding.key, share=share))
+            share = share_by_key[holding.key]
             record.outstanding_by_key[holding.key] = max(_floor(holding), share)
         record.lease_end = now + LEASE_S
         return Ok(
@@ -97,7 +100,10 @@
                 sequence=renewal.sequence,
                 term=self.term,
                 lease_s=LEASE_S,
-                shares=tuple(shares),
+                shares=tuple(
+                    GrantedShare(key=key, share=share)
+                    for key, share in share_by_key.items()
+                ),
             )
         )
 
@@ -184,25 +190,25 @@
         free: int,
         now: float,
     ) -> int:
+        """Return a fair part; what a region's own entries want goes first."""
         key = holding.key
-        wanted_by_holder = {
-            item.holder: item.holding_by_key[key].wanted
-            for item in self._record_by_holder.values()
-            if key in item.holding_by_key and _is_live(item, record, now)
-        }
-        lost = sum(
-            item.outstanding_by_key.get(key, 0)
-            for item in self._all_records()
-            if not item.current or not _is_live(item, record, now)
-        )
+        lost = 0
+        home: list[Wish] = []
+        away: list[Wish] = []
+        for item in self._all_records():
+            if not item.current or not _is_live(item, record, now):
+                lost += item.outstanding_by_key.get(key, 0)
+            elif key in item.holding_by_key:
+                wishes = item.holding_by_key[key]
+                wish = Wish(item.holder, wishes.needed, wishes.wanted)
+                (home if self._is_home(item, key) else away).append(wish)
         total = max(0, leasable - lost)
-        spare = 0
-        if key.kind is LimitKind.REGION and holding.wanted > 0:
-            slack = max(0, total - sum(wanted_by_holder.values()))
-            spare = slack // (2 * max(1, len(wanted_by_holder)))
-        rotation = int(now // LEASE_S)
-        fair = fair_share(total, wanted_by_holder, record.holder, rotation)
-        return min(fair + spare, free)
+        part = divide(total, home, away, record.holder, int(now // LEASE_S))
+        return min(part, free)
+
+    def _is_home(self, record: _HolderRecord, key: LimitKey) -> bool:
+        instance = self._configuration.instance_by_id.get(record.holder)
+        return instance is not None and instance.region == key.name
 
     def _extra_static(self, key: LimitKey) -> int:
         """Return static room in use beyond what the present limit reserves.
--- a/mothshunt/limits/holder.py
+++ b/mothshunt/limits/holder.py
@@ -4,53 +4,105 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from expression import Error, Ok, Result
-
 from mothshunt.configuration.model import NO_REVISION
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import Incarnation, InstanceId, Revision
+from mothshunt.core.types import Incarnation, InstanceId, RegionId, Revision
 from mothshunt.limits import codes
 from mothshunt.limits.const import (
     COMMITMENT_RESERVE_DIVISOR,
     COMMITMENT_RESERVE_FLOOR,
+    DEFAULT_HOLD_S,
     DEMAND_MARGIN,
     DEMAND_MARGIN_RATIO,
+    HOLD_WEIGHT,
+    LEAST_WINDOW_S,
+    MEAN_WEIGHT,
+    NEED_DEVIATIONS,
     RENEWAL_INTERVAL_S,
-    STARVED_GROWTH,
 )
 from mothshunt.limits.messages import Grant, Holding, Renewal
-from mothshunt.limits.model import LimitKey, Permit
+from mothshunt.limits.model import LimitKey, LimitKind, Permit
 
 
 @dataclass(slots=True)
 class _Account:
-    """Count the use of one limit."""
+    """Count the use of one limit.
+
+    :param at_home: Whether the limit is the capacity of the region of this instance;
+        only there is room held in advance.
+    """
 
+    at_home: bool
     static: int = 0
     share: int = 0
     in_use: int = 0
     peak: int = 0
     last_peak: int = 0
     refused: int = 0
-    last_refused: int = 0
+    last_refused_per_s: float = 0.0
+    hold_s: float = DEFAULT_HOLD_S
+    mean: float = 0.0
+    _request_s: float = 0.0
+    _changed_at: float = 0.0
+
+    def change(self, change: int, now: float) -> None:
+        """Count requests that start or end.
+
+        :param change: Requests that start, negative for those that end.
+        :param now: Monotonic time, in seconds.
+        """
+        self._request_s += self.in_use * (now - self._changed_at)
+        self._changed_at = now
+        self.in_use += change
+        self.peak = max(self.peak, self.in_use)
+
+    def needed(self, wanted: int) -> int:
+        """Return the part of what is wanted that usual use takes.
+
+        :param wanted: What ``wanted`` returned.
+        """
+        if not self.at_home:
+            return wanted
+        usual = math.ceil(self.mean + NEED_DEVIATIONS * math.sqrt(self.mean))
+        return min(wanted, max(0, usual - self.static))
 
-    def wanted(self) -> int:
-        """Return the leased share that recent use and refusals ask for."""
+    def wanted(self, window_s: float) -> int:
+        """Return the leased share that recent use and refusals ask for.
+
+        Refused requests would have been in flight as long as others are.
+
+        :param window_s: Time since the window began, in seconds.
+        """
         peak = max(self.peak, self.last_peak)
-        refused = max(self.refused, self.last_refused)
-        if peak == 0 and refused == 0:
-            return 0
-        demand = math.ceil(peak * (1 + DEMAND_MARGIN_RATIO)) + DEMAND_MARGIN
-        demand += min(refused, peak + STARVED_GROWTH)
+        refused_per_s = self.refused / max(window_s, LEAST_WINDOW_S)
+        refused_per_s = max(refused_per_s, self.last_refused_per_s)
+        demand = peak + math.ceil(refused_per_s * self.hold_s)
+        if demand and self.at_home:
+            demand += math.ceil(peak * DEMAND_MARGIN_RATIO) + DEMAND_MARGIN
         return max(0, demand - self.static)
 
-    def start_window(self) -> None:
-        """Begin a new period over which use is measured."""
+    def start_window(self, window_s: float, now: float) -> None:
+        """Begin a new period over which use is measured.
+
+        :param window_s: Length of the period that ends, in seconds.
+        :param now: Monotonic time, in seconds.
+        """
+        self.change(0, now)
+        mean = self._request_s / window_s + self.refused / window_s * self.hold_s
+        self.mean += MEAN_WEIGHT * (mean - self.mean)
+        self._request_s = 0.0
         self.last_peak = self.peak
-        self.last_refused = self.refused
+        self.last_refused_per_s = self.refused / window_s
         self.peak = self.in_use
         self.refused = 0
 
+    def learn_hold(self, hold_s: float) -> None:
+        """Take the time of one request into the moving average.
+
+        :param hold_s: Time that it held its room, in seconds.
+        """
+        self.hold_s += HOLD_WEIGHT * (hold_s - self.hold_s)
+
     def is_idle(self) -> bool:
         """Tell whether nothing was held, used or asked for lately."""
         return not (
@@ -59,29 +111,52 @@
             or self.peak
             or self.last_peak
             or self.refused
-            or self.last_refused
+            or self.last_refused_per_s
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Lane:
+    """Hold the limits that a request falls under, ready for use.
+
+    :param keys: The limits.
+    :param accounts: Their accounts at one holder.
+    """
+
+    keys: tuple[LimitKey, ...]
+    accounts: tuple[_Account, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """Remember a permit that was given out."""
+
+    lane: Lane
+    since: float
+
+
 @dataclass(slots=True)
 class Holder:
     """Decide which requests may start under the shares of this instance.
 
     :param instance: Name of this instance.
     :param incarnation: Incarnation of this instance.
+    :param region: Region of this instance.
     :param opens_at: Monotonic time before which nothing may start, in seconds, so
         that the requests of a former process of this instance have ended.
     """
 
     instance: InstanceId
     incarnation: Incarnation
+    region: RegionId
     opens_at: float
     _revision: Revision = NO_REVISION
     _account_by_key: dict[LimitKey, _Account] = field(default_factory=dict)
+    _held_by_permit: dict[int, _Held] = field(default_factory=dict)
     _lease_end: float = -math.inf
     _sequence: int = 0
     _sent_at: float = -math.inf
-    _window_started_at: float = -math.inf
+    _window_started_at: float = 0.0
     _next_permit: int = 1
 
     def configure(
@@ -98,68 +173,84 @@
                 account.static = 0
                 account.share = 0
         for key, static in static_by_key.items():
-            self._account_by_key.setdefault(key, _Account()).static = static
+            self._account(key).static = static
 
-    def try_acquire(
-        self, keys: tuple[LimitKey, ...], *, idempotent: bool, now: float
-    ) -> Result[Permit, Failure]:
-        """Take room for one request under each of some limits, or none at all.
+    def _account(self, key: LimitKey) -> _Account:
+        account = self._account_by_key.get(key)
+        if account is None:
+            at_home = key.kind is LimitKind.REGION and key.name == self.region
+            account = self._account_by_key[key] = _Account(at_home)
+        return account
+
+    def lane(self, keys: tuple[LimitKey, ...]) -> Lane:
+        """Return what ``lacking`` and ``acquire`` take for some limits.
+
+        :param keys: The limits; no key twice.
+        """
+        return Lane(keys, tuple(self._account(key) for key in keys))
+
+    def lacking(
+        self, lane: Lane, *, idempotent: bool, now: float, first_try: bool = True
+    ) -> Failure | None:
+        """Tell which limit leaves no room for one more request, if any does.
 
-        :param keys: The limits.
+        :param lane: The limits.
         :param idempotent: Whether the request may be repeated; such a request leaves
             the last room to others.
         :param now: Monotonic time, in seconds.
-        :return: The permit; or a failure that names the limit without room.
+        :param first_try: Whether the request was not counted as refused before.
         """
+        failure = None
         leased = now < self._lease_end
-        for key in keys:
-            account = self._account_by_key.get(key)
-            if account is None:
-                return Error(_full(key))
+        closed = now < self.opens_at
+        for key, account in zip(lane.keys, lane.accounts, strict=True):
             capacity = account.static + (account.share if leased else 0)
-            if now < self.opens_at:
-                capacity = 0
-            room = capacity - account.in_use
-            if room <= 0:
-                account.refused += 1
-                return Error(_full(key))
-            if idempotent and room <= _reserve(capacity):
-                account.refused += 1
-                return Error(Failure(code=codes.RESERVED, detail=_name(key)))
-        return Ok(self._take(keys))
-
-    def _take(self, keys: tuple[LimitKey, ...]) -> Permit:
-        for key in keys:
-            account = self._account_by_key[key]
-            account.in_use += 1
-            account.peak = max(account.peak, account.in_use)
-        permit = Permit(number=self._next_permit, keys=keys)
+            room = 0 if closed else capacity - account.in_use
+            kept = _reserve(capacity) if idempotent else 0
+            if room > kept:
+                continue
+            account.refused += first_try
+            failure = failure or _failure(key, room)
+        return failure
+
+    def acquire(self, lane: Lane, now: float) -> Permit:
+        """Take room for one request; ask ``lacking`` first, at the same time.
+
+        :param lane: The limits.
+        :param now: Monotonic time, in seconds.
+        """
+        for account in lane.accounts:
+            account.change(1, now)
+        permit = Permit(number=self._next_permit, keys=lane.keys)
+        self._held_by_permit[permit.number] = _Held(lane, now)
         self._next_permit += 1
         return permit
 
-    def release(self, permit: Permit) -> None:
+    def release(self, permit: Permit, now: float) -> None:
         """Give the room of a permit back.
 
-        :param permit: What ``try_acquire`` returned; released once.
+        :param permit: What ``acquire`` returned; released once.
+        :param now: Monotonic time, in seconds.
         """
-        for key in permit.keys:
-            account = self._account_by_key[key]
-            if account.in_use <= 0:
-                raise ValueError(f"permit {permit.number} is released twice")
-            account.in_use -= 1
+        held = self._held_by_permit.pop(permit.number, None)
+        if held is None:
+            raise ValueError(f"permit {permit.number} is released twice")
+        for account in held.lane.accounts:
+            account.change(-1, now)
+            account.learn_hold(now - held.since)
 
     def may_dispatch(self, permit: Permit, now: float) -> bool:
         """Tell whether a request may still be sent on a permit taken earlier.
 
-        A process that froze after ``try_acquire`` may wake after its lease ended;
+        A process that froze after ``acquire`` may wake after its lease ended;
         its room may then be another instance's.
 
-        :param permit: What ``try_acquire`` returned.
+        :param permit: What ``acquire`` returned.
         :param now: Monotonic time, in seconds.
         """
         if now < self._lease_end:
             return True
-        accounts = (self._account_by_key[key] for key in permit.keys)
+        accounts = self._held_by_permit[permit.number].lane.accounts
         return all(account.in_use <= account.static for account in accounts)
 
     def room(self, key: LimitKey, now: float) -> int:
@@ -201,15 +292,18 @@
         :param now: Monotonic time before the renewal is sent, in seconds.
         """
         leased = now < self._lease_end
+        window_s = now - self._window_started_at
         self._sequence += 1
         self._sent_at = now
         holdings = tuple(
-            _holding(key, account, leased)
+            _holding(key, account, leased, account.wanted(window_s))
             for key, account in self._account_by_key.items()
             if not account.is_idle()
         )
-        if now - self._window_started_at >= RENEWAL_INTERVAL_S / 2:
-            self._start_window(now)
+        if window_s >= RENEWAL_INTERVAL_S / 2:
+            self._window_started_at = now
+            for account in self._account_by_key.values():
+                account.start_window(window_s, now)
         return Renewal(
             holder=self.instance,
             incarnation=self.incarnation,
@@ -218,11 +312,6 @@
             holdings=holdings,
         )
 
-    def _start_window(self, now: float) -> None:
-        self._window_started_at = now
-        for account in self._account_by_key.values():
-            account.start_window()
-
     def accept(self, grant: Grant, now: float) -> bool:
         """Take over granted shares.
 
@@ -240,14 +329,14 @@
         return True
 
 
-def _holding(key: LimitKey, account: _Account, leased: bool) -> Holding:
-    wanted = account.wanted()
+def _holding(key: LimitKey, account: _Account, leased: bool, wanted: int) -> Holding:
     account.share = min(account.share, wanted) if leased else 0
     return Holding(
         key=key,
         held=account.share,
         static=account.static,
         in_use=account.in_use,
+        needed=account.needed(wanted),
         wanted=wanted,
     )
 
@@ -258,8 +347,9 @@
     return max(1, capacity // COMMITMENT_RESERVE_DIVISOR)
 
 
-def _full(key: LimitKey) -> Failure:
-    return Failure(code=codes.FULL_BY_KIND[key.kind], detail=_name(key))
+def _failure(key: LimitKey, room: int) -> Failure:
+    code = codes.RESERVED if room > 0 else codes.FULL_BY_KIND[key.kind]
+    return Failure(code=code, detail=_name(key))
 
 
 def _name(key: LimitKey) -> str:
--- a/mothshunt/limits/messages.py
+++ b/mothshunt/limits/messages.py
@@ -15,13 +15,16 @@
     :param held: Leased share that the holder may still use, in requests.
     :param static: Static share that the holder uses without a lease, in requests.
     :param in_use: Requests in flight under the limit.
-    :param wanted: Leased share that the holder asks for, in requests.
+    :param needed: Leased share that usual use takes, in requests.
+    :param wanted: Leased share that the holder asks for, in requests; what is over
+        the need covers peaks.
     """
 
     key: LimitKey
     held: int
     static: int
     in_use: int
+    needed: int
     wanted: int
 
 
--- a/mothshunt/steering/chooser.py
+++ b/mothshunt/steering/chooser.py
@@ -21,7 +21,6 @@
 from mothshunt.discovery.model import TargetDirectory
 from mothshunt.drain.model import DrainSet
 from mothshunt.limits.holder import Holder
-from mothshunt.limits.shares import keys_for, region_key
 from mothshunt.steering import codes
 from mothshunt.steering.const import (
     EJECTED_RATIO,
@@ -34,6 +33,7 @@
     RETRY_AFTER_MIN_S,
     SUSPECT_TRIAL_S,
 )
+from mothshunt.steering.lanes import Lanes
 from mothshunt.steering.model import Choice, Outcome
 from mothshunt.steering.pool import RegionGroup, ServicePool
 from mothshunt.steering.ranking import Question, Ranked, best, due_trials
@@ -80,6 +80,7 @@
         self._rng = rng
         self._started_at = started_at
         self._pool_by_service: dict[tuple[CustomerId, ServiceName], ServicePool] = {}
+        self._lanes_by_customer: dict[CustomerId, Lanes] = {}
 
     def choose(
         self,
@@ -90,6 +91,7 @@
         excluded: AbstractSet[TargetId],
         drains: DrainSet,
         now: float,
+        first_try: bool = True,
     ) -> Result[Choice, Failure]:
         """Choose a target and take the room for one attempt.
 
@@ -99,6 +101,7 @@
         :param excluded: Targets that must not be chosen.
         :param drains: Drains in force.
         :param now: Monotonic time, in seconds.
+        :param first_try: Whether the request did not wait for room before.
         :return: The choice; or a failure that says when to come back.
         """
         terms = contract.service(service)
@@ -108,20 +111,20 @@
         targets = self._directory.targets(contract.customer, service)
         pool.update(targets, drains, now)
         question = self._question(contract, terms, idempotent, excluded, now)
+        lanes = self._lanes(contract)
         refusal: Failure | None = None
-        for state in self._candidates(pool, contract, question):
-            keys = keys_for(contract, self._place.region, state.target.region)
-            result = self._holder.try_acquire(keys, idempotent=idempotent, now=now)
-            match result:
-                case Result(tag="ok", ok=permit):
-                    state.in_flight += 1
-                    self._start_trial(pool, state, now)
-                    return Ok(
-                        Choice(target=state.target, permit=permit, started_at=now)
-                    )
-                case Result(error=failure):
-                    refusal = refusal or failure
-        return Error(self._refusal(pool, question, refusal))
+        for state in self._candidates(pool, lanes, question):
+            lane = lanes.lane(state.target.region)
+            failure = self._holder.lacking(
+                lane, idempotent=idempotent, now=now, first_try=first_try
+            )
+            if failure is None:
+                self._start(pool, state, now)
+                permit = self._holder.acquire(lane, now)
+                choice = Choice(target=state.target, permit=permit, started_at=now)
+                return Ok(choice)
+            refusal = refusal or failure
+        return Error(self._refusal(pool, refusal))
 
     def finish(self, choice: Choice, outcome: Outcome, now: float) -> None:
         """Give the room back and learn from the outcome.
@@ -130,7 +133,7 @@
         :param outcome: How the attempt ended.
         :param now: Monotonic time, in seconds.
         """
-        self._holder.release(choice.permit)
+        self._holder.release(choice.permit, now)
         target = choice.target
         pool = self._pool(target.customer, target.service)
         state = pool.state_by_id.get(target.id)
@@ -173,70 +176,78 @@
             now=now,
         )
 
+    def _lanes(self, contract: Contract) -> Lanes:
+        lanes = self._lanes_by_customer.get(contract.customer)
+        if lanes is None or lanes.contract is not contract:
+            lanes = Lanes(contract, self._place.region, self._holder)
+            self._lanes_by_customer[contract.customer] = lanes
+        return lanes
+
     def _candidates(
-        self, pool: ServicePool, contract: Contract, question: Question
+        self, pool: ServicePool, lanes: Lanes, question: Question
     ) -> Iterator[TargetState]:
         """Yield targets in the order in which they are to be tried."""
-        home = pool.group_by_region.get(self._place.region)
         trial = self._trial(pool, question)
         if trial is not None and question.idempotent:
             yield trial
+        home = pool.group_by_region.get(self._place.region)
         at_home = best(home, question, self._rng) if home else None
-        away = self._away(pool, contract, question)
-        if home and at_home and self._shift_first(home, at_home, away, question):
-            yield from (ranked.state for _, ranked in away)
+        if home and at_home and self._leave_home(pool, home, at_home, question):
+            yield from self._away(pool, lanes, question)
+        if at_home:
             yield at_home.state
-        else:
-            if at_home:
-                yield at_home.state
-            yield from (ranked.state for _, ranked in away)
+        yield from self._away(pool, lanes, question)
         if trial is not None and not question.idempotent:
             yield trial
 
     def _away(
-        self, pool: ServicePool, contract: Contract, question: Question
-    ) -> list[tuple[RegionGroup, Ranked]]:
+        self, pool: ServicePool, lanes: Lanes, question: Question
+    ) -> list[TargetState]:
         """Return the best target of each other region, the best region first."""
-        found = []
+        found: list[tuple[float, TargetState]] = []
         for region, group in pool.group_by_region.items():
             if region == self._place.region:
                 continue
             ranked = best(group, question, self._rng)
-            if ranked is not None:
-                found.append((group, ranked))
-        if question.weighs is Weighs.LATENCY:
-            found.sort(key=lambda item: item[1].expected_s)
-        else:
-            found.sort(key=lambda item: self._pressure(contract, item[0], question))
-        return found
+            if ranked is None:
+                continue
+            order = ranked.expected_s
+            if question.weighs is Weighs.HEADROOM:
+                order = self._pressure(lanes, group, question)
+            found.append((order, ranked.state))
+        found.sort(key=lambda item: item[0])
+        return [state for _, state in found]
 
-    def _pressure(
-        self, contract: Contract, group: RegionGroup, question: Question
-    ) -> float:
+    def _pressure(self, lanes: Lanes, group: RegionGroup, question: Question) -> float:
         """Return how full a region is, by its slots and by the share held of it."""
-        key = region_key(contract.customer, group.region)
-        capacity = self._holder.capacity(key, question.now)
-        share = self._holder.in_use(key) / capacity if capacity else 1.0
+        share = lanes.use_ratio(group.region, question.now)
         return max(share, group.use_ratio(question.cold_ramp_s, question.now))
 
-    def _shift_first(
+    def _leave_home(
         self,
+        pool: ServicePool,
         home: RegionGroup,
         at_home: Ranked,
-        away: list[tuple[RegionGroup, Ranked]],
         question: Question,
     ) -> bool:
         """Tell whether to leave the home region although it has room."""
-        if not away:
-            return False
-        group, ranked = away[0]
         if question.weighs is Weighs.LATENCY:
-            remote_s = max(ranked.expected_s, REMOTE_LATENCY_S)
-            return remote_s < at_home.expected_s * LATENCY_SHIFT_RATIO
+            limit_s = at_home.expected_s * LATENCY_SHIFT_RATIO
+            return limit_s > REMOTE_LATENCY_S and any(
+                group.usual_latency_s < limit_s
+                for group in pool.group_by_region.values()
+                if group is not home and group.states
+            )
+        if at_home.use < HEADROOM_PRESSED_RATIO:
+            return False
         ramp_s = question.cold_ramp_s
         if home.use_ratio(ramp_s, question.now) < HEADROOM_PRESSED_RATIO:
             return False
-        return group.use_ratio(ramp_s, question.now) < HEADROOM_HELPER_RATIO
+        return any(
+            group.use_ratio(ramp_s, question.now) < HEADROOM_HELPER_RATIO
+            for group in pool.group_by_region.values()
+            if group is not home and group.states
+        )
 
     def _trial(self, pool: ServicePool, question: Question) -> TargetState | None:
         home = pool.group_by_region.get(self._place.region)
@@ -247,7 +258,8 @@
                 return state
         return None
 
-    def _start_trial(self, pool: ServicePool, state: TargetState, now: float) -> None:
+    def _start(self, pool: ServicePool, state: TargetState, now: float) -> None:
+        state.in_flight += 1
         if not state.is_suspect():
             return
         state.trials += 1
@@ -261,9 +273,7 @@
             return SUSPECT_TRIAL_S
         return min(EJECTED_TRIAL_S, math.ldexp(SUSPECT_TRIAL_S, state.trials))
 
-    def _refusal(
-        self, pool: ServicePool, question: Question, refusal: Failure | None
-    ) -> Failure:
+    def _refusal(self, pool: ServicePool, refusal: Failure | None) -> Failure:
         if refusal is None:
             refusal = Failure(code=_busy_code(pool))
         return Failure(
--- a/mothshunt/steering/const.py
+++ b/mothshunt/steering/const.py
@@ -10,8 +10,12 @@
 DEFAULT_LATENCY_S = 0.02
 #: Latency that is assumed for a way between regions, in seconds.
 REMOTE_LATENCY_S = 0.03
-#: Latency that a target in another availability zone is charged, in seconds.
-OTHER_ZONE_LATENCY_S = 0.001
+#: What a target in another availability zone is charged, as a part of its slots.
+OTHER_ZONE_COST = 0.1
+#: Part by which scores are moved at random.
+TIE_RATIO = 0.05
+#: Latency over the usual from which a target counts as slow.
+SLOW_RATIO = 1.5
 
 #: Failures to answer in a row that make a target suspect.
 SUSPECT_AFTER_FAILURES = 2
--- a/mothshunt/steering/ranking.py
+++ b/mothshunt/steering/ranking.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from mothshunt.core.types import AvailabilityZoneId, TargetId, Weighs
-from mothshunt.steering.const import OTHER_ZONE_LATENCY_S
+from mothshunt.steering.const import OTHER_ZONE_COST, TIE_RATIO
 from mothshunt.steering.pool import RegionGroup
 from mothshunt.steering.target_state import TargetState
 
@@ -39,10 +39,12 @@
 
     :param state: The target.
     :param expected_s: Latency to expect from it, in seconds.
+    :param use: Estimated part of its slots in use, this request counted in.
     """
 
     state: TargetState
     expected_s: float
+    use: float
 
 
 def best(group: RegionGroup, question: Question, rng: Random) -> Ranked | None:
@@ -52,18 +54,20 @@
     :param question: What is looked for.
     :param rng: Breaks ties.
     """
+    now = question.now
     found = None
     found_score = 0.0
     for state in group.states:
-        if not _has_room(state, question):
+        if not _may_take(state, question):
             continue
-        expected_s = _expected_s(state, group, question)
-        score = (
-            expected_s if question.weighs is Weighs.LATENCY else _use(state, question)
-        )
-        score *= 1 + rng.random() * 0.05
+        use = (state.occupancy(now) + 1) / state.allowed(question.cold_ramp_s, now)
+        slowness = state.slowness(group.usual_latency_s, now)
+        score = use * slowness * (1 + rng.random() * TIE_RATIO)
+        if state.target.availability_zone != question.availability_zone:
+            score += OTHER_ZONE_COST
         if found is None or score < found_score:
-            found = Ranked(state, expected_s)
+            expected_s = group.usual_latency_s * slowness * max(1.0, use)
+            found = Ranked(state, expected_s, use)
             found_score = score
     return found
 
@@ -81,29 +85,11 @@
             yield state
 
 
-def _has_room(state: TargetState, question: Question) -> bool:
-    if state.is_suspect() or question.now < state.shed_until:
+def _may_take(state: TargetState, question: Question) -> bool:
+    now = question.now
+    if state.is_suspect() or now < state.shed_until:
         return False
     if state.target.id in question.excluded:
         return False
-    if state.in_flight >= min(state.target.slots, question.connections):
-        return False
-    allowed = state.allowed(question.cold_ramp_s, question.now)
-    return state.occupancy(question.now) + 1 <= allowed + 0.5
-
-
-def _use(state: TargetState, question: Question) -> float:
-    allowed = state.allowed(question.cold_ramp_s, question.now)
-    use = (state.occupancy(question.now) + 1) / allowed
-    if state.target.availability_zone != question.availability_zone:
-        use += 0.05
-    return use
-
-
-def _expected_s(state: TargetState, group: RegionGroup, question: Question) -> float:
-    now = question.now
-    expected_s = state.latency_s(group.usual_latency_s, now)
-    expected_s *= 1 + state.occupancy(now) / state.allowed(question.cold_ramp_s, now)
-    if state.target.availability_zone != question.availability_zone:
-        expected_s += OTHER_ZONE_LATENCY_S
-    return expected_s
+    allowed = min(state.allowed(question.cold_ramp_s, now), question.connections)
+    return state.in_flight < allowed
--- a/mothshunt/steering/target_state.py
+++ b/mothshunt/steering/target_state.py
@@ -11,6 +11,7 @@
     REPORT_MAX_AGE_S,
     SHED_BACKOFF_MAX_S,
     SHED_BACKOFF_S,
+    SLOW_RATIO,
     SUSPECT_AFTER_ERRORS,
     SUSPECT_AFTER_FAILURES,
 )
@@ -61,16 +62,19 @@
             return self.in_flight
         return self.in_flight + self.others * (1 - age / REPORT_MAX_AGE_S)
 
-    def latency_s(self, usual_s: float, now: float) -> float:
-        """Return the latency to expect, in seconds.
+    def slowness(self, usual_s: float, now: float) -> float:
+        """Return the latency to expect over the usual one; 1 unless it is slow.
 
         What was measured long ago gives way to what is usual.
 
         :param usual_s: Usual latency of the service in the region, in seconds.
         :param now: Monotonic time, in seconds.
         """
+        ratio = self._latency_s / usual_s
+        if ratio < SLOW_RATIO:
+            return 1.0
         weight = math.pow(0.5, (now - self._sampled_at) / LATENCY_HALF_LIFE_S)
-        return weight * self._latency_s + (1 - weight) * usual_s
+        return max(1.0, weight * ratio + 1 - weight)
 
     def allowed(self, cold_ramp_s: float, now: float) -> float:
         """Return how many requests from all instances the target may get.
