--- a/bench/steering_choosers.py
+++ b/bench/steering_choosers.py
@@ -74,7 +74,8 @@
         arrival: Arrival,
         excluded: AbstractSet[TargetId],
         now: float,
-        first_try: bool,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         ...
@@ -111,7 +112,8 @@
         arrival: Arrival,
         excluded: AbstractSet[TargetId],
         now: float,
-        first_try: bool,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -145,7 +147,8 @@
         arrival: Arrival,
         excluded: AbstractSet[TargetId],
         now: float,
-        first_try: bool,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -220,7 +223,8 @@
         arrival: Arrival,
         excluded: AbstractSet[TargetId],
         now: float,
-        first_try: bool,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         result = self._choosers[arrival.entry].choose(
@@ -230,7 +234,8 @@
             excluded=excluded,
             drains=self._configuration.drains,
             now=now,
-            first_try=first_try,
+            counted=counted,
+            patient=patient,
         )
         if result.is_ok():
             return Picked(result.ok.target, result.ok)
--- a/bench/steering_model.py
+++ b/bench/steering_model.py
@@ -13,7 +13,7 @@
 from mothshunt.contract.model import RetryBudget
 from mothshunt.core.types import RegionId, TargetId
 from mothshunt.discovery.model import LoadReport, Target
-from mothshunt.steering.const import WAIT_S
+from mothshunt.steering.const import PATIENCE_S, WAIT_S
 from mothshunt.steering.model import Outcome
 from mothshunt.steering.waiting import WaitingRoom
 
@@ -98,7 +98,7 @@
         self._directory = directory
         self._chooser = chooser
         self._entries = entry_records()
-        self._capacity = profile.region_slots()
+        self._capacity = profile.region_capacity()
         self._servers = self._make_servers(scenario)
         self._in_flight_by_region: dict[RegionId, int] = {}
         self._shifted = 0
@@ -177,17 +177,22 @@
         entry = request.arrival.entry
         tokens = self._tokens[entry] + self._budget.ratio
         self._tokens[entry] = min(10.0, tokens)
-        self._try(request, give_up_at=self._timeline.now + WAIT_S)
+        self._try(request, self._timeline.now + WAIT_S, counted=True)
 
     def _counts(self, request: Request) -> bool:
         return request.arrival.at >= WARM_UP_S
 
-    def _try(self, request: Request, give_up_at: float) -> None:
+    def _try(self, request: Request, give_up_at: float, counted: bool = False) -> None:
         if request.done:
             return
         now = self._timeline.now
-        first_try = not request.waited
-        picked = self._chooser.pick(request.arrival, request.excluded, now, first_try)
+        picked = self._chooser.pick(
+            request.arrival,
+            request.excluded,
+            now,
+            patient=now < request.arrival.at + PATIENCE_S,
+            counted=counted,
+        )
         if picked is not None:
             self._send(request, picked)
         elif not (self._chooser.waits and self._wait(request, give_up_at)):
@@ -205,14 +210,22 @@
             return True
         request.waited = True
         self._timeline.at(give_up_at, partial(self._end_wait, request))
+        self._timeline.after(PATIENCE_S, partial(self._end_patience, request))
         return True
 
-    def _end_wait(self, request: Request) -> None:
+    def _end_patience(self, request: Request) -> None:
+        if self._leave_room(request):
+            self._try(request, request.arrival.at + WAIT_S, counted=True)
+
+    def _leave_room(self, request: Request) -> bool:
         arrival = request.arrival
         room = self._rooms[arrival.entry]
         before = len(room)
         room.discard(self._profile.name, arrival.service, arrival.idempotent, request)
-        if len(room) < before:
+        return len(room) < before
+
+    def _end_wait(self, request: Request) -> None:
+        if self._leave_room(request):
             self._refuse(request)
 
     def _wake_all(self, entry: int) -> None:
--- a/bench/steering_profiles.py
+++ b/bench/steering_profiles.py
@@ -31,7 +31,9 @@
 #: Part of all slots that the usual load keeps busy.
 USUAL_LOAD = 0.45
 #: Part of a region's capacity that may be shifted, all regions summed.
-SHIFT_RATIO = 0.6
+SHIFT_RATIO = 1.0
+#: Capacity of a region over its slots; some requests are on their way or queued.
+CAPACITY_RATIO = 1.25
 SHIFT_STEPS = 4
 REQUEST_TIMEOUT_S = 2.0
 
@@ -77,6 +79,10 @@
         """Return the slots of one region's targets."""
         return sum(item.total_slots() for item in self.services) // len(REGIONS)
 
+    def region_capacity(self) -> int:
+        """Return the contract's capacity of a region, in requests in flight."""
+        return int(self.region_slots() * CAPACITY_RATIO)
+
     def shift_cap(self) -> int:
         """Return the shift cap of the contract, in requests in flight."""
         return int(self.region_slots() * SHIFT_RATIO)
@@ -84,7 +90,7 @@
     def contract(self) -> Contract:
         """Return the contract."""
         cap = self.shift_cap()
-        capacity = self.region_slots()
+        capacity = self.region_capacity()
         return Contract(
             customer=self.name,
             weighs=self.weighs,
--- a/mothshunt/limits/allocation.py
+++ b/mothshunt/limits/allocation.py
@@ -46,7 +46,7 @@
     peaks = {item.holder: item.wanted - item.needed for item in home}
     if holder in shifts:
         left = max(0, total - sum(needs.values()))
-        return fair_share(left, shifts, holder, rotation)
+        return proportional_share(left, shifts, holder, rotation)
     part = fair_share(total, needs, holder, rotation)
     left = max(0, total - sum(needs.values()) - sum(shifts.values()))
     part += fair_share(left, peaks, holder, rotation)
@@ -54,6 +54,33 @@
     return part + spare // (2 * len(home))
 
 
+def proportional_share(
+    total: int,
+    wanted_by_holder: dict[InstanceId, int],
+    holder: InstanceId,
+    rotation: int,
+) -> int:
+    """Return the part of one holder in proportion to what it wants.
+
+    :param total: What is divided, in requests.
+    :param wanted_by_holder: What each holder wants, in requests.
+    :param holder: Holder whose part is asked for.
+    :param rotation: Any number; changes who gets what is left over.
+    """
+    wanted = sum(wanted_by_holder.values())
+    if wanted <= total:
+        return wanted_by_holder[holder]
+    names = sorted(wanted_by_holder)
+    start = rotation % len(names)
+    before = 0
+    for name in names[start:] + names[:start]:
+        after = before + wanted_by_holder[name]
+        if name == holder:
+            return after * total // wanted - before * total // wanted
+        before = after
+    return 0
+
+
 def fair_share(
     total: int,
     wanted_by_holder: dict[InstanceId, int],
--- a/mothshunt/limits/const.py
+++ b/mothshunt/limits/const.py
@@ -32,11 +32,9 @@
 #: Weight of one period in the moving average of use.
 MEAN_WEIGHT = 0.5
 #: Standard deviations over mean use that count as needed.
-NEED_DEVIATIONS = 1.5
+NEED_DEVIATIONS = 0.5
 #: Least time over which the rate of refusals is taken, in seconds.
 LEAST_WINDOW_S = 0.2
 
 #: Room kept for requests that are not idempotent: one part in this many.
 COMMITMENT_RESERVE_DIVISOR = 10
-#: Least room of a holder that any part of it is kept.
-COMMITMENT_RESERVE_FLOOR = 4
--- a/mothshunt/limits/holder.py
+++ b/mothshunt/limits/holder.py
@@ -10,7 +10,6 @@
 from mothshunt.limits import codes
 from mothshunt.limits.const import (
     COMMITMENT_RESERVE_DIVISOR,
-    COMMITMENT_RESERVE_FLOOR,
     DEFAULT_HOLD_S,
     DEMAND_MARGIN,
     DEMAND_MARGIN_RATIO,
@@ -190,7 +189,7 @@
         return Lane(keys, tuple(self._account(key) for key in keys))
 
     def lacking(
-        self, lane: Lane, *, idempotent: bool, now: float, first_try: bool = True
+        self, lane: Lane, *, idempotent: bool, now: float, counted: bool = True
     ) -> Failure | None:
         """Tell which limit leaves no room for one more request, if any does.
 
@@ -198,7 +197,7 @@
         :param idempotent: Whether the request may be repeated; such a request leaves
             the last room to others.
         :param now: Monotonic time, in seconds.
-        :param first_try: Whether the request was not counted as refused before.
+        :param counted: Whether a refusal counts as new demand.
         """
         failure = None
         leased = now < self._lease_end
@@ -206,10 +205,10 @@
         for key, account in zip(lane.keys, lane.accounts, strict=True):
             capacity = account.static + (account.share if leased else 0)
             room = 0 if closed else capacity - account.in_use
-            kept = _reserve(capacity) if idempotent else 0
+            kept = capacity // COMMITMENT_RESERVE_DIVISOR if idempotent else 0
             if room > kept:
                 continue
-            account.refused += first_try
+            account.refused += counted
             failure = failure or _failure(key, room)
         return failure
 
@@ -341,12 +340,6 @@
     )
 
 
-def _reserve(capacity: int) -> int:
-    if capacity < COMMITMENT_RESERVE_FLOOR:
-        return 0
-    return max(1, capacity // COMMITMENT_RESERVE_DIVISOR)
-
-
 def _failure(key: LimitKey, room: int) -> Failure:
     code = codes.RESERVED if room > 0 else codes.FULL_BY_KIND[key.kind]
     return Failure(code=code, detail=_name(key))
--- a/mothshunt/steering/chooser.py
+++ b/mothshunt/steering/chooser.py
@@ -25,7 +25,7 @@
 from mothshunt.steering.const import (
     EJECTED_RATIO,
     EJECTED_TRIAL_S,
-    HEADROOM_HELPER_RATIO,
+    HEADROOM_GAP_RATIO,
     HEADROOM_PRESSED_RATIO,
     LATENCY_SHIFT_RATIO,
     REMOTE_LATENCY_S,
@@ -36,7 +36,7 @@
 from mothshunt.steering.lanes import Lanes
 from mothshunt.steering.model import Choice, Outcome
 from mothshunt.steering.pool import RegionGroup, ServicePool
-from mothshunt.steering.ranking import Question, Ranked, best, due_trials
+from mothshunt.steering.ranking import Question, Ranked, best, due_trial
 from mothshunt.steering.target_state import TargetState
 
 
@@ -91,7 +91,8 @@
         excluded: AbstractSet[TargetId],
         drains: DrainSet,
         now: float,
-        first_try: bool = True,
+        counted: bool = True,
+        patient: bool = False,
     ) -> Result[Choice, Failure]:
         """Choose a target and take the room for one attempt.
 
@@ -101,7 +102,9 @@
         :param excluded: Targets that must not be chosen.
         :param drains: Drains in force.
         :param now: Monotonic time, in seconds.
-        :param first_try: Whether the request did not wait for room before.
+        :param counted: Whether a refusal counts as new demand.
+        :param patient: Whether to stay in the home region as long as a target there
+            could take the request.
         :return: The choice; or a failure that says when to come back.
         """
         terms = contract.service(service)
@@ -113,10 +116,10 @@
         question = self._question(contract, terms, idempotent, excluded, now)
         lanes = self._lanes(contract)
         refusal: Failure | None = None
-        for state in self._candidates(pool, lanes, question):
+        for state in self._candidates(pool, lanes, question, patient):
             lane = lanes.lane(state.target.region)
             failure = self._holder.lacking(
-                lane, idempotent=idempotent, now=now, first_try=first_try
+                lane, idempotent=idempotent, now=now, counted=counted
             )
             if failure is None:
                 self._start(pool, state, now)
@@ -143,10 +146,13 @@
         if state.target.incarnation != target.incarnation:
             return
         elapsed_s = now - choice.started_at
+        was_suspect = state.suspect
         state.learn(outcome, elapsed_s, now)
+        if state.suspect != was_suspect:
+            pool.list_suspects()
         if outcome is Outcome.ANSWERED:
             pool.group_by_region[target.region].learn(elapsed_s)
-        if state.is_suspect():
+        if state.suspect:
             state.trial_at = now + self._trial_interval_s(pool, state)
 
     def _pool(self, customer: CustomerId, service: ServiceName) -> ServicePool:
@@ -184,10 +190,12 @@
         return lanes
 
     def _candidates(
-        self, pool: ServicePool, lanes: Lanes, question: Question
+        self, pool: ServicePool, lanes: Lanes, question: Question, patient: bool
     ) -> Iterator[TargetState]:
         """Yield targets in the order in which they are to be tried."""
-        trial = self._trial(pool, question)
+        trial = None
+        if pool.suspects:
+            trial = due_trial(pool.suspects, self._place.region, question)
         if trial is not None and question.idempotent:
             yield trial
         home = pool.group_by_region.get(self._place.region)
@@ -196,7 +204,8 @@
             yield from self._away(pool, lanes, question)
         if at_home:
             yield at_home.state
-        yield from self._away(pool, lanes, question)
+        if not (at_home and patient):
+            yield from self._away(pool, lanes, question)
         if trial is not None and not question.idempotent:
             yield trial
 
@@ -233,7 +242,9 @@
         """Tell whether to leave the home region although it has room."""
         if question.weighs is Weighs.LATENCY:
             limit_s = at_home.expected_s * LATENCY_SHIFT_RATIO
-            return limit_s > REMOTE_LATENCY_S and any(
+            if home.usual_latency_s + REMOTE_LATENCY_S > limit_s:
+                return False
+            return any(
                 group.usual_latency_s < limit_s
                 for group in pool.group_by_region.values()
                 if group is not home and group.states
@@ -241,26 +252,18 @@
         if at_home.use < HEADROOM_PRESSED_RATIO:
             return False
         ramp_s = question.cold_ramp_s
-        if home.use_ratio(ramp_s, question.now) < HEADROOM_PRESSED_RATIO:
+        use = home.use_ratio(ramp_s, question.now)
+        if use < HEADROOM_PRESSED_RATIO:
             return False
         return any(
-            group.use_ratio(ramp_s, question.now) < HEADROOM_HELPER_RATIO
+            group.use_ratio(ramp_s, question.now) < use - HEADROOM_GAP_RATIO
             for group in pool.group_by_region.values()
             if group is not home and group.states
         )
 
-    def _trial(self, pool: ServicePool, question: Question) -> TargetState | None:
-        home = pool.group_by_region.get(self._place.region)
-        groups = [home] if home else []
-        groups += [group for group in pool.group_by_region.values() if group != home]
-        for group in groups:
-            for state in due_trials(group, question):
-                return state
-        return None
-
     def _start(self, pool: ServicePool, state: TargetState, now: float) -> None:
         state.in_flight += 1
-        if not state.is_suspect():
+        if not state.suspect:
             return
         state.trials += 1
         state.trial_at = now + self._trial_interval_s(pool, state)
@@ -292,6 +295,6 @@
     states = [item for group in pool.group_by_region.values() for item in group.states]
     if not states:
         return codes.NO_TARGET
-    if all(state.is_suspect() for state in states):
+    if all(state.suspect for state in states):
         return codes.TARGETS_FAILING
     return codes.TARGETS_BUSY
--- a/mothshunt/steering/const.py
+++ b/mothshunt/steering/const.py
@@ -41,15 +41,18 @@
 
 #: Mean use of the home region's slots above which headroom is sought elsewhere.
 HEADROOM_PRESSED_RATIO = 0.8
-#: Mean use of another region's slots below which it can help.
-HEADROOM_HELPER_RATIO = 0.6
+#: Lead in free slots that another region must have to help.
+HEADROOM_GAP_RATIO = 0.2
 #: A way out of the home region must be faster by this factor to be taken for latency.
-LATENCY_SHIFT_RATIO = 0.5
+LATENCY_SHIFT_RATIO = 0.8
 
 #: Bounds of the time to come back, in seconds.
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 5.0
 
+#: Time that a request waits for room in its home region before it may leave it, in
+#: seconds; about a round trip between regions.
+PATIENCE_S = 0.03
 #: Longest that a request waits for room, in seconds.
 WAIT_S = 0.25
 #: Most requests that wait for room at a time.
--- a/mothshunt/steering/pool.py
+++ b/mothshunt/steering/pool.py
@@ -60,6 +60,7 @@
     started_at: float
     state_by_id: dict[TargetId, TargetState] = field(default_factory=dict)
     group_by_region: dict[RegionId, RegionGroup] = field(default_factory=dict)
+    suspects: list[TargetState] = field(default_factory=list)
     _targets: Sequence[Target] | None = None
     _drains: DrainSet | None = None
 
@@ -85,6 +86,16 @@
         for target_id, state in self.state_by_id.items():
             _set_usable(state, target_id in usable, now)
         self._forget(targets, now)
+        self.list_suspects()
+
+    def list_suspects(self) -> None:
+        """Collect the suspect targets that may get work."""
+        self.suspects = [
+            state
+            for group in self.group_by_region.values()
+            for state in group.states
+            if state.suspect
+        ]
 
     def _take(self, target: Target) -> TargetState:
         state = self.state_by_id.get(target.id)
--- a/mothshunt/steering/ranking.py
+++ b/mothshunt/steering/ranking.py
@@ -1,11 +1,12 @@
 """Order in which the targets of one region are tried."""
 
-from collections.abc import Iterator
+import math
+from collections.abc import Iterable
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from random import Random
 
-from mothshunt.core.types import AvailabilityZoneId, TargetId, Weighs
+from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId, Weighs
 from mothshunt.steering.const import OTHER_ZONE_COST, TIE_RATIO
 from mothshunt.steering.pool import RegionGroup
 from mothshunt.steering.target_state import TargetState
@@ -55,41 +56,46 @@
     :param rng: Breaks ties.
     """
     now = question.now
-    found = None
-    found_score = 0.0
+    found: TargetState | None = None
+    found_score = math.inf
+    found_use = 0.0
     for state in group.states:
-        if not _may_take(state, question):
+        target = state.target
+        if state.suspect or now < state.shed_until or target.id in question.excluded:
+            continue
+        allowed = state.allowed(question.cold_ramp_s, now)
+        if state.in_flight >= min(allowed, question.connections):
             continue
-        use = (state.occupancy(now) + 1) / state.allowed(question.cold_ramp_s, now)
-        slowness = state.slowness(group.usual_latency_s, now)
-        score = use * slowness * (1 + rng.random() * TIE_RATIO)
-        if state.target.availability_zone != question.availability_zone:
+        use = (state.occupancy(now) + 1) / allowed
+        score = use * state.slowness(group.usual_latency_s, now)
+        score *= 1 + rng.random() * TIE_RATIO
+        if target.availability_zone != question.availability_zone:
             score += OTHER_ZONE_COST
-        if found is None or score < found_score:
-            expected_s = group.usual_latency_s * slowness * max(1.0, use)
-            found = Ranked(state, expected_s, use)
-            found_score = score
-    return found
-
-
-def due_trials(group: RegionGroup, question: Question) -> Iterator[TargetState]:
-    """Yield suspect targets of a region that are due for a trial.
-
-    :param group: Targets of the region.
+        if score < found_score:
+            found, found_score, found_use = state, score, use
+    if found is None:
+        return None
+    slowness = found.slowness(group.usual_latency_s, now)
+    expected_s = group.usual_latency_s * slowness * max(1.0, found_use)
+    return Ranked(found, expected_s, found_use)
+
+
+def due_trial(
+    suspects: Iterable[TargetState], home: RegionId, question: Question
+) -> TargetState | None:
+    """Return a suspect target that is due for a trial, one of the region first.
+
+    :param suspects: Suspect targets that may get work.
+    :param home: Region of this instance.
     :param question: What is looked for.
     """
-    for state in group.states:
-        if state.target.id in question.excluded or not state.is_suspect():
+    found = None
+    for state in suspects:
+        if state.in_flight or question.now < state.trial_at:
             continue
-        if state.in_flight == 0 and question.now >= state.trial_at:
-            yield state
-
-
-def _may_take(state: TargetState, question: Question) -> bool:
-    now = question.now
-    if state.is_suspect() or now < state.shed_until:
-        return False
-    if state.target.id in question.excluded:
-        return False
-    allowed = min(state.allowed(question.cold_ramp_s, now), question.connections)
-    return state.in_flight < allowed
+        if state.target.id in question.excluded:
+            continue
+        if state.target.region == home:
+            return state
+        found = state
+    return found
--- a/mothshunt/steering/target_state.py
+++ b/mothshunt/steering/target_state.py
@@ -25,6 +25,7 @@
     """Hold what own requests and reports tell of one target.
 
     :param target: The target as last announced.
+    :param suspect: Whether own requests failed so often that only trials may go there.
     :param cold_since: Monotonic time from which it is brought to its full share, in
         seconds.
     """
@@ -36,6 +37,7 @@
     errors: int = 0
     trial_at: float = -math.inf
     trials: int = 0
+    suspect: bool = False
     sheds: int = 0
     shed_until: float = -math.inf
     others: int = 0
@@ -87,13 +89,6 @@
             return self.target.slots
         return max(1.0, self.target.slots * age / cold_ramp_s)
 
-    def is_suspect(self) -> bool:
-        """Tell whether own requests failed so often that only trials may go there."""
-        return (
-            self.failures >= SUSPECT_AFTER_FAILURES
-            or self.errors >= SUSPECT_AFTER_ERRORS
-        )
-
     def learn(self, outcome: Outcome, elapsed_s: float, now: float) -> None:
         """Take over how an attempt ended.
 
@@ -110,6 +105,10 @@
             self.failures = 0
         elif outcome is Outcome.ANSWERED:
             self._learn_answer(elapsed_s, now)
+        self.suspect = (
+            self.failures >= SUSPECT_AFTER_FAILURES
+            or self.errors >= SUSPECT_AFTER_ERRORS
+        )
 
     def _learn_shed(self, now: float) -> None:
         backoff = SHED_BACKOFF_S * 2 ** min(self.sheds, 10)
@@ -119,7 +118,7 @@
         self.others_at = max(self.others_at, now)
 
     def _learn_answer(self, elapsed_s: float, now: float) -> None:
-        if self.is_suspect():
+        if self.suspect:
             self.cold_since = now
         self.failures = 0
         self.errors = 0
