Compare means of load reports, not moments

A report was compared with the own count at its arrival, half a second after it was made; the noise of two or three requests at five slots sent work to full targets while others idled (18 queued beside 24 free slots in one region).

The averages are kept: they also see the work of entries of other regions.

--- a/mothshunt/steering/const.py
+++ b/mothshunt/steering/const.py
@@ -2,6 +2,8 @@
 
 #: Age at which a load report of a target no longer counts, in seconds.
 REPORT_MAX_AGE_S = 5.0
+#: Weight of one load report in the moving average of load.
+REPORT_WEIGHT = 0.3
 #: Weight of one sample in the moving average of latency.
 LATENCY_WEIGHT = 0.15
 #: Time in which what was learned of a target's latency loses half its weight.
--- a/mothshunt/steering/target_state.py
+++ b/mothshunt/steering/target_state.py
@@ -9,6 +9,7 @@
     LATENCY_HALF_LIFE_S,
     LATENCY_WEIGHT,
     REPORT_MAX_AGE_S,
+    REPORT_WEIGHT,
     SHED_BACKOFF_MAX_S,
     SHED_BACKOFF_S,
     SLOW_RATIO,
@@ -40,9 +41,11 @@
     suspect: bool = False
     sheds: int = 0
     shed_until: float = -math.inf
-    others: int = 0
+    others: float = 0.0
     others_at: float = -math.inf
     unusable_since: float = math.inf
+    _own_mean: float = 0.0
+    _report_mean: float = 0.0
     _latency_s: float = DEFAULT_LATENCY_S
     _sampled_at: float = -math.inf
 
@@ -51,7 +54,10 @@
         report = self.target.report
         if report is None or report.measured_at <= self.others_at:
             return
-        self.others = max(0, report.in_flight - self.in_flight)
+        # A report and the own count are of different moments; only means compare.
+        self._own_mean += REPORT_WEIGHT * (self.in_flight - self._own_mean)
+        self._report_mean += REPORT_WEIGHT * (report.in_flight - self._report_mean)
+        self.others = max(0.0, self._report_mean - self._own_mean)
         self.others_at = report.measured_at
 
     def occupancy(self, now: float) -> float:
