--- a/mothshunt/lookup/const.py
+++ b/mothshunt/lookup/const.py
@@ -18,8 +18,8 @@
 #: Requests in flight under which an entry is never called loaded.
 HIGH_LOAD_FLOOR = 20
 
-#: Queries whose parsed form is kept.
-PARSED_QUERIES_MAX = 4096
+#: Queries whose answer is kept.
+KEPT_ANSWERS_MAX = 4096
 
 PARAM_CUSTOMER = "customer"
 PARAM_SERVICE = "service"
--- a/mothshunt/lookup/coordinator.py
+++ b/mothshunt/lookup/coordinator.py
@@ -1,31 +1,46 @@
 """Look-ups over HTTP."""
 
-import json
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
 
 from aiohttp import web
 
-from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.configuration.model import Configuration, ConfigurationSource
 from mothshunt.core.codes import Failure
 from mothshunt.core.const import HEADER_CODE, HEADER_RAN, HEADER_RETRY_AFTER
 from mothshunt.core.types import AvailabilityZoneId, CustomerId, RegionId, ServiceName
 from mothshunt.lookup import codes
+from mothshunt.lookup.answers import AnswerBodies
 from mothshunt.lookup.const import (
-    ATTR_AVAILABILITY_ZONE,
-    ATTR_ENTRIES,
-    ATTR_HOST,
-    ATTR_INSTANCE,
-    ATTR_LIFETIME_MS,
-    ATTR_PORT,
-    ATTR_REGION,
+    KEPT_ANSWERS_MAX,
     PARAM_CLIENT,
     PARAM_CUSTOMER,
     PARAM_SERVICE,
     RETRY_AFTER_S,
 )
-from mothshunt.lookup.state import EntryTable, client_block, group_of
-from mothshunt.membership.model import EntryDirectory, InstanceRecord
-from mothshunt.metrics.registry import Metrics
+from mothshunt.lookup.state import EntryTable, client_group
+from mothshunt.membership.model import EntryDirectory, EntryPresence
+from mothshunt.metrics.registry import Metrics, Series
+
+_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """Hold what a look-up asks.
+
+    :param customer: Customer of the service.
+    :param service: Service that the caller wants.
+    :param group: Group of the client; ``None`` when its address is malformed.
+    :param names_client: Whether the query, not the sender's address, gave the group.
+    """
+
+    customer: CustomerId
+    service: ServiceName
+    group: int | None
+    names_client: bool = True
 
 
 class LookupHandler:
@@ -50,56 +65,84 @@
         metrics: Metrics,
     ) -> None:
         self._table = EntryTable(region, availability_zone)
+        self._bodies = AnswerBodies(self._table)
         self._entries = entries
         self._configuration = configuration
         self._is_ready = is_ready
         self._metrics = metrics
+        self._body_by_path: dict[str, bytes] = {}
+        self._seen_entries: Sequence[EntryPresence] | None = None
+        self._seen_configuration: Configuration | None = None
+        self._series = Series("mothshunt_lookups_total")
 
     async def async_handle(self, request: web.Request) -> web.Response:
         """Answer ``GET /v1/lookup``.
 
-        :param request: Has the parameters customer, service and client.
+        :param request: Has the parameters customer, service and client; without the
+            last one the sender is the client.
         """
-        query = request.query
-        client = query.get(PARAM_CLIENT) or request.remote or ""
-        customer = CustomerId(query.get(PARAM_CUSTOMER, ""))
-        service = ServiceName(query.get(PARAM_SERVICE, ""))
-        answer = self.answer(customer, service, client)
-        if isinstance(answer, Failure):
-            return self._refuse(answer)
-        self._metrics.count("mothshunt_lookups_total")
-        return web.Response(body=answer, content_type="application/json")
-
-    def answer(
-        self, customer: CustomerId, service: ServiceName, client: str
-    ) -> bytes | Failure:
+        if not self._is_ready():
+            return self._refuse(
+                Failure(code=codes.NOT_READY, retry_after_s=RETRY_AFTER_S)
+            )
+        configuration = self._refresh()
+        path = request.raw_path
+        body = self._body_by_path.get(path)
+        if body is None:
+            query = _parse(path, request)
+            answer = self.answer(query, configuration)
+            if isinstance(answer, Failure):
+                return self._refuse(answer)
+            body = answer
+            if query.names_client:
+                self._keep(path, body)
+        counters = self._metrics.counter_by_series
+        counters[self._series] = counters.get(self._series, 0) + 1
+        return web.Response(body=body, headers=_HEADERS)
+
+    def answer(self, query: Query, configuration: Configuration) -> bytes | Failure:
         """Return the body of an answer, or why there is none.
 
-        :param customer: Customer of the service.
-        :param service: Service that the caller wants.
-        :param client: IP number of the client.
+        :param query: What is asked.
+        :param configuration: Configuration in force.
         """
-        if not self._is_ready():
-            return Failure(code=codes.NOT_READY, retry_after_s=RETRY_AFTER_S)
-        block = client_block(client)
-        if block is None or not customer or not service:
+        if query.group is None or not query.customer or not query.service:
             return Failure(code=codes.BAD_QUERY, detail="customer, service, client")
-        configuration = self._configuration.current()
-        contract = configuration.contract_by_customer.get(customer)
-        if contract is None or contract.service(service) is None:
-            return Failure(code=codes.UNKNOWN_SERVICE, detail=f"{customer}/{service}")
-        self._table.update(self._entries.entries(), configuration.drains)
-        order = self._table.order(group_of(block))
-        if not order:
+        contract = configuration.contract_by_customer.get(query.customer)
+        if contract is None or contract.service(query.service) is None:
+            detail = f"{query.customer}/{query.service}"
+            return Failure(code=codes.UNKNOWN_SERVICE, detail=detail)
+        body = self._bodies.body(contract, query.group)
+        if body is None:
             return Failure(code=codes.NO_ENTRY, retry_after_s=RETRY_AFTER_S)
-        return _body(order, contract.lookup_lifetime_s)
+        return body
+
+    def _refresh(self) -> Configuration:
+        """Take over entries and configuration; what is kept falls when they change."""
+        entries = self._entries.entries()
+        configuration = self._configuration.current()
+        if configuration is not self._seen_configuration:
+            self._seen_configuration = configuration
+            self._body_by_path.clear()
+            self._seen_entries = None
+        if entries is not self._seen_entries:
+            self._seen_entries = entries
+            if self._table.update(entries, configuration.drains):
+                self._bodies.clear()
+                self._body_by_path.clear()
+        return configuration
+
+    def _keep(self, path: str, body: bytes) -> None:
+        if len(self._body_by_path) >= KEPT_ANSWERS_MAX:
+            self._body_by_path.clear()
+        self._body_by_path[path] = body
 
     def _refuse(self, failure: Failure) -> web.Response:
         code = failure.code
         self._metrics.count("mothshunt_refusals_total", reason=code.name)
         headers = {HEADER_CODE: str(code.number), HEADER_RAN: failure.ran.value}
         if failure.retry_after_s is not None:
-            headers[HEADER_RETRY_AFTER] = str(int(-(-failure.retry_after_s // 1)))
+            headers[HEADER_RETRY_AFTER] = str(math.ceil(failure.retry_after_s))
         document = {
             "code": code.number,
             "name": code.name,
@@ -110,19 +153,18 @@
         return web.json_response(document, status=code.http_status, headers=headers)
 
 
-def _body(order: tuple[InstanceRecord, ...], lifetime_s: float) -> bytes:
-    document = {
-        ATTR_ENTRIES: [_entry(record) for record in order],
-        ATTR_LIFETIME_MS: int(lifetime_s * 1000),
-    }
-    return json.dumps(document).encode()
-
-
-def _entry(record: InstanceRecord) -> dict[str, str | int]:
-    return {
-        ATTR_INSTANCE: record.id,
-        ATTR_HOST: record.traffic_host,
-        ATTR_PORT: record.traffic_port,
-        ATTR_REGION: record.region,
-        ATTR_AVAILABILITY_ZONE: record.availability_zone,
-    }
+def _parse(path: str, request: web.Request) -> Query:
+    """Parse a query; the URL library would cost as much as half a look-up."""
+    text = path.partition("?")[2]
+    if "%" in text or "+" in text:
+        parameters = dict(parse_qsl(text))
+    else:
+        pairs = (part.partition("=") for part in text.split("&"))
+        parameters = {name: value for name, _, value in pairs}
+    client = parameters.get(PARAM_CLIENT, "")
+    return Query(
+        CustomerId(parameters.get(PARAM_CUSTOMER, "")),
+        ServiceName(parameters.get(PARAM_SERVICE, "")),
+        client_group(client or request.remote or ""),
+        bool(client),
+    )
--- a/mothshunt/lookup/state.py
+++ b/mothshunt/lookup/state.py
@@ -50,6 +50,16 @@
     return int(xxhash.xxh3_64_intdigest(block)) % GROUPS
 
 
+def client_group(address: str) -> int | None:
+    """Return the group of a client's block.
+
+    :param address: IP number of the client.
+    :return: The group; ``None`` when the address is no IP number.
+    """
+    block = client_block(address)
+    return None if block is None else group_of(block)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Candidate:
     """Hold an entry instance that answers may name.
--- a/mothshunt/steering/chooser.py
+++ b/mothshunt/steering/chooser.py
@@ -28,7 +28,9 @@
     HEADROOM_GAP_RATIO,
     HEADROOM_PRESSED_RATIO,
     LATENCY_SHIFT_RATIO,
+    PRESSURE_WEIGHT,
     REMOTE_LATENCY_S,
+    RETRY_AFTER_JITTER_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SUSPECT_TRIAL_S,
@@ -81,6 +83,7 @@
         self._started_at = started_at
         self._pool_by_service: dict[tuple[CustomerId, ServiceName], ServicePool] = {}
         self._lanes_by_customer: dict[CustomerId, Lanes] = {}
+        self._pressure_ratio = 0.0
 
     def choose(
         self,
@@ -124,11 +127,17 @@
             if failure is None:
                 self._start(pool, state, now)
                 permit = self._holder.acquire(lane, now)
+                self._learn_pressure(0.0)
                 choice = Choice(target=state.target, permit=permit, started_at=now)
                 return Ok(choice)
             refusal = refusal or failure
+        if counted:
+            self._learn_pressure(1.0)
         return Error(self._refusal(pool, refusal))
 
+    def _learn_pressure(self, refused: float) -> None:
+        self._pressure_ratio += PRESSURE_WEIGHT * (refused - self._pressure_ratio)
+
     def finish(self, choice: Choice, outcome: Outcome, now: float) -> None:
         """Give the room back and learn from the outcome.
 
@@ -286,9 +295,10 @@
         )
 
     def _retry_after_s(self) -> float:
-        return RETRY_AFTER_MIN_S + self._rng.random() * (
-            RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
-        )
+        """Return the time to come back, longer the more is refused."""
+        reach_s = RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
+        spread = self._rng.uniform(-RETRY_AFTER_JITTER_RATIO, RETRY_AFTER_JITTER_RATIO)
+        return (RETRY_AFTER_MIN_S + self._pressure_ratio * reach_s) * (1 + spread)
 
 
 def _busy_code(pool: ServicePool) -> ResultCode:
--- a/mothshunt/steering/const.py
+++ b/mothshunt/steering/const.py
@@ -51,11 +51,17 @@
 #: Bounds of the time to come back, in seconds.
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 5.0
+#: Weight of one choice in the moving average of refusals.
+PRESSURE_WEIGHT = 0.02
+#: Part by which the time to come back is moved at random, so that callers spread.
+RETRY_AFTER_JITTER_RATIO = 0.3
 
 #: Time that a request waits for room in its home region before it may leave it, in
 #: seconds; about a round trip between regions.
 PATIENCE_S = 0.03
 #: Longest that a request waits for room, in seconds.
 WAIT_S = 0.25
+#: Part of the time to its deadline that a request waits for room at most.
+WAIT_DEADLINE_RATIO = 0.25
 #: Most requests that wait for room at a time.
 WAITING_MAX = 64
--- a/mothshunt/steering/coordinator.py
+++ b/mothshunt/steering/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
 from random import Random
 
 from expression import Error, Result
@@ -12,6 +13,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import (
     AvailabilityZoneId,
+    CustomerId,
     Incarnation,
     RegionId,
     ServiceName,
@@ -23,11 +25,27 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.steering import codes
 from mothshunt.steering.chooser import Chooser, Place
-from mothshunt.steering.const import RETRY_AFTER_MIN_S, WAIT_S, WAITING_MAX
+from mothshunt.steering.const import (
+    PATIENCE_S,
+    RETRY_AFTER_MIN_S,
+    WAIT_DEADLINE_RATIO,
+    WAIT_S,
+)
 from mothshunt.steering.model import Choice, Outcome
+from mothshunt.steering.waiting import WaitingRoom
+
+#: Refusals that name nothing that could change within moments.
+_FINAL = frozenset({codes.UNKNOWN_SERVICE, codes.NO_TARGET, codes.TARGETS_FAILING})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Request:
+    """Say what one request asks the chooser for."""
 
-#: Codes for which room may come free within moments.
-_WORTH_WAITING = range(2203, 2400)
+    contract: Contract
+    service: ServiceName
+    idempotent: bool
+    excluded: AbstractSet[TargetId]
 
 
 class SteeringCoordinator:
@@ -61,8 +79,7 @@
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
-        self._room: asyncio.Event = asyncio.Event()
-        self._waiting = 0
+        self._room: WaitingRoom[asyncio.Future[None]] = WaitingRoom()
         self._chooser = Chooser(
             place=Place(region=region, availability_zone=availability_zone),
             directory=directory,
@@ -74,11 +91,12 @@
 
     async def async_start(self) -> None:
         """Start to listen for renewed shares."""
-        self._limits.on_granted(self._wake)
+        self._limits.on_granted(self._wake_all)
+        self._metrics.gauge("mothshunt_waiting_requests", lambda: len(self._room))
 
     async def async_stop(self) -> None:
         """Let every waiting request go on to its answer."""
-        self._wake()
+        self._wake_all()
 
     def choose(
         self,
@@ -90,7 +108,10 @@
         now: float,
     ) -> Result[Choice, Failure]:
         """Choose a target at once; see ``TargetChooser``."""
-        result = self._try(contract, service, idempotent, excluded, now)
+        request = _Request(
+            contract=contract, service=service, idempotent=idempotent, excluded=excluded
+        )
+        result = self._try(request, now, counted=True, patient=False)
         if result.is_error():
             self._count_refusal(result.error)
         return result
@@ -114,17 +135,10 @@
             seconds; the wait ends far earlier.
         :return: The choice; or a failure that says when to come back.
         """
-        now = self._clock.monotonic()
-        give_up_at = min(now + WAIT_S, deadline)
-        result = self._try(contract, service, idempotent, excluded, now)
-        while result.is_error() and result.error.code.number in _WORTH_WAITING:
-            if self._waiting >= WAITING_MAX:
-                result = Error(_too_many_waiting())
-                break
-            if not await self._async_room(give_up_at - self._clock.monotonic()):
-                break
-            now = self._clock.monotonic()
-            result = self._try(contract, service, idempotent, excluded, now)
+        request = _Request(
+            contract=contract, service=service, idempotent=idempotent, excluded=excluded
+        )
+        result = await self._async_try(request, deadline)
         if result.is_error():
             self._count_refusal(result.error)
         return result
@@ -132,7 +146,7 @@
     def may_dispatch(self, choice: Choice, now: float) -> bool:
         """Tell whether the request may still be sent; ask right before sending.
 
-        :param choice: What was chosen.
+        :param choice: What was chosen and is not finished.
         :param now: Monotonic time, in seconds.
         """
         return self._limits.holder.may_dispatch(choice.permit, now)
@@ -141,50 +155,86 @@
         """Give the room back and learn; see ``TargetChooser``."""
         self._chooser.finish(choice, outcome, now)
         self._metrics.count("mothshunt_attempts_total", outcome=outcome.value)
-        self._wake()
+        self._wake_next(choice.target.customer, choice.target.service)
+
+    async def _async_try(
+        self, request: _Request, deadline: float
+    ) -> Result[Choice, Failure]:
+        now = self._clock.monotonic()
+        patient_until = now + PATIENCE_S
+        give_up_at = now + min(WAIT_S, (deadline - now) * WAIT_DEADLINE_RATIO)
+        result = self._try(request, now, counted=True, patient=True)
+        counted_away = False
+        while result.is_error() and result.error.code not in _FINAL:
+            patient = now < patient_until
+            wait_until = min(patient_until, give_up_at) if patient else give_up_at
+            if now >= give_up_at:
+                break
+            if not await self._async_room(request, wait_until - now):
+                return Error(_too_many_waiting())
+            now = self._clock.monotonic()
+            patient = now < patient_until
+            counted = not patient and not counted_away
+            counted_away = counted_away or counted
+            result = self._try(request, now, counted=counted, patient=patient)
+        return result
 
     def _try(
-        self,
-        contract: Contract,
-        service: ServiceName,
-        idempotent: bool,
-        excluded: AbstractSet[TargetId],
-        now: float,
+        self, request: _Request, now: float, *, counted: bool, patient: bool
     ) -> Result[Choice, Failure]:
         self._limits.refresh()
         result = self._chooser.choose(
-            contract=contract,
-            service=service,
-            idempotent=idempotent,
-            excluded=excluded,
+            contract=request.contract,
+            service=request.service,
+            idempotent=request.idempotent,
+            excluded=request.excluded,
             drains=self._configuration.current().drains,
             now=now,
+            counted=counted,
+            patient=patient,
         )
         if result.is_error():
             self._limits.ask_soon()
         return result
 
-    async def _async_room(self, timeout_s: float) -> bool:
-        """Wait until room may have come free; ``False`` when none did in time."""
-        if timeout_s <= 0:
+    async def _async_room(self, request: _Request, timeout_s: float) -> bool:
+        """Wait until room may have come free; ``False`` when too many wait."""
+        waiting = asyncio.get_running_loop().create_future()
+        customer = request.contract.customer
+        place = (customer, request.service, request.idempotent, waiting)
+        if not self._room.add(*place):
             return False
-        self._waiting += 1
         try:
             async with asyncio.timeout(timeout_s):
-                await self._room.wait()
+                await waiting
         except TimeoutError:
-            return False
+            pass
+        except asyncio.CancelledError:
+            # Room that was offered to a caller that is gone goes to the next one.
+            if waiting.done() and not waiting.cancelled():
+                self._wake_next(customer, request.service)
+            raise
         finally:
-            self._waiting -= 1
+            self._room.discard(*place)
         return True
 
-    def _wake(self) -> None:
-        self._room.set()
-        self._room = asyncio.Event()
+    def _wake_next(self, customer: CustomerId, service: ServiceName) -> None:
+        waiting = self._room.take_next(customer, service)
+        if waiting is not None:
+            _wake(waiting)
+
+    def _wake_all(self) -> None:
+        for waiting in list(self._room.take_all()):
+            _wake(waiting)
 
     def _count_refusal(self, failure: Failure) -> None:
         self._metrics.count("mothshunt_refusals_total", reason=failure.code.name)
 
 
+def _wake(waiting: asyncio.Future[None]) -> None:
+    if not waiting.done():
+        waiting.set_result(None)
+
+
 def _too_many_waiting() -> Failure:
     return Failure(code=codes.TOO_MANY_WAITING, retry_after_s=RETRY_AFTER_MIN_S)
