--- a/mothshunt/lookup/coordinator.py
+++ b/mothshunt/lookup/coordinator.py
@@ -156,11 +156,12 @@
 def _parse(path: str, request: web.Request) -> Query:
     """Parse a query; the URL library would cost as much as half a look-up."""
     text = path.partition("?")[2]
-    if "%" in text or "+" in text:
+    try:
+        parameters = dict([part.split("=", 1) for part in text.split("&")])
+    except ValueError:
+        parameters = {}
+    if not parameters or "%" in text or "+" in text:
         parameters = dict(parse_qsl(text))
-    else:
-        pairs = (part.partition("=") for part in text.split("&"))
-        parameters = {name: value for name, _, value in pairs}
     client = parameters.get(PARAM_CLIENT, "")
     return Query(
         CustomerId(parameters.get(PARAM_CUSTOMER, "")),
