Keep commitments off suspect targets while another has room

Found by the new feature: with a healthy target in another region but no share of it yet, a commitment was sent to a target that had just timed out twice.

--- a/mothshunt/steering/chooser.py
+++ b/mothshunt/steering/chooser.py
@@ -213,9 +213,10 @@
             yield from self._away(pool, lanes, question)
         if at_home:
             yield at_home.state
-        if not (at_home and patient):
-            yield from self._away(pool, lanes, question)
-        if trial is not None and not question.idempotent:
+        away = [] if at_home and patient else self._away(pool, lanes, question)
+        yield from away
+        # A commitment tries a suspect target out only where there is no other.
+        if trial is not None and not (question.idempotent or at_home or away):
             yield trial
 
     def _away(
