--- a/mothshunt/limits/const.py
+++ b/mothshunt/limits/const.py
@@ -22,9 +22,12 @@
 #: The static share is one part in this many of a limit.
 STATIC_SHARE_DIVISOR = 4
 
-#: Room asked for over the highest use, as a ratio and as a count of requests.
-DEMAND_MARGIN_RATIO = 0.25
+#: Least period over which use is measured, in seconds.
+WINDOW_S = 0.5
+#: Room asked for over what peaks take, in requests.
 DEMAND_MARGIN = 2
+#: Standard deviations over mean use that peaks take.
+PEAK_DEVIATIONS = 2.5
 #: Time that a request is taken to hold room before any was seen, in seconds.
 DEFAULT_HOLD_S = 0.2
 #: Weight of one request in the moving average of that time.
--- a/mothshunt/limits/holder.py
+++ b/mothshunt/limits/holder.py
@@ -12,12 +12,12 @@
     COMMITMENT_RESERVE_DIVISOR,
     DEFAULT_HOLD_S,
     DEMAND_MARGIN,
-    DEMAND_MARGIN_RATIO,
     HOLD_WEIGHT,
     LEAST_WINDOW_S,
     MEAN_WEIGHT,
     NEED_DEVIATIONS,
-    RENEWAL_INTERVAL_S,
+    PEAK_DEVIATIONS,
+    WINDOW_S,
 )
 from mothshunt.limits.messages import Grant, Holding, Renewal
 from mothshunt.limits.model import LimitKey, LimitKind, Permit
@@ -35,8 +35,7 @@
     static: int = 0
     share: int = 0
     in_use: int = 0
-    peak: int = 0
-    last_peak: int = 0
+    last_mean: float = 0.0
     refused: int = 0
     last_refused_per_s: float = 0.0
     hold_s: float = DEFAULT_HOLD_S
@@ -53,7 +52,6 @@
         self._request_s += self.in_use * (now - self._changed_at)
         self._changed_at = now
         self.in_use += change
-        self.peak = max(self.peak, self.in_use)
 
     def needed(self, wanted: int) -> int:
         """Return the part of what is wanted that usual use takes.
@@ -65,19 +63,26 @@
         usual = math.ceil(self.mean + NEED_DEVIATIONS * math.sqrt(self.mean))
         return min(wanted, max(0, usual - self.static))
 
-    def wanted(self, window_s: float) -> int:
+    def wanted(self, window_s: float, now: float) -> int:
         """Return the leased share that recent use and refusals ask for.
 
         Refused requests would have been in flight as long as others are.
 
         :param window_s: Time since the window began, in seconds.
+        :param now: Monotonic time, in seconds.
         """
-        peak = max(self.peak, self.last_peak)
+        self.change(0, now)
+        mean = self._request_s / max(window_s, LEAST_WINDOW_S)
         refused_per_s = self.refused / max(window_s, LEAST_WINDOW_S)
-        refused_per_s = max(refused_per_s, self.last_refused_per_s)
-        demand = peak + math.ceil(refused_per_s * self.hold_s)
+        if window_s < WINDOW_S:
+            mean = max(mean, self.last_mean)
+            refused_per_s = max(refused_per_s, self.last_refused_per_s)
+        demand = math.ceil(refused_per_s * self.hold_s)
+        if self.at_home:
+            demand += math.ceil(mean + PEAK_DEVIATIONS * math.sqrt(mean))
+        demand = max(demand, self.in_use + math.ceil(refused_per_s * self.hold_s))
         if demand and self.at_home:
-            demand += math.ceil(peak * DEMAND_MARGIN_RATIO) + DEMAND_MARGIN
+            demand += DEMAND_MARGIN
         return max(0, demand - self.static)
 
     def start_window(self, window_s: float, now: float) -> None:
@@ -87,12 +92,11 @@
         :param now: Monotonic time, in seconds.
         """
         self.change(0, now)
-        mean = self._request_s / window_s + self.refused / window_s * self.hold_s
+        self.last_mean = self._request_s / window_s
+        mean = self.last_mean + self.refused / window_s * self.hold_s
         self.mean += MEAN_WEIGHT * (mean - self.mean)
         self._request_s = 0.0
-        self.last_peak = self.peak
         self.last_refused_per_s = self.refused / window_s
-        self.peak = self.in_use
         self.refused = 0
 
     def learn_hold(self, hold_s: float) -> None:
@@ -107,8 +111,8 @@
         return not (
             self.in_use
             or self.share
-            or self.peak
-            or self.last_peak
+            or self.last_mean
+            or self._request_s
             or self.refused
             or self.last_refused_per_s
         )
@@ -295,11 +299,11 @@
         self._sequence += 1
         self._sent_at = now
         holdings = tuple(
-            _holding(key, account, leased, account.wanted(window_s))
+            _holding(key, account, leased, account.wanted(window_s, now))
             for key, account in self._account_by_key.items()
             if not account.is_idle()
         )
-        if window_s >= RENEWAL_INTERVAL_S / 2:
+        if window_s >= WINDOW_S:
             self._window_started_at = now
             for account in self._account_by_key.values():
                 account.start_window(window_s, now)
