--- /dev/null
+++ b/tests/steps/steering_waiting.py
@@ -0,0 +1,139 @@
+"""Steps for requests that wait for room."""
+
+import asyncio
+
+from behave import given, then, when
+
+from mothshunt.contract.model import ShiftLimit
+from mothshunt.steering.model import Outcome
+from tests.support.steering_world import LoopClock, World, target
+
+DEADLINE_S = 8.0
+
+
+@given("an entry whose only slot is taken")
+def one_slot(context):
+    context.scenario_of = _run
+    context.results = None
+
+
+def _run(scenario):
+    """Run a scenario in an event loop whose entry has one slot in use."""
+
+    async def async_main():
+        world = World(LoopClock(), shift=ShiftLimit(cap=0, step=1))
+        world.targets_now = (target("n1", "north-a", slots=1),)
+        limits = world.limits()
+        limits.holder.opens_at = world.clock.monotonic()
+        steering = world.steering(limits)
+        await limits.async_start()
+        await steering.async_start()
+        try:
+            await asyncio.sleep(0.05)
+            taken = await _async_choose(world, steering, idempotent=False)
+            assert taken.is_ok(), taken
+            return await scenario(world, steering, taken.ok)
+        finally:
+            await steering.async_stop()
+            await limits.async_stop()
+
+    return asyncio.run(async_main())
+
+
+async def _async_choose(world, steering, *, idempotent, deadline_s=DEADLINE_S):
+    return await steering.async_choose(
+        contract=world.contract,
+        service="inventory",
+        idempotent=idempotent,
+        excluded=frozenset(),
+        deadline=world.clock.monotonic() + deadline_s,
+    )
+
+
+def _free(world, steering, choice):
+    steering.finish(choice, Outcome.ANSWERED, world.clock.monotonic())
+
+
+@when("a check and then a commitment wait for it")
+def check_and_commitment(context):
+    async def async_scenario(world, steering, taken):
+        check = asyncio.create_task(_async_choose(world, steering, idempotent=True))
+        await asyncio.sleep(0)
+        commitment = asyncio.create_task(
+            _async_choose(world, steering, idempotent=False)
+        )
+        await asyncio.sleep(0)
+        _free(world, steering, taken)
+        return await check, await commitment
+
+    context.pending = async_scenario
+
+
+@when("the slot comes free")
+def slot_free(context):
+    context.results = context.scenario_of(context.pending)
+
+
+@then("the commitment got it and the check is refused with a time to come back")
+def commitment_first(context):
+    check, commitment = context.results
+    assert commitment.is_ok(), commitment
+    assert check.is_error(), check
+    assert check.error.retry_after_s > 0, check
+
+
+@when("a request with a deadline in {deadline:g} seconds finds no room")
+def short_deadline(context, deadline):
+    async def async_scenario(world, steering, taken):
+        started = world.clock.monotonic()
+        result = await _async_choose(
+            world, steering, idempotent=True, deadline_s=deadline
+        )
+        return result, world.clock.monotonic() - started
+
+    context.results = context.scenario_of(async_scenario)
+
+
+@then("it is refused within {seconds:g} seconds of its arrival")
+def refused_within(context, seconds):
+    result, elapsed = context.results
+    assert result.is_error(), result
+    assert elapsed < seconds, elapsed
+
+
+@when("{count:d} requests ask for it at the same moment")
+def many_ask(context, count):
+    async def async_scenario(world, steering, taken):
+        asking = [_async_choose(world, steering, idempotent=True) for _ in range(count)]
+        results = await asyncio.gather(*asking)
+        return results, world.metrics
+
+    context.results = context.scenario_of(async_scenario)
+
+
+@then('{count:d} are refused as "{name}" and each refusal is counted')
+def refused_and_counted(context, count, name):
+    results, metrics = context.results
+    refused = [result.error.code.name for result in results if result.is_error()]
+    assert refused.count(name) == count, refused
+    for reason in set(refused):
+        counted = metrics.value("mothshunt_refusals_total", reason=reason)
+        assert counted == refused.count(reason), (reason, counted)
+
+
+@when("two requests wait for it and the first caller is gone as the slot comes free")
+def caller_gone(context):
+    async def async_scenario(world, steering, taken):
+        first = asyncio.create_task(_async_choose(world, steering, idempotent=True))
+        second = asyncio.create_task(_async_choose(world, steering, idempotent=True))
+        await asyncio.sleep(0)
+        _free(world, steering, taken)
+        first.cancel()
+        return await second
+
+    context.results = context.scenario_of(async_scenario)
+
+
+@then("the second request got the slot")
+def second_got_it(context):
+    assert context.results.is_ok(), context.results
