--- a/bench/steering_model.py
+++ b/bench/steering_model.py
@@ -1,6 +1,5 @@
 """A small queue model of targets, driven by the deciding functions."""
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -9,42 +8,23 @@
 from bench.steering_choosers import Deciding, Directory, Picked
 from bench.steering_profiles import REQUEST_TIMEOUT_S, CustomerProfile, entry_records
 from bench.steering_scenarios import TROUBLED_REGION, Arrival, Scenario, middle_third
+from bench.steering_servers import Server
 from bench.timeline import Timeline
 from mothshunt.contract.model import RetryBudget
 from mothshunt.core.types import RegionId, TargetId
-from mothshunt.discovery.model import LoadReport, Target
 from mothshunt.steering.const import PATIENCE_S, WAIT_S
 from mothshunt.steering.model import Outcome
 from mothshunt.steering.waiting import WaitingRoom
 
 REPORT_INTERVAL_S = 1.0
 REPORT_DELAY_S = 0.5
-ANNOUNCEMENT_LEASE_S = 3.0
 CONNECT_TIMEOUT_S = 0.3
 NEW_CONNECTION_S = 0.001
 ZONE_LATENCY_S = 0.001
-ERROR_S = 0.005
-SLOW_FACTOR = 8.0
-COLD_FACTOR = 2.0
-COLD_S = 3.0
 TRIES_MAX = 3
 WARM_UP_S = 3.0
 
 
-@dataclass(slots=True)
-class Server:
-    """One target: slots, as many places to wait, then it sheds."""
-
-    target: Target
-    slow: bool = False
-    lying: bool = False
-    lost: bool = False
-    warm_at: float = 0.0
-    running: int = 0
-    queue: deque[tuple[float, Callable[[Outcome], None]]] = field(default_factory=deque)
-    connections_by_entry: dict[int, int] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Request:
     """One request on its way."""
@@ -126,7 +106,9 @@
 
     def _make_servers(self, scenario: Scenario) -> dict[TargetId, Server]:
         servers = {
-            target.id: Server(replace(target, first_seen_at=self._timeline.now))
+            target.id: Server(
+                replace(target, first_seen_at=self._timeline.now), self._timeline
+            )
             for target in self._profile.targets()
         }
         for service in self._profile.services:
@@ -138,38 +120,22 @@
     def _report(self) -> None:
         """Show a view of the targets as it was a moment ago."""
         view = [
-            replace(server.target, report=self._load(server))
+            replace(server.target, report=server.report())
             for server in self._servers.values()
             if not server.lost
         ]
         self._timeline.after(REPORT_DELAY_S, partial(self._directory.replace, view))
         self._timeline.after(REPORT_INTERVAL_S, self._report)
 
-    def _load(self, server: Server) -> LoadReport:
-        in_flight = 0 if server.lying else server.running + len(server.queue)
-        connections = sum(server.connections_by_entry.values())
-        return LoadReport(
-            in_flight=in_flight, connections=connections, measured_at=self._timeline.now
-        )
-
     def _lose_region(self) -> None:
         for server in self._servers.values():
             if server.target.region == TROUBLED_REGION:
-                server.lost = True
-                server.running = 0
-                server.queue.clear()
-                server.connections_by_entry.clear()
+                server.lose()
 
     def _restore_region(self) -> None:
-        now = self._timeline.now
         for server in self._servers.values():
             if server.lost:
-                server.lost = False
-                server.warm_at = now + COLD_S
-                incarnation = type(server.target.incarnation)(2)
-                server.target = replace(
-                    server.target, incarnation=incarnation, first_seen_at=now
-                )
+                server.restore()
 
     def _arrive(self, request: Request) -> None:
         if self._counts(request):
@@ -273,45 +239,11 @@
     def _take(
         self, server: Server, request: Request, answer: Callable[[Outcome], None]
     ) -> None:
-        if server.lost:
-            return
-        if server.lying:
-            self._timeline.after(ERROR_S, partial(answer, Outcome.ERROR_ANSWER))
-            return
-        slots = server.target.slots
-        if server.running >= slots and len(server.queue) >= slots:
-            answer(Outcome.SHED)
+        if not server.take(request.arrival.run_s, answer):
             return
         request.runs += 1
         if request.runs > 1 and not request.arrival.idempotent:
             self.figures.doubled += 1
-        if server.running >= slots:
-            server.queue.append((request.arrival.run_s, answer))
-        else:
-            self._run(server, request.arrival.run_s, answer)
-
-    def _run(
-        self, server: Server, run_s: float, answer: Callable[[Outcome], None]
-    ) -> None:
-        server.running += 1
-        if server.slow:
-            run_s *= SLOW_FACTOR
-        if self._timeline.now < server.warm_at:
-            run_s *= COLD_FACTOR
-        incarnation = server.target.incarnation
-        self._timeline.after(
-            run_s, partial(self._leave_slot, server, incarnation, answer)
-        )
-
-    def _leave_slot(
-        self, server: Server, incarnation: int, answer: Callable[[Outcome], None]
-    ) -> None:
-        if server.lost or server.target.incarnation != incarnation:
-            return
-        server.running -= 1
-        if server.queue:
-            self._run(server, *server.queue.popleft())
-        answer(Outcome.ANSWERED)
 
     def _answer(
         self,
--- a/tests/limits/leases.feature
+++ b/tests/limits/leases.feature
@@ -46,6 +46,16 @@
     Then "n1" has at least 5 in use
     And the use of both is at most 40
 
+  Scenario: The share of a lost holder is held back until its requests have ended
+    Given holders "n0" and "n1" of a region capacity of 40
+    When "n0" uses 20 and renews until it is served
+    And 6 seconds pass for the holders
+    And "n1" wants 40 and renews
+    Then "n1" has at most 15 in use
+    When 2 seconds pass for the holders
+    And "n1" wants 40 and renews
+    Then "n1" has at least 25 in use
+
   Scenario: A replacement under the same name gets no part of what its predecessor holds
     Given holders "n0" and "n1" of a region capacity of 40
     When "n0" uses 20 and renews until it is served
