--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -15,7 +15,7 @@
 
 from expression import Result
 
-from mothshunt.core.types import InstanceState
+from mothshunt.core.types import CustomerId, InstanceState
 from mothshunt.daemon.base import Base
 from mothshunt.discovery import const
 from mothshunt.discovery.announcements import Announcements
@@ -23,8 +23,11 @@
 from mothshunt.discovery.messages import AnnouncedLoad, Announcement, TargetRows
 from mothshunt.discovery.state import TargetTable
 from mothshunt.limits.coordinator import LimitsHolderCoordinator
+from mothshunt.limits.holder import Holder
+from mothshunt.limits.model import LimitKey, LimitKind, Permit
 from mothshunt.settings.config import Settings
 
+CUSTOMER = CustomerId("rackhaven")
 TARGETS_PER_STAND_IN = 3
 COUNT_INTERVAL_S = 0.5
 LOADS = (0, 1, 2, 3, 4)
@@ -41,7 +44,7 @@
     base: Base
     discovery: DiscoveryCoordinator
     _announced: set[int] = field(default_factory=set)
-    _task: asyncio.Task[None] | None = None
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     @classmethod
     def from_config(cls, settings: Settings) -> "ControlHalf":
@@ -84,6 +87,7 @@
         limits = LimitsHolderCoordinator(
             instance=base.settings.instance.id,
             incarnation=incarnation,
+            region=base.settings.instance.region,
             configuration=base.holder,
             control=base.uplink,
             clock=base.clock,
@@ -92,7 +96,24 @@
         await limits.async_start()
         base.reporter.set_state(InstanceState.READY)
         base.load.read = lambda: random.choice(LOADS)
-        self._task = asyncio.create_task(self._async_announce())
+        self._tasks.append(asyncio.create_task(self._async_announce()))
+        self._tasks.append(asyncio.create_task(self._async_use_shares(limits.holder)))
+
+    async def _async_use_shares(self, holder: Holder) -> None:
+        """Hold room for a number of requests that changes."""
+        region = self.base.settings.instance.region
+        key = LimitKey(customer=CUSTOMER, kind=LimitKind.REGION, name=region)
+        lane = holder.lane((key,))
+        permits: list[Permit] = []
+        while True:
+            now = self.base.clock.monotonic()
+            for permit in permits:
+                holder.release(permit, now)
+            permits.clear()
+            for _ in range(random.choice(LOADS)):
+                if holder.lacking(lane, idempotent=False, now=now) is None:
+                    permits.append(holder.acquire(lane, now))
+            await asyncio.sleep(const.RENEW_INTERVAL_MS / 1000)
 
     async def _async_announce(self) -> None:
         """Renew the announcements of a few targets, with a load that changes."""
@@ -114,7 +135,7 @@
         return Announcement(
             target=f"{own.id}-target-{number}",
             incarnation=1,
-            customer="rackhaven",
+            customer=CUSTOMER,
             service="cabinet-status",
             host="127.0.0.1",
             port=9000,
--- a/mothshunt/steering/chooser.py
+++ b/mothshunt/steering/chooser.py
@@ -21,22 +21,24 @@
 from mothshunt.discovery.model import TargetDirectory
 from mothshunt.drain.model import DrainSet
 from mothshunt.limits.holder import Holder
-from mothshunt.limits.shares import keys_for, region_key
 from mothshunt.steering import codes
 from mothshunt.steering.const import (
     EJECTED_RATIO,
     EJECTED_TRIAL_S,
-    HEADROOM_HELPER_RATIO,
+    HEADROOM_GAP_RATIO,
     HEADROOM_PRESSED_RATIO,
     LATENCY_SHIFT_RATIO,
+    PRESSURE_WEIGHT,
     REMOTE_LATENCY_S,
+    RETRY_AFTER_JITTER_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SUSPECT_TRIAL_S,
 )
+from mothshunt.steering.lanes import Lanes
 from mothshunt.steering.model import Choice, Outcome
 from mothshunt.steering.pool import RegionGroup, ServicePool
-from mothshunt.steering.ranking import Question, Ranked, best, due_trials
+from mothshunt.steering.ranking import Question, Ranked, best, due_trial
 from mothshunt.steering.target_state import TargetState
 
 
@@ -80,6 +82,8 @@
         self._rng = rng
         self._started_at = started_at
         self._pool_by_service: dict[tuple[CustomerId, ServiceName], ServicePool] = {}
+        self._lanes_by_customer: dict[CustomerId, Lanes] = {}
+        self._pressure_ratio = 0.0
 
     def choose(
         self,
@@ -90,6 +94,8 @@
         excluded: AbstractSet[TargetId],
         drains: DrainSet,
         now: float,
+        counted: bool = True,
+        patient: bool = False,
     ) -> Result[Choice, Failure]:
         """Choose a target and take the room for one attempt.
 
@@ -99,6 +105,9 @@
         :param excluded: Targets that must not be chosen.
         :param drains: Drains in force.
         :param now: Monotonic time, in seconds.
+        :param counted: Whether a refusal counts as new demand.
+        :param patient: Whether to stay in the home region as long as a target there
+            could take the request.
         :return: The choice; or a failure that says when to come back.
         """
         terms = contract.service(service)
@@ -108,20 +117,26 @@
         targets = self._directory.targets(contract.customer, service)
         pool.update(targets, drains, now)
         question = self._question(contract, terms, idempotent, excluded, now)
+        lanes = self._lanes(contract)
         refusal: Failure | None = None
-        for state in self._candidates(pool, contract, question):
-            keys = keys_for(contract, self._place.region, state.target.region)
-            result = self._holder.try_acquire(keys, idempotent=idempotent, now=now)
-            match result:
-                case Result(tag="ok", ok=permit):
-                    state.in_flight += 1
-                    self._start_trial(pool, state, now)
-                    return Ok(
-                        Choice(target=state.target, permit=permit, started_at=now)
-                    )
-                case Result(error=failure):
-                    refusal = refusal or failure
-        return Error(self._refusal(pool, question, refusal))
+        for state in self._candidates(pool, lanes, question, patient):
+            lane = lanes.lane(state.target.region)
+            failure = self._holder.lacking(
+                lane, idempotent=idempotent, now=now, counted=counted
+            )
+            if failure is None:
+                self._start(pool, state, now)
+                permit = self._holder.acquire(lane, now)
+                self._learn_pressure(0.0)
+                choice = Choice(target=state.target, permit=permit, started_at=now)
+                return Ok(choice)
+            refusal = refusal or failure
+        if counted:
+            self._learn_pressure(1.0)
+        return Error(self._refusal(pool, refusal))
+
+    def _learn_pressure(self, refused: float) -> None:
+        self._pressure_ratio += PRESSURE_WEIGHT * (refused - self._pressure_ratio)
 
     def finish(self, choice: Choice, outcome: Outcome, now: float) -> None:
         """Give the room back and learn from the outcome.
@@ -130,7 +145,7 @@
         :param outcome: How the attempt ended.
         :param now: Monotonic time, in seconds.
         """
-        self._holder.release(choice.permit)
+        self._holder.release(choice.permit, now)
         target = choice.target
         pool = self._pool(target.customer, target.service)
         state = pool.state_by_id.get(target.id)
@@ -140,10 +155,13 @@
         if state.target.incarnation != target.incarnation:
             return
         elapsed_s = now - choice.started_at
+        was_suspect = state.suspect
         state.learn(outcome, elapsed_s, now)
+        if state.suspect != was_suspect:
+            pool.list_suspects()
         if outcome is Outcome.ANSWERED:
             pool.group_by_region[target.region].learn(elapsed_s)
-        if state.is_suspect():
+        if state.suspect:
             state.trial_at = now + self._trial_interval_s(pool, state)
 
     def _pool(self, customer: CustomerId, service: ServiceName) -> ServicePool:
@@ -173,82 +191,89 @@
             now=now,
         )
 
+    def _lanes(self, contract: Contract) -> Lanes:
+        lanes = self._lanes_by_customer.get(contract.customer)
+        if lanes is None or lanes.contract is not contract:
+            lanes = Lanes(contract, self._place.region, self._holder)
+            self._lanes_by_customer[contract.customer] = lanes
+        return lanes
+
     def _candidates(
-        self, pool: ServicePool, contract: Contract, question: Question
+        self, pool: ServicePool, lanes: Lanes, question: Question, patient: bool
     ) -> Iterator[TargetState]:
         """Yield targets in the order in which they are to be tried."""
-        home = pool.group_by_region.get(self._place.region)
-        trial = self._trial(pool, question)
+        trial = None
+        if pool.suspects:
+            trial = due_trial(pool.suspects, self._place.region, question)
         if trial is not None and question.idempotent:
             yield trial
+        home = pool.group_by_region.get(self._place.region)
         at_home = best(home, question, self._rng) if home else None
-        away = self._away(pool, contract, question)
-        if home and at_home and self._shift_first(home, at_home, away, question):
-            yield from (ranked.state for _, ranked in away)
+        if home and at_home and self._leave_home(pool, home, at_home, question):
+            yield from self._away(pool, lanes, question)
+        if at_home:
             yield at_home.state
-        else:
-            if at_home:
-                yield at_home.state
-            yield from (ranked.state for _, ranked in away)
-        if trial is not None and not question.idempotent:
+        away = [] if at_home and patient else self._away(pool, lanes, question)
+        yield from away
+        # A commitment tries a suspect target out only where there is no other.
+        if trial is not None and not (question.idempotent or at_home or away):
             yield trial
 
     def _away(
-        self, pool: ServicePool, contract: Contract, question: Question
-    ) -> list[tuple[RegionGroup, Ranked]]:
+        self, pool: ServicePool, lanes: Lanes, question: Question
+    ) -> list[TargetState]:
         """Return the best target of each other region, the best region first."""
-        found = []
+        found: list[tuple[float, TargetState]] = []
         for region, group in pool.group_by_region.items():
             if region == self._place.region:
                 continue
             ranked = best(group, question, self._rng)
-            if ranked is not None:
-                found.append((group, ranked))
-        if question.weighs is Weighs.LATENCY:
-            found.sort(key=lambda item: item[1].expected_s)
-        else:
-            found.sort(key=lambda item: self._pressure(contract, item[0], question))
-        return found
+            if ranked is None:
+                continue
+            order = ranked.expected_s
+            if question.weighs is Weighs.HEADROOM:
+                order = self._pressure(lanes, group, question)
+            found.append((order, ranked.state))
+        found.sort(key=lambda item: item[0])
+        return [state for _, state in found]
 
-    def _pressure(
-        self, contract: Contract, group: RegionGroup, question: Question
-    ) -> float:
+    def _pressure(self, lanes: Lanes, group: RegionGroup, question: Question) -> float:
         """Return how full a region is, by its slots and by the share held of it."""
-        key = region_key(contract.customer, group.region)
-        capacity = self._holder.capacity(key, question.now)
-        share = self._holder.in_use(key) / capacity if capacity else 1.0
+        share = lanes.use_ratio(group.region, question.now)
         return max(share, group.use_ratio(question.cold_ramp_s, question.now))
 
-    def _shift_first(
+    def _leave_home(
         self,
+        pool: ServicePool,
         home: RegionGroup,
         at_home: Ranked,
-        away: list[tuple[RegionGroup, Ranked]],
         question: Question,
     ) -> bool:
         """Tell whether to leave the home region although it has room."""
-        if not away:
-            return False
-        group, ranked = away[0]
         if question.weighs is Weighs.LATENCY:
-            remote_s = max(ranked.expected_s, REMOTE_LATENCY_S)
-            return remote_s < at_home.expected_s * LATENCY_SHIFT_RATIO
+            limit_s = at_home.expected_s * LATENCY_SHIFT_RATIO
+            if home.usual_latency_s + REMOTE_LATENCY_S > limit_s:
+                return False
+            return any(
+                group.usual_latency_s < limit_s
+                for group in pool.group_by_region.values()
+                if group is not home and group.states
+            )
+        if at_home.use < HEADROOM_PRESSED_RATIO:
+            return False
         ramp_s = question.cold_ramp_s
-        if home.use_ratio(ramp_s, question.now) < HEADROOM_PRESSED_RATIO:
+        use = home.use_ratio(ramp_s, question.now)
+        if use < HEADROOM_PRESSED_RATIO:
             return False
-        return group.use_ratio(ramp_s, question.now) < HEADROOM_HELPER_RATIO
-
-    def _trial(self, pool: ServicePool, question: Question) -> TargetState | None:
-        home = pool.group_by_region.get(self._place.region)
-        groups = [home] if home else []
-        groups += [group for group in pool.group_by_region.values() if group != home]
-        for group in groups:
-            for state in due_trials(group, question):
-                return state
-        return None
+        return any(
+            group.use_ratio(ramp_s, question.now) < use - HEADROOM_GAP_RATIO
+            for group in pool.group_by_region.values()
+            if group is not home and group.states
+        )
 
-    def _start_trial(self, pool: ServicePool, state: TargetState, now: float) -> None:
-        if not state.is_suspect():
+    def _start(self, pool: ServicePool, state: TargetState, now: float) -> None:
+        state.in_flight += 1
+        if not state.suspect:
             return
         state.trials += 1
         state.trial_at = now + self._trial_interval_s(pool, state)
@@ -261,9 +286,7 @@
             return SUSPECT_TRIAL_S
         return min(EJECTED_TRIAL_S, math.ldexp(SUSPECT_TRIAL_S, state.trials))
 
-    def _refusal(
-        self, pool: ServicePool, question: Question, refusal: Failure | None
-    ) -> Failure:
+    def _refusal(self, pool: ServicePool, refusal: Failure | None) -> Failure:
         if refusal is None:
             refusal = Failure(code=_busy_code(pool))
         return Failure(
@@ -273,15 +296,16 @@
         )
 
     def _retry_after_s(self) -> float:
-        return RETRY_AFTER_MIN_S + self._rng.random() * (
-            RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
-        )
+        """Return the time to come back, longer the more is refused."""
+        reach_s = RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
+        spread = self._rng.uniform(-RETRY_AFTER_JITTER_RATIO, RETRY_AFTER_JITTER_RATIO)
+        return (RETRY_AFTER_MIN_S + self._pressure_ratio * reach_s) * (1 + spread)
 
 
 def _busy_code(pool: ServicePool) -> ResultCode:
     states = [item for group in pool.group_by_region.values() for item in group.states]
     if not states:
         return codes.NO_TARGET
-    if all(state.is_suspect() for state in states):
+    if all(state.suspect for state in states):
         return codes.TARGETS_FAILING
     return codes.TARGETS_BUSY
--- a/mothshunt/steering/ranking.py
+++ b/mothshunt/steering/ranking.py
@@ -1,12 +1,13 @@
 """Order in which the targets of one region are tried."""
 
-from collections.abc import Iterator
+import math
+from collections.abc import Iterable
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from random import Random
 
-from mothshunt.core.types import AvailabilityZoneId, TargetId, Weighs
-from mothshunt.steering.const import OTHER_ZONE_LATENCY_S
+from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId, Weighs
+from mothshunt.steering.const import OTHER_ZONE_COST, TIE_RATIO
 from mothshunt.steering.pool import RegionGroup
 from mothshunt.steering.target_state import TargetState
 
@@ -39,10 +40,12 @@
 
     :param state: The target.
     :param expected_s: Latency to expect from it, in seconds.
+    :param use: Estimated part of its slots in use, this request counted in.
     """
 
     state: TargetState
     expected_s: float
+    use: float
 
 
 def best(group: RegionGroup, question: Question, rng: Random) -> Ranked | None:
@@ -52,58 +55,47 @@
     :param question: What is looked for.
     :param rng: Breaks ties.
     """
-    found = None
-    found_score = 0.0
+    now = question.now
+    found: TargetState | None = None
+    found_score = math.inf
+    found_use = 0.0
     for state in group.states:
-        if not _has_room(state, question):
+        target = state.target
+        if state.suspect or now < state.shed_until or target.id in question.excluded:
             continue
-        expected_s = _expected_s(state, group, question)
-        score = (
-            expected_s if question.weighs is Weighs.LATENCY else _use(state, question)
-        )
-        score *= 1 + rng.random() * 0.05
-        if found is None or score < found_score:
-            found = Ranked(state, expected_s)
-            found_score = score
-    return found
-
-
-def due_trials(group: RegionGroup, question: Question) -> Iterator[TargetState]:
-    """Yield suspect targets of a region that are due for a trial.
-
-    :param group: Targets of the region.
+        allowed = state.allowed(question.cold_ramp_s, now)
+        if state.in_flight >= min(allowed, question.connections):
+            continue
+        use = (state.occupancy(now) + 1) / allowed
+        score = use * state.slowness(group.usual_latency_s, now)
+        score *= 1 + rng.random() * TIE_RATIO
+        if target.availability_zone != question.availability_zone:
+            score += OTHER_ZONE_COST
+        if score < found_score:
+            found, found_score, found_use = state, score, use
+    if found is None:
+        return None
+    slowness = found.slowness(group.usual_latency_s, now)
+    expected_s = group.usual_latency_s * slowness * max(1.0, found_use)
+    return Ranked(found, expected_s, found_use)
+
+
+def due_trial(
+    suspects: Iterable[TargetState], home: RegionId, question: Question
+) -> TargetState | None:
+    """Return a suspect target that is due for a trial, one of the region first.
+
+    :param suspects: Suspect targets that may get work.
+    :param home: Region of this instance.
     :param question: What is looked for.
     """
-    for state in group.states:
-        if state.target.id in question.excluded or not state.is_suspect():
+    found = None
+    for state in suspects:
+        if state.in_flight or question.now < state.trial_at:
             continue
-        if state.in_flight == 0 and question.now >= state.trial_at:
-            yield state
-
-
-def _has_room(state: TargetState, question: Question) -> bool:
-    if state.is_suspect() or question.now < state.shed_until:
-        return False
-    if state.target.id in question.excluded:
-        return False
-    if state.in_flight >= min(state.target.slots, question.connections):
-        return False
-    allowed = state.allowed(question.cold_ramp_s, question.now)
-    return state.occupancy(question.now) + 1 <= allowed + 0.5
-
-
-def _use(state: TargetState, question: Question) -> float:
-    allowed = state.allowed(question.cold_ramp_s, question.now)
-    use = (state.occupancy(question.now) + 1) / allowed
-    if state.target.availability_zone != question.availability_zone:
-        use += 0.05
-    return use
-
-
-def _expected_s(state: TargetState, group: RegionGroup, question: Question) -> float:
-    now = question.now
-    expected_s = state.latency_s(group.usual_latency_s, now)
-    expected_s *= 1 + state.occupancy(now) / state.allowed(question.cold_ramp_s, now)
-    if state.target.availability_zone != question.availability_zone:
-        expected_s += OTHER_ZONE_LATENCY_S
-    return expected_s
+        if state.target.id in question.excluded:
+            continue
+        if state.target.region == home:
+            return state
+        found = state
+    return found
--- a/mothshunt/steering/target_state.py
+++ b/mothshunt/steering/target_state.py
@@ -9,8 +9,10 @@
     LATENCY_HALF_LIFE_S,
     LATENCY_WEIGHT,
     REPORT_MAX_AGE_S,
+    REPORT_WEIGHT,
     SHED_BACKOFF_MAX_S,
     SHED_BACKOFF_S,
+    SLOW_RATIO,
     SUSPECT_AFTER_ERRORS,
     SUSPECT_AFTER_FAILURES,
 )
@@ -24,6 +26,7 @@
     """Hold what own requests and reports tell of one target.
 
     :param target: The target as last announced.
+    :param suspect: Whether own requests failed so often that only trials may go there.
     :param cold_since: Monotonic time from which it is brought to its full share, in
         seconds.
     """
@@ -35,11 +38,14 @@
     errors: int = 0
     trial_at: float = -math.inf
     trials: int = 0
+    suspect: bool = False
     sheds: int = 0
     shed_until: float = -math.inf
-    others: int = 0
+    others: float = 0.0
     others_at: float = -math.inf
     unusable_since: float = math.inf
+    _own_mean: float = 0.0
+    _report_mean: float = 0.0
     _latency_s: float = DEFAULT_LATENCY_S
     _sampled_at: float = -math.inf
 
@@ -48,7 +54,10 @@
         report = self.target.report
         if report is None or report.measured_at <= self.others_at:
             return
-        self.others = max(0, report.in_flight - self.in_flight)
+        # A report and the own count are of different moments; only means compare.
+        self._own_mean += REPORT_WEIGHT * (self.in_flight - self._own_mean)
+        self._report_mean += REPORT_WEIGHT * (report.in_flight - self._report_mean)
+        self.others = max(0.0, self._report_mean - self._own_mean)
         self.others_at = report.measured_at
 
     def occupancy(self, now: float) -> float:
@@ -61,16 +70,19 @@
             return self.in_flight
         return self.in_flight + self.others * (1 - age / REPORT_MAX_AGE_S)
 
-    def latency_s(self, usual_s: float, now: float) -> float:
-        """Return the latency to expect, in seconds.
+    def slowness(self, usual_s: float, now: float) -> float:
+        """Return the latency to expect over the usual one; 1 unless it is slow.
 
         What was measured long ago gives way to what is usual.
 
         :param usual_s: Usual latency of the service in the region, in seconds.
         :param now: Monotonic time, in seconds.
         """
+        ratio = self._latency_s / usual_s
+        if ratio < SLOW_RATIO:
+            return 1.0
         weight = math.pow(0.5, (now - self._sampled_at) / LATENCY_HALF_LIFE_S)
-        return weight * self._latency_s + (1 - weight) * usual_s
+        return max(1.0, weight * ratio + 1 - weight)
 
     def allowed(self, cold_ramp_s: float, now: float) -> float:
         """Return how many requests from all instances the target may get.
@@ -83,13 +95,6 @@
             return self.target.slots
         return max(1.0, self.target.slots * age / cold_ramp_s)
 
-    def is_suspect(self) -> bool:
-        """Tell whether own requests failed so often that only trials may go there."""
-        return (
-            self.failures >= SUSPECT_AFTER_FAILURES
-            or self.errors >= SUSPECT_AFTER_ERRORS
-        )
-
     def learn(self, outcome: Outcome, elapsed_s: float, now: float) -> None:
         """Take over how an attempt ended.
 
@@ -106,6 +111,10 @@
             self.failures = 0
         elif outcome is Outcome.ANSWERED:
             self._learn_answer(elapsed_s, now)
+        self.suspect = (
+            self.failures >= SUSPECT_AFTER_FAILURES
+            or self.errors >= SUSPECT_AFTER_ERRORS
+        )
 
     def _learn_shed(self, now: float) -> None:
         backoff = SHED_BACKOFF_S * 2 ** min(self.sheds, 10)
@@ -115,7 +124,7 @@
         self.others_at = max(self.others_at, now)
 
     def _learn_answer(self, elapsed_s: float, now: float) -> None:
-        if self.is_suspect():
+        if self.suspect:
             self.cold_since = now
         self.failures = 0
         self.errors = 0
--- a/tests/steps/limits_holder.py
+++ b/tests/steps/limits_holder.py
@@ -17,7 +17,7 @@
 
 @given("an idle holder of shares of a region, a link and the shift cap")
 def idle_holder(context):
-    context.holder = Holder(InstanceId("north-1"), 1, opens_at=0.0)
+    context.holder = Holder(InstanceId("north-1"), 1, "north", opens_at=0.0)
     context.holder.configure(5, dict.fromkeys(KEYS, 0))
 
 
@@ -31,8 +31,8 @@
 
 @when("a request is refused for want of room")
 def refused(context):
-    result = context.holder.try_acquire(KEYS, idempotent=False, now=0.2)
-    assert result.is_error(), result
+    lane = context.holder.lane(KEYS)
+    assert context.holder.lacking(lane, idempotent=False, now=0.2) is not None
 
 
 @then("the next renewal asks for room under all three limits")
