--- a/mothshunt/ledger/applier.py
+++ b/mothshunt/ledger/applier.py
@@ -1,11 +1,7 @@
 """The ledger's part of the replicated state machine."""
 
-from dataclasses import dataclass
 from typing import Any
 
-from expression import Result
-
-from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import LogIndex
 from mothshunt.ledger.messages import (
     Claim,
@@ -15,32 +11,8 @@
     Record,
     Release,
 )
-from mothshunt.ledger.model import LedgerKey
-from mothshunt.ledger.state import Entry, LedgerState
-from mothshunt.util import schema
-from mothshunt.util.wire import BAD_MESSAGE
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SnapshotItem:
-    """Hold one key in a snapshot.
-
-    :param key: The key.
-    :param entry: What is known of it.
-    """
-
-    key: LedgerKey
-    entry: Entry
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Snapshot:
-    """Hold all keys, in the order of their claims.
-
-    :param items: The keys.
-    """
-
-    items: tuple[SnapshotItem, ...]
+from mothshunt.ledger.snapshot import from_rows, to_rows
+from mothshunt.ledger.state import LedgerState
 
 
 class LedgerApplier:
@@ -73,11 +45,7 @@
 
     def snapshot(self) -> Any:
         """Return all keys as plain data."""
-        items = tuple(
-            SnapshotItem(key=key, entry=entry)
-            for key, entry in self.state.entry_by_key.items()
-        )
-        return schema.to_plain(Snapshot(items=items))
+        return to_rows(self.state)
 
     def restore(self, index: LogIndex, plain: Any) -> None:
         """Replace all keys.
@@ -85,17 +53,4 @@
         :param index: Position of the last command that the snapshot holds.
         :param plain: What ``snapshot`` returned; ``None`` for no keys.
         """
-        state = LedgerState()
-        if plain is not None:
-            for item in _decoded(plain).items:
-                state.insert(item.key, item.entry)
-        self.state = state
-
-
-def _decoded(plain: Any) -> Snapshot:
-    match schema.from_plain(Snapshot, plain):
-        case Result(tag="ok", ok=snapshot):
-            return snapshot
-        case Result(error=faults):
-            detail = f"ledger snapshot {faults[0].path}: {faults[0].problem}"
-            raise MothshuntError(Failure(code=BAD_MESSAGE, detail=detail))
+        self.state = LedgerState() if plain is None else from_rows(plain)
--- a/mothshunt/ledger/const.py
+++ b/mothshunt/ledger/const.py
@@ -1,22 +1,29 @@
 """Constants of the ledger slice."""
 
-#: Keys that are kept for one customer; a claim beyond is refused.
-MAX_KEYS_PER_CUSTOMER = 20_000
-#: Bytes of answers that are kept for one customer; beyond, an answer is not kept.
+#: Keys that are kept for one customer and for all; a claim beyond is refused.
+MAX_KEYS_PER_CUSTOMER = 50_000
+MAX_KEYS = 120_000
+#: Bytes of answers that are kept for one customer and for all; an answer beyond is
+#: not kept.
 MAX_ANSWER_BYTES_PER_CUSTOMER = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 48 * 1024 * 1024
+#: From this part of a bound on, keys are kept for the least time only.
+CROWDED_SHARE = 0.8
 #: Largest body of one answer that is kept.
 MAX_BODY_BYTES = 64 * 1024
 #: Largest sum of header names and values of one answer that is kept.
 MAX_HEADER_BYTES = 8 * 1024
 
-#: A key is kept at least this long after its claim.
+#: A key is kept this long after its claim, while there is room.
 RETENTION_S = 86_400.0
+#: A key is kept at least this long after its claim.
+MIN_RETENTION_S = 300.0
 #: Added to a request's time before its outcome counts as unknown.
 LAPSE_GRACE_S = 5.0
 #: Steps in which the leader looks for claims that lapsed and keys that expired.
 SWEEP_INTERVAL_S = 1.0
 #: Steps in which the leader notes which log index belongs to which time.
-EXPIRY_STEP_S = 60.0
+EXPIRY_STEP_S = 15.0
 #: Most claims that one command lets lapse.
 MAX_LAPSES_PER_COMMAND = 500
 
--- a/mothshunt/ledger/coordinator.py
+++ b/mothshunt/ledger/coordinator.py
@@ -86,14 +86,14 @@
         """
         now = self._clock.monotonic()
         status = self._log.status()
-        claims = self._applier.state.claimed_by_key.items()
-        commands = (
-            self._sweeper.lapsed(claims, now),
-            self._sweeper.expired(status.applied_index, now),
-        )
-        if status.state != LEADER:
+        state = self._applier.state
+        leads = status.state == LEADER
+        lapsed = self._sweeper.lapsed(state.claimed_by_key.items(), now)
+        crowded = state.crowded() if leads else ()
+        commands = self._sweeper.expired(status.applied_index, crowded, now)
+        if not leads:
             return
-        for command in commands:
+        for command in (lapsed, *commands):
             if command is not None:
                 await self._log.async_propose(wire.pack(command), ASK_TIMEOUT_S)
 
--- a/mothshunt/ledger/messages.py
+++ b/mothshunt/ledger/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mothshunt.core.types import LogIndex, Ran
+from mothshunt.core.types import CustomerId, LogIndex, Ran
 from mothshunt.ledger.model import KeptAnswer, LedgerKey
 from mothshunt.util.wire import message
 
@@ -97,9 +97,11 @@
     """Drop the keys whose retention period is over.
 
     :param up_to: Keys claimed at or before this log index are dropped.
+    :param customer: Only keys of this customer; ``None`` for all.
     """
 
     up_to: LogIndex
+    customer: CustomerId | None = None
 
 
 @message("ledger.claim_outcome")
--- a/mothshunt/ledger/state.py
+++ b/mothshunt/ledger/state.py
@@ -6,9 +6,12 @@
 
 from mothshunt.core.types import CustomerId, LogIndex
 from mothshunt.ledger.const import (
+    CROWDED_SHARE,
+    MAX_ANSWER_BYTES,
     MAX_ANSWER_BYTES_PER_CUSTOMER,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MAX_KEYS,
     MAX_KEYS_PER_CUSTOMER,
 )
 from mothshunt.ledger.messages import (
@@ -54,7 +57,7 @@
 
 @dataclass(slots=True)
 class Usage:
-    """Count what is kept for one customer.
+    """Count what is kept for one customer, or for all.
 
     :param keys: Keys that are kept.
     :param answer_bytes: Bytes of the answers that are kept.
@@ -72,6 +75,7 @@
         #: The entries whose outcome is still awaited.
         self.claimed_by_key: dict[LedgerKey, Entry] = {}
         self.usage_by_customer: dict[CustomerId, Usage] = {}
+        self.usage = Usage()
 
     def claim(self, index: LogIndex, command: Claim) -> ClaimOutcome:
         """Claim a key, or tell what holds it.
@@ -101,9 +105,10 @@
             return False
         if entry.state in (KeyState.ANSWERED, KeyState.RELEASED):
             return False
-        usage = self._usage(command.key)
-        answer = _bounded(command.answer, usage.answer_bytes)
-        usage.answer_bytes += _size(answer)
+        answer = command.answer
+        if not self._has_room_for(command.key, answer):
+            answer = replace(answer, headers=(), body=None)
+        self._count(command.key, 0, _size(answer))
         self._set(command.key, entry, KeyState.ANSWERED, answer)
         return True
 
@@ -144,7 +149,7 @@
 
         :param command: Bound of the log index.
         """
-        expired = list(self._claimed_up_to(command.up_to))
+        expired = list(self._claimed_up_to(command.up_to, command.customer))
         for key in expired:
             self._drop(key)
         return bool(expired)
@@ -158,12 +163,20 @@
         self.entry_by_key[key] = entry
         if entry.state is KeyState.CLAIMED:
             self.claimed_by_key[key] = entry
-        usage = self._usage(key)
-        usage.keys += 1
-        usage.answer_bytes += _size(entry.answer)
+        self._count(key, 1, _size(entry.answer))
+
+    def crowded(self) -> tuple[CustomerId, ...]:
+        """Return the customers whose keys take up most of what may be kept."""
+        if _is_crowded(self.usage, MAX_KEYS, MAX_ANSWER_BYTES):
+            return tuple(self.usage_by_customer)
+        return tuple(
+            customer
+            for customer, usage in self.usage_by_customer.items()
+            if _is_crowded(usage, MAX_KEYS_PER_CUSTOMER, MAX_ANSWER_BYTES_PER_CUSTOMER)
+        )
 
     def _claim_new(self, index: LogIndex, command: Claim) -> ClaimOutcome:
-        if self._usage(command.key).keys >= MAX_KEYS_PER_CUSTOMER:
+        if self._is_full(command.key):
             return ClaimOutcome(status=ClaimStatus.FULL)
         entry = Entry(
             state=KeyState.CLAIMED,
@@ -176,7 +189,7 @@
         return ClaimOutcome(status=ClaimStatus.OWNED)
 
     def _mark_released(self, index: LogIndex, command: Release) -> bool:
-        if self._usage(command.key).keys < MAX_KEYS_PER_CUSTOMER:
+        if not self._is_full(command.key):
             entry = Entry(
                 state=KeyState.RELEASED,
                 index=index,
@@ -187,11 +200,14 @@
             self.insert(command.key, entry)
         return False
 
-    def _claimed_up_to(self, bound: LogIndex) -> Iterator[LedgerKey]:
+    def _claimed_up_to(
+        self, bound: LogIndex, customer: CustomerId | None
+    ) -> Iterator[LedgerKey]:
         for key, entry in self.entry_by_key.items():
             if entry.index > bound:
                 return
-            yield key
+            if customer is None or key.customer == customer:
+                yield key
 
     def _set(
         self,
@@ -206,17 +222,40 @@
     def _drop(self, key: LedgerKey) -> None:
         entry = self.entry_by_key.pop(key)
         self.claimed_by_key.pop(key, None)
-        usage = self._usage(key)
-        usage.keys -= 1
-        usage.answer_bytes -= _size(entry.answer)
+        self._count(key, -1, -_size(entry.answer))
+
+    def _is_full(self, key: LedgerKey) -> bool:
+        usage = self.usage_by_customer.get(key.customer, _NO_USAGE)
+        return self.usage.keys >= MAX_KEYS or usage.keys >= MAX_KEYS_PER_CUSTOMER
+
+    def _has_room_for(self, key: LedgerKey, answer: KeptAnswer) -> bool:
+        if answer.body is None or len(answer.body) > MAX_BODY_BYTES:
+            return False
+        size = _size(answer)
+        if size - len(answer.body) > MAX_HEADER_BYTES:
+            return False
+        if self.usage.answer_bytes + size > MAX_ANSWER_BYTES:
+            return False
+        usage = self.usage_by_customer.get(key.customer, _NO_USAGE)
+        return usage.answer_bytes + size <= MAX_ANSWER_BYTES_PER_CUSTOMER
+
+    def _count(self, key: LedgerKey, keys: int, answer_bytes: int) -> None:
+        usage = self.usage_by_customer.setdefault(key.customer, Usage())
+        for counted in (self.usage, usage):
+            counted.keys += keys
+            counted.answer_bytes += answer_bytes
         if usage.keys == 0:
             del self.usage_by_customer[key.customer]
 
-    def _usage(self, key: LedgerKey) -> Usage:
-        usage = self.usage_by_customer.get(key.customer)
-        if usage is None:
-            usage = self.usage_by_customer[key.customer] = Usage()
-        return usage
+
+_NO_USAGE = Usage()
+
+
+def _is_crowded(usage: Usage, max_keys: int, max_bytes: int) -> bool:
+    return (
+        usage.keys >= CROWDED_SHARE * max_keys
+        or usage.answer_bytes >= CROWDED_SHARE * max_bytes
+    )
 
 
 def _claimed_again(entry: Entry) -> ClaimOutcome:
@@ -235,16 +274,6 @@
     return ClaimOutcome(status=ClaimStatus.UNKNOWN)
 
 
-def _bounded(answer: KeptAnswer, used_bytes: int) -> KeptAnswer:
-    if answer.body is None or len(answer.body) > MAX_BODY_BYTES:
-        return replace(answer, headers=(), body=None)
-    if _size(answer) - len(answer.body) > MAX_HEADER_BYTES:
-        return replace(answer, headers=(), body=None)
-    if used_bytes + _size(answer) > MAX_ANSWER_BYTES_PER_CUSTOMER:
-        return replace(answer, headers=(), body=None)
-    return answer
-
-
 def _size(answer: KeptAnswer | None) -> int:
     if answer is None:
         return 0
--- a/mothshunt/ledger/sweep.py
+++ b/mothshunt/ledger/sweep.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from mothshunt.core.types import LogIndex
+from mothshunt.core.types import CustomerId, LogIndex
 from mothshunt.ledger.const import (
     EXPIRY_STEP_S,
     LAPSE_GRACE_S,
     MAX_LAPSES_PER_COMMAND,
+    MIN_RETENTION_S,
     RETENTION_S,
 )
 from mothshunt.ledger.messages import ClaimRef, Expire, Lapse
@@ -41,6 +42,7 @@
     def __init__(self) -> None:
         self._seen_at_by_attempt: dict[bytes, float] = {}
         self._marks: deque[Mark] = deque()
+        self._dropped_by_customer: dict[CustomerId, LogIndex] = {}
 
     def lapsed(
         self, claims: Iterable[tuple[LedgerKey, Entry]], now: float
@@ -63,15 +65,30 @@
             return None
         return Lapse(claims=tuple(refs[:MAX_LAPSES_PER_COMMAND]))
 
-    def expired(self, applied: LogIndex, now: float) -> Expire | None:
-        """Return the command that drops the keys of a past period, if one is over.
+    def expired(
+        self, applied: LogIndex, crowded: Iterable[CustomerId], now: float
+    ) -> tuple[Expire, ...]:
+        """Return the commands that drop the keys whose time is over.
 
         :param applied: Last log index applied here.
+        :param crowded: Customers whose keys are kept for the least time only.
         :param now: Monotonic time, in seconds.
         """
         if not self._marks or now - self._marks[-1].at >= EXPIRY_STEP_S:
             self._marks.append(Mark(at=now, index=applied))
-        up_to: LogIndex | None = None
+        commands = []
+        up_to = None
         while self._marks and now - self._marks[0].at > RETENTION_S:
             up_to = self._marks.popleft().index
-        return None if up_to is None else Expire(up_to=up_to)
+        if up_to is not None:
+            commands.append(Expire(up_to=up_to))
+        up_to = self._applied_before(now - MIN_RETENTION_S)
+        for customer in crowded:
+            if up_to is not None and self._dropped_by_customer.get(customer) != up_to:
+                self._dropped_by_customer[customer] = up_to
+                commands.append(Expire(up_to=up_to, customer=customer))
+        return tuple(commands)
+
+    def _applied_before(self, at: float) -> LogIndex | None:
+        earlier = (mark.index for mark in reversed(self._marks) if mark.at <= at)
+        return next(earlier, None)
--- a/tests/ledger/state.feature
+++ b/tests/ledger/state.feature
@@ -59,10 +59,10 @@
 
   Scenario: Keys are bounded by count, and old ones make room
     Given an empty ledger
-    When 20000 keys are claimed
+    When 50000 keys are claimed
     And attempt "a" claims key "k" for request "r"
     Then the claim was met with "full"
-    When the keys up to index 20000 expire
+    When the keys up to index 50000 expire
     And attempt "a" claims key "k" for request "r"
     Then the claim was met with "owned"
     And the ledger holds 1 key
@@ -106,6 +106,18 @@
     And the ledger coordinator looks every minute for 1441 minutes
     Then the ledger coordinator has proposed to drop the keys up to index 1
 
+  Scenario: A crowded customer's keys are kept for the least time only
+    Given a ledger coordinator that leads
+    When 40000 keys of sleman and 1 of rackhaven are applied
+    And the ledger coordinator looks every minute for 4 minutes
+    Then the ledger coordinator has proposed nothing
+    When the ledger coordinator looks at time 302
+    Then only the key of rackhaven is left at the ledger coordinator
+
+  Scenario: A damaged snapshot is an error
+    Given an empty ledger
+    Then a ledger snapshot with a row of two columns is turned down
+
   Scenario: A command whose fate is unknown is told so to the entry
     Given a ledger coordinator that leads
     When the replicated log does not answer
--- a/tests/steps/ledger_state.py
+++ b/tests/steps/ledger_state.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import msgpack
 from behave import given, then, when
 from expression import Error, Ok
 
-from mothshunt.core.codes import Failure
+from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import Ran
 from mothshunt.ledger.applier import LedgerApplier
 from mothshunt.ledger.codes import LEDGER_UNAVAILABLE
@@ -320,3 +321,29 @@
 def proposed_expire(context, index):
     assert Expire(up_to=index) in context.log.proposed, context.log.proposed
     assert not context.log.applier.state.entry_by_key
+
+
+@when("{count:d} keys of sleman and 1 of rackhaven are applied")
+def crowd(context, count):
+    other = LedgerKey(customer="rackhaven", service="site-access", key="k")
+    context.log.apply(replace(claim("b", "k", "r"), key=other))
+    context.log.apply(Release(key=other, fingerprint=b"r", attempt=b"b"))
+    for number in range(count):
+        context.log.apply(claim(f"a{number}", f"k{number}", "r"))
+        context.log.apply(record(f"a{number}", f"k{number}", 1))
+
+
+@then("only the key of rackhaven is left at the ledger coordinator")
+def only_rackhaven(context):
+    keys = context.log.applier.state.entry_by_key
+    assert [key.customer for key in keys] == ["rackhaven"], len(keys)
+
+
+@then("a ledger snapshot with a row of two columns is turned down")
+def damaged_snapshot(context):
+    code = None
+    try:
+        context.applier.restore(1, [["a", "b"]])
+    except MothshuntError as error:
+        code = error.failure.code.number
+    assert code == 1104, code
