--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from mothshunt.core.clock import Clock
-from mothshunt.core.codes import Failure
+from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import InstanceId
 from mothshunt.helpers.peer import codes, const, frame
 from mothshunt.helpers.peer.frame import Frame, FrameKind
@@ -130,20 +130,18 @@
         self.writer.transport.abort()
 
     async def _async_receive(self) -> Failure | None:
-        while True:
-            try:
-                result = await frame.async_read(self.reader)
-            except (OSError, asyncio.IncompleteReadError):
-                return None
-            match result:
-                case Result(tag="ok", ok=item):
-                    self._take(item)
-                case Result(error=failure):
-                    return failure
+        try:
+            while True:
+                data = await frame.async_read(self.reader)
+                self.traffic.bytes_received += len(data) + frame.LENGTH_BYTES
+                self._take(frame.decode(data))
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        except MothshuntError as error:
+            return error.failure
 
     def _take(self, item: Frame) -> None:
         self._heard_at = self.clock.monotonic()
-        self.traffic.frames_received += 1
         if item.kind is FrameKind.HEARTBEAT:
             return
         if item.kind is FrameKind.ANSWER:
