--- a/bench/control.py
+++ b/bench/control.py
@@ -15,7 +15,7 @@
 from bench.change_client import ChangeClient, ChangeTime
 from testkit.deployment import Instance
 from testkit.environment import Environment
-from testkit.shape import InstancePlan, single, today
+from testkit.shape import RACKHAVEN_REGION_RTT_S, InstancePlan, single, today
 
 WRITERS = 16
 BURST = 100
@@ -33,13 +33,22 @@
     rest_s = 5.0 if quick else 30.0
     result = _measure(today(), changes, rate_s)
     result |= _measure_rest(rest_s)
-    baseline = _measure(single(), changes, rate_s)
-    result["baseline_one_instance"] = baseline
+    result["with_35_ms_between_regions"] = _measure(
+        today(), changes, rate_s, RACKHAVEN_REGION_RTT_S
+    )
+    result["baseline_one_instance"] = _measure(single(), changes, rate_s)
     return result
 
 
-def _measure(plans: Sequence[InstancePlan], changes: int, rate_s: float) -> dict:
-    with Environment(plans) as environment:
+def _measure(
+    plans: Sequence[InstancePlan],
+    changes: int,
+    rate_s: float,
+    region_rtt_s: float = 0.0,
+) -> dict[str, Any]:
+    with Environment(
+        plans, with_proxies=region_rtt_s > 0, region_rtt_s=region_rtt_s
+    ) as environment:
         environment.deployment.start()
         return asyncio.run(_async_measure(environment, changes, rate_s))
 
--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -1,6 +1,7 @@
 """A caller of mothshunt: looks up entries, sends requests, checks answers."""
 
 import json
+import math
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
@@ -97,6 +98,18 @@
         latency_s = time.monotonic() - started_at
         return replace(last, started_at=started_at, latency_s=latency_s)
 
+    def forget_lookups(self) -> None:
+        """Have the next request ask again which entries to use."""
+        self._cached_by_service.clear()
+
+    def fix_entries(self, service: str, entries: Sequence[Endpoint]) -> None:
+        """Use some entries for good, without look-ups.
+
+        :param service: Service.
+        :param entries: The entries, in order.
+        """
+        self._cached_by_service[service] = _CachedLookup(tuple(entries), math.inf)
+
     def _put_last(self, entry: Endpoint) -> None:
         """Use an entry that failed only after the others, until the next look-up."""
         for service, cached in self._cached_by_service.items():
--- a/testkit/fleet.py
+++ b/testkit/fleet.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -56,6 +56,10 @@
     def start(self) -> None:
         """Start the process and wait until all targets listen."""
         self.process.start()
+        self.wait()
+
+    def wait(self) -> None:
+        """Wait until all targets listen."""
         wait_until(self._all_listen, START_TIMEOUT_S, f"{self.process.name} listens")
 
     def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
@@ -97,6 +101,22 @@
         :param name: Name of the process.
         :param targets: Its targets; those with port 0 are given one.
         """
+        process = self._make(name, targets)
+        process.start()
+        return process
+
+    def add_all(self, targets_by_name: Mapping[str, Iterable[TargetConfig]]) -> None:
+        """Start several processes at once.
+
+        :param targets_by_name: Targets by the name of their process.
+        """
+        processes = [self._make(name, part) for name, part in targets_by_name.items()]
+        for process in processes:
+            process.process.start()
+        for process in processes:
+            process.wait()
+
+    def _make(self, name: str, targets: Iterable[TargetConfig]) -> TargetProcess:
         process = TargetProcess(
             name=name,
             targets=targets,
@@ -105,7 +125,6 @@
             folder=self._folder,
         )
         self.process_by_name[name] = process
-        process.start()
         return process
 
     @property
