--- a/mothshunt/admin/history.py
+++ b/mothshunt/admin/history.py
@@ -84,11 +84,6 @@
         self, call: Call[RollbackQuery]
     ) -> Result[Reply, Refusal]:
         key = contract_key(call.customer())
-        first = await self._changes.async_first_answer(call, key)
-        if first.is_error():
-            return Error(first.error)
-        if first.ok is not None:
-            return Ok(first.ok)
         records = await self._configuration.async_audit(
             key, MAX_RECORDS, call.query.timeout_s
         )
@@ -101,7 +96,12 @@
         checked = check_contract(value)
         if checked.is_error():
             return Error(faulty(checked.error))
-        return await self._changes.async_submit(call, key, schema.to_json(checked.ok))
+        return await self._changes.async_submit(
+            call,
+            key,
+            schema.to_json(checked.ok),
+            summary=f"back to revision {call.query.revision}",
+        )
 
     async def _async_audit(self, call: Call[RecordQuery]) -> Result[Reply, Refusal]:
         query = call.query
