Let a slow read over a kept-alive connection have its answer

Cause: a read that is slower than the limit for silence on kept-alive connections was tried at each target in turn over kept-alive connections; with one or two targets left the request ended as timed out after 0.25 s for each, far before its deadline (the tour's graceful stop: two reads of 1.5 s under a time-out of 2 s were refused after 0.77 s).

Ruled out: a higher limit (a silent connection would cost that much).

After one silence the request gets new connections without a limit, and where no other target is left the silent one is asked again over a new connection.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -62,6 +62,8 @@
     :param on_answer: Called with the answer before the caller gets any of it.
     :param passed_on: Whether the caller has got a part of an answer.
     :param may_have_run: Whether a target may have run the request.
+    :param met_silence: Whether a kept-alive connection stayed silent; from then on
+        the request gets new connections, which may take their time.
     """
 
     request: web.Request
@@ -71,6 +73,7 @@
     on_answer: Callable[[Answer], None] | None = None
     passed_on: bool = False
     may_have_run: bool = False
+    met_silence: bool = False
 
     @property
     def reads_ahead(self) -> bool:
@@ -127,7 +130,7 @@
             outcome = Outcome.TIMED_OUT
             if exchange.passed_on:
                 raise AnswerBrokenOffError("the deadline passed") from None
-            return self._timed_out(handover, outgoing)
+            return self._timed_out(exchange, handover, outgoing)
         except AnswerBrokenOffError:
             outcome = Outcome.BROKEN
             raise
@@ -138,10 +141,13 @@
             self._chooser.finish(choice, outcome, self._clock.monotonic())
         return result
 
-    def _timed_out(self, handover: Handover, outgoing: Outgoing) -> AttemptFailure:
+    def _timed_out(
+        self, exchange: Exchange, handover: Handover, outgoing: Outgoing
+    ) -> AttemptFailure:
         reason = RetryReason.TIMED_OUT
         if handover.expiry is Expiry.SILENCE:
             reason = RetryReason.SILENT
+            exchange.met_silence = True
             # What lost track of one connection may have lost the others as well.
             self._client.retire(outgoing.authority)
         return AttemptFailure.from_reason(reason, handed_over=handover.done)
@@ -155,7 +161,8 @@
         headers = CIMultiDict(exchange.headers)
         remaining_ms = max(1, int(remaining_s * MILLISECONDS_PER_SECOND))
         headers[HEADER_DEADLINE_MS] = str(remaining_ms)
-        reuse = route.idempotent and exchange.body.whole is not None
+        may_reuse = route.idempotent and exchange.body.whole is not None
+        reuse = may_reuse and not exchange.met_silence
         limit_s = None
         if reuse and may_retry:
             limit_s = self._answer_time(route).silence_limit_s()
--- a/mothshunt/dispatch/retrier.py
+++ b/mothshunt/dispatch/retrier.py
@@ -19,7 +19,13 @@
 )
 from mothshunt.dispatch.model import AsyncTargetChooser
 from mothshunt.dispatch.relay import AnswerBrokenOffError
-from mothshunt.dispatch.retry import FailedAttempt, TokenBucket, give_up_reason
+from mothshunt.dispatch.request import Route
+from mothshunt.dispatch.retry import (
+    FailedAttempt,
+    RetryReason,
+    TokenBucket,
+    give_up_reason,
+)
 from mothshunt.metrics.registry import Metrics
 from mothshunt.steering.model import Choice
 
@@ -58,16 +64,11 @@
         bucket = self._bucket(route.contract)
         bucket.count_first_attempt()
         excluded: set[TargetId] = set()
+        silent: set[TargetId] = set()
         last: Failure | None = None
         number = 0
         while True:
-            match await self._chooser.async_choose(
-                contract=route.contract,
-                service=route.service.service,
-                idempotent=route.idempotent,
-                excluded=excluded,
-                deadline=route.deadline,
-            ):
+            match await self._async_choose(route, excluded, silent):
                 case Result(tag="ok", ok=choice):
                     pass
                 case Result(error=failure):
@@ -81,9 +82,33 @@
                 return result
             last = _worse(last, result.failure)
             excluded.add(choice.target.id)
+            if result.reason is RetryReason.SILENT:
+                silent.add(choice.target.id)
             if not self._allows_retry(exchange, result, last, number, bucket):
                 return last
 
+    async def _async_choose(
+        self, route: Route, excluded: set[TargetId], silent: set[TargetId]
+    ) -> Result[Choice, Failure]:
+        """Choose a target; one whose connection was silent only where no other is.
+
+        It may answer over a new connection: it was slow, or the old one was lost
+        track of on the way.
+        """
+        for _ in range(2):
+            result = await self._chooser.async_choose(
+                contract=route.contract,
+                service=route.service.service,
+                idempotent=route.idempotent,
+                excluded=excluded,
+                deadline=route.deadline,
+            )
+            if result.is_ok() or not silent:
+                break
+            excluded -= silent
+            silent.clear()
+        return result
+
     async def _async_attempt(
         self, exchange: Exchange, choice: Choice, may_retry: bool
     ) -> web.StreamResponse | AttemptFailure:
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -83,6 +83,13 @@
     Then the dispatch caller got status 200 and "t1 /c"
     And target "t1" saw 2 connections
 
+  Scenario: A slow read over a kept-alive connection gets its answer, with one target only
+    Given a dispatch entry
+    And a raw target "t1" that is slow after its first request
+    When a dispatch caller sends GET "/a"
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t1 /b"
+
   Scenario: Without a retry left a kept-alive connection is waited for
     Given a dispatch entry without retries and a request timeout of 700 ms
     And a raw target "t1" that answers the first request of a connection only
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -190,6 +190,13 @@
         await asyncio.sleep(3600)
 
 
+async def slow_later(target, request, writer) -> None:
+    """Answer the first request at once, and each later one after a while."""
+    if len(target.requests) > 1:
+        await asyncio.sleep(0.6)
+    await ok(target, request, writer)
+
+
 async def large_then_silent(target, request, writer) -> None:
     """Go silent in the middle of a large answer."""
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
@@ -213,6 +220,7 @@
 
 
 BEHAVIOURS = {
+    "is slow after its first request": slow_later,
     "answers the first request of a connection only": first_only,
     "goes silent in a large answer": large_then_silent,
     "answers without an end": endless,
