Decide on voters from what a majority confirms

Cause: an instance that was removed from the voters hears of no later change, its own removal included. Asked for the voters it showed itself as one for good, and asked to be added again it answered that it was a voter already.

Weighed: having the leader tell a removed voter of its removal, which is the consensus slice's to decide and may be lost as well.

Change: voters are added and removed only after a read barrier; the log is shown as a majority confirms it where the request asks for that, and the command line asks for it first and falls back to what an instance knows.

Conclusion: which instance is asked no longer changes what is decided.

--- a/mothshunt/admin/const.py
+++ b/mothshunt/admin/const.py
@@ -7,6 +7,8 @@
 MIN_TIMEOUT_MS = 100
 MAX_TIMEOUT_MS = 60_000
 MS_PER_S = 1_000
+#: Seconds to wait for what this instance knows of the voters to be confirmed.
+CONFIRM_TIMEOUT_S = 2.0
 
 #: Most records of history or audit in one answer.
 DEFAULT_RECORDS = 100
--- a/mothshunt/admin/parameters.py
+++ b/mothshunt/admin/parameters.py
@@ -43,6 +43,19 @@
         return self.timeout_ms / MS_PER_S
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VoterQuery(ReadQuery):
+    """Say whether the replicated log is shown as a majority holds it.
+
+    :param confirmed: Whether to refuse what no majority confirms, instead of showing
+        what is known here.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    confirmed: bool = False
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeQuery:
     """Name a change and what it is based on.
--- a/mothshunt/admin/voters.py
+++ b/mothshunt/admin/voters.py
@@ -4,10 +4,10 @@
 
 from mothshunt.access.model import AccessRole
 from mothshunt.admin import codes
-from mothshunt.admin.const import ATTR_VOTER
+from mothshunt.admin.const import ATTR_VOTER, CONFIRM_TIMEOUT_S
 from mothshunt.admin.deployment_model import VoterChangeDocument
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope, refuse
-from mothshunt.admin.parameters import ReadQuery, VoterBody
+from mothshunt.admin.parameters import ReadQuery, VoterBody, VoterQuery
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.consensus.model import ConsensusStatus, ReplicatedLog, Voter
 from mothshunt.core.types import InstanceId, Role
@@ -36,6 +36,7 @@
                 role=AccessRole.READ,
                 scope=Scope.ANY,
                 handler=self._async_get,
+                query=VoterQuery,
                 answer=ConsensusStatus,
             ),
             Route(
@@ -59,8 +60,11 @@
             ),
         )
 
-    async def _async_get(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
-        return Ok(Reply(body=self._log.status()))
+    async def _async_get(self, call: Call[VoterQuery]) -> Result[Reply, Refusal]:
+        status: Result[ConsensusStatus, Refusal] = Ok(self._log.status())
+        if call.query.confirmed:
+            status = await self._async_confirmed_status()
+        return status.map(lambda shown: Reply(body=shown))
 
     async def _async_add(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         body = call.document(VoterBody)
@@ -72,10 +76,12 @@
         voter = _voter(body.ok, record)
         if voter is None:
             return refuse(codes.VOTER_UNKNOWN, f"no peer address of {body.ok.id}")
-        status = self._log.status()
-        if voter in status.voters:
+        status = await self._async_confirmed_status()
+        if status.is_error():
+            return Error(status.error)
+        if voter in status.ok.voters:
             return Ok(_reply(voter.id, None))
-        others = {v.id for v in (*status.voters, *status.learners)} - {voter.id}
+        others = _member_ids(status.ok) - {voter.id}
         if len(others) >= MAX_CONTROL_INSTANCES:
             return refuse(codes.TOO_MANY_VOTERS, ", ".join(sorted(others)))
         added = await self._log.async_add_voter(voter, call.query.timeout_s)
@@ -85,19 +91,31 @@
 
     async def _async_remove(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         id = InstanceId(call.path_values[ATTR_VOTER])
-        status = self._log.status()
-        known = {voter.id for voter in (*status.voters, *status.learners)}
-        if id not in known:
+        status = await self._async_confirmed_status()
+        if status.is_error():
+            return Error(status.error)
+        if id not in _member_ids(status.ok):
             if id not in self._source.current().instance_by_id:
                 return refuse(codes.VOTER_UNKNOWN, id)
             return Ok(_reply(id, None))
-        if [voter.id for voter in status.voters] == [id]:
+        if [voter.id for voter in status.ok.voters] == [id]:
             return refuse(codes.LAST_VOTER, id)
         removed = await self._log.async_remove_voter(id, call.query.timeout_s)
         if removed.is_error():
             return Error(Refusal(failure=removed.error))
         return Ok(_reply(id, removed.ok))
 
+    async def _async_confirmed_status(self) -> Result[ConsensusStatus, Refusal]:
+        # An instance that was removed hears of no later change, its own included.
+        confirmed = await self._log.async_read_barrier(CONFIRM_TIMEOUT_S)
+        if confirmed.is_error():
+            return Error(Refusal(failure=confirmed.error))
+        return Ok(self._log.status())
+
+
+def _member_ids(status: ConsensusStatus) -> set[InstanceId]:
+    return {voter.id for voter in (*status.voters, *status.learners)}
+
 
 def _voter(body: VoterBody, record: InstanceRecord | None) -> Voter | None:
     if body.host is not None and body.port is not None:
--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -48,6 +48,8 @@
     :param body: Body.
     :param is_read: Whether it changes nothing.
     :param timeout_s: Seconds to wait for one answer.
+    :param give_up_s: Seconds after which no further attempt is begun; ``None`` leaves
+        it to the client.
     """
 
     method: str
@@ -56,6 +58,7 @@
     body: bytes | None = None
     is_read: bool = False
     timeout_s: float = ATTEMPT_TIMEOUT_S
+    give_up_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -140,7 +143,8 @@
         :param request: A read, or a change that carries its change id.
         :return: The answer, or why there is none.
         """
-        deadline = time.monotonic() + self._timeout_s
+        give_up_s = self._timeout_s if request.give_up_s is None else request.give_up_s
+        deadline = time.monotonic() + give_up_s
         last = Attempt(end=AttemptEnd.UNREACHABLE, text="no address was tried")
         lost: Attempt | None = None
         unreachable_rounds = 0
--- a/mothshunt/cli/commands/members.py
+++ b/mothshunt/cli/commands/members.py
@@ -6,8 +6,12 @@
 from expression import Error, Ok, Result
 
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
-from mothshunt.cli.const import MEMBER_ATTEMPT_TIMEOUT_S, MEMBER_TIMEOUT_MS
-from mothshunt.cli.model import CommandFailure, CommandOutput
+from mothshunt.cli.const import (
+    CONFIRMED_GIVE_UP_S,
+    MEMBER_ATTEMPT_TIMEOUT_S,
+    MEMBER_TIMEOUT_MS,
+)
+from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
 
 
@@ -37,7 +41,17 @@
 async def _async_list(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
-    voters = await client.async_read("/v1/voters")
+    # An instance that is no voter any more must not be the one to answer.
+    confirmed = ApiRequest(
+        method="GET",
+        path="/v1/voters",
+        query={"confirmed": "true"},
+        is_read=True,
+        give_up_s=CONFIRMED_GIVE_UP_S,
+    )
+    voters = await client.async_send(confirmed)
+    if voters.is_error() and voters.error.exit_code is ExitCode.UNREACHABLE:
+        voters = await client.async_read("/v1/voters")
     if voters.is_error():
         return Error(voters.error)
     instances = await client.async_read("/v1/instances")
--- a/mothshunt/cli/const.py
+++ b/mothshunt/cli/const.py
@@ -10,6 +10,8 @@
 #: Milliseconds that the API waits for a new voter to catch up.
 MEMBER_TIMEOUT_MS = 30_000
 MEMBER_ATTEMPT_TIMEOUT_S = 31.0
+#: Seconds in which the voters are asked for as a majority holds them.
+CONFIRMED_GIVE_UP_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 #: Seconds between two rounds over the addresses.
 ROUND_PAUSE_S = 0.2
--- a/tests/admin/voters.feature
+++ b/tests/admin/voters.feature
@@ -20,6 +20,18 @@
     When a voter is posted as {"id": "v8", "host": "127.0.0.1", "port": 8}
     Then the administration API refuses with 409 and code 3016 "too_many_voters"
 
+  Scenario: An instance that can't confirm what it knows decides nothing on voters
+    Given the voters are 2 instances
+    And the administration API has no majority
+    When a voter is posted as {"id": "v1", "host": "127.0.0.1", "port": 1}
+    Then the administration API refuses with 503 and code 4999 "no_majority"
+    When DELETE /v1/voters/v1 is asked by the bootstrap administrator
+    Then the administration API refuses with 503 and code 4999 "no_majority"
+    When GET /v1/voters?confirmed=true is asked by the bootstrap administrator
+    Then the administration API refuses with 503 and code 4999 "no_majority"
+    When GET /v1/voters is asked by the bootstrap administrator
+    Then the administration API answers 200
+
   Scenario: An instance of which nothing is known is refused
     When a voter is posted as {"id": "b1"}
     Then the administration API refuses with 404 and code 3017 "voter_unknown"
--- a/tests/cli/deployment.feature
+++ b/tests/cli/deployment.feature
@@ -29,3 +29,11 @@
     And the drain is added again with the same change id
     Then the command line ends with 0
     And the audit trail holds one change with that id
+
+  Scenario: A voter is removed and added again, and takes part in changes
+    When a follower is removed from the voters and added again
+    Then the command line ends with 0
+    And all three control instances are voters
+    When one of the voters that never left is killed
+    And the contract of rackhaven is applied with the command line
+    Then the command line ends with 0
--- a/tests/cli/reads.feature
+++ b/tests/cli/reads.feature
@@ -97,6 +97,12 @@
     Then the command exits with 3
     And the command complains "3018 last_voter"
 
+  Scenario: The voters are shown also without a majority
+    Given the control instance of the command line has no majority
+    When "mothshunt members list" is run
+    Then the command exits with 0
+    And the command prints "leader"
+
   Scenario: The result codes are explained
     When "mothshunt codes" is run
     Then the command prints "change_outcome_unknown"
--- a/tests/steps/cli_deployment.py
+++ b/tests/steps/cli_deployment.py
@@ -5,13 +5,16 @@
 
 from behave import given, then, when
 
-from testkit.contracts import contract_document
+from testkit.contracts import contract_document, contract_path
 from testkit.environment import Environment
+from testkit.process import wait_until
 from testkit.shape import small_with_entry
 
 OPERATORS = 10
 CUSTOMER = "rackhaven"
 CHANGE_ID = "drain-of-zone"
+#: The instance that is asked may hear of a change of voters a little later.
+SEEN_S = 10.0
 
 
 @given("a deployment of three control instances and an entry for the command line")
@@ -158,3 +161,52 @@
     drains = context.environment.command("drain", "list", "--output", "json")
     found = {drain["name"] for drain in json.loads(drains.stdout)["drains"]}
     assert found == {f"t{n}" for n in range(OPERATORS)}, found
+
+
+def run_members(context, *words):
+    """Ask the instance that left first; it hears of no change of voters itself."""
+    deployment = context.environment.deployment
+    left = getattr(context, "returned", None)
+    ordered = sorted(deployment.control_instances, key=lambda item: item.id != left)
+    urls = [word for item in ordered for word in ("--admin", item.admin_url)]
+    return context.environment.command("members", *words, *urls)
+
+
+def members(context):
+    return json.loads(run_members(context, "list", "--output", "json").stdout)
+
+
+def voter_ids(context):
+    return {voter["id"] for voter in members(context)["voters"]}
+
+
+@when("a follower is removed from the voters and added again")
+def removed_and_added(context):
+    known = members(context)
+    voters = [voter["id"] for voter in known["voters"]]
+    context.returned = next(id for id in voters if id != known["leader"])
+    removed = run_members(context, "remove", context.returned)
+    assert removed.returncode == 0, removed
+    wait_until(
+        lambda: context.returned not in voter_ids(context), SEEN_S, "it is no voter"
+    )
+    context.done = run_members(context, "add", context.returned)
+
+
+@then("all three control instances are voters")
+def all_are_voters(context):
+    wanted = {item.id for item in context.environment.deployment.control_instances}
+    wait_until(lambda: voter_ids(context) == wanted, SEEN_S, "all are voters")
+
+
+@when("one of the voters that never left is killed")
+def other_killed(context):
+    control = context.environment.deployment.control_instances
+    other = next(item for item in control if item.id != context.returned)
+    other.process.kill()
+
+
+@when("the contract of rackhaven is applied with the command line")
+def contract_is_applied(context):
+    path = str(contract_path(CUSTOMER))
+    context.done = context.environment.command("contract", "apply", path)
