--- a/mothshunt/daemon/entry.py
+++ b/mothshunt/daemon/entry.py
@@ -53,6 +53,7 @@
         limits = LimitsHolderCoordinator(
             instance=own.id,
             incarnation=incarnation,
+            region=own.region,
             configuration=holder,
             control=base.uplink,
             clock=clock,
--- a/mothshunt/steering/const.py
+++ b/mothshunt/steering/const.py
@@ -2,6 +2,8 @@
 
 #: Age at which a load report of a target no longer counts, in seconds.
 REPORT_MAX_AGE_S = 5.0
+#: Weight of one load report in the moving average of load.
+REPORT_WEIGHT = 0.3
 #: Weight of one sample in the moving average of latency.
 LATENCY_WEIGHT = 0.15
 #: Time in which what was learned of a target's latency loses half its weight.
@@ -10,8 +12,12 @@
 DEFAULT_LATENCY_S = 0.02
 #: Latency that is assumed for a way between regions, in seconds.
 REMOTE_LATENCY_S = 0.03
-#: Latency that a target in another availability zone is charged, in seconds.
-OTHER_ZONE_LATENCY_S = 0.001
+#: What a target in another availability zone is charged, as a part of its slots.
+OTHER_ZONE_COST = 0.1
+#: Part by which scores are moved at random.
+TIE_RATIO = 0.05
+#: Latency over the usual from which a target counts as slow.
+SLOW_RATIO = 1.5
 
 #: Failures to answer in a row that make a target suspect.
 SUSPECT_AFTER_FAILURES = 2
@@ -37,16 +43,25 @@
 
 #: Mean use of the home region's slots above which headroom is sought elsewhere.
 HEADROOM_PRESSED_RATIO = 0.8
-#: Mean use of another region's slots below which it can help.
-HEADROOM_HELPER_RATIO = 0.6
+#: Lead in free slots that another region must have to help.
+HEADROOM_GAP_RATIO = 0.2
 #: A way out of the home region must be faster by this factor to be taken for latency.
-LATENCY_SHIFT_RATIO = 0.5
+LATENCY_SHIFT_RATIO = 0.8
 
 #: Bounds of the time to come back, in seconds.
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 5.0
+#: Weight of one choice in the moving average of refusals.
+PRESSURE_WEIGHT = 0.02
+#: Part by which the time to come back is moved at random, so that callers spread.
+RETRY_AFTER_JITTER_RATIO = 0.3
 
+#: Time that a request waits for room in its home region before it may leave it, in
+#: seconds; about a round trip between regions.
+PATIENCE_S = 0.03
 #: Longest that a request waits for room, in seconds.
 WAIT_S = 0.25
+#: Part of the time to its deadline that a request waits for room at most.
+WAIT_DEADLINE_RATIO = 0.25
 #: Most requests that wait for room at a time.
 WAITING_MAX = 64
