Let a kept-alive connection rest before it is used again

Cause: a target that sends an answer twice, the second time 5 ms later, made the next caller on that connection get the answer to the request before (seen failing: "t1 /first" for GET /second). The check before sending finds only what has arrived by then. A connection now rests 20 ms; a target that gets 50 requests a second from one entry needs one connection more. The connector hands out the longest idle connection first, so that this is one comparison; it overrides a private method of the library's connector, and the scenario fails when that is renamed.

Three scenarios that need a connection to be used again wait 60 ms for it now.

--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 1.0
 #: Idle connections to targets are closed after this time.
 IDLE_CONNECTION_S = 15.0
+#: A kept-alive connection is used again only after it was idle for this time.
+REST_S = 0.02
 #: Targets to which connections are kept alive.
 MAX_POOLS = 1000
 #: Connections to a target that are not used again are closed after this time, when
--- a/mothshunt/dispatch/pool.py
+++ b/mothshunt/dispatch/pool.py
@@ -1,18 +1,21 @@
 """Connections to targets, kept alive per target or opened for one request."""
 
 import asyncio
+import time
 import weakref
 from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import ClientRequest
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
 from mothshunt.dispatch.const import (
     CONNECT_TIMEOUT_S,
     IDLE_CONNECTION_S,
     MAX_POOLS,
+    REST_S,
     RETIRED_POOL_S,
 )
 
@@ -37,6 +40,23 @@
     reused: bool
 
 
+class RestingConnector(aiohttp.TCPConnector):
+    """Use a connection again only after it has rested.
+
+    A second answer that arrives meanwhile is found before the next request is sent.
+    The base class keeps the connections of an address in the order of their return
+    and takes the longest idle one.
+    """
+
+    async def _get(
+        self, key: ConnectionKey, traces: list[aiohttp.tracing.Trace]
+    ) -> Connection | None:
+        idle = self._conns.get(key)
+        if idle and time.monotonic() - idle[0][1] < REST_S:
+            return None
+        return await super()._get(key, traces)
+
+
 class ConnectionPools:
     """Keep the connections to all targets."""
 
@@ -104,9 +124,7 @@
         if connector is None:
             if len(self._connector_by_authority) >= MAX_POOLS:
                 self.retire(next(iter(self._connector_by_authority)))
-            connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_CONNECTION_S
-            )
+            connector = RestingConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
             self._connector_by_authority[authority] = connector
         return connector
 
--- a/tests/dispatch/forward.feature
+++ b/tests/dispatch/forward.feature
@@ -4,6 +4,7 @@
     Given a dispatch entry
     And a raw target "t1" that answers
     When a dispatch caller sends GET "/orders/7?full=1"
+    And 60 ms pass at the dispatch entry
     And a dispatch caller sends GET "/orders/8"
     Then the dispatch caller got status 200 and "t1 /orders/8"
     And target "t1" was reached 2 times
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -53,6 +53,26 @@
     And a dispatch caller sends GET "/second"
     Then the dispatch caller got status 200 and "t1 /second"
 
+  Scenario: A second answer that comes soon is not given to the next caller
+    Given a dispatch entry
+    And a raw target "t1" that answers twice, the second time soon
+    When a dispatch caller sends GET "/first"
+    And a dispatch caller sends GET "/second"
+    Then the dispatch caller got status 200 and "t1 /second"
+    When a dispatch caller sends GET "/third"
+    Then the dispatch caller got status 200 and "t1 /third"
+
+  Scenario: An answer that comes after the time-out reaches nobody
+    Given a dispatch entry with a request timeout of 200 ms
+    And a raw target "t1" that answers the first request late
+    When a dispatch caller sends GET "/late"
+    Then the dispatch caller got code 2014 with ran unknown
+    When a dispatch caller sends GET "/next"
+    Then the dispatch caller got status 200 and "t1 /next"
+    When 400 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/last"
+    Then the dispatch caller got status 200 and "t1 /last"
+
   Scenario: A connection whose request timed out is not used again
     Given a dispatch entry with a request timeout of 200 ms
     And a raw target "t1" that never answers
@@ -75,6 +95,7 @@
     And a raw target "t1" that answers the first request of a connection only
     And a raw target "t2" that answers
     When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
     And a dispatch caller sends GET "/b"
     Then the dispatch caller got status 200 and "t2 /b"
     And the last dispatch answer took less than 4500 ms
@@ -87,6 +108,7 @@
     Given a dispatch entry without retries and a request timeout of 700 ms
     And a raw target "t1" that answers the first request of a connection only
     When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
     And a dispatch caller sends GET "/b"
     Then the dispatch caller got code 2014 with ran unknown
     And the dispatch counter mothshunt_retries_given_up_total with why "deadline" is 1
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -168,6 +168,21 @@
     writer.write(answer(body))
 
 
+async def doubled_soon(target, request, writer) -> None:
+    """Send the same answer twice, the second when another request may be waiting."""
+    body = f"{target.name} {request.path}".encode()
+    writer.write(answer(body))
+    await asyncio.sleep(0.005)
+    writer.write(answer(body))
+
+
+async def late_once(target, request, writer) -> None:
+    """Answer the first request late."""
+    if request.number == 1:
+        await asyncio.sleep(0.4)
+    await ok(target, request, writer)
+
+
 async def large(target, request, writer) -> None:
     """Send an answer that is too large to be read whole."""
     writer.write(answer(b"x" * 300_000))
@@ -213,6 +228,8 @@
 
 
 BEHAVIOURS = {
+    "answers twice, the second time soon": doubled_soon,
+    "answers the first request late": late_once,
     "answers the first request of a connection only": first_only,
     "goes silent in a large answer": large_then_silent,
     "answers without an end": endless,
