--- a/bench/hop.py
+++ b/bench/hop.py
@@ -9,7 +9,7 @@
 import statistics
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -25,9 +25,9 @@
 )
 CALLERS = 16
 ROUNDS = 9
-QUICK_ROUNDS = 3
+QUICK_ROUNDS = 7
 ROUND_S = 2.0
-QUICK_ROUND_S = 1.0
+QUICK_ROUND_S = 0.5
 WARM_UP_S = 0.3
 STOP_TIMEOUT_S = 10.0
 
@@ -46,6 +46,20 @@
     entry: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Round:
+    """Hold the samples of one round, taken one after the other.
+
+    :param direct: Without anything between.
+    :param pass_through: Through the bare pass-through.
+    :param entry: Through the entry instance.
+    """
+
+    direct: Sample
+    pass_through: Sample
+    entry: Sample
+
+
 def run(quick: bool) -> dict[str, Any]:
     """Run the benchmark.
 
@@ -71,61 +85,75 @@
     single = await _async_rounds(ports, READ, 1, rounds, seconds)
     orders = await _async_rounds(ports, ORDER, CALLERS, rounds, seconds / 2)
     return {
-        "throughput_ratio": _ratio(
-            busy["entry"]["per_s"], busy["pass_through"]["per_s"]
-        ),
-        "added_p50_ratio": _added(single, "p50_ms"),
-        "added_p99_ratio": _added(single, "p99_ms"),
-        "order_throughput_ratio": _ratio(
-            orders["entry"]["per_s"], orders["pass_through"]["per_s"]
-        ),
+        "throughput_ratio": _throughput_ratio(busy),
+        "added_p50_ratio": _added_ratio(single, 0.5),
+        "added_p99_ratio": _added_ratio(single, 0.99),
+        "order_throughput_ratio": _throughput_ratio(orders),
         "callers": CALLERS,
         "rounds": rounds,
-        "reads": busy,
-        "single_caller_reads": single,
-        "orders": orders,
+        "reads": _figures(busy),
+        "single_caller_reads": _figures(single),
+        "orders": _figures(orders),
     }
 
 
 async def _async_rounds(
     ports: Ports, request: bytes, callers: int, rounds: int, seconds: float
-) -> dict[str, dict[str, float]]:
-    port_by_name = {
-        "direct": ports.direct,
-        "pass_through": ports.pass_through,
-        "entry": ports.entry,
-    }
-    samples_by_name: dict[str, list[Sample]] = {name: [] for name in port_by_name}
+) -> list[Round]:
+    """Run rounds in which the three take turns; the first one only warms up."""
+
+    async def run_one(port: int, length_s: float) -> Sample:
+        load = Load(port=port, request=request, callers=callers, seconds=length_s)
+        sample = await async_run(load)
+        if sample.failures:
+            raise RuntimeError(f"{sample.failures} answers were not 200")
+        return sample
+
+    done = []
     for number in range(rounds + 1):
-        for name, port in port_by_name.items():
-            length_s = seconds if number else WARM_UP_S
-            load = Load(port=port, request=request, callers=callers, seconds=length_s)
-            sample = await async_run(load)
-            if number:
-                samples_by_name[name].append(sample)
-    return {name: _figures(samples) for name, samples in samples_by_name.items()}
-
-
-def _figures(samples: list[Sample]) -> dict[str, float]:
-    failures = sum(sample.failures for sample in samples)
-    if failures:
-        raise RuntimeError(f"{failures} answers were not 200")
+        length_s = seconds if number else WARM_UP_S
+        done.append(
+            Round(
+                direct=await run_one(ports.direct, length_s),
+                pass_through=await run_one(ports.pass_through, length_s),
+                entry=await run_one(ports.entry, length_s),
+            )
+        )
+    return done[1:]
+
+
+def _throughput_ratio(rounds: list[Round]) -> float:
+    """Return the median of the rounds' own ratios."""
+    return _median(r.entry.per_second() / r.pass_through.per_second() for r in rounds)
+
+
+def _added_ratio(rounds: list[Round], share: float) -> float:
+    """Return the median of the rounds' own ratios of the latency that is added."""
+    return _median(
+        (r.entry.quantile_ms(share) - r.direct.quantile_ms(share))
+        / (r.pass_through.quantile_ms(share) - r.direct.quantile_ms(share))
+        for r in rounds
+    )
+
+
+def _figures(rounds: list[Round]) -> dict[str, dict[str, float]]:
     return {
-        "per_s": round(statistics.median(s.per_second() for s in samples), 1),
-        "p50_ms": round(statistics.median(s.quantile_ms(0.5) for s in samples), 4),
-        "p99_ms": round(statistics.median(s.quantile_ms(0.99) for s in samples), 4),
+        "direct": _sample_figures([r.direct for r in rounds]),
+        "pass_through": _sample_figures([r.pass_through for r in rounds]),
+        "entry": _sample_figures([r.entry for r in rounds]),
     }
 
 
-def _added(figures: dict[str, dict[str, float]], name: str) -> float:
-    direct = figures["direct"][name]
-    return _ratio(
-        figures["entry"][name] - direct, figures["pass_through"][name] - direct
-    )
+def _sample_figures(samples: list[Sample]) -> dict[str, float]:
+    return {
+        "per_s": _median(s.per_second() for s in samples),
+        "p50_ms": _median(s.quantile_ms(0.5) for s in samples),
+        "p99_ms": _median(s.quantile_ms(0.99) for s in samples),
+    }
 
 
-def _ratio(value: float, baseline: float) -> float:
-    return round(value / baseline, 3)
+def _median(values: Iterable[float]) -> float:
+    return round(statistics.median(values), 4)
 
 
 @contextmanager
