--- a/bench/steering_choosers.py
+++ b/bench/steering_choosers.py
@@ -70,7 +70,12 @@
     waits: bool
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         ...
@@ -103,7 +108,12 @@
         self._rng = Random(seed)
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -133,7 +143,12 @@
         self._turn_by_place: dict[tuple[int, ServiceName], int] = {}
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         live = self._directory.targets(self._profile.name, arrival.service)
@@ -181,7 +196,7 @@
         self._wake: Callable[[int], None] = lambda entry: None
 
     def _holder(self, record: InstanceRecord) -> Holder:
-        holder = Holder(record.id, Incarnation(1), opens_at=self._timeline.now)
+        holder = Holder(record.id, Incarnation(1), record.region, self._timeline.now)
         limits = limit_by_key(self._configuration)
         static_by_key = {
             key: static_share(key, limit, record) for key, limit in limits.items()
@@ -204,7 +219,12 @@
         )
 
     def pick(
-        self, arrival: Arrival, excluded: AbstractSet[TargetId], now: float
+        self,
+        arrival: Arrival,
+        excluded: AbstractSet[TargetId],
+        now: float,
+        patient: bool,
+        counted: bool,
     ) -> Picked | None:
         """Choose a target, or refuse."""
         result = self._choosers[arrival.entry].choose(
@@ -214,6 +234,8 @@
             excluded=excluded,
             drains=self._configuration.drains,
             now=now,
+            counted=counted,
+            patient=patient,
         )
         if result.is_ok():
             return Picked(result.ok.target, result.ok)
--- a/mothshunt/limits/const.py
+++ b/mothshunt/limits/const.py
@@ -22,13 +22,22 @@
 #: The static share is one part in this many of a limit.
 STATIC_SHARE_DIVISOR = 4
 
-#: Room asked for over the highest use, as a ratio and as a count of requests.
-DEMAND_MARGIN_RATIO = 0.25
+#: Least period over which use is measured, in seconds.
+WINDOW_S = 0.5
+#: Room asked for over what peaks take, in requests.
 DEMAND_MARGIN = 2
-#: Least growth asked for when requests found no room.
-STARVED_GROWTH = 8
+#: Standard deviations over mean use that peaks take.
+PEAK_DEVIATIONS = 2.5
+#: Time that a request is taken to hold room before any was seen, in seconds.
+DEFAULT_HOLD_S = 0.2
+#: Weight of one request in the moving average of that time.
+HOLD_WEIGHT = 0.05
+#: Weight of one period in the moving average of use.
+MEAN_WEIGHT = 0.5
+#: Standard deviations over mean use that count as needed.
+NEED_DEVIATIONS = 0.5
+#: Least time over which the rate of refusals is taken, in seconds.
+LEAST_WINDOW_S = 0.2
 
 #: Room kept for requests that are not idempotent: one part in this many.
 COMMITMENT_RESERVE_DIVISOR = 10
-#: Least room of a holder that any part of it is kept.
-COMMITMENT_RESERVE_FLOOR = 4
