--- a/bench/control.py
+++ b/bench/control.py
@@ -23,7 +23,7 @@
 PERCENT = 100
 
 
-def main(quick: bool) -> dict[str, Any]:
+def run(*, quick: bool) -> dict[str, Any]:
     """Return the figures of today's deployment and of the baseline.
 
     :param quick: Whether to end within 45 s.
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -29,7 +29,7 @@
 END_S = 60.0
 
 
-def main(quick: bool) -> dict[str, Any]:
+def run(*, quick: bool) -> dict[str, Any]:
     """Return what each kind of leaving takes and costs.
 
     :param quick: Whether to end within 45 s.
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -30,7 +30,7 @@
 Chooser = Callable[[Environment], tuple[list[Instance], list[str]]]
 
 
-def main(quick: bool) -> dict[str, Any]:
+def run(*, quick: bool) -> dict[str, Any]:
     """Return the seconds without service by loss and kind of request.
 
     :param quick: Whether to end within 45 s; then the losses that need an
--- a/testkit/caller.py
+++ b/testkit/caller.py
@@ -79,7 +79,8 @@
                 self._cached_by_service[service] = found
                 return found.entries
             self._asked += 1
-        return cached.entries if cached is not None else ()
+        # An entry serves on for the lifetimes that it was named for, and no longer.
+        return ()
 
     async def async_send(self, request: Request, due_at: float | None = None) -> Result:
         """Send a request to the first entry that takes the connection.
--- a/testkit/target/server.py
+++ b/testkit/target/server.py
@@ -21,7 +21,7 @@
 from testkit.target.runs import Run, RunRecord
 
 HEADER_TEST_ID = "X-Test-Id"
-#: Service time of one request in milliseconds, in place of the target's own.
+#: Exact service time of one request in milliseconds, whether caches are warm or not.
 HEADER_SERVICE_MS = "X-Test-Service-Ms"
 #: Length of the payload of one answer, in place of the target's own.
 HEADER_ANSWER_BYTES = "X-Test-Answer-Bytes"
@@ -207,10 +207,11 @@
         return web.Response(body=data, status=status)
 
     def _service_time_s(self, request: web.Request) -> float:
+        exact_ms = request.headers.get(HEADER_SERVICE_MS)
+        if exact_ms is not None:
+            return float(exact_ms) / MILLISECONDS_PER_SECOND
         config = self._config
-        service_ms = float(
-            request.headers.get(HEADER_SERVICE_MS, config.service_time_ms)
-        )
+        service_ms = config.service_time_ms
         if config.cold_requests:
             coldness = max(0.0, 1 - self._record.finished / config.cold_requests)
             service_ms *= 1 + (config.cold_factor - 1) * coldness
