--- a/tests/promises/whole_answers.feature
+++ b/tests/promises/whole_answers.feature
@@ -39,3 +39,17 @@
     And 10 reads with answers of 2000 bytes are sent in north
     Then each read got its own whole answer or broke visibly
     And at least 18 reads got a whole answer
+
+  Scenario: A request that takes longer than usual is waited for
+    Given one target of cabinet-status of rackhaven in each region
+    When 40 reads with answers of 200 bytes are sent in north
+    And 3 reads that take 1200 ms are sent in north
+    Then each read got its own whole answer or broke visibly
+    And at least 43 reads got a whole answer
+
+  Scenario: The only target of a service is new, idle and slower than usual
+    Given a single target of cabinet-status of rackhaven, in north
+    When 40 reads with answers of 200 bytes are sent in north
+    And 3 reads that take 1200 ms are sent in north
+    Then each read got its own whole answer or broke visibly
+    And at least 43 reads got a whole answer
--- a/tests/steps/promise_answers.py
+++ b/tests/steps/promise_answers.py
@@ -45,6 +45,20 @@
     send_reads(context, region, [read(name, size=size) for name in names])
 
 
+@when("{count:d} reads that take {ms:d} ms are sent in {region}")
+def slow_reads(context, count, ms, region):
+    requests = [
+        Request(
+            request_id=f"slow-{number}",
+            service="cabinet-status",
+            deadline_ms=NO_HASTE_MS,
+            headers={"X-Test-Service-Ms": str(ms)},
+        )
+        for number in range(count)
+    ]
+    send_reads(context, region, requests)
+
+
 @when("reads with a deadline of 200 ms and reads without haste are mixed in {region}")
 def mixed(context, region):
     requests = [
