--- a/mothshunt/consensus/client.py
+++ b/mothshunt/consensus/client.py
@@ -91,7 +91,7 @@
         left_s = deadline - self._clock.monotonic()
         try:
             await asyncio.wait_for(
-                self._driver.async_wait_applied(index), max(0.0, left_s)
+                self._driver.applier.async_wait(index), max(0.0, left_s)
             )
         except TimeoutError:
             detail = f"index {index} is confirmed but not applied here in time"
--- a/mothshunt/consensus/config.py
+++ b/mothshunt/consensus/config.py
@@ -15,6 +15,7 @@
     :param election_max_s: Longest silence after which an election starts, in seconds.
     :param resend_s: Time after which an unanswered append is sent again, in seconds.
     :param snapshot_after_entries: Applied entries between two snapshots.
+    :param snapshot_after_entries_at_most: The same where the state is large.
     :param keep_entries: Entries kept before a snapshot.
     :param snapshot_chunk_bytes: Largest part of a snapshot in one message.
     :param segment_bytes: Size after which a new file of the log is begun.
@@ -25,6 +26,7 @@
     election_max_s: float = const.ELECTION_MAX_S
     resend_s: float = const.RESEND_S
     snapshot_after_entries: int = const.SNAPSHOT_AFTER_ENTRIES
+    snapshot_after_entries_at_most: int = const.SNAPSHOT_AFTER_ENTRIES_AT_MOST
     keep_entries: int = const.KEEP_ENTRIES
     snapshot_chunk_bytes: int = const.SNAPSHOT_CHUNK_BYTES
     segment_bytes: int = const.SEGMENT_BYTES
--- a/mothshunt/consensus/const.py
+++ b/mothshunt/consensus/const.py
@@ -16,6 +16,8 @@
 
 #: Most voters and learners together.
 MAX_MEMBERS = 7
+#: Bytes that an entry takes besides its data, about.
+ENTRY_OVERHEAD_BYTES = 32
 MAX_APPEND_BYTES = 256 * 1024
 MAX_APPENDS_IN_FLIGHT = 8
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
@@ -26,6 +28,8 @@
 #: Entries applied since the last snapshot after which a new one is taken.
 SNAPSHOT_AFTER_ENTRIES = 4096
 #: Entries kept before a snapshot for followers that lag a little.
+#: The same where the state is large, whatever its size.
+SNAPSHOT_AFTER_ENTRIES_AT_MOST = 32768
 KEEP_ENTRIES = 1024
 SEGMENT_BYTES = 8 * 1024 * 1024
 
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -9,6 +9,7 @@
 
 from mothshunt.consensus import codes, const, diagnostics
 from mothshunt.consensus.addresses import VoterAddresses
+from mothshunt.consensus.applying import CommandApplier
 from mothshunt.consensus.client import LogClient, stopped
 from mothshunt.consensus.config import ConsensusConfig
 from mothshunt.consensus.disk import DiskWriter
@@ -95,7 +96,9 @@
         self._initial = initial
         self._config = config
         self._network = network
-        self._state_machine = state_machine
+        self._applier = CommandApplier(
+            state_machine=state_machine, config=config, metrics=metrics
+        )
         self._clock = clock
         self._metrics = metrics
         self._random = random
@@ -107,7 +110,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._writer_task: asyncio.Task[None] | None = None
         self._stopping: asyncio.Task[None] | None = None
-        self._applied_listeners: list[Callable[[LogIndex], None]] = []
         self._fatal_listeners: list[Callable[[Failure], None]] = []
         self._addresses = VoterAddresses(initial)
 
@@ -167,7 +169,7 @@
             node=Node(state),
             writer=self._writer,
             network=self._network,
-            state_machine=self._state_machine,
+            applier=self._applier,
             clock=self._clock,
             metrics=self._metrics,
             on_failed=self._on_failed,
@@ -201,8 +203,6 @@
         )
         driver.on_membership(self._addresses.follow)
         self._addresses.follow(driver.membership)
-        for listener in self._applied_listeners:
-            driver.on_applied(listener)
         self._register(driver, service)
         diagnostics.register_gauges(driver, self._metrics)
         self._writer_task = asyncio.create_task(self._async_write(driver))
@@ -316,9 +316,7 @@
 
     def on_applied(self, listener: Callable[[LogIndex], None]) -> None:
         """Call a listener after commands were applied here."""
-        self._applied_listeners.append(listener)
-        if self._driver is not None:
-            self._driver.on_applied(listener)
+        self._applier.on_applied(listener)
 
     def on_voters_changed(self, listener: Callable[[tuple[Voter, ...]], None]) -> None:
         """Call a listener now and whenever other control instances are to be reached.
--- a/mothshunt/consensus/diagnostics.py
+++ b/mothshunt/consensus/diagnostics.py
@@ -30,7 +30,7 @@
         state=state_name(state),
         leader=state.leader,
         commit_index=state.commit_index,
-        applied_index=driver.applied_index,
+        applied_index=driver.applier.applied_index,
         last_index=state.log.last_index,
         voters=tuple(member.to_voter() for member in state.membership.voters),
         learners=tuple(member.to_voter() for member in state.membership.learners),
@@ -58,7 +58,9 @@
     state = driver.state
     metrics.gauge("mothshunt_consensus_term", lambda: state.term)
     metrics.gauge("mothshunt_consensus_commit_index", lambda: state.commit_index)
-    metrics.gauge("mothshunt_consensus_applied_index", lambda: driver.applied_index)
+    metrics.gauge(
+        "mothshunt_consensus_applied_index", lambda: driver.applier.applied_index
+    )
     metrics.gauge("mothshunt_consensus_voters", lambda: len(state.membership.voters))
     metrics.gauge(
         "mothshunt_consensus_is_leader", lambda: float(state.role is NodeRole.LEADER)
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -6,30 +6,26 @@
 from expression import Error
 
 from mothshunt.consensus import codes, const
+from mothshunt.consensus.applying import CommandApplier
 from mothshunt.consensus.disk import DiskWriter
 from mothshunt.consensus.messages import NodeMessage
 from mothshunt.consensus.node import Node
 from mothshunt.consensus.state import NodeState, Outputs
 from mothshunt.consensus.types import (
-    NO_INDEX,
     Entry,
-    EntryKind,
     NodeRole,
     Snapshot,
     WriteNumber,
 )
 from mothshunt.consensus.voters import Membership
 from mothshunt.consensus.waiting import (
-    IndexWaiters,
     Outcome,
     Proposal,
-    ProposalWaiters,
     settle,
 )
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.network import PeerNetwork
-from mothshunt.core.state_machine import StateMachine
 from mothshunt.core.types import InstanceId, LogIndex
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
@@ -43,7 +39,7 @@
     :param node: The node.
     :param writer: Its data folder.
     :param network: Streams to the other nodes.
-    :param state_machine: State that the log carries.
+    :param applier: What the log carries.
     :param clock: Source of the present time.
     :param metrics: Counters and histograms.
     :param on_failed: Called when the node can take no part any more.
@@ -55,18 +51,17 @@
         node: Node,
         writer: DiskWriter,
         network: PeerNetwork,
-        state_machine: StateMachine,
+        applier: CommandApplier,
         clock: Clock,
         metrics: Metrics,
         on_failed: Callable[[Failure], None],
     ) -> None:
         self.node = node
-        self.applied_index = LogIndex(node.state.commit_index)
+        self.applier = applier
         self.membership = node.state.membership
         self.membership_changed = asyncio.Event()
         self._writer = writer
         self._network = network
-        self._state_machine = state_machine
         self._clock = clock
         self._metrics = metrics
         self._on_failed = on_failed
@@ -74,12 +69,9 @@
         self._timer_due_at = 0.0
         self._watch: asyncio.TimerHandle | None = None
         self._proposals: list[Proposal] = []
-        self._waiters = ProposalWaiters()
-        self._applied_waiters = IndexWaiters()
         self._read_by_token: dict[int, asyncio.Future[LogIndex | None]] = {}
         self._new_reads: list[int] = []
         self._last_token = 0
-        self._applied_listeners: list[Callable[[LogIndex], None]] = []
         self._membership_listeners: list[Callable[[Membership], None]] = []
         self._is_stopped = False
         self._role = node.state.role
@@ -92,20 +84,21 @@
     def start(self) -> None:
         """Restore the state from the snapshot and start the timer."""
         snapshot = self.state.snapshot
-        if snapshot is not None and snapshot.index > NO_INDEX:
-            self._state_machine.restore(snapshot.index, snapshot.data)
+        if snapshot is not None:
+            self.applier.restore(snapshot)
         self._arm()
         self._watch_leader()
 
     def stop(self) -> None:
         """Stop the timer and answer all who wait."""
         self._is_stopped = True
+        self.node.resign(self.now())
         for timer in (self._timer, self._watch):
             if timer is not None:
                 timer.cancel()
         self._refuse(self._proposals, codes.STOPPED)
         self._proposals.clear()
-        self._waiters.give_up("the instance stopped")
+        self.applier.proposals.give_up("the instance stopped")
         for read in self._read_by_token.values():
             settle(read, None)
         self._read_by_token.clear()
@@ -119,10 +112,6 @@
         self.stop()
         self._on_failed(failure)
 
-    def on_applied(self, listener: Callable[[LogIndex], None]) -> None:
-        """Call a listener after commands were applied."""
-        self._applied_listeners.append(listener)
-
     def on_membership(self, listener: Callable[[Membership], None]) -> None:
         """Call a listener after the newest membership of the log changed."""
         self._membership_listeners.append(listener)
@@ -178,7 +167,7 @@
             return
         for offset, proposal in enumerate(proposals):
             index = LogIndex(first + offset)
-            self._waiters.add(index, self.state.term, proposal.outcome)
+            self.applier.proposals.add(index, self.state.term, proposal.outcome)
         self.perform(outputs)
 
     def _refuse(self, proposals: list[Proposal], code: ResultCode) -> None:
@@ -209,14 +198,6 @@
         if not self._is_stopped:
             self.perform(self.node.read(tokens, self.now()))
 
-    async def async_wait_applied(self, index: LogIndex) -> None:
-        """Wait until an index is applied here.
-
-        :param index: The index.
-        """
-        if self.applied_index < index:
-            await self._applied_waiters.wait(index)
-
     def perform(self, outputs: Outputs) -> None:
         """Do what the node decided.
 
@@ -240,43 +221,20 @@
 
     def _apply(self, applies: list[Entry | Snapshot]) -> bool:
         try:
-            for item in applies:
-                self._apply_one(item)
+            self.applier.apply(applies)
         # Whatever went wrong, going on would leave this replica unlike the others.
         except Exception as error:
             detail = f"{type(error).__name__}: {error}"
             self.fail(Failure(code=codes.APPLY_FAILED, detail=detail))
             return False
-        self._applied_waiters.reached(self.applied_index)
-        for listener in self._applied_listeners:
-            listener(self.applied_index)
+        self.applier.tell_listeners()
         return True
 
-    def _apply_one(self, item: Entry | Snapshot) -> None:
-        if isinstance(item, Snapshot):
-            self._restore(item)
-            return
-        outcome = b""
-        if item.kind is EntryKind.COMMAND:
-            outcome = self._state_machine.apply(item.index, item.data)
-        self.applied_index = item.index
-        self._waiters.applied(item.index, item.term, outcome)
-
-    def _restore(self, snapshot: Snapshot) -> None:
-        self._state_machine.restore(snapshot.index, snapshot.data)
-        self.applied_index = snapshot.index
-        self._waiters.skipped(snapshot.index, "a snapshot took the place of its entry")
-        self._metrics.count("mothshunt_consensus_snapshots_installed_total")
-        _LOGGER.info("installed a snapshot", index=snapshot.index)
-
     def _compact_if_due(self) -> None:
-        state = self.state
-        held = state.snapshot.index if state.snapshot else NO_INDEX
-        if self.applied_index - held < state.config.snapshot_after_entries:
-            return
-        data = self._state_machine.snapshot()
-        self._metrics.count("mothshunt_consensus_snapshots_taken_total")
-        self.perform(self.node.compact(self.applied_index, data, self.now()))
+        if self.applier.is_snapshot_due():
+            data = self.applier.take_snapshot()
+            index = self.applier.applied_index
+            self.perform(self.node.compact(index, data, self.now()))
 
     def _note_changes(self) -> None:
         state = self.state
--- a/mothshunt/consensus/log.py
+++ b/mothshunt/consensus/log.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Sequence
 
+from mothshunt.consensus import const
 from mothshunt.consensus.types import Entry
 from mothshunt.core.types import LogIndex, Term
 
-#: Bytes that an entry takes besides its data, about.
-ENTRY_OVERHEAD_BYTES = 32
-
 
 class Log:
     """Hold consecutive entries after a base.
@@ -60,7 +58,7 @@
             return found
         size = 0
         for count, entry in enumerate(found):
-            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            size += len(entry.data) + const.ENTRY_OVERHEAD_BYTES
             if size > max_bytes and count > 0:
                 return found[:count]
         return found
--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -310,6 +310,13 @@
             index = changes.remove(self.state, instance, now)
         return index, self._finish(now)
 
+    def resign(self, now: float) -> None:
+        """Neither lead nor know a leader, before taking no part any more.
+
+        :param now: Monotonic time, in seconds.
+        """
+        election.become_follower(self.state, self.state.term, None, now)
+
     def transfer(self, now: float) -> Outputs:
         """Start to hand leadership over to the voter that is furthest.
 
--- /dev/null
+++ b/tests/consensus/fatal.feature
@@ -0,0 +1,25 @@
+Feature: A control instance that can't keep its promises takes no part any more
+
+  Scenario: The leader's disk fails
+    Given a replicated log on "a, b, c"
+    When "a" proposes "one"
+    And the disk of the leader of the log refuses writes
+    Then proposing "two" on the failed control instance fails with an unknown outcome
+    And the failed control instance reported code 4024 and does not lead
+    When a working control instance proposes "three"
+    # The followers may have synced the command before the leader's own disk failed.
+    Then the working control instances have applied "one, three", perhaps "two" between
+
+  Scenario: A command can't be applied on one instance
+    Given a replicated log on "a, b, c"
+    When "a" proposes "one"
+    And the state of a follower of the log refuses commands
+    And a working control instance proposes "two"
+    Then the failed control instance reported code 4026 and does not lead
+    When a working control instance proposes "three"
+    Then the working control instances have all applied "one, two, three"
+
+  Scenario: A large state is not written again for every few commands
+    Given a state of 100000 bytes and snapshots after 10 commands, 1000 at most
+    Then with commands of 100 bytes the next snapshot is due after 379 commands
+    And with commands of 10 bytes the next snapshot is due after 1000 commands
--- a/tests/steps/consensus_failures.py
+++ b/tests/steps/consensus_failures.py
@@ -18,16 +18,6 @@
 SHORT_TIMEOUT_S = 1.0
 
 
-def leader_of(log):
-    log.run(log.async_until(lambda: len(log.leaders()) == 1, TIMEOUT_S))
-    return log.leaders()[0]
-
-
-def follower_of(log):
-    leader = leader_of(log)
-    return next(name for name in log.coordinator_by_id if name != leader)
-
-
 def kill(context, name):
     context.killed = name
     context.log.run(context.log.async_kill(name))
@@ -72,17 +62,17 @@
 
 @when("the disk of a follower of the log is lost")
 def follower_disk_lost(context):
-    lose_disk(context, follower_of(context.log))
+    lose_disk(context, context.log.follower())
 
 
 @when("the disk of the leader of the log is lost")
 def leader_disk_lost(context):
-    lose_disk(context, leader_of(context.log))
+    lose_disk(context, context.log.leader())
 
 
 @when("a follower of the log is killed")
 def follower_killed(context):
-    kill(context, follower_of(context.log))
+    kill(context, context.log.follower())
 
 
 @when('the control instance "{name}" of the log is killed')
@@ -136,7 +126,7 @@
 @when("the leader of the log is cut off")
 def leader_cut_off(context):
     log = context.log
-    context.cut_off = leader_of(log)
+    context.cut_off = log.leader()
     others = [name for name in log.names if name != context.cut_off]
     log.hub.isolate(context.cut_off, others)
 
@@ -176,7 +166,7 @@
 @when("the cut off control instance is reached again")
 def reached_again(context):
     context.log.hub.cut.clear()
-    context.term = context.log.coordinator_by_id[leader_of(context.log)].status().term
+    context.term = context.log.coordinator_by_id[context.log.leader()].status().term
 
 
 @then('the log applied everywhere is "{first}" or "{second}"')
@@ -213,7 +203,7 @@
 @when("the leader of the log stops gracefully, twice")
 def stops_twice(context):
     log = context.log
-    name = leader_of(log)
+    name = log.leader()
     coordinator = log.coordinator_by_id[name]
     context.asked_by_id = {
         other: pre_votes(log, other) for other in log.names if other != name
--- /dev/null
+++ b/tests/steps/consensus_fatal.py
@@ -0,0 +1,147 @@
+"""Steps for control instances whose disk or state fails."""
+
+import errno
+
+from behave import given, then, when
+
+from mothshunt.consensus.applying import CommandApplier
+from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.types import Entry, EntryKind, Snapshot
+from mothshunt.consensus.voters import EMPTY
+from mothshunt.core.types import Ran
+from mothshunt.metrics.registry import Metrics
+
+TIMEOUT_S = 15.0
+
+
+def fail(context, name):
+    context.failed_id = name
+    context.fatal = []
+    context.log.coordinator_by_id[name].on_fatal(context.fatal.append)
+
+
+def working(context):
+    return [name for name in context.log.coordinator_by_id if name != context.failed_id]
+
+
+@when("the disk of the leader of the log refuses writes")
+def disk_refuses(context):
+    name = context.log.leader()
+    fail(context, name)
+
+    def write(writes):
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    context.log.coordinator_by_id[name]._writer._storage.write = write
+
+
+@when("the state of a follower of the log refuses commands")
+def state_refuses(context):
+    name = context.log.follower()
+    fail(context, name)
+
+    def apply(index, command):
+        raise KeyError("a fault of the state")
+
+    context.log.commands_by_id[name].apply = apply
+
+
+@then('proposing "{text}" on the failed control instance fails with an unknown outcome')
+def proposing_unknown(context, text):
+    coordinator = context.log.coordinator_by_id[context.failed_id]
+    result = context.log.run(coordinator.async_propose(text.encode(), TIMEOUT_S))
+    assert result.is_error(), result
+    assert result.error.ran is Ran.UNKNOWN, result.error
+
+
+@then("the failed control instance reported code {number:d} and does not lead")
+def reported(context, number):
+    log = context.log
+    log.run(log.async_until(lambda: bool(context.fatal), TIMEOUT_S))
+    assert [failure.code.number for failure in context.fatal] == [number]
+    status = log.coordinator_by_id[context.failed_id].status()
+    assert status.state != "leader", status
+    assert status.leader is None, status
+
+
+@when('a working control instance proposes "{text}"')
+def working_proposes(context, text):
+    log = context.log
+    coordinator = log.coordinator_by_id[working(context)[0]]
+    log.run(
+        log.async_until(
+            lambda: coordinator.status().leader in working(context), TIMEOUT_S
+        )
+    )
+    result = log.run(coordinator.async_propose(text.encode(), TIMEOUT_S))
+    assert result.is_ok(), result
+
+
+@then('the working control instances have applied "{first}", perhaps "{text}" between')
+def working_applied_perhaps(context, first, text):
+    before, after = split(first)
+    working_have_applied(context, [[before, after], [before, text.encode(), after]])
+
+
+@then('the working control instances have all applied "{texts}"')
+def working_applied(context, texts):
+    working_have_applied(context, [split(texts)])
+
+
+def split(texts):
+    return [text.strip().encode() for text in texts.split(",")]
+
+
+def working_have_applied(context, allowed):
+    log = context.log
+
+    def is_done():
+        lists = [log.commands_by_id[name].commands for name in working(context)]
+        return lists[0] in allowed and all(commands == lists[0] for commands in lists)
+
+    log.run(log.async_until(is_done, TIMEOUT_S))
+
+
+class LargeState:
+    def __init__(self, size):
+        self.size = size
+
+    def apply(self, index, command):
+        return b""
+
+    def snapshot(self):
+        return b"x" * self.size
+
+    def restore(self, index, snapshot):
+        self.size = len(snapshot)
+
+
+@given(
+    "a state of {size:d} bytes and snapshots after {least:d} commands, {most:d} at most"
+)
+def large_state(context, size, least, most):
+    context.consensus_config = ConsensusConfig(
+        snapshot_after_entries=least, snapshot_after_entries_at_most=most
+    )
+    context.size = size
+
+
+@then(
+    "with commands of {size:d} bytes the next snapshot is due after {count:d} commands"
+)
+def snapshot_due(context, size, count):
+    applier = CommandApplier(
+        state_machine=LargeState(context.size),
+        config=context.consensus_config,
+        metrics=Metrics(),
+    )
+    data = b"x" * context.size
+    applier.restore(Snapshot(index=5, term=1, membership=EMPTY, data=data))
+    applied = 0
+    while not applier.is_snapshot_due():
+        applied += 1
+        command = Entry(
+            term=1, index=5 + applied, kind=EntryKind.COMMAND, data=b"y" * size
+        )
+        applier.apply([command])
+    assert applied == count, applied
--- a/tests/support/consensus_net.py
+++ b/tests/support/consensus_net.py
@@ -210,6 +210,14 @@
             for name, c in self.coordinator_by_id.items()
         }
 
+    def leader(self):
+        self.run(self.async_until(lambda: len(self.leaders()) == 1))
+        return self.leaders()[0]
+
+    def follower(self):
+        leader = self.leader()
+        return next(name for name in self.coordinator_by_id if name != leader)
+
     def leaders(self):
         return [
             name
