Call a dropped command's outcome unknown; wait for a leader without polling

Cause: (1) a command that this node had appended as leader, lost to another leader and saw replaced by a command of its own later term was answered 'did not run'. A third node may still hold the first one and lead in a later term with it, as long as nothing is committed at its place. (2) Each request that met no leader looked for one twenty times a second, and an election is when many wait.

Change: the outcome is unknown until an entry at that place is committed; requests wait for an event. Seen failing first: fatal.feature, 'A command whose place another one took may still be accepted elsewhere'.

--- a/mothshunt/consensus/client.py
+++ b/mothshunt/consensus/client.py
@@ -51,6 +51,7 @@
             network=network,
             clock=clock,
             leader=lambda: driver.state.leader,
+            leader_known=driver.leader_known,
         )
 
     async def async_propose(
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -59,7 +59,7 @@
         self.node = node
         self.applier = applier
         self.membership = node.state.membership
-        self.membership_changed = asyncio.Event()
+        self.leader_known = asyncio.Event()
         self._writer = writer
         self._network = network
         self._clock = clock
@@ -238,6 +238,10 @@
 
     def _note_changes(self) -> None:
         state = self.state
+        if state.leader is None:
+            self.leader_known.clear()
+        else:
+            self.leader_known.set()
         if state.role is not self._role:
             self._role = state.role
             self._metrics.count(
@@ -248,7 +252,6 @@
         if state.membership is self.membership:
             return
         self.membership = state.membership
-        self.membership_changed.set()
         for listener in self._membership_listeners:
             listener(self.membership)
 
--- a/mothshunt/consensus/routing.py
+++ b/mothshunt/consensus/routing.py
@@ -1,6 +1,7 @@
 """Requests that reach the leader from any control instance."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -80,6 +81,7 @@
     :param network: Streams to the other instances.
     :param clock: Source of the present time.
     :param leader: Returns the leader that is known now.
+    :param leader_known: Set while a leader is known.
     """
 
     def __init__(
@@ -89,11 +91,13 @@
         network: PeerNetwork,
         clock: Clock,
         leader: Callable[[], InstanceId | None],
+        leader_known: asyncio.Event,
     ) -> None:
         self._own = own
         self._network = network
         self._clock = clock
         self._leader = leader
+        self._leader_known = leader_known
 
     async def async_run(
         self,
@@ -133,9 +137,11 @@
         handle: Callable[[Any], Awaitable[Answer]],
         timeout_s: float,
     ) -> AnswerResult:
-        leader = self._leader()
+        began_at = self._clock.monotonic()
+        leader = await self._async_leader(timeout_s)
         if leader is None:
             return Error(no_leader())
+        timeout_s = max(0.0, timeout_s - (self._clock.monotonic() - began_at))
         request = message(timeout_s)
         if leader == self._own:
             return from_answer(await handle(request))
@@ -149,6 +155,14 @@
                 return Error(unknown(failure.detail or f"no answer from {leader}"))
         return Error(unknown(f"{leader} gave an answer of another kind"))
 
+    async def _async_leader(self, timeout_s: float) -> InstanceId | None:
+        """Wait until a leader is known; requests may be many, so none polls for it."""
+        if self._leader() is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._leader_known.wait()
+        return self._leader()
+
     async def _async_forward(
         self, leader: InstanceId, request: object, timeout_s: float
     ) -> Result[Any, Failure]:
--- a/mothshunt/consensus/waiting.py
+++ b/mothshunt/consensus/waiting.py
@@ -47,7 +47,7 @@
     def add(
         self, index: LogIndex, term: Term, outcome: asyncio.Future[Outcome]
     ) -> None:
-        """Wait for an entry; one of an earlier term at its place was superseded.
+        """Wait for an entry.
 
         :param index: Position of the entry.
         :param term: Its term.
@@ -55,8 +55,8 @@
         """
         earlier = self._proposal_by_index.get(index)
         if earlier is not None:
-            # A leader appends only where its log ends, so the earlier entry is gone.
-            settle(earlier.outcome, Error(superseded()))
+            # It is gone from this log, but another node that holds it may still lead.
+            settle(earlier.outcome, Error(unknown("dropped here by another leader")))
         self._proposal_by_index[index] = AppendedProposal(term=term, outcome=outcome)
 
     def applied(self, index: LogIndex, term: Term, outcome: bytes) -> None:
--- a/tests/consensus/fatal.feature
+++ b/tests/consensus/fatal.feature
@@ -23,3 +23,13 @@
     Given a state of 100000 bytes and snapshots after 10 commands, 1000 at most
     Then with commands of 100 bytes the next snapshot is due after 379 commands
     And with commands of 10 bytes the next snapshot is due after 1000 commands
+
+  Scenario: A command whose place another one took may still be accepted elsewhere
+    Given a command that waits for index 5 of term 1
+    When this instance leads again and appends another command at index 5 of term 3
+    Then the outcome of the first command is unknown
+
+  Scenario: A command whose place another accepted one took will never run
+    Given a command that waits for index 5 of term 1
+    When an entry of term 2 is applied at index 5
+    Then the first command surely did not run
--- a/tests/steps/consensus_fatal.py
+++ b/tests/steps/consensus_fatal.py
@@ -1,5 +1,6 @@
 """Steps for control instances whose disk or state fails."""
 
+import asyncio
 import errno
 
 from behave import given, then, when
@@ -8,6 +9,7 @@
 from mothshunt.consensus.config import ConsensusConfig
 from mothshunt.consensus.types import Entry, EntryKind, Snapshot
 from mothshunt.consensus.voters import EMPTY
+from mothshunt.consensus.waiting import ProposalWaiters
 from mothshunt.core.types import Ran
 from mothshunt.metrics.registry import Metrics
 
@@ -145,3 +147,35 @@
         )
         applier.apply([command])
     assert applied == count, applied
+
+
+@given("a command that waits for index {index:d} of term {term:d}")
+def command_waits(context, index, term):
+    context.event_loop = asyncio.new_event_loop()
+    context.stack.callback(context.event_loop.close)
+    context.waiters = ProposalWaiters()
+    context.outcome = context.event_loop.create_future()
+    context.waiters.add(index, term, context.outcome)
+
+
+@when(
+    "this instance leads again and appends another command at index {index:d}"
+    " of term {term:d}"
+)
+def another_appended(context, index, term):
+    context.waiters.add(index, term, context.event_loop.create_future())
+
+
+@when("an entry of term {term:d} is applied at index {index:d}")
+def another_applied(context, term, index):
+    context.waiters.applied(index, term, b"outcome of another command")
+
+
+@then("the outcome of the first command is unknown")
+def outcome_unknown(context):
+    assert context.outcome.result().error.ran is Ran.UNKNOWN
+
+
+@then("the first command surely did not run")
+def surely_not_run(context):
+    assert context.outcome.result().error.ran is Ran.NO
