--- a/mothshunt/lookup/coordinator.py
+++ b/mothshunt/lookup/coordinator.py
@@ -2,15 +2,15 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 from aiohttp import web
 
 from mothshunt.configuration.model import Configuration, ConfigurationSource
+from mothshunt.contract.model import Contract
 from mothshunt.core.codes import Failure
 from mothshunt.core.const import HEADER_CODE, HEADER_RAN, HEADER_RETRY_AFTER
-from mothshunt.core.types import AvailabilityZoneId, CustomerId, RegionId, ServiceName
+from mothshunt.core.types import AvailabilityZoneId, RegionId
 from mothshunt.lookup import codes
 from mothshunt.lookup.answers import AnswerBodies
 from mothshunt.lookup.const import (
@@ -27,22 +27,6 @@
 _HEADERS = {"Content-Type": "application/json"}
 
 
-@dataclass(frozen=True, slots=True)
-class Query:
-    """Hold what a look-up asks.
-
-    :param customer: Customer of the service.
-    :param service: Service that the caller wants.
-    :param group: Group of the client; ``None`` when its address is malformed.
-    :param names_client: Whether the query, not the sender's address, gave the group.
-    """
-
-    customer: CustomerId
-    service: ServiceName
-    group: int | None
-    names_client: bool = True
-
-
 class LookupHandler:
     """Answer which entry instances a caller should use.
 
@@ -71,6 +55,7 @@
         self._is_ready = is_ready
         self._metrics = metrics
         self._body_by_path: dict[str, bytes] = {}
+        self._contract_by_service: dict[tuple[str, str], Contract] = {}
         self._seen_entries: Sequence[EntryPresence] | None = None
         self._seen_configuration: Configuration | None = None
         self._series = Series("mothshunt_lookups_total")
@@ -85,44 +70,52 @@
             return self._refuse(
                 Failure(code=codes.NOT_READY, retry_after_s=RETRY_AFTER_S)
             )
-        configuration = self._refresh()
+        self._refresh()
         path = request.raw_path
         body = self._body_by_path.get(path)
         if body is None:
-            query = _parse(path, request)
-            answer = self.answer(query, configuration)
+            parameters = _parse(path)
+            client = parameters.get(PARAM_CLIENT)
+            answer = self.answer(
+                parameters.get(PARAM_CUSTOMER, ""),
+                parameters.get(PARAM_SERVICE, ""),
+                client or request.remote or "",
+            )
             if isinstance(answer, Failure):
                 return self._refuse(answer)
             body = answer
-            if query.names_client:
+            if client:
                 self._keep(path, body)
         counters = self._metrics.counter_by_series
         counters[self._series] = counters.get(self._series, 0) + 1
         return web.Response(body=body, headers=_HEADERS)
 
-    def answer(self, query: Query, configuration: Configuration) -> bytes | Failure:
+    def answer(self, customer: str, service: str, client: str) -> bytes | Failure:
         """Return the body of an answer, or why there is none.
 
-        :param query: What is asked.
-        :param configuration: Configuration in force.
+        :param customer: Customer of the service.
+        :param service: Service that the caller wants.
+        :param client: IP number of the client.
         """
-        if query.group is None or not query.customer or not query.service:
+        group = client_group(client)
+        if group is None or not customer or not service:
             return Failure(code=codes.BAD_QUERY, detail="customer, service, client")
-        contract = configuration.contract_by_customer.get(query.customer)
-        if contract is None or contract.service(query.service) is None:
-            detail = f"{query.customer}/{query.service}"
+        contract = self._contract_by_service.get((customer, service))
+        if contract is None:
+            detail = f"{customer}/{service}"
             return Failure(code=codes.UNKNOWN_SERVICE, detail=detail)
-        body = self._bodies.body(contract, query.group)
+        body = self._bodies.body(contract, group)
         if body is None:
             return Failure(code=codes.NO_ENTRY, retry_after_s=RETRY_AFTER_S)
         return body
 
-    def _refresh(self) -> Configuration:
+    def _refresh(self) -> None:
         """Take over entries and configuration; what is kept falls when they change."""
         entries = self._entries.entries()
         configuration = self._configuration.current()
         if configuration is not self._seen_configuration:
             self._seen_configuration = configuration
+            self._contract_by_service = _by_service(configuration)
             self._body_by_path.clear()
             self._seen_entries = None
         if entries is not self._seen_entries:
@@ -130,7 +123,6 @@
             if self._table.update(entries, configuration.drains):
                 self._bodies.clear()
                 self._body_by_path.clear()
-        return configuration
 
     def _keep(self, path: str, body: bytes) -> None:
         if len(self._body_by_path) >= KEPT_ANSWERS_MAX:
@@ -153,7 +145,7 @@
         return web.json_response(document, status=code.http_status, headers=headers)
 
 
-def _parse(path: str, request: web.Request) -> Query:
+def _parse(path: str) -> dict[str, str]:
     """Parse a query; the URL library would cost as much as half a look-up."""
     text = path.partition("?")[2]
     try:
@@ -162,10 +154,12 @@
         parameters = {}
     if not parameters or "%" in text or "+" in text:
         parameters = dict(parse_qsl(text))
-    client = parameters.get(PARAM_CLIENT, "")
-    return Query(
-        CustomerId(parameters.get(PARAM_CUSTOMER, "")),
-        ServiceName(parameters.get(PARAM_SERVICE, "")),
-        client_group(client or request.remote or ""),
-        bool(client),
-    )
+    return parameters
+
+
+def _by_service(configuration: Configuration) -> dict[tuple[str, str], Contract]:
+    return {
+        (customer, item.service): contract
+        for customer, contract in configuration.contract_by_customer.items()
+        for item in contract.services
+    }
