Let the raw target note a loss that its writer meets first

Cause: 'A caller that leaves during an answer is not held against the target' failed now and then. The connection was lost each time, but when the reset reached the writer in drain() before the reader saw the end, the target did not note it.

--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -71,7 +71,12 @@
                 work.cancel()
                 await asyncio.gather(work, return_exceptions=True)
                 raise ConnectionResetError
-        work.result()
+        try:
+            work.result()
+        except ConnectionError:
+            # The writer noticed the loss before the reader did.
+            self.lost.set()
+            raise
 
     async def _read(self, reader, connection) -> RawRequest:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
