Let an administrator remove the record of an instance that is gone for good

A seat is given again only after its holder has left, so a replaced instance kept its seat for ever; with four seats a region, the fifth had no static share. DELETE /v1/instances/ID and 'mothshunt members forget ID' remove the record of an instance that counts as lost, as a change with an id, in the audit trail.

Weighed: removal by itself after some time (ruled out: a cut-off instance still uses the static share of its seat, and only an operator knows that it is off).

--- a/mothshunt/admin/api.py
+++ b/mothshunt/admin/api.py
@@ -46,7 +46,13 @@
         changes=changes,
         clock=clock,
     )
-    instances = InstanceHandlers(instance=instance, status=status, source=source)
+    instances = InstanceHandlers(
+        instance=instance,
+        status=status,
+        source=source,
+        configuration=configuration,
+        changes=changes,
+    )
     routes = (
         *ContractHandlers(configuration, source, changes).routes(),
         *HistoryHandlers(configuration, changes).routes(),
--- a/mothshunt/admin/codes.py
+++ b/mothshunt/admin/codes.py
@@ -142,6 +142,20 @@
     summary="The administration API met an error of its own.",
     action="See the logs of the instance; please report it.",
 )
+INSTANCE_UNKNOWN = ResultCode(
+    number=3022,
+    name="instance_unknown",
+    http_status=404,
+    summary="No instance of this name is recorded.",
+    action="List the instances with `mothshunt status`.",
+)
+INSTANCE_NOT_LOST = ResultCode(
+    number=3023,
+    name="instance_not_lost",
+    http_status=409,
+    summary="The instance is reachable, so its record and its seat stay.",
+    action="Stop the instance first, and wait until its state is lost.",
+)
 REQUEST_MALFORMED = ResultCode(
     number=3020,
     name="admin_request_malformed",
--- a/mothshunt/admin/const.py
+++ b/mothshunt/admin/const.py
@@ -31,6 +31,9 @@
 ATTR_NAME = "name"
 ATTR_OPERATOR = "operator"
 ATTR_VOTER = "voter"
+ATTR_INSTANCE = "instance"
+
+STATE_LOST = "lost"
 
 METRIC_REQUESTS = "mothshunt_admin_requests_total"
 METRIC_REFUSALS = "mothshunt_refusals_total"
--- a/mothshunt/admin/progress.py
+++ b/mothshunt/admin/progress.py
@@ -3,13 +3,13 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from mothshunt.admin.const import STATE_LOST
 from mothshunt.admin.deployment_model import DrainDocument
 from mothshunt.configuration.service import InstanceStatus
 from mothshunt.core.types import Revision
 from mothshunt.discovery.model import Target
 from mothshunt.drain.model import Drain, DrainKind
 
-STATE_LOST = "lost"
 #: Seconds after which a target's change of load is known here: it is announced each
 #: second, told of each second at most, and only when it changed.
 TARGET_REPORT_DELAY_S = 3.0
--- a/mothshunt/cli/commands/members.py
+++ b/mothshunt/cli/commands/members.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from mothshunt.cli.changes import ChangeRequest, add_change_options, async_change
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.const import (
     CONFIRMED_GIVE_UP_S,
@@ -36,6 +37,14 @@
     )
     remove = add_command(group, "remove", "remove a voter", _async_remove)
     remove.add_argument("instance", help="name of the instance")
+    forget = add_command(
+        group,
+        "forget",
+        "remove the record of an instance that is gone for good",
+        _async_forget,
+    )
+    forget.add_argument("instance", help="name of the instance, which must be lost")
+    add_change_options(forget)
 
 
 async def _async_list(
@@ -76,6 +85,17 @@
     return answer.map(lambda document: CommandOutput(document=document))
 
 
+async def _async_forget(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    request = ChangeRequest(
+        method="DELETE",
+        path=path_of("instances", arguments.instance),
+        base_revision=arguments.base_revision or 0,
+    )
+    return await async_change(client, arguments, request, wait=False)
+
+
 async def _async_remove(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
--- a/tests/steps/admin_operators.py
+++ b/tests/steps/admin_operators.py
@@ -9,9 +9,9 @@
 from mothshunt.consensus.model import Voter
 from mothshunt.core.types import Role, TargetState
 from mothshunt.discovery.model import LoadReport, Target
-from mothshunt.membership.model import InstanceRecord
 from tests.steps.admin_api import put_contract, send
 from tests.support import contracts
+from tests.support.admin_records import record_instance
 from tests.support.contracts import parsed
 
 
@@ -69,28 +69,12 @@
 
 @given('the instance "{name}" is recorded')
 def instance_is_recorded(context, name):
-    record_instance(context, name, Role.CONTROL)
+    record_instance(context.admin, name, Role.CONTROL)
 
 
 @given('the instance "{name}" is recorded as an entry only')
 def entry_is_recorded(context, name):
-    record_instance(context, name, Role.ENTRY)
-
-
-def record_instance(context, name, role):
-    context.admin.source.instance_by_id[name] = InstanceRecord(
-        id=name,
-        region="north",
-        availability_zone="north-b",
-        roles=(role,),
-        traffic_host="",
-        traffic_port=0,
-        admin_host="127.0.0.1",
-        admin_port=8002,
-        peer_host="127.0.0.1",
-        peer_port=8003,
-        seat=0,
-    )
+    record_instance(context.admin, name, Role.ENTRY)
 
 
 @given("the voters are {count:d} instances")
