Let the limit of silence grow with a service that became slow

Cause: requests cut off at the limit were not measured, so that a service slower than its limit would have been retried on every reused connection. The limit now counts as an answer time.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -116,8 +116,8 @@
             now = self._clock.monotonic()
             return now < deadline and self._chooser.may_dispatch(choice, now)
 
-        handover = self._watch.begin(deadline, may_send)
         outgoing = self._outgoing(exchange, choice, may_retry, now)
+        handover = self._watch.begin(deadline, may_send)
         try:
             result = await self._async_exchange(exchange, outgoing, handover)
             outcome = _outcome(result)
@@ -127,7 +127,7 @@
             outcome = Outcome.TIMED_OUT
             if exchange.passed_on:
                 raise AnswerBrokenOffError("the deadline passed") from None
-            return self._timed_out(handover, outgoing)
+            return self._timed_out(exchange.route, handover, outgoing)
         except AnswerBrokenOffError:
             outcome = Outcome.BROKEN
             raise
@@ -138,10 +138,14 @@
             self._chooser.finish(choice, outcome, self._clock.monotonic())
         return result
 
-    def _timed_out(self, handover: Handover, outgoing: Outgoing) -> AttemptFailure:
+    def _timed_out(
+        self, route: Route, handover: Handover, outgoing: Outgoing
+    ) -> AttemptFailure:
         reason = RetryReason.TIMED_OUT
         if handover.expiry is Expiry.SILENCE:
             reason = RetryReason.SILENT
+            # Without this, a service that grew slow would be cut off for good.
+            self._answer_time(route).observe(outgoing.silence_limit_s or 0.0)
             # What lost track of one connection may have lost the others as well.
             self._client.retire(outgoing.authority)
         return AttemptFailure.from_reason(reason, handed_over=handover.done)
--- a/tests/dispatch/retries.feature
+++ b/tests/dispatch/retries.feature
@@ -44,3 +44,9 @@
 
   Scenario: A bucket takes what the contract allows and no more
     Then 1000 first attempts with ratio 0.1 and 2 per s allow 120 retries in 10 s
+
+  Scenario: The limit of silence follows the service
+    Then after 50 answers in 0.01 s a kept-alive connection may stay silent for 0.25 s
+    And after 50 answers in 0.2 s a kept-alive connection may stay silent for 0.6 s
+    And after 50 answers in 5 s a kept-alive connection may stay silent for 2 s
+    And the limit of silence reaches 1 s when every answer stays out after a fast one
--- a/tests/steps/dispatch_input.py
+++ b/tests/steps/dispatch_input.py
@@ -8,6 +8,7 @@
 
 from mothshunt.contract.model import RetryBudget
 from mothshunt.dispatch.retry import TokenBucket
+from mothshunt.dispatch.silence import AnswerTime
 from tests.support.dispatch_entry import BASE, send
 
 
@@ -204,3 +205,26 @@
 def accepts_none(context):
     status, _, _ = context.runner.run(send(context, "GET", "/v1/lookup"))
     assert status is None, status
+
+
+@then(
+    "after {count:d} answers in {usual_s:g} s "
+    "a kept-alive connection may stay silent for {limit_s:g} s"
+)
+def silence_limit(context, count, usual_s, limit_s):
+    answer_time = AnswerTime()
+    for _ in range(count):
+        answer_time.observe(usual_s)
+    assert abs(answer_time.silence_limit_s() - limit_s) < 0.01
+
+
+@then(
+    "the limit of silence reaches {limit_s:g} s "
+    "when every answer stays out after a fast one"
+)
+def silence_grows(context, limit_s):
+    answer_time = AnswerTime()
+    answer_time.observe(0.005)
+    for _ in range(20):
+        answer_time.observe(answer_time.silence_limit_s())
+    assert answer_time.silence_limit_s() >= limit_s
