--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -71,7 +71,12 @@
                 work.cancel()
                 await asyncio.gather(work, return_exceptions=True)
                 raise ConnectionResetError
-        work.result()
+        try:
+            work.result()
+        except ConnectionError:
+            # The writer noticed the loss before the reader did.
+            self.lost.set()
+            raise
 
     async def _read(self, reader, connection) -> RawRequest:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -205,6 +210,13 @@
         await asyncio.sleep(3600)
 
 
+async def slow_later(target, request, writer) -> None:
+    """Answer the first request at once, and each later one after a while."""
+    if len(target.requests) > 1:
+        await asyncio.sleep(0.6)
+    await ok(target, request, writer)
+
+
 async def large_then_silent(target, request, writer) -> None:
     """Go silent in the middle of a large answer."""
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
@@ -228,6 +240,7 @@
 
 
 BEHAVIOURS = {
+    "is slow after its first request": slow_later,
     "answers twice, the second time soon": doubled_soon,
     "answers the first request late": late_once,
     "answers the first request of a connection only": first_only,
