--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -119,8 +119,8 @@
             now = self._clock.monotonic()
             return now < deadline and self._chooser.may_dispatch(choice, now)
 
-        handover = self._watch.begin(deadline, may_send)
         outgoing = self._outgoing(exchange, choice, may_retry, now)
+        handover = self._watch.begin(deadline, may_send)
         try:
             result = await self._async_exchange(exchange, outgoing, handover)
             outcome = _outcome(result)
@@ -148,6 +148,9 @@
         if handover.expiry is Expiry.SILENCE:
             reason = RetryReason.SILENT
             exchange.met_silence = True
+            # Without this, a service that grew slow would be cut off for good.
+            answer_time = self._answer_time(exchange.route)
+            answer_time.observe(outgoing.silence_limit_s or 0.0)
             # What lost track of one connection may have lost the others as well.
             self._client.retire(outgoing.authority)
         return AttemptFailure.from_reason(reason, handed_over=handover.done)
