--- a/testkit/environment.py
+++ b/testkit/environment.py
@@ -155,14 +155,6 @@
             document, base_revision=base_revision, change_id=new_change_id()
         )
 
-    def revision_by_instance(self) -> dict[str, int]:
-        """Return the revision in force at each running instance; -1 for no answer."""
-        return {
-            item.id: item.revision()
-            for item in self.deployment.instances
-            if item.process.is_running()
-        }
-
     def leader(self) -> str:
         """Return the control instance that leads, of the newest term that one leads."""
         found: list[str] = []
