--- /dev/null
+++ b/mothshunt/consensus/const.py
@@ -0,0 +1,43 @@
+"""Constants of the replicated log."""
+
+HEARTBEAT_S = 0.4
+ELECTION_MIN_S = 1.4
+ELECTION_MAX_S = 2.4
+#: Appends without an answer are sent again after this long.
+RESEND_S = 0.8
+#: Time between two looks at whether the stream to the leader is open.
+LEADER_CHECK_S = 0.1
+#: After the stream to the leader closed, an election starts within these times; the
+#: others have noticed by then.
+LOST_MIN_S = 0.15
+LOST_MAX_S = 0.45
+#: Longest time in which a leader tries to hand over its leadership.
+TRANSFER_TIMEOUT_S = 1.5
+
+#: Most voters and learners together.
+MAX_MEMBERS = 7
+#: Bytes that an entry takes besides its data, about.
+ENTRY_OVERHEAD_BYTES = 32
+MAX_APPEND_BYTES = 256 * 1024
+MAX_APPENDS_IN_FLIGHT = 8
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+MAX_COMMAND_BYTES = 1024 * 1024
+#: Proposals are refused while more than this waits to be committed.
+MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
+
+#: Entries applied since the last snapshot after which a new one is taken.
+SNAPSHOT_AFTER_ENTRIES = 4096
+#: Entries kept before a snapshot for followers that lag a little.
+#: The same where the state is large, whatever its size.
+SNAPSHOT_AFTER_ENTRIES_AT_MOST = 32768
+KEEP_ENTRIES = 1024
+SEGMENT_BYTES = 8 * 1024 * 1024
+
+HELLO_INTERVAL_S = 0.5
+HELLO_TIMEOUT_S = 1.0
+#: Time after which a caller may try again while there is no leader.
+RETRY_AFTER_S = 1.0
+#: Pause before a proposal or read that was surely not taken is tried again.
+RETRY_PAUSE_S = 0.05
+#: Longest wait for one answer to a read before it is asked again.
+READ_ATTEMPT_S = 1.0
--- a/mothshunt/metrics/registry.py
+++ b/mothshunt/metrics/registry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 from hdrh.histogram import HdrHistogram
 
@@ -9,6 +10,8 @@
 HIGHEST_LATENCY_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
+#: Digits of a gauge; 6, the default of Python, would round byte counts.
+GAUGE_DIGITS = 15
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
@@ -77,6 +80,17 @@
         :param seconds: The latency.
         :param labels: Labels of the series.
         """
+        _record(self._histogram(name, labels), seconds)
+
+    def recorder(self, name: str, **labels: str) -> Callable[[float], None]:
+        """Return a function that records latencies of one series, in seconds.
+
+        :param name: Metric name; ends in ``_seconds``.
+        :param labels: Labels of the series.
+        """
+        return partial(_record, self._histogram(name, labels))
+
+    def _histogram(self, name: str, labels: dict[str, str]) -> HdrHistogram:
         series = _series(name, labels)
         histogram = self.histogram_by_series.get(series)
         if histogram is None:
@@ -84,8 +98,7 @@
                 LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS
             )
             self.histogram_by_series[series] = histogram
-        value_us = max(LOWEST_LATENCY_US, int(seconds * MICROSECONDS_PER_SECOND))
-        histogram.record_value(min(value_us, HIGHEST_LATENCY_US))
+        return histogram
 
     def render(self) -> str:
         """Return all metrics in the text exposition format."""
@@ -95,7 +108,7 @@
         for series, count in sorted(self.counter_by_series.items(), key=_by_text):
             yield f"{series.render()} {count}"
         for series, read in sorted(self.gauge_by_series.items(), key=_by_text):
-            yield f"{series.render()} {read():g}"
+            yield f"{series.render()} {read():.{GAUGE_DIGITS}g}"
         for series, histogram in sorted(self.histogram_by_series.items(), key=_by_text):
             yield from _histogram_lines(series, histogram)
 
@@ -104,6 +117,11 @@
     return Series(name, tuple(sorted(labels.items())))
 
 
+def _record(histogram: HdrHistogram, seconds: float) -> None:
+    value_us = max(LOWEST_LATENCY_US, int(seconds * MICROSECONDS_PER_SECOND))
+    histogram.record_value(min(value_us, HIGHEST_LATENCY_US))
+
+
 def _by_text(item: tuple[Series, object]) -> str:
     return item[0].render()
 
