--- a/bench/slopes/control.py
+++ b/bench/slopes/control.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -285,7 +284,3 @@
         "bytes_per_s": (after.peer_bytes - before.peer_bytes) / seconds,
         "memory_mib": after.memory_bytes / MEBIBYTE,
     }
-
-
-if __name__ == "__main__":
-    print(json.dumps(measure("--quick" in sys.argv)))
--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -1,6 +1,7 @@
 """The life of one instance: start, service and graceful stop."""
 
 import asyncio
+import gc
 from dataclasses import dataclass
 
 from expression import Result
@@ -105,6 +106,10 @@
         await self._async_start_entry(incarnation)
         self.is_ready = True
         self.base.reporter.set_state(InstanceState.READY)
+        # What was made so far lives as long as the process: no collection of
+        # garbage need look at it again.
+        gc.collect()
+        gc.freeze()
         _LOGGER.info("ready", revision=self.base.holder.current().revision)
 
     async def async_stop(self) -> None:
