Count each refusal of a caller once, under one label

Cause: dispatch counted refusals by 'code' and steering by 'reason' in one series, so a request that found no target was counted twice and a query by either label saw a part. Choices that found no target have a series of their own now; one may be followed by a retry and is no refusal yet.

--- a/mothshunt/dispatch/refusal.py
+++ b/mothshunt/dispatch/refusal.py
@@ -26,7 +26,7 @@
     :param failure: Why the request got no answer from a target.
     :param request_id: Name of the request, where it has one.
     """
-    metrics.count(METRIC_REFUSALS, code=failure.code.name)
+    metrics.count(METRIC_REFUSALS, reason=failure.code.name)
     response = refusal(failure)
     if request_id is not None:
         response.headers[HEADER_REQUEST_ID] = request_id
--- a/mothshunt/steering/coordinator.py
+++ b/mothshunt/steering/coordinator.py
@@ -228,7 +228,7 @@
             _wake(waiting)
 
     def _count_refusal(self, failure: Failure) -> None:
-        self._metrics.count("mothshunt_refusals_total", reason=failure.code.name)
+        self._metrics.count("mothshunt_choices_refused_total", reason=failure.code.name)
 
 
 def _wake(waiting: asyncio.Future[None]) -> None:
--- a/tests/dispatch/bad_input.feature
+++ b/tests/dispatch/bad_input.feature
@@ -4,7 +4,7 @@
     Given a dispatch entry
     When raw bytes <text> are sent to the dispatch entry
     Then the raw answer has code 2001
-    And the dispatch counter mothshunt_refusals_total with code "malformed_http" is 1
+    And the dispatch counter mothshunt_refusals_total with reason "malformed_http" is 1
     And the dispatch entry still answers
 
     Examples:
