Run background tasks again after an error

Cause: an error in one turn of a loop (a beat, a report, a relay) ended the loop silently; the instance would have gone on without deliveries.

--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -22,6 +22,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, LogIndex, Revision
+from mothshunt.helpers.tasks import async_cancel, start_background
 
 NEVER_CONFIRMED_AGE_MS = 3_600_000
 
@@ -53,12 +54,11 @@
         self.log.on_applied(self._on_applied)
         self.network.on_message(Subscribe, self._on_subscribe)
         self.network.on_request(ConfirmedRevisionRequest, self._async_confirm)
-        self._task = asyncio.create_task(self._async_beat())
+        self._task = start_background("configuration-beat", self._async_beat)
 
     async def async_stop(self) -> None:
         """End delivery."""
-        if self._task is not None:
-            self._task.cancel()
+        await async_cancel(self._task)
 
     def confirmed_age_ms(self, now: float) -> int:
         """Return the time since a majority confirmed this instance, in milliseconds.
--- a/mothshunt/discovery/coordinator.py
+++ b/mothshunt/discovery/coordinator.py
@@ -12,6 +12,7 @@
 from mothshunt.discovery.announcements import Announcements
 from mothshunt.discovery.messages import TargetRow, TargetRows
 from mothshunt.discovery.state import TargetTable
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.model import EntryDirectory
 
 
@@ -40,12 +41,11 @@
 
     async def async_start(self) -> None:
         """Begin to spread and to learn."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = start_background("discovery", self._async_run)
 
     async def async_stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await async_cancel(self._task)
 
     def on_attach(self, hub: InstanceId) -> None:
         """Tell a control instance of all targets announced here.
--- a/mothshunt/discovery/relay.py
+++ b/mothshunt/discovery/relay.py
@@ -12,6 +12,7 @@
 from mothshunt.discovery.load_budget import LoadBudget
 from mothshunt.discovery.messages import LoadRow, TargetRow, TargetRows
 from mothshunt.discovery.state import TargetTable
+from mothshunt.helpers.tasks import async_cancel, start_background
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,13 +58,13 @@
     async def async_start(self) -> None:
         """Begin to pass on."""
         self.network.on_message(TargetRows, self.handle)
-        self._tasks.append(asyncio.create_task(self._async_sweep()))
-        self._tasks.append(asyncio.create_task(self._async_pass_on_loads()))
+        self._tasks.append(start_background("relay-sweep", self._async_sweep))
+        self._tasks.append(start_background("relay-loads", self._async_pass_on_loads))
 
     async def async_stop(self) -> None:
         """End."""
         for task in self._tasks:
-            task.cancel()
+            await async_cancel(task)
 
     def welcome(self, instance: InstanceId) -> None:
         """Tell an instance that has just attached of all targets.
--- a/mothshunt/membership/hub.py
+++ b/mothshunt/membership/hub.py
@@ -20,6 +20,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import Incarnation, InstanceId, RegionId, Revision, Role
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import const
 from mothshunt.membership.messages import (
     Done,
@@ -70,12 +71,11 @@
         self.network.on_request(StandingRequest, self._async_stand)
         self.network.on_connect(self._on_connect)
         self.network.on_disconnect(self._on_disconnect)
-        self._task = asyncio.create_task(self._async_tick())
+        self._task = start_background("presence", self._async_tick)
 
     async def async_stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await async_cancel(self._task)
 
     def on_attached(self, listener: Callable[[InstanceId], None]) -> None:
         """Call a listener each time an instance attached here.
--- a/mothshunt/membership/reporter.py
+++ b/mothshunt/membership/reporter.py
@@ -11,6 +11,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import Incarnation, InstanceId, InstanceState
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import codes, const
 from mothshunt.membership.messages import Done, Join, Leave, Report, Rows
 from mothshunt.membership.model import InstanceRecord
@@ -52,8 +53,7 @@
 
     async def async_stop(self) -> None:
         """End the reports."""
-        if self._task is not None:
-            self._task.cancel()
+        await async_cancel(self._task)
 
     async def async_join(self) -> Result[Incarnation, Failure]:
         """Have this instance recorded; tried until a control instance answers.
@@ -67,7 +67,7 @@
             match answer:
                 case Result(tag="ok", ok=Done(is_accepted=True) as done):
                     self.incarnation = done.incarnation
-                    self._task = asyncio.create_task(self._async_report())
+                    self._task = start_background("presence-report", self._async_report)
                     return Ok(done.incarnation)
                 case Result(tag="ok", ok=Done(incarnation=number) as done) if number:
                     failure = Failure(code=codes.JOIN_REFUSED, detail=done.detail)
--- a/mothshunt/membership/uplink.py
+++ b/mothshunt/membership/uplink.py
@@ -16,6 +16,7 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import codes, const
 from mothshunt.settings.config import ControlPeer, Settings
 
@@ -55,12 +56,11 @@
 
     async def async_start(self) -> None:
         """Begin to keep the stream."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = start_background("uplink", self._async_run)
 
     async def async_stop(self) -> None:
         """End."""
-        if self._task is not None:
-            self._task.cancel()
+        await async_cancel(self._task)
 
     def on_attach(self, listener: Callable[[InstanceId], None]) -> None:
         """Call a listener each time this instance attached to a control instance.
