Repeat a pre-vote that got no answer sooner

Cause: when all streams go silent, the first pre-votes are lost with them, and the next came 1.4 to 2.4 s later, though new streams may work long before. A pre-vote raises no term, so it may be repeated after 0.56 to 1.12 s.

--- a/mothshunt/consensus/election.py
+++ b/mothshunt/consensus/election.py
@@ -46,7 +46,10 @@
     :param state: The node.
     :param now: Monotonic time, in seconds.
     """
-    state.reset_election(now)
+    # A pre-vote raises no term, so one without an answer may be repeated soon: streams
+    # that had gone silent come back at any moment.
+    wait_s = state.config.election_min_s * state.random.uniform(0.4, 0.8)
+    state.election_due = now + wait_s
     state.leader = None
     if not state.may_campaign:
         return
