--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -55,8 +56,9 @@
     )
     _waiter_by_correlation: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
     _last_correlation: int = 0
-    _heard_at: float = 0.0
-    _sent_at: float = 0.0
+    _heard_at: float = math.inf
+    _sent_at: float = math.inf
+    _silence: Failure | None = None
 
     def post(self, item: Frame) -> bool:
         """Queue a frame without waiting.
@@ -115,17 +117,28 @@
         tasks = [
             asyncio.create_task(self._async_receive()),
             asyncio.create_task(self._async_send()),
-            asyncio.create_task(self._async_watch()),
         ]
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            return next((t.result() for t in done if not t.exception()), None)
+            failures = [t.result() for t in done if not t.exception()]
+            return self._silence or next(iter(failures), None)
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             self.close()
 
+    def watch(self, now: float) -> None:
+        """Send a heartbeat when one is due, and close a silent stream.
+
+        :param now: Monotonic time, in seconds.
+        """
+        if now - self._heard_at > const.SILENCE_TIMEOUT_S:
+            self._silence = Failure(code=codes.PEER_SILENT, detail=self.peer)
+            self.close()
+        elif now - self._sent_at >= const.HEARTBEAT_INTERVAL_S:
+            self.post(frame.HEARTBEAT)
+
     def close(self) -> None:
         """Close the socket and fail the requests that wait."""
         if self.closed:
@@ -172,12 +185,3 @@
                 self._sent_at = self.clock.monotonic()
                 await self.writer.drain()
         return None
-
-    async def _async_watch(self) -> Failure | None:
-        while True:
-            await asyncio.sleep(const.HEARTBEAT_INTERVAL_S / 2)
-            now = self.clock.monotonic()
-            if now - self._heard_at > const.SILENCE_TIMEOUT_S:
-                return Failure(code=codes.PEER_SILENT, detail=self.peer)
-            if now - self._sent_at >= const.HEARTBEAT_INTERVAL_S:
-                self.post(frame.HEARTBEAT)
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -17,6 +17,7 @@
 from mothshunt.helpers.peer.admission import HandshakeAdmission
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.link import PeerLink, Traffic
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address, Settings
 
@@ -57,6 +58,7 @@
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _admission: HandshakeAdmission = field(default_factory=HandshakeAdmission)
     _server: asyncio.Server | None = None
+    _watcher: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(
@@ -81,11 +83,13 @@
         self._server = await asyncio.start_server(
             self._async_accept, self.listen.host, self.listen.port
         )
+        self._watcher = start_background("peer-watch", self._async_watch)
 
     async def async_stop(self) -> None:
         """Close all streams."""
         if self._server is not None:
             self._server.close()
+        await async_cancel(self._watcher)
         tasks = [*self._dialler_by_peer.values(), *self._tasks]
         self._dialler_by_peer.clear()
         for task in tasks:
@@ -184,6 +188,14 @@
             link = self._accepted_by_peer.get(peer)
         return link
 
+    async def _async_watch(self) -> None:
+        while True:
+            await asyncio.sleep(const.WATCH_INTERVAL_S)
+            now = self.clock.monotonic()
+            dialled = self._dialled_by_peer.values()
+            for link in [*dialled, *self._accepted_by_peer.values()]:
+                link.watch(now)
+
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
