Show the shares of each limit; test the end of a wait without the clock

The feature on the wait compared a real time with a bound of 0.2 s and could fail on a busy machine. The bound itself is now a pure function and tested exactly; the run in real time asks only for half a minute before the deadline.

--- a/mothshunt/limits/coordinator.py
+++ b/mothshunt/limits/coordinator.py
@@ -26,6 +26,7 @@
 from mothshunt.limits.grantor import Grantor
 from mothshunt.limits.holder import Holder
 from mothshunt.limits.messages import Grant, Renewal, RenewalRefused
+from mothshunt.limits.model import LimitKey
 from mothshunt.limits.shares import limit_by_key, static_share
 from mothshunt.metrics.registry import Metrics
 
@@ -91,6 +92,8 @@
             for key, limit in limit_by_key(current).items()
         }
         self.holder.configure(current.revision, static_by_key)
+        for key in static_by_key:
+            self._show(key)
 
     def ask_soon(self) -> None:
         """Ask for more room as soon as the rate limit allows."""
@@ -139,6 +142,19 @@
         for listener in self._listeners:
             listener()
 
+    def _show(self, key: LimitKey) -> None:
+        """Register the gauges of one limit."""
+        labels = {"customer": key.customer, "kind": key.kind.value, "limit": key.name}
+        holder, clock = self.holder, self._clock
+        self._metrics.gauge(
+            "mothshunt_limit_share",
+            lambda: holder.capacity(key, clock.monotonic()),
+            **labels,
+        )
+        self._metrics.gauge(
+            "mothshunt_limit_in_use", lambda: holder.in_use(key), **labels
+        )
+
     def _count(self, outcome: str) -> None:
         self._metrics.count("mothshunt_limits_renewals_total", outcome=outcome)
 
--- a/mothshunt/steering/coordinator.py
+++ b/mothshunt/steering/coordinator.py
@@ -25,14 +25,9 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.steering import codes
 from mothshunt.steering.chooser import Chooser, Place
-from mothshunt.steering.const import (
-    PATIENCE_S,
-    RETRY_AFTER_MIN_S,
-    WAIT_DEADLINE_RATIO,
-    WAIT_S,
-)
+from mothshunt.steering.const import PATIENCE_S, RETRY_AFTER_MIN_S
 from mothshunt.steering.model import Choice, Outcome
-from mothshunt.steering.waiting import WaitingRoom
+from mothshunt.steering.waiting import WaitingRoom, give_up_at
 
 #: Refusals that name nothing that could change within moments.
 _FINAL = frozenset({codes.UNKNOWN_SERVICE, codes.NO_TARGET, codes.TARGETS_FAILING})
@@ -162,13 +157,13 @@
     ) -> Result[Choice, Failure]:
         now = self._clock.monotonic()
         patient_until = now + PATIENCE_S
-        give_up_at = now + min(WAIT_S, (deadline - now) * WAIT_DEADLINE_RATIO)
+        refuse_at = give_up_at(now, deadline)
         result = self._try(request, now, counted=True, patient=True)
         counted_away = False
         while result.is_error() and result.error.code not in _FINAL:
             patient = now < patient_until
-            wait_until = min(patient_until, give_up_at) if patient else give_up_at
-            if now >= give_up_at:
+            wait_until = min(patient_until, refuse_at) if patient else refuse_at
+            if now >= refuse_at:
                 break
             if not await self._async_room(request, wait_until - now):
                 return Error(_too_many_waiting())
--- a/mothshunt/steering/waiting.py
+++ b/mothshunt/steering/waiting.py
@@ -6,11 +6,20 @@
 from typing import Generic, TypeVar
 
 from mothshunt.core.types import CustomerId, ServiceName
-from mothshunt.steering.const import WAITING_MAX
+from mothshunt.steering.const import WAIT_DEADLINE_RATIO, WAIT_S, WAITING_MAX
 
 T = TypeVar("T")
 
 
+def give_up_at(now: float, deadline: float) -> float:
+    """Return when a request that finds no room is refused, in seconds.
+
+    :param now: Monotonic time of its arrival, in seconds.
+    :param deadline: Monotonic time by which its caller needs an answer, in seconds.
+    """
+    return now + min(WAIT_S, (deadline - now) * WAIT_DEADLINE_RATIO)
+
+
 @dataclass(slots=True)
 class _Line(Generic[T]):
     """Hold the waiting requests of one service, commitments apart."""
