Outlive look-ups with lifetimes that were lowered before the leave

Cause: the leave of an entry waited for the lifetimes in force; an answer given just before a contract lowered its lifetime lasts longer (60 s lowered to 5 s: callers came until 58 s after the leave, the entry was gone after 12 s).

LeaveCoordinator follows the bound of lifetimes that lookup keeps; its own plan is gone.

--- a/mothshunt/daemon/entry.py
+++ b/mothshunt/daemon/entry.py
@@ -98,7 +98,9 @@
             leave=announcements.async_leave,
             metrics=metrics,
         )
-        leave = LeaveCoordinator(holder, clock, server.in_flight)
+        leave = LeaveCoordinator(clock, server.in_flight)
+        leave.on_configuration(holder.current())
+        holder.on_change(leave.on_configuration)
         return cls(
             limits=limits,
             steering=steering,
--- a/mothshunt/drain/coordinator.py
+++ b/mothshunt/drain/coordinator.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import Clock
 from mothshunt.drain import const
-from mothshunt.drain.state import LeavePlan
 from mothshunt.helpers.log import get_logger
+from mothshunt.lookup.lifetime import LifetimeBound
 
 _LOGGER = get_logger("drain")
 
@@ -17,21 +17,36 @@
 class LeaveCoordinator:
     """Keep an instance that leaves in service until nobody can depend on it.
 
-    :param source: The configuration in force.
     :param clock: Source of the present time.
     :param in_flight: Returns the requests in flight here.
     """
 
-    source: ConfigurationSource
     clock: Clock
     in_flight: Callable[[], int]
+    _bound: LifetimeBound = field(default_factory=LifetimeBound)
+    _has_contracts: bool = False
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Take over the lifetimes of look-ups.
+
+        :param configuration: The configuration in force.
+        """
+        self._bound.observe(configuration, self.clock.monotonic())
+        self._has_contracts |= bool(configuration.contract_by_customer)
+
+    def serve_until(self, now: float) -> float:
+        """Return the time after which no cached look-up names the instance.
+
+        :param now: Monotonic time of the leave, in seconds.
+        """
+        if not self._has_contracts:
+            return now
+        return self._bound.last_use(now + const.SPREAD_MARGIN_S)
 
     async def async_outlive_lookups(self) -> None:
         """Wait until every look-up answer that named the instance has expired."""
-        plan = LeavePlan.from_configuration(
-            self.source.current(), self.clock.monotonic()
-        )
-        remaining_s = plan.serve_until - self.clock.monotonic()
+        now = self.clock.monotonic()
+        remaining_s = self.serve_until(now) - now
         _LOGGER.info("leaving; look-ups are outlived first", remaining_s=remaining_s)
         await asyncio.sleep(max(0.0, remaining_s))
 
