--- a/bench/slopes/control.py
+++ b/bench/slopes/control.py
@@ -26,6 +26,7 @@
 PERCENT = 100.0
 MEBIBYTE = 1024 * 1024
 STAND_INS_PER_PROCESS = 64
+ALONE = 9
 IN_FORCE_TIMEOUT_S = 5.0
 READY_LINES = 1000
 
@@ -83,7 +84,25 @@
     rest_s = 3.0 if quick else 15.0
     changes = 5 if quick else 20
     samples = [_measure_at(size, rest_s, changes) for size in sizes]
-    return _document(samples)
+    return {**_document(samples), "entry_alone": _measure_alone(rest_s)}
+
+
+def _measure_alone(rest_s: float) -> dict[str, float]:
+    """Measure stand-ins with a process each: what one entry spends on control."""
+    with Deployment(_control_plans(), log_level="warning") as deployment:
+        deployment.start()
+        _apply(Operator(deployment.instances[0]), contract_document("rackhaven"), 0)
+        stand_ins = _start_stand_ins(deployment, ALONE, per_process=1)
+        time.sleep(SETTLE_S)
+        rest = _at_rest(deployment, stand_ins, rest_s, ALONE)
+        memory = [psutil.Process(p.pid).memory_info().rss for p in stand_ins]
+        _stop(stand_ins)
+    return {
+        "instances": ALONE,
+        "cpu_percent": rest.stand_in_cpu_percent,
+        "bytes_per_s": rest.stand_in_bytes_per_s,
+        "memory_mib": max(memory) / MEBIBYTE,
+    }
 
 
 def _document(samples: list[Sample]) -> dict[str, object]:
@@ -127,9 +146,7 @@
             rest = _at_rest(deployment, stand_ins, rest_s, size)
             cpu_ms, sent = _per_change(deployment, document, revision, changes, rest)
         finally:
-            for process in stand_ins:
-                process.terminate()
-                process.wait(JOIN_TIMEOUT_S)
+            _stop(stand_ins)
     return Sample(
         stand_ins=size,
         rest=rest,
@@ -150,12 +167,20 @@
     )
 
 
-def _start_stand_ins(deployment: Deployment, size: int) -> list[ManagedProcess]:
+def _stop(stand_ins: list[ManagedProcess]) -> None:
+    for process in stand_ins:
+        process.terminate()
+        process.wait(JOIN_TIMEOUT_S)
+
+
+def _start_stand_ins(
+    deployment: Deployment, size: int, per_process: int = STAND_INS_PER_PROCESS
+) -> list[ManagedProcess]:
     paths = [_settings_path(deployment, number) for number in range(size)]
     processes = []
-    for first in range(0, size, STAND_INS_PER_PROCESS):
+    for first in range(0, size, per_process):
         plan = deployment.folder / f"plan-{first}.json"
-        chosen = paths[first : first + STAND_INS_PER_PROCESS]
+        chosen = paths[first : first + per_process]
         plan.write_text(json.dumps([str(path) for path in chosen]))
         process = ManagedProcess(
             name=f"stand-ins-{first}",
