--- a/mothshunt/consensus/segments.py
+++ b/mothshunt/consensus/segments.py
@@ -5,6 +5,7 @@
 crash can only tear the last frame.
 """
 
+import contextlib
 import os
 import zlib
 from collections.abc import Sequence
@@ -158,9 +159,13 @@
 
     def close(self) -> None:
         """Close the file that is written to."""
-        if self._file is not None:
+        if self._file is None:
+            return
+        # A failed disk fails once more here. What is still buffered was never
+        # synced, so nobody was told of it.
+        with contextlib.suppress(OSError):
             self._file.close()
-            self._file = None
+        self._file = None
 
 
 def _replay(entries: list[Entry], item: Item, segment: Segment) -> None:
--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import gc
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from expression import Result
 
 from mothshunt.admin.coordinator import AdminServer
-from mothshunt.core.codes import MothshuntError
+from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import Incarnation, InstanceId, InstanceState
 from mothshunt.daemon.base import Base
 from mothshunt.daemon.control import Control
@@ -45,6 +46,7 @@
     relay: TargetRelay | None = None
     entry: Entry | None = None
     is_ready: bool = False
+    fatal: Failure | None = None
 
     @classmethod
     def from_config(cls, settings: Settings) -> "Daemon":
@@ -84,6 +86,20 @@
         daemon = cls(base, discovery, admin, control, relay)
         return daemon
 
+    def on_fatal(self, listener: Callable[[], None]) -> None:
+        """Call a listener when the instance can't go on, such as without its disk.
+
+        :param listener: Called in the event loop; ``fatal`` then tells why.
+        """
+
+        def take(failure: Failure) -> None:
+            self.fatal = failure
+            _LOGGER.failure("the instance can't go on", failure)
+            listener()
+
+        if self.control is not None:
+            self.control.log.on_fatal(take)
+
     async def async_start(self) -> None:
         """Start, join the deployment, and serve once the configuration is current.
 
--- a/mothshunt/daemon/main.py
+++ b/mothshunt/daemon/main.py
@@ -17,6 +17,7 @@
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_REFUSED = 3
+EXIT_FATAL = 4
 
 _LOGGER = log.get_logger("daemon")
 
@@ -50,6 +51,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     daemon = Daemon.from_config(settings)
+    daemon.on_fatal(stop.set)
     starting = asyncio.create_task(daemon.async_start())
     stopping = asyncio.create_task(stop.wait())
     code = EXIT_OK
@@ -62,7 +64,7 @@
     await asyncio.gather(starting, return_exceptions=True)
     await daemon.async_stop()
     stopping.cancel()
-    return code
+    return EXIT_FATAL if daemon.fatal is not None else code
 
 
 def _start_result(starting: "asyncio.Task[None]") -> int:
--- a/mothshunt/discovery/coordinator.py
+++ b/mothshunt/discovery/coordinator.py
@@ -75,7 +75,7 @@
             self.table.take_load(load, now)
 
     async def _async_run(self) -> None:
-        full_at = 0.0
+        full_at = sweep_at = 0.0
         while True:
             await asyncio.sleep(const.FLUSH_INTERVAL_S)
             now = self.clock.monotonic()
@@ -85,7 +85,9 @@
                 self._waiting.extend(self.announcements.rows())
                 full_at = now + const.FULL_ROWS_INTERVAL_S
             self._flush(now)
-            self._sweep(now)
+            if now >= sweep_at:
+                self._sweep(now)
+                sweep_at = now + const.SWEEP_INTERVAL_S
 
     def _flush(self, now: float) -> None:
         loads = self.announcements.changed_loads(now)
