Answer malformed HTTP in one place for callers and operators

The protocol of a connection stood twice, and only that of callers mended a request whose body turns out malformed; operators' connections get that too.

--- a/mothshunt/admin/listener.py
+++ b/mothshunt/admin/listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -10,14 +9,12 @@
 from aiohttp.streams import StreamReader
 
 from mothshunt.admin.const import MAX_BODY_BYTES
+from mothshunt.helpers.http_protocol import MalformedHandler, NumberedProtocol
 
 BACKLOG = 512
 STOP_TIMEOUT_S = 10.0
-MAX_DETAIL_LENGTH = 200
 
 RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-#: Makes the answer to a request that is not valid HTTP.
-MalformedHandler = Callable[[str], web.Response]
 
 
 class HttpListener:
@@ -85,7 +82,7 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return _Protocol(
+        return NumberedProtocol(
             self, on_malformed=self._on_malformed, loop=self._loop, access_log=None
         )
 
@@ -106,35 +103,3 @@
             self._loop,
             client_max_size=MAX_BODY_BYTES,
         )
-
-
-class _Protocol(web.RequestHandler):
-    """Answer what can't be read as HTTP with a numbered refusal."""
-
-    __slots__ = ("_on_malformed",)
-
-    def __init__(
-        self, manager: web.Server, *, on_malformed: MalformedHandler, **options: Any
-    ) -> None:
-        super().__init__(manager, **options)
-        self._on_malformed = on_malformed
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the answer to a request that could not be read.
-
-        :param request: Stands in for the request.
-        :param status: Status that the library chose.
-        :param exc: What was wrong.
-        :param message: Text of the library.
-        """
-        if request.writer.output_size > 0:
-            raise ConnectionResetError("the answer had begun")
-        response = self._on_malformed((message or "")[:MAX_DETAIL_LENGTH])
-        response.force_close()
-        return response
--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -3,7 +3,6 @@
 import asyncio
 import traceback
 from collections.abc import Mapping
-from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -29,6 +28,7 @@
 from mothshunt.dispatch.forwarder import Forwarder
 from mothshunt.dispatch.model import RouteHandler
 from mothshunt.dispatch.refusal import refuse
+from mothshunt.helpers.http_protocol import NumberedProtocol
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
 
@@ -188,9 +188,9 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return _Protocol(
+        return NumberedProtocol(
             self,
-            server=self._server,
+            on_malformed=self._server.refuse_malformed,
             loop=self._loop,
             access_log=None,
             auto_decompress=False,
@@ -209,50 +209,3 @@
         task: "asyncio.Task[None]",
     ) -> web.Request:
         return web.Request(message, payload, protocol, writer, task, self._loop)
-
-
-class _Protocol(web.RequestHandler):
-    """Answer what can't be read as HTTP with a numbered refusal."""
-
-    __slots__ = ("_traffic_server",)
-
-    def __init__(
-        self, manager: web.Server, *, server: TrafficServer, **options: Any
-    ) -> None:
-        super().__init__(manager, **options)
-        self._traffic_server = server
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what came in.
-
-        The library leaves a request whose body turns out malformed waiting for more.
-
-        :param data: Bytes of the caller.
-        """
-        super().data_received(data)
-        if self._current_request is None or not self._messages:
-            return
-        body = self._current_request.content
-        malformed = not isinstance(self._messages[-1][0], RawRequestMessage)
-        if malformed and not body.is_eof():
-            body.set_exception(web.RequestPayloadError("malformed body"))
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the answer to a request that could not be read.
-
-        :param request: Stands in for the request.
-        :param status: Status that the library chose.
-        :param exc: What was wrong.
-        :param message: Text of the library.
-        """
-        if request.writer.output_size > 0:
-            raise ConnectionResetError("the answer had begun")
-        response = self._traffic_server.refuse_malformed((message or "")[:200])
-        response.force_close()
-        return response
