--- a/mothshunt/cli/changes.py
+++ b/mothshunt/cli/changes.py
@@ -3,6 +3,7 @@
 import argparse
 import time
 import uuid
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -68,6 +69,50 @@
     )
 
 
+async def async_base(
+    client: ApiClient,
+    arguments: argparse.Namespace,
+    section: str,
+    wanted: Mapping[str, str],
+) -> Result[int, CommandFailure]:
+    """Return the revision of an item that a change is based on.
+
+    :param client: Connection to the administration API.
+    :param arguments: Hold ``base_revision``, where the operator gave one.
+    :param section: List that the item is in, ``drains`` or ``operators``.
+    :param wanted: Fields that name the item.
+    :return: The revision; 0 where there is no such item.
+    """
+    if arguments.base_revision is not None:
+        return Ok(arguments.base_revision)
+    answer = await client.async_read(f"/v1/{section}")
+    if answer.is_error():
+        return Error(answer.error)
+    for item in answer.ok[section]:
+        if all(item[field] == value for field, value in wanted.items()):
+            return Ok(item["revision"])
+    return Ok(0)
+
+
+async def async_remove(
+    client: ApiClient,
+    arguments: argparse.Namespace,
+    path: str,
+    base: Result[int, CommandFailure],
+) -> Result[CommandOutput, CommandFailure]:
+    """Have an item removed.
+
+    :param client: Connection to the administration API.
+    :param arguments: Options of the change.
+    :param path: Path of the item.
+    :param base: What ``async_base`` returned.
+    """
+    if base.is_error():
+        return Error(base.error)
+    request = ChangeRequest(method="DELETE", path=path, base_revision=base.ok)
+    return await async_change(client, arguments, request, wait=arguments.wait)
+
+
 async def async_change(
     client: ApiClient,
     arguments: argparse.Namespace,
--- a/mothshunt/cli/commands/drain.py
+++ b/mothshunt/cli/commands/drain.py
@@ -13,7 +13,9 @@
     ChangeRequest,
     add_change_options,
     add_wait_option,
+    async_base,
     async_change,
+    async_remove,
 )
 from mothshunt.cli.client import ApiClient, path_of
 from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
@@ -100,12 +102,7 @@
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
     base = await _async_base(client, arguments)
-    if base.is_error():
-        return Error(base.error)
-    request = ChangeRequest(
-        method="DELETE", path=_path(arguments), base_revision=base.ok
-    )
-    return await async_change(client, arguments, request, wait=arguments.wait)
+    return await async_remove(client, arguments, _path(arguments), base)
 
 
 async def _async_wait(
@@ -131,16 +128,8 @@
 async def _async_base(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[int, CommandFailure]:
-    if arguments.base_revision is not None:
-        return Ok(arguments.base_revision)
-    answer = await client.async_read("/v1/drains")
-    if answer.is_error():
-        return Error(answer.error)
-    subject = (arguments.kind.replace("-", "_"), arguments.name)
-    for drain in answer.ok["drains"]:
-        if (drain["kind"], drain["name"]) == subject:
-            return Ok(drain["revision"])
-    return Ok(0)
+    wanted = {"kind": arguments.kind.replace("-", "_"), "name": arguments.name}
+    return await async_base(client, arguments, "drains", wanted)
 
 
 def _progress_line(drain: dict[str, Any]) -> str:
--- a/mothshunt/cli/commands/operators.py
+++ b/mothshunt/cli/commands/operators.py
@@ -3,14 +3,16 @@
 import argparse
 import json
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from mothshunt.access.token import new_token, token_sha256
 from mothshunt.cli.changes import (
     ChangeRequest,
     add_change_options,
     add_wait_option,
+    async_base,
     async_change,
+    async_remove,
 )
 from mothshunt.cli.client import ApiClient, path_of
 from mothshunt.cli.model import CommandFailure, CommandOutput
@@ -91,26 +93,14 @@
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
     base = await _async_base(client, arguments)
-    if base.is_error():
-        return Error(base.error)
-    request = ChangeRequest(
-        method="DELETE", path=_path(arguments), base_revision=base.ok
-    )
-    return await async_change(client, arguments, request, wait=arguments.wait)
+    return await async_remove(client, arguments, _path(arguments), base)
 
 
 async def _async_base(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[int, CommandFailure]:
-    if arguments.base_revision is not None:
-        return Ok(arguments.base_revision)
-    answer = await client.async_read("/v1/operators")
-    if answer.is_error():
-        return Error(answer.error)
-    for operator in answer.ok["operators"]:
-        if operator["id"] == arguments.operator:
-            return Ok(operator["revision"])
-    return Ok(0)
+    wanted = {"id": arguments.operator}
+    return await async_base(client, arguments, "operators", wanted)
 
 
 def _with_token(output: CommandOutput, token: str) -> CommandOutput:
