Bound what a silent connection costs by the time to the deadline

Ruled out: a lower limit for all (services that usually take longer would be abandoned each time).

A silent connection costs at most a seventh of the time that is left (0.25 to 2 s); where the usual time is longer than that, there is no limit.

--- a/mothshunt/dispatch/silence.py
+++ b/mothshunt/dispatch/silence.py
@@ -10,6 +10,7 @@
     MIN_SILENCE_S,
     SILENCE_DEVIATIONS,
     SILENCE_FACTOR,
+    SILENCE_RATIO,
 )
 
 _MEAN_WEIGHT = 1 / 8
@@ -42,9 +43,18 @@
         self._mean_s += _MEAN_WEIGHT * error
         self._deviation_s += _DEVIATION_WEIGHT * (abs(error) - self._deviation_s)
 
-    def silence_limit_s(self) -> float:
-        """Return how long a kept-alive connection may stay silent, in seconds."""
+    def silence_limit_s(self, remaining_s: float) -> float | None:
+        """Return how long a kept-alive connection may stay silent, in seconds.
+
+        What is left to the deadline after it must do for a slow answer over another
+        connection; where the usual time is longer than that allows, there is no limit.
+
+        :param remaining_s: Time to the deadline of the request, in seconds.
+        """
+        cap_s = min(MAX_SILENCE_S, max(MIN_SILENCE_S, remaining_s * SILENCE_RATIO))
         if self._mean_s == 0.0:
-            return MAX_SILENCE_S
+            return cap_s
+        if self._mean_s + self._deviation_s > cap_s:
+            return None
         usual_s = self._mean_s + SILENCE_DEVIATIONS * self._deviation_s
-        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s))
+        return min(cap_s, max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s))
