Revert 'Bound what a silent connection costs by the time to the deadline'

A failed try. Conclusion: a silence that may be slowness must not count against the target before the cap can be lowered.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -168,7 +168,7 @@
         reuse = may_reuse and not exchange.met_silence
         limit_s = None
         if reuse and may_retry:
-            limit_s = self._answer_time(route).silence_limit_s(remaining_s)
+            limit_s = self._answer_time(route).silence_limit_s()
         host = f"[{target.host}]" if ":" in target.host else target.host
         return Outgoing(
             method=route.method,
--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -30,8 +30,6 @@
 MAX_SILENCE_S = 2.0
 SILENCE_DEVIATIONS = 4.0
 SILENCE_FACTOR = 3.0
-#: Part of the time to the deadline that a silent connection may cost.
-SILENCE_RATIO = 1 / 7
 #: Steps in which attempts are looked at whose time may be over.
 WATCH_INTERVAL_S = 0.01
 #: Longest time to come back that a target may name.
--- a/mothshunt/dispatch/silence.py
+++ b/mothshunt/dispatch/silence.py
@@ -10,7 +10,6 @@
     MIN_SILENCE_S,
     SILENCE_DEVIATIONS,
     SILENCE_FACTOR,
-    SILENCE_RATIO,
 )
 
 _MEAN_WEIGHT = 1 / 8
@@ -43,18 +42,9 @@
         self._mean_s += _MEAN_WEIGHT * error
         self._deviation_s += _DEVIATION_WEIGHT * (abs(error) - self._deviation_s)
 
-    def silence_limit_s(self, remaining_s: float) -> float | None:
-        """Return how long a kept-alive connection may stay silent, in seconds.
-
-        What is left to the deadline after it must do for a slow answer over another
-        connection; where the usual time is longer than that allows, there is no limit.
-
-        :param remaining_s: Time to the deadline of the request, in seconds.
-        """
-        cap_s = min(MAX_SILENCE_S, max(MIN_SILENCE_S, remaining_s * SILENCE_RATIO))
+    def silence_limit_s(self) -> float:
+        """Return how long a kept-alive connection may stay silent, in seconds."""
         if self._mean_s == 0.0:
-            return cap_s
-        if self._mean_s + self._deviation_s > cap_s:
-            return None
+            return MAX_SILENCE_S
         usual_s = self._mean_s + SILENCE_DEVIATIONS * self._deviation_s
-        return min(cap_s, max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s))
+        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, SILENCE_FACTOR * usual_s))
