Make the second attempt beside a silent one, not in its place

A kept-alive connection may be silent for three times the usual time and deviation; after one answer in 60 ms that is 0.54 s. A read of 1.5 s was abandoned then and begun again: 0.54 + 1.5 s is over its time-out of 2 s. dispatch/whole_answers, 'A read that takes longer than usual', shows it with one raw target: code 2014 after 2.009 s.

Change: when a kept-alive connection stays silent, another attempt is made beside the first within the same budget. The first answer ends the other attempt. A slow answer is no longer lost; a connection that lost track costs what it did before.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -100,14 +100,29 @@
             tuple[CustomerId, ServiceName], AnswerTime
         ] = {}
 
+    def supersede(self, handover: Handover) -> None:
+        """End an attempt because another one at the same request has an answer.
+
+        :param handover: The attempt that is to end.
+        """
+        self._watch.supersede(handover)
+
     async def async_attempt(
-        self, exchange: Exchange, choice: Choice, *, may_retry: bool
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        *,
+        on_answer: Callable[[], None],
+        on_silence: Callable[[Handover], None] | None,
     ) -> web.StreamResponse | AttemptFailure:
         """Make one attempt at the chosen target and finish the choice.
 
         :param exchange: The request.
         :param choice: The target; given back when the attempt has ended.
-        :param may_retry: Whether another attempt may follow this one.
+        :param on_answer: Called before the caller gets any of the answer; ends the
+            other attempt at the same request, so that the caller gets one answer.
+        :param on_silence: Called when a kept-alive connection stays silent for longer
+            than usual; ``None`` where no other attempt may be made beside this one.
         :return: The answer, passed on where it was streamed; or the failure.
         :raises AnswerBrokenOffError: A part of the answer had been passed on.
         """
@@ -119,10 +134,10 @@
             now = self._clock.monotonic()
             return now < deadline and self._chooser.may_dispatch(choice, now)
 
-        outgoing = self._outgoing(exchange, choice, may_retry, now)
-        handover = self._watch.begin(deadline, may_send)
+        outgoing = self._outgoing(exchange, choice, on_silence is not None, now)
+        handover = self._watch.begin(deadline, may_send, on_silence)
         try:
-            result = await self._async_exchange(exchange, outgoing, handover)
+            result = await self._async_exchange(exchange, outgoing, handover, on_answer)
             outcome = _outcome(result)
         except asyncio.CancelledError:
             if not ended_by_watch(handover):
@@ -145,9 +160,8 @@
         self, exchange: Exchange, handover: Handover, outgoing: Outgoing
     ) -> AttemptFailure:
         reason = RetryReason.TIMED_OUT
-        if handover.expiry is Expiry.SILENCE:
+        if handover.expiry is Expiry.SUPERSEDED:
             reason = RetryReason.SILENT
-            exchange.met_silence = True
             # Without this, a service that grew slow would be cut off for good.
             answer_time = self._answer_time(exchange.route)
             answer_time.observe(outgoing.silence_limit_s or 0.0)
@@ -181,7 +195,11 @@
         )
 
     async def _async_exchange(
-        self, exchange: Exchange, outgoing: Outgoing, handover: Handover
+        self,
+        exchange: Exchange,
+        outgoing: Outgoing,
+        handover: Handover,
+        on_answer: Callable[[], None],
     ) -> web.StreamResponse | AttemptFailure:
         started_at = self._clock.monotonic()
         try:
@@ -190,7 +208,7 @@
             if exchange.body.failure is not None:
                 return _caller_failure(exchange.body.failure, handover)
             reason = _REASON_BY_ERROR[type(error)]
-            if handover.expired(self._clock.monotonic()) is Expiry.DEADLINE:
+            if self._clock.monotonic() >= handover.deadline:
                 reason = RetryReason.TIMED_OUT
             return AttemptFailure.from_reason(
                 reason, handed_over=handover.done, detail=str(error)
@@ -200,13 +218,16 @@
                 self._clock.monotonic() - started_at
             )
         try:
-            return await self._async_answer(exchange, response)
+            return await self._async_answer(exchange, response, on_answer)
         finally:
             # Closes the connection unless the answer was read to its end.
             response.close()
 
     async def _async_answer(
-        self, exchange: Exchange, response: ClientResponse
+        self,
+        exchange: Exchange,
+        response: ClientResponse,
+        on_answer: Callable[[], None],
     ) -> web.StreamResponse | AttemptFailure:
         method = exchange.route.method
         if is_shed(response):
@@ -221,6 +242,7 @@
             return AttemptFailure.from_reason(
                 RetryReason.TRUNCATED, handed_over=True, detail=str(error)
             )
+        on_answer()
         if exchange.on_answer is not None:
             exchange.on_answer(answer)
         headers = answer_headers(response)
--- a/mothshunt/dispatch/retrier.py
+++ b/mothshunt/dispatch/retrier.py
@@ -1,6 +1,8 @@
 """Attempts at one request until one gives an answer or none is allowed."""
 
-from dataclasses import replace
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from aiohttp import web
 from expression import Result
@@ -26,10 +28,46 @@
     TokenBucket,
     give_up_reason,
 )
+from mothshunt.dispatch.watch import Handover
 from mothshunt.metrics.registry import Metrics
 from mothshunt.steering.model import Choice
 
 
+@dataclass(kw_only=True, slots=True)
+class Tries:
+    """Remember the attempts at one request.
+
+    :param number: Attempts begun.
+    :param excluded: Targets that are not to be tried again.
+    :param silent: Those of them whose connection was silent.
+    :param last: What the caller is told when no further attempt is made.
+    """
+
+    number: int = 0
+    excluded: set[TargetId] = field(default_factory=set)
+    silent: set[TargetId] = field(default_factory=set)
+    last: Failure | None = None
+
+    def worst(self, failure: Failure) -> Failure:
+        """Return a failure that keeps in mind whether the request may have run.
+
+        :param failure: The newest failure.
+        """
+        return _worse(self.last, failure)
+
+    def note(self, choice: Choice, result: AttemptFailure) -> Failure:
+        """Take the end of an attempt and return what the caller would be told.
+
+        :param choice: The target.
+        :param result: How the attempt failed.
+        """
+        self.excluded.add(choice.target.id)
+        if result.reason is RetryReason.SILENT:
+            self.silent.add(choice.target.id)
+        self.last = self.worst(result.failure)
+        return self.last
+
+
 class Retrier:
     """Choose targets for a request and make attempts at them.
 
@@ -63,30 +101,91 @@
         route = exchange.route
         bucket = self._bucket(route.contract)
         bucket.count_first_attempt()
-        excluded: set[TargetId] = set()
-        silent: set[TargetId] = set()
-        last: Failure | None = None
-        number = 0
+        tries = Tries()
         while True:
-            match await self._async_choose(route, excluded, silent):
+            match await self._async_choose(route, tries.excluded, tries.silent):
                 case Result(tag="ok", ok=choice):
                     pass
                 case Result(error=failure):
-                    return failure if last is None else last
-            number += 1
-            may_retry = number < MAX_ATTEMPTS and bucket.has_one(
-                self._clock.monotonic()
-            )
-            result = await self._async_attempt(exchange, choice, may_retry)
+                    return failure if tries.last is None else tries.last
+            tries.number += 1
+            result = await self._async_hedged(exchange, choice, tries, bucket)
             if not isinstance(result, AttemptFailure):
                 return result
-            last = _worse(last, result.failure)
-            excluded.add(choice.target.id)
-            if result.reason is RetryReason.SILENT:
-                silent.add(choice.target.id)
-            if not self._allows_retry(exchange, result, last, number, bucket):
+            last = tries.note(choice, result)
+            if not self._allows_retry(exchange, result, last, tries.number, bucket):
                 return last
 
+    async def _async_hedged(
+        self, exchange: Exchange, choice: Choice, tries: Tries, bucket: TokenBucket
+    ) -> web.StreamResponse | AttemptFailure:
+        """Make an attempt, and another beside it while its connection stays silent.
+
+        The silence of a kept-alive connection may be a lost connection or a slow
+        answer. The first answer of the two counts and ends the other attempt.
+        """
+        hedge: asyncio.Task[web.StreamResponse | AttemptFailure] | None = None
+
+        def start_hedge(handover: Handover) -> None:
+            nonlocal hedge
+            reason = RetryReason.SILENT
+            silent = AttemptFailure.from_reason(reason, handed_over=True)
+            failure = tries.worst(silent.failure)
+            if not self._allows_retry(exchange, silent, failure, tries.number, bucket):
+                return
+            tries.number += 1
+            exchange.met_silence = True
+            hedge = asyncio.create_task(
+                self._async_hedge(exchange, choice, handover, tries)
+            )
+
+        def end_hedge() -> None:
+            if hedge is not None:
+                hedge.cancel()
+
+        may_hedge = tries.number < MAX_ATTEMPTS
+        may_hedge = may_hedge and bucket.has_one(self._clock.monotonic())
+        try:
+            result = await self._async_attempt(
+                exchange, choice, end_hedge, start_hedge if may_hedge else None
+            )
+            if hedge is None or not isinstance(result, AttemptFailure):
+                return result
+            tries.note(choice, result)
+            return await hedge
+        finally:
+            if hedge is not None and not hedge.done():
+                hedge.cancel()
+                await asyncio.gather(hedge, return_exceptions=True)
+
+    async def _async_hedge(
+        self,
+        exchange: Exchange,
+        silent: Choice,
+        handover: Handover,
+        tries: Tries,
+    ) -> web.StreamResponse | AttemptFailure:
+        """Make an attempt beside one whose connection is silent.
+
+        :param exchange: The request.
+        :param silent: Target of the silent connection; chosen again, over a new
+            connection, only where no other target is left.
+        :param handover: The attempt whose connection is silent.
+        :param tries: Attempts made so far.
+        """
+        excluded = tries.excluded | {silent.target.id}
+        only_silent = tries.silent | {silent.target.id}
+        match await self._async_choose(exchange.route, excluded, only_silent):
+            case Result(tag="ok", ok=choice):
+                return await self._async_attempt(
+                    exchange,
+                    choice,
+                    lambda: self._attempter.supersede(handover),
+                    None,
+                )
+            case Result(error=failure):
+                return AttemptFailure(reason=RetryReason.SILENT, failure=failure)
+
     async def _async_choose(
         self, route: Route, excluded: set[TargetId], silent: set[TargetId]
     ) -> Result[Choice, Failure]:
@@ -110,11 +209,15 @@
         return result
 
     async def _async_attempt(
-        self, exchange: Exchange, choice: Choice, may_retry: bool
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        on_answer: Callable[[], None],
+        on_silence: Callable[[Handover], None] | None,
     ) -> web.StreamResponse | AttemptFailure:
         try:
             return await self._attempter.async_attempt(
-                exchange, choice, may_retry=may_retry
+                exchange, choice, on_answer=on_answer, on_silence=on_silence
             )
         except AnswerBrokenOffError:
             self._metrics.count(METRIC_BROKEN, customer=exchange.route.customer)
--- a/mothshunt/dispatch/watch.py
+++ b/mothshunt/dispatch/watch.py
@@ -13,7 +13,8 @@
     """Why an attempt was ended by the watch."""
 
     DEADLINE = "deadline"
-    SILENCE = "silence"
+    #: Another attempt at the same request answered first.
+    SUPERSEDED = "superseded"
 
 
 @dataclass(slots=True, eq=False)
@@ -26,6 +27,7 @@
     :param done: Whether a byte of the request may have been handed to a connection.
     :param silent_at: Monotonic time up to which the connection may stay silent, in
         seconds; ``None`` for as long as it likes.
+    :param on_silence: Called once when the connection stayed silent for longer.
     :param expiry: Why the watch cancelled the task, if it did.
     """
 
@@ -34,18 +36,15 @@
     task: "asyncio.Task[object]"
     done: bool = False
     silent_at: float | None = None
+    on_silence: "Callable[[Handover], None] | None" = None
     expiry: Expiry | None = None
 
-    def expired(self, now: float) -> Expiry | None:
-        """Tell whether and why the attempt must end.
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the connection has been silent for longer than it may.
 
         :param now: Monotonic time, in seconds.
         """
-        if now >= self.deadline:
-            return Expiry.DEADLINE
-        if self.silent_at is not None and now >= self.silent_at:
-            return Expiry.SILENCE
-        return None
+        return self.silent_at is not None and now >= self.silent_at
 
 
 class AttemptWatch:
@@ -60,15 +59,22 @@
         self._handovers: set[Handover] = set()
         self._timer: asyncio.TimerHandle | None = None
 
-    def begin(self, deadline: float, may_send: Callable[[], bool]) -> Handover:
+    def begin(
+        self,
+        deadline: float,
+        may_send: Callable[[], bool],
+        on_silence: Callable[[Handover], None] | None = None,
+    ) -> Handover:
         """Watch over an attempt of the current task.
 
         :param deadline: Monotonic time at which the request ends, in seconds.
         :param may_send: Tells, right before the request is sent, whether it may be.
+        :param on_silence: Called once when the connection stayed silent for longer
+            than it may.
         """
         task = asyncio.current_task()
         assert task is not None
-        handover = Handover(deadline, may_send, task)
+        handover = Handover(deadline, may_send, task, on_silence=on_silence)
         self._handovers.add(handover)
         if self._timer is None:
             self._timer = self._loop.call_later(WATCH_INTERVAL_S, self._look)
@@ -81,14 +87,28 @@
         """
         self._handovers.discard(handover)
 
+    def supersede(self, handover: Handover) -> None:
+        """End an attempt because another one has an answer.
+
+        :param handover: What ``begin`` returned.
+        """
+        if handover in self._handovers:
+            self._cancel(handover, Expiry.SUPERSEDED)
+
+    def _cancel(self, handover: Handover, expiry: Expiry) -> None:
+        self._handovers.discard(handover)
+        handover.expiry = expiry
+        handover.task.cancel()
+
     def _look(self) -> None:
         now = self._clock.monotonic()
         for handover in list(self._handovers):
-            expiry = handover.expired(now)
-            if expiry is not None:
-                self._handovers.discard(handover)
-                handover.expiry = expiry
-                handover.task.cancel()
+            if now >= handover.deadline:
+                self._cancel(handover, Expiry.DEADLINE)
+            elif handover.is_silent(now):
+                handover.silent_at = None
+                if handover.on_silence is not None:
+                    handover.on_silence(handover)
         self._timer = None
         if self._handovers:
             self._timer = self._loop.call_later(WATCH_INTERVAL_S, self._look)
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -111,6 +111,15 @@
     And a dispatch caller sends GET "/b"
     Then the dispatch caller got status 200 and "t1 /b"
 
+  Scenario: A read that takes longer than usual is answered before its deadline
+    Given a dispatch entry with a request timeout of 2000 ms
+    And a raw target "t1" that answers in 60 ms once and in 1500 ms later
+    When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t1 /b"
+    And the last dispatch answer took less than 1900 ms
+
   Scenario: Without a retry left a kept-alive connection is waited for
     Given a dispatch entry without retries and a request timeout of 700 ms
     And a raw target "t1" that answers the first request of a connection only
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -217,6 +217,12 @@
     await ok(target, request, writer)
 
 
+async def usually_quick(target, request, writer) -> None:
+    """Answer the first request in 60 ms, and each later one in 1.5 s."""
+    await asyncio.sleep(0.06 if len(target.requests) == 1 else 1.5)
+    await ok(target, request, writer)
+
+
 async def large_then_silent(target, request, writer) -> None:
     """Go silent in the middle of a large answer."""
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
@@ -241,6 +247,7 @@
 
 BEHAVIOURS = {
     "is slow after its first request": slow_later,
+    "answers in 60 ms once and in 1500 ms later": usually_quick,
     "answers twice, the second time soon": doubled_soon,
     "answers the first request late": late_once,
     "answers the first request of a connection only": first_only,
