--- a/bench/slopes/tables.py
+++ b/bench/slopes/tables.py
@@ -7,7 +7,7 @@
 
 from bench.slopes import samples
 from bench.slopes.fit import Point, fit
-from mothshunt.configuration.decode import ConfigurationDecoder
+from mothshunt.configuration.assemble import ConfigurationAssembler
 from mothshunt.configuration.store import ItemStore
 from mothshunt.discovery.state import TargetTable
 from mothshunt.ledger.state import LedgerState
@@ -48,7 +48,7 @@
     store = ItemStore()
     for number in range(count):
         store.put(samples.instance_item(number))
-    return store, ConfigurationDecoder().decode(store)
+    return store, ConfigurationAssembler().assemble(store)
 
 
 def contracts(count: int) -> object:
@@ -56,7 +56,7 @@
     store = ItemStore()
     for number in range(count // 10):
         store.put(samples.contract_item(number))
-    return store, ConfigurationDecoder().decode(store)
+    return store, ConfigurationAssembler().assemble(store)
 
 
 def keys(count: int) -> object:
@@ -110,14 +110,14 @@
         store = ItemStore()
         for number in range(size):
             store.put(samples.instance_item(number))
-        decoder = ConfigurationDecoder()
-        decoder.decode(store)
+        decoder = ConfigurationAssembler()
+        decoder.assemble(store)
         began = time.process_time()
         for round_number in range(10):
             item = samples.instance_item(0, revision=size + 1 + round_number)
             store.put(item)
             store.changed_since(size + round_number)
-            decoder.decode(store)
+            decoder.assemble(store)
         spent = (time.process_time() - began) / 10
         points.append(Point(size=size, value=spent * MICROSECONDS))
     return fit(points).document("microseconds per change and item held")
--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -12,7 +12,6 @@
 from mothshunt.admin.deployment_model import HealthDocument, ReadinessDocument
 from mothshunt.admin.gate import Gate
 from mothshunt.admin.instances import control_addresses
-from mothshunt.admin.listener import HttpListener
 from mothshunt.admin.messages import Call, Refusal, Reply, Scope, parsed_query
 from mothshunt.admin.responses import refusal_response, reply_response
 from mothshunt.admin.router import RouteMatch, find_route
@@ -23,6 +22,7 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import CustomerId, OperatorId, Ran
 from mothshunt.discovery.model import TargetDirectory
+from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Settings
--- a/mothshunt/configuration/decode.py
+++ b/mothshunt/configuration/decode.py
@@ -5,14 +5,21 @@
 
 from expression import Result
 
-from mothshunt.configuration.model import Configuration, ItemKey, Section
+from mothshunt.configuration.model import ItemKey, Section
 from mothshunt.configuration.service import Item
 from mothshunt.configuration.store import ItemStore
 from mothshunt.contract.model import Contract
-from mothshunt.core.types import CustomerId, InstanceId, Revision
-from mothshunt.drain.model import Drain, DrainSet
+from mothshunt.core.types import Revision
+from mothshunt.drain.model import Drain
 from mothshunt.helpers.log import get_logger
 from mothshunt.membership.model import InstanceRecord
+from mothshunt.routing.model import (
+    Evacuation,
+    LimitsItem,
+    RetiredTarget,
+    RouteItem,
+    ServiceItem,
+)
 from mothshunt.util import schema
 
 _LOGGER = get_logger("configuration")
@@ -21,6 +28,11 @@
     Section.CONTRACT: Contract,
     Section.DRAIN: Drain,
     Section.INSTANCE: InstanceRecord,
+    Section.ROUTE: RouteItem,
+    Section.SERVICE: ServiceItem,
+    Section.REQUEST_LIMITS: LimitsItem,
+    Section.EVACUATION: Evacuation,
+    Section.RETIRED_TARGET: RetiredTarget,
 }
 
 
@@ -37,28 +49,17 @@
 
 
 @dataclass(slots=True)
-class ConfigurationDecoder:
-    """Decode a store; an item is decoded once for each of its revisions."""
+class ItemDecoder:
+    """Decode the items of a store, each once for each of its revisions."""
 
     _decoded_by_key: dict[ItemKey, DecodedItem] = field(default_factory=dict)
 
-    def decode(self, store: ItemStore) -> Configuration:
-        """Return the configuration that a store holds.
+    def values(self, store: ItemStore, section: Section) -> dict[Any, Any]:
+        """Return the values of a section by name.
 
         :param store: The items.
+        :param section: The section.
         """
-        contracts = self._values(store, Section.CONTRACT)
-        drains = self._values(store, Section.DRAIN)
-        instances = self._values(store, Section.INSTANCE)
-        return Configuration(
-            revision=store.revision,
-            contract_by_customer={CustomerId(k): v for k, v in contracts.items()},
-            drain_by_name=drains,
-            instance_by_id={InstanceId(k): v for k, v in instances.items()},
-            drains=DrainSet.from_drains(list(drains.values())),
-        )
-
-    def _values(self, store: ItemStore, section: Section) -> dict[str, Any]:
         decoded = {i.key.name: self._value(i) for i in store.present(section)}
         return {name: value for name, value in decoded.items() if value is not None}
 
--- a/mothshunt/configuration/holder.py
+++ b/mothshunt/configuration/holder.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from mothshunt.configuration.decode import ConfigurationDecoder
+from mothshunt.configuration.assemble import ConfigurationAssembler
 from mothshunt.configuration.model import Configuration
 from mothshunt.configuration.store import ItemStore
 
@@ -15,7 +15,7 @@
     """Implement ``ConfigurationSource`` and tell listeners of each new revision."""
 
     _current: Configuration = field(default_factory=Configuration)
-    _decoder: ConfigurationDecoder = field(default_factory=ConfigurationDecoder)
+    _assembler: ConfigurationAssembler = field(default_factory=ConfigurationAssembler)
     _listeners: list[Listener] = field(default_factory=list)
 
     def current(self) -> Configuration:
@@ -34,6 +34,6 @@
 
         :param store: The items.
         """
-        self._current = self._decoder.decode(store)
+        self._current = self._assembler.assemble(store)
         for listener in self._listeners:
             listener(self._current)
--- a/mothshunt/configuration/model.py
+++ b/mothshunt/configuration/model.py
@@ -9,6 +9,7 @@
 from mothshunt.core.types import CustomerId, InstanceId, Revision
 from mothshunt.drain.model import Drain, DrainSet
 from mothshunt.membership.model import InstanceRecord
+from mothshunt.routing.model import RoutingTable
 
 #: Revision of a configuration that holds no change.
 NO_REVISION = Revision(0)
@@ -21,6 +22,11 @@
     DRAIN = "drain"
     INSTANCE = "instance"
     OPERATOR = "operator"
+    ROUTE = "route"
+    SERVICE = "service"
+    REQUEST_LIMITS = "request_limits"
+    EVACUATION = "evacuation"
+    RETIRED_TARGET = "retired_target"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,6 +53,7 @@
     drain_by_name: Mapping[str, Drain] = field(default_factory=dict)
     instance_by_id: Mapping[InstanceId, InstanceRecord] = field(default_factory=dict)
     drains: DrainSet = field(default_factory=DrainSet)
+    routing: RoutingTable = field(default_factory=RoutingTable)
 
 
 class ConfigurationSource(Protocol):
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -82,6 +82,8 @@
         for item in self.state.store.changed_since(self.delivered.revision):
             if item.key.section is not Section.OPERATOR:
                 self.delivered.put(item)
+        for key in self.delivered.item_by_key.keys() - self.state.store.item_by_key:
+            self.delivered.forget(key)
         self.delivered.revision = self.state.store.revision
         self.holder.put_in_force(self.delivered)
         self._push_all()
--- a/mothshunt/configuration/state.py
+++ b/mothshunt/configuration/state.py
@@ -1,6 +1,7 @@
 """The configuration as the replicated log carries it."""
 
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import xxhash
@@ -26,6 +27,8 @@
     Role,
 )
 from mothshunt.membership.model import InstanceRecord
+from mothshunt.routing import applier as routing_applier
+from mothshunt.routing.applier import RoutingApplier
 from mothshunt.util import schema
 
 SYSTEM_OPERATOR = OperatorId("system")
@@ -66,13 +69,22 @@
     """Apply configuration changes; an ``Applier`` of the replicated log."""
 
     name: str = "configuration"
-    commands: tuple[type[Any], ...] = (Change, JoinInstance, LeaveInstance)
+    commands: tuple[type[Any], ...] = (
+        Change,
+        JoinInstance,
+        LeaveInstance,
+        *routing_applier.COMMANDS,
+    )
     store: ItemStore = field(default_factory=ItemStore)
     change_by_id: dict[ChangeId, RememberedChange] = field(default_factory=dict)
     audit: list[AuditRecord] = field(default_factory=list)
+    routing: RoutingApplier = field(default_factory=RoutingApplier)
 
-    def apply(self, index: LogIndex, command: Any) -> ChangeOutcome | JoinOutcome:
+    def apply(self, index: LogIndex, command: Any) -> object:
         """Apply one command; see ``Applier``."""
+        if isinstance(command, routing_applier.COMMANDS):
+            put = partial(self._put, index, _operator(command))
+            return self.routing.apply(self.store, index, command, put)
         if isinstance(command, JoinInstance):
             return self._join(index, command)
         if isinstance(command, LeaveInstance):
@@ -151,6 +163,17 @@
             detail=detail,
         )
 
+    def _put(
+        self,
+        index: LogIndex,
+        operator: OperatorId,
+        key: ItemKey,
+        value: bytes,
+        summary: str,
+    ) -> None:
+        change = _system_change(index, key, value, summary)
+        self._accept(index, replace(change, operator=operator))
+
     def _accept(self, index: LogIndex, change: Change) -> None:
         revision = Revision(index)
         self.store.put(Item(key=change.key, revision=revision, value=change.value))
@@ -214,6 +237,10 @@
         ]
 
 
+def _operator(command: Any) -> OperatorId:
+    return getattr(command, "operator", SYSTEM_OPERATOR)
+
+
 def _free_seat(records: list[InstanceRecord], joining: InstanceRecord) -> int:
     taken = {record.seat for record in records if record.region == joining.region}
     return next(seat for seat in range(len(taken) + 1) if seat not in taken)
--- a/mothshunt/configuration/store.py
+++ b/mothshunt/configuration/store.py
@@ -49,6 +49,15 @@
             self.put(item)
         self.revision = revision
 
+    def forget(self, key: ItemKey) -> None:
+        """Remove an item without a trace; copies lose it with the next whole delta.
+
+        :param key: Name of the item.
+        """
+        item = self.item_by_key.pop(key, None)
+        if item is not None:
+            self.digest ^= _hash(item)
+
     def changed_since(self, revision: Revision) -> tuple[Item, ...]:
         """Return the items that changed after a revision, oldest first.
 
--- a/mothshunt/consensus/addresses.py
+++ b/mothshunt/consensus/addresses.py
@@ -32,6 +32,15 @@
         if membership.members():
             self._tell(tuple(member.to_voter() for member in membership.members()))
 
+    def add(self, membership: Membership) -> None:
+        """Reach the members of a membership besides those known so far.
+
+        :param membership: What another instance holds; it may be an older one.
+        """
+        known = {voter.id for voter in self._voters}
+        found = [member.to_voter() for member in membership.members()]
+        self._tell((*self._voters, *(v for v in found if v.id not in known)))
+
     def announce(self, voter: Voter) -> None:
         """Reach an instance that is about to become a member.
 
--- a/mothshunt/consensus/bootstrap.py
+++ b/mothshunt/consensus/bootstrap.py
@@ -48,13 +48,16 @@
     known: Membership | None,
     initial: Sequence[InstanceId],
     answer_by_instance: Mapping[InstanceId, HelloAnswer],
+    may_join: bool = False,
 ) -> Decision:
     """Decide from what the other control instances say.
 
     :param own: This node.
     :param known: Newest membership in the own log; ``None`` where there is none.
-    :param initial: Initial members, by the settings.
+    :param initial: Initial members, by the settings; none where the log was founded
+        before this instance was there.
     :param answer_by_instance: What others answered just now.
+    :param may_join: Whether an instance that no membership names asks for admission.
     """
     answers = list(answer_by_instance.values())
     memberships = [a.membership for a in answers if a.membership is not None]
@@ -62,7 +65,7 @@
     if known is None and naming:
         return Decision(step=Step.FOUND, membership=naming[0])
     if memberships or known is not None:
-        return _decide_rejoin(own, answers)
+        return _decide_rejoin(own, answers, may_join=may_join)
     others = [instance for instance in initial if instance != own.id]
     has_all = all(instance in answer_by_instance for instance in others)
     if own.id not in initial or not has_all:
@@ -72,7 +75,9 @@
     return Decision(step=Step.FOUND, membership=Membership(voters=voters))
 
 
-def _decide_rejoin(own: Member, answers: Sequence[HelloAnswer]) -> Decision:
+def _decide_rejoin(
+    own: Member, answers: Sequence[HelloAnswer], *, may_join: bool
+) -> Decision:
     """Ask for admission where others name this instance with another folder.
 
     The leader judges; one that names this folder answers that nothing is to be done.
@@ -82,7 +87,8 @@
         membership = answer.membership
         if membership is None or membership.has(own.replica):
             continue
-        if membership.find(own.id) is None or answer.leader is None:
+        is_named = membership.find(own.id) is not None
+        if not (is_named or may_join) or answer.leader is None:
             continue
         if answer.leader not in leaders and answer.leader != own.id:
             leaders.append(answer.leader)
--- a/mothshunt/consensus/changes.py
+++ b/mothshunt/consensus/changes.py
@@ -111,6 +111,8 @@
     member = progress.member
     if state.membership.is_voter(member.replica):
         return
+    if len(state.membership.voters) >= state.config.max_voters:
+        return
     reached = max(progress.catch_up_target, leading.first_index)
     if progress.match < reached:
         return
--- a/mothshunt/consensus/config.py
+++ b/mothshunt/consensus/config.py
@@ -19,6 +19,9 @@
     :param keep_entries: Entries kept before a snapshot.
     :param snapshot_chunk_bytes: Largest part of a snapshot in one message.
     :param segment_bytes: Size after which a new file of the log is begun.
+    :param max_voters: Voters up to which learners are promoted.
+    :param is_self_managed: Whether the leader admits control instances that ask, and
+        replaces voters that are lost.
     """
 
     heartbeat_s: float = const.HEARTBEAT_S
@@ -30,3 +33,5 @@
     keep_entries: int = const.KEEP_ENTRIES
     snapshot_chunk_bytes: int = const.SNAPSHOT_CHUNK_BYTES
     segment_bytes: int = const.SEGMENT_BYTES
+    max_voters: int = const.MAX_MEMBERS
+    is_self_managed: bool = False
--- a/mothshunt/consensus/const.py
+++ b/mothshunt/consensus/const.py
@@ -16,6 +16,12 @@
 
 #: Most voters and learners together.
 MAX_MEMBERS = 7
+#: A voter that has not answered for this time is replaced by a learner that keeps up.
+#: It outlasts an election, and is well below the time in which a new machine must
+#: stand in for a lost one.
+REPLACE_AFTER_S = 2.5
+#: Time between two looks of the leader at the members.
+UPKEEP_INTERVAL_S = 0.5
 #: Bytes that an entry takes besides its data, about.
 ENTRY_OVERHEAD_BYTES = 32
 MAX_APPEND_BYTES = 256 * 1024
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -69,7 +69,9 @@
     """Implement ``ReplicatedLog`` on a control instance.
 
     :param own: This instance; its replica number is read from the data folder.
-    :param initial: Initial voters, by the settings.
+    :param initial: Initial voters, by the settings; none where the log was founded
+        before this instance was there.
+    :param contacts: Control instances that may be asked what they know.
     :param folder: Data folder of the replicated log.
     :param config: Timing and sizes.
     :param network: Streams to the other instances.
@@ -84,6 +86,7 @@
         *,
         own: Voter,
         initial: tuple[Voter, ...],
+        contacts: tuple[Voter, ...],
         folder: Path,
         config: ConsensusConfig,
         network: PeerNetwork,
@@ -94,6 +97,7 @@
     ) -> None:
         self._own = own
         self._initial = initial
+        self._contacts = contacts
         self._config = config
         self._network = network
         self._applier = CommandApplier(
@@ -111,7 +115,7 @@
         self._writer_task: asyncio.Task[None] | None = None
         self._stopping: asyncio.Task[None] | None = None
         self._fatal_listeners: list[Callable[[Failure], None]] = []
-        self._addresses = VoterAddresses(initial)
+        self._addresses = VoterAddresses(contacts)
 
     @classmethod
     def from_config(
@@ -124,6 +128,7 @@
         metrics: Metrics,
         config: ConsensusConfig | None = None,
         random: Random | None = None,
+        may_found: bool = True,
     ) -> "ConsensusCoordinator":
         """Build the replicated log of a control instance.
 
@@ -134,15 +139,19 @@
         :param metrics: Counters and histograms.
         :param config: Timing and sizes.
         :param random: Source of election timeouts and jitter.
+        :param may_found: Whether a log may be founded with the control instances of
+            the settings.
         """
         if settings.data_folder is None:
             raise ValueError("a control instance needs a data folder")
         peer = settings.listen.peer
+        contacts = tuple(
+            Voter(id=c.id, host=c.host, port=c.port) for c in settings.control
+        )
         return cls(
             own=Voter(id=settings.instance.id, host=peer.host, port=peer.port),
-            initial=tuple(
-                Voter(id=c.id, host=c.host, port=c.port) for c in settings.control
-            ),
+            initial=contacts if may_found else (),
+            contacts=contacts,
             folder=Path(settings.data_folder) / FOLDER_NAME,
             config=config or ConsensusConfig(),
             network=network,
@@ -199,6 +208,9 @@
             driver=driver,
             network=self._network,
             initial=[voter.id for voter in self._initial],
+            contacts=[voter.id for voter in self._contacts],
+            may_join=self._config.is_self_managed,
+            on_membership=self._addresses.add,
             random=self._random,
         )
         driver.on_membership(self._addresses.follow)
@@ -208,6 +220,8 @@
         self._writer_task = asyncio.create_task(self._async_write(driver))
         driver.start()
         self._tasks = [asyncio.create_task(self._introduction.async_run())]
+        if self._config.is_self_managed:
+            self._tasks.append(asyncio.create_task(service.async_keep_members()))
 
     def _register(self, driver: NodeDriver, service: LeaderService) -> None:
         network = self._network
--- a/mothshunt/consensus/introduction.py
+++ b/mothshunt/consensus/introduction.py
@@ -1,7 +1,7 @@
 """Task that brings a node into the replicated log, or back into it."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from expression import Result
@@ -26,6 +26,10 @@
     :param driver: Its node.
     :param network: Streams to the other instances.
     :param initial: Initial members, by the settings.
+    :param contacts: Control instances to ask while no membership is known.
+    :param may_join: Whether to ask for admission where no membership names this
+        instance.
+    :param on_membership: Called with each membership that another instance tells.
     :param random: Source of jitter.
     """
 
@@ -36,12 +40,18 @@
         driver: NodeDriver,
         network: PeerNetwork,
         initial: Sequence[InstanceId],
+        contacts: Sequence[InstanceId],
+        may_join: bool,
+        on_membership: Callable[[Membership], None],
         random: Random,
     ) -> None:
         self._own = own
         self._driver = driver
         self._network = network
         self._initial = tuple(initial)
+        self._contacts = tuple(contacts)
+        self._may_join = may_join
+        self._on_membership = on_membership
         self._random = random
 
     def known_membership(self) -> Membership | None:
@@ -74,18 +84,22 @@
 
     async def _async_step(self) -> None:
         known = self.known_membership()
-        peers = set(self._initial)
+        peers = {*self._initial, *self._contacts}
         if known is not None:
             peers.update(member.id for member in known.members())
         peers.discard(self._own.id)
         answer_by_instance = await self._async_ask(sorted(peers))
         if not self._is_outside():
             return
+        for answer in answer_by_instance.values():
+            if answer.membership is not None:
+                self._on_membership(answer.membership)
         decision = bootstrap.decide(
             own=self._own,
             known=self.known_membership(),
             initial=self._initial,
             answer_by_instance=answer_by_instance,
+            may_join=self._may_join,
         )
         await self._async_follow(decision)
 
--- a/mothshunt/consensus/leader_service.py
+++ b/mothshunt/consensus/leader_service.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from mothshunt.consensus import changes, codes, const
+from mothshunt.consensus import changes, codes, const, upkeep
 from mothshunt.consensus.driver import NodeDriver
 from mothshunt.consensus.messages import (
     AddVoter,
@@ -25,6 +25,9 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import LogIndex, Ran
+from mothshunt.helpers.log import get_logger
+
+_LOGGER = get_logger("consensus")
 
 
 class LeaderService:
@@ -89,6 +92,8 @@
             return _failed(codes.NOT_LEADER)
         member = request.member
         present = state.membership.find(member.id)
+        if present is None and state.config.is_self_managed:
+            return self._add_learner(member)
         if present is None:
             return _failed(codes.VOTER_UNKNOWN, f"{member.id} is no member")
         if present.replica == member.replica:
@@ -99,6 +104,21 @@
             return _failed(codes.DUPLICATE_INSTANCE, f"{member.id} is running")
         return self._add_learner(member)
 
+    async def async_keep_members(self) -> None:
+        """Replace lost voters by learners that keep up, while this node leads."""
+        while True:
+            await asyncio.sleep(const.UPKEEP_INTERVAL_S)
+            driver = self._driver
+            leading = driver.state.leading
+            if leading is None:
+                continue
+            lost = upkeep.member_to_remove(driver.state, leading, driver.now())
+            if lost is not None:
+                _LOGGER.warning("a lost member is removed", member=lost.id)
+                driver.perform(driver.node.remove(lost.id, driver.now())[1])
+                continue
+            driver.perform(driver.node.promote(driver.now()))
+
     def _add_learner(self, member: Member) -> Answer:
         driver = self._driver
         index, outputs = driver.node.add_learner(member, driver.now())
--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -296,6 +296,17 @@
             index = changes.add_learner(self.state, member, now)
         return index, self._finish(now)
 
+    def promote(self, now: float) -> Outputs:
+        """Make learners voters that keep up, where there is room for a voter.
+
+        :param now: Monotonic time, in seconds.
+        """
+        leading = self.state.leading
+        if leading is not None:
+            for progress in tuple(leading.progress_by_replica.values()):
+                changes.promote_if_caught_up(self.state, leading, progress, now)
+        return self._finish(now)
+
     def remove(
         self, instance: InstanceId, now: float
     ) -> tuple[LogIndex | None, Outputs]:
--- a/mothshunt/consensus/segments.py
+++ b/mothshunt/consensus/segments.py
@@ -72,8 +72,8 @@
 
     def create(self) -> None:
         """Make the first file, so that a missing one is noticed later."""
-        path = self._path(FIRST_NUMBER)
-        path.touch()
+        # Not touch(): it takes a file for there whose times it could set.
+        self._path(FIRST_NUMBER).open("ab").close()
         sync_folder(self._folder)
 
     def load(self) -> tuple[Entry, ...]:
--- a/mothshunt/core/clock.py
+++ b/mothshunt/core/clock.py
@@ -13,8 +13,12 @@
 
 
 class SystemClock:
-    """Read the monotonic clock of the operating system."""
+    """Read the clock that goes on while the machine is suspended.
+
+    A lease that is counted on the monotonic clock would outlive its time at a machine
+    that was suspended, as that clock stands still meanwhile.
+    """
 
     def monotonic(self) -> float:
         """Return seconds since an arbitrary start."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/mothshunt/core/types.py
+++ b/mothshunt/core/types.py
@@ -9,6 +9,8 @@
 RegionId = NewType("RegionId", str)
 AvailabilityZoneId = NewType("AvailabilityZoneId", str)
 TargetId = NewType("TargetId", str)
+RouteName = NewType("RouteName", str)
+HostName = NewType("HostName", str)
 OperatorId = NewType("OperatorId", str)
 ChangeId = NewType("ChangeId", str)
 RequestId = NewType("RequestId", str)
@@ -20,6 +22,8 @@
 Incarnation = NewType("Incarnation", int)
 #: Election term of the replicated log.
 Term = NewType("Term", int)
+#: Number of a routing item, given by the operator; the highest takes effect.
+ItemVersion = NewType("ItemVersion", int)
 #: Position in the replicated log; the first entry has index 1.
 LogIndex = NewType("LogIndex", int)
 
--- /dev/null
+++ b/mothshunt/daemon/routed_control.py
@@ -0,0 +1,129 @@
+"""What a control instance of a routed deployment runs."""
+
+from dataclasses import dataclass
+
+from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.publisher import ConfigurationPublisher
+from mothshunt.configuration.state import ReplicatedConfiguration
+from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.coordinator import ConsensusCoordinator
+from mothshunt.consensus.model import Voter
+from mothshunt.core.clock import Clock
+from mothshunt.core.composite import CompositeStateMachine
+from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.membership.attachments import Attachments
+from mothshunt.membership.roster import ControlAddress
+from mothshunt.membership.roster_coordinator import RosterHub
+from mothshunt.metrics.registry import Metrics
+from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
+from mothshunt.routing.coordinator import RoutingCoordinator
+from mothshunt.settings.config import ControlPeer, RoutingSettings, Settings
+
+
+@dataclass(slots=True, eq=False)
+class RoutedControl:
+    """Hold the parts that a control instance has.
+
+    :param log: The replicated log.
+    :param routing: Changes and confirmed reads of the routing items.
+    :param publisher: Delivery of the configuration.
+    :param roster: Entry instances that are attached.
+    :param registry: Targets that renew themselves here.
+    :param attachments: Streams to the control instances.
+    :param network: Streams of this instance.
+    """
+
+    log: ConsensusCoordinator
+    routing: RoutingCoordinator
+    publisher: ConfigurationPublisher
+    roster: RosterHub
+    registry: RegistryPublisher
+    attachments: Attachments
+    network: StreamNetwork
+
+    @classmethod
+    def from_parts(
+        cls,
+        *,
+        settings: Settings,
+        routing: RoutingSettings,
+        network: StreamNetwork,
+        attachments: Attachments,
+        holder: ConfigurationHolder,
+        registry: RegistryFollower,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> "RoutedControl":
+        """Build the parts of a control instance.
+
+        :param settings: Settings of the instance.
+        :param routing: Their part about routing.
+        :param network: Streams to other instances.
+        :param attachments: Streams to the control instances.
+        :param holder: Configuration in force.
+        :param registry: Targets that are known.
+        :param clock: Source of the present time.
+        :param metrics: Metrics of the process.
+        """
+        state = ReplicatedConfiguration()
+        log = ConsensusCoordinator.from_config(
+            settings=settings,
+            network=network,
+            state_machine=CompositeStateMachine([state]),
+            clock=clock,
+            metrics=metrics,
+            config=ConsensusConfig(max_voters=routing.voters, is_self_managed=True),
+            may_found=routing.may_found,
+        )
+
+        def control() -> tuple[ControlAddress, ...]:
+            status = log.status()
+            return tuple(
+                ControlAddress(id=voter.id, host=voter.host, port=voter.port)
+                for voter in (*status.voters, *status.learners)
+            )
+
+        roster = RosterHub(network, clock, control)
+        publisher = RegistryPublisher(
+            network=network,
+            clock=clock,
+            follower=registry,
+            entries=roster.attached,
+            control_peers=attachments.peers,
+        )
+        roster.on_attached(publisher.welcome)
+        attachments.on_attach(publisher.welcome)
+        return cls(
+            log=log,
+            routing=RoutingCoordinator(state, log),
+            publisher=ConfigurationPublisher(state, log, holder, network, clock),
+            roster=roster,
+            registry=publisher,
+            attachments=attachments,
+            network=network,
+        )
+
+    async def async_start(self) -> None:
+        """Start the parts; the network is started after them."""
+        self.network.on_disconnect(self.publisher.forget)
+        await self.publisher.async_start()
+        await self.roster.async_start()
+        await self.registry.async_start()
+        self.log.on_voters_changed(self._follow_voters)
+
+    async def async_open_log(self) -> None:
+        """Read the log from the disk and take part in the elections."""
+        await self.log.async_start()
+
+    async def async_stop(self) -> None:
+        """Stop the parts; a leader hands its leadership on."""
+        await self.log.async_stop()
+        await self.registry.async_stop()
+        await self.roster.async_stop()
+        await self.publisher.async_stop()
+
+    def _follow_voters(self, voters: tuple[Voter, ...]) -> None:
+        self.attachments.follow(
+            ControlPeer(id=voter.id, host=voter.host, port=voter.port)
+            for voter in voters
+        )
--- /dev/null
+++ b/mothshunt/daemon/routed_entry.py
@@ -0,0 +1,190 @@
+"""What an entry instance of a routed deployment runs."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.core.clock import Clock
+from mothshunt.core.types import InstanceState
+from mothshunt.forwarding.connections import ConnectionPool
+from mothshunt.forwarding.forwarder import RoutedForwarder
+from mothshunt.forwarding.model import HeaderNames
+from mothshunt.forwarding.refusal import Refuser
+from mothshunt.forwarding.retry import RetryBudget
+from mothshunt.forwarding.server import RoutedServer
+from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.membership.attachments import Attachments
+from mothshunt.membership.roster import EntryReport, RosterView
+from mothshunt.membership.roster_coordinator import RosterReporter
+from mothshunt.metrics.registry import Metrics
+from mothshunt.placement.coordinator import PlacementCoordinator
+from mothshunt.placement.state import Placement
+from mothshunt.registry.coordinator import RegistryFollower
+from mothshunt.routing.model import RoutingTable
+from mothshunt.settings.config import RoutingSettings, Settings
+
+
+def whole_seconds(seconds: float) -> str:
+    """Write a time to come back as RFC 9110 has it, rounded up.
+
+    :param seconds: The time, in seconds.
+    """
+    return str(max(1, math.ceil(seconds)))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryInterface:
+    """Say how callers and targets are spoken to.
+
+    :param names: Names of the header fields.
+    :param format_retry_after: Writes the time to come back, given in seconds.
+    """
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    format_retry_after: Callable[[float], str] = whole_seconds
+
+
+@dataclass(slots=True, eq=False)
+class RoutedEntry:
+    """Hold the parts that an entry instance has.
+
+    :param server: HTTP for callers.
+    :param placement: Choice of targets.
+    :param pool: Connections to targets.
+    :param budget: Attempts beyond the first.
+    :param reporter: Reports to the control instances.
+    """
+
+    server: RoutedServer
+    placement: PlacementCoordinator
+    pool: ConnectionPool
+    budget: RetryBudget
+    reporter: RosterReporter
+
+    @classmethod
+    def from_parts(
+        cls,
+        *,
+        settings: Settings,
+        routing: RoutingSettings,
+        network: StreamNetwork,
+        attachments: Attachments,
+        holder: ConfigurationHolder,
+        registry: RegistryFollower,
+        is_ready: Callable[[], bool],
+        interface: EntryInterface,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> "RoutedEntry":
+        """Build the parts of an entry instance.
+
+        :param settings: Settings of the instance.
+        :param routing: Their part about routing.
+        :param network: Streams to other instances.
+        :param attachments: Streams to the control instances.
+        :param holder: Configuration in force.
+        :param registry: Targets that are known.
+        :param is_ready: Tells whether the configuration is current.
+        :param interface: How callers and targets are spoken to.
+        :param clock: Source of the present time.
+        :param metrics: Metrics of the process.
+        """
+        own = settings.instance
+        listen = settings.listen.traffic
+        if listen is None:
+            raise ValueError("an entry instance needs an address for callers")
+        roster = RosterView(
+            EntryReport(
+                instance=own.id,
+                region=own.region,
+                availability_zone=own.availability_zone,
+                host=listen.host,
+                port=listen.port,
+                state=InstanceState.STARTING,
+            )
+        )
+        random = Random()
+        placement = PlacementCoordinator(
+            placement=Placement(
+                zone=own.availability_zone,
+                region=own.region,
+                max_region_shift=routing.max_region_shift,
+                renewal_interval_s=routing.renewal_interval_s,
+                random=random,
+            ),
+            registry=registry.registry,
+            roster=roster,
+            settings=routing,
+            clock=clock,
+            metrics=metrics,
+            _table=RoutingTable(),
+        )
+        holder.on_change(placement.on_configuration)
+        registry.on_change(placement.refresh)
+        pool = ConnectionPool(clock, metrics)
+        budget = RetryBudget(
+            ratio=routing.retry_ratio,
+            slack=routing.retry_slack,
+            window_s=routing.retry_window_s,
+        )
+        refuser = Refuser(interface.names, interface.format_retry_after)
+        forwarder = RoutedForwarder(
+            configuration=holder,
+            placement=placement,
+            pool=pool,
+            budget=budget,
+            roster=roster,
+            refuser=refuser,
+            is_ready=is_ready,
+            metrics=metrics,
+            clock=clock,
+        )
+        server = RoutedServer(
+            host=listen.host,
+            port=listen.port,
+            forwarder=forwarder,
+            refuser=refuser,
+            configuration=holder,
+            metrics=metrics,
+        )
+        reporter = RosterReporter(
+            network=network,
+            clock=clock,
+            attachments=attachments,
+            view=roster,
+            revision=lambda: holder.current().revision,
+        )
+        return cls(
+            server=server,
+            placement=placement,
+            pool=pool,
+            budget=budget,
+            reporter=reporter,
+        )
+
+    async def async_start(self) -> None:
+        """Begin to serve callers; they are refused until the instance is ready."""
+        await self.pool.async_start()
+        await self.placement.async_start()
+        await self.reporter.async_start()
+        await self.server.async_start()
+
+    def reload(self, routing: RoutingSettings) -> None:
+        """Take changed limits.
+
+        :param routing: The new settings.
+        """
+        self.placement.settings = routing
+        self.placement.placement.renewal_interval_s = routing.renewal_interval_s
+        self.budget.ratio = routing.retry_ratio
+        self.budget.slack = routing.retry_slack
+        self.budget.window_s = routing.retry_window_s
+
+    async def async_stop(self) -> None:
+        """Stop to serve."""
+        await self.server.async_stop()
+        await self.reporter.async_stop()
+        await self.placement.async_stop()
+        await self.pool.async_stop()
--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -5,9 +5,6 @@
 from collections.abc import Mapping
 
 from aiohttp import web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import StreamReader
 
 from mothshunt.core.codes import Failure
 from mothshunt.core.const import PATH_ANNOUNCE, PATH_LEAVE, PATH_LOOKUP, PATH_SERVICES
@@ -28,12 +25,18 @@
 from mothshunt.dispatch.forwarder import Forwarder
 from mothshunt.dispatch.model import RouteHandler
 from mothshunt.dispatch.refusal import refuse
-from mothshunt.helpers.http_protocol import NumberedProtocol
+from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("dispatch")
 _SERVICES_PREFIX = PATH_SERVICES + "/"
+_PROTOCOL_OPTIONS = ProtocolOptions(
+    idle_timeout_s=CALLER_KEEPALIVE_S,
+    max_field_bytes=MAX_LINE_BYTES,
+    max_headers=MAX_HEADERS,
+    passes_on=True,
+)
 
 
 class TrafficServer:
@@ -71,7 +74,7 @@
         self._in_flight = 0
         self._leaving = False
         self._next_fault_log_at = 0.0
-        self._protocols: _ProtocolFactory | None = None
+        self._protocols: ProtocolFactory | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -87,7 +90,9 @@
         """Listen, and begin to answer."""
         self._metrics.gauge(METRIC_IN_FLIGHT, self.in_flight)
         await self._forwarder.async_start()
-        self._protocols = _ProtocolFactory(self)
+        self._protocols = ProtocolFactory(
+            self.async_handle, self.refuse_malformed, lambda: _PROTOCOL_OPTIONS
+        )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._protocols, self._host, self._port, backlog=BACKLOG
@@ -173,39 +178,3 @@
         self._next_fault_log_at = now + FAULT_LOG_INTERVAL_S
         trace = traceback.format_exception(error)
         _LOGGER.error("a request met a fault", error=repr(error), trace=trace)
-
-
-class _ProtocolFactory(web.Server):
-    """Make the protocol of each connection."""
-
-    def __init__(self, server: TrafficServer) -> None:
-        super().__init__(
-            server.async_handle,
-            request_factory=self._make_full_request,
-            handler_cancellation=True,
-        )
-        self._server = server
-
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
-        return NumberedProtocol(
-            self,
-            on_malformed=self._server.refuse_malformed,
-            loop=self._loop,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            max_headers=MAX_HEADERS,
-        )
-
-    def _make_full_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: AbstractStreamWriter,
-        task: "asyncio.Task[None]",
-    ) -> web.Request:
-        return web.Request(message, payload, protocol, writer, task, self._loop)
--- /dev/null
+++ b/mothshunt/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests by routes."""
--- /dev/null
+++ b/mothshunt/forwarding/codes.py
@@ -0,0 +1,32 @@
+"""Result codes of the forwarding slice; others are those of dispatch."""
+
+from mothshunt.core.codes import ResultCode
+
+NOT_READY = ResultCode(
+    number=2801,
+    name="entry_not_ready",
+    http_status=503,
+    summary="The instance does not hold the configuration yet.",
+    action="Ask another entry instance, or come back after the time named.",
+)
+UNKNOWN_ROUTE = ResultCode(
+    number=2802,
+    name="route_unknown",
+    http_status=404,
+    summary="No route of the host begins the path.",
+    action="Check host and path; `mothshunt routes list` shows all routes.",
+)
+TARGET_MISDIRECTED = ResultCode(
+    number=2803,
+    name="target_misdirected",
+    http_status=503,
+    summary="Another target answered at the address.",
+    action="Come back after the time named; the target has been replaced.",
+)
+ANSWER_UNPROVEN = ResultCode(
+    number=2804,
+    name="answer_unproven",
+    http_status=502,
+    summary="An answer does not show that the target gave it to this request.",
+    action="Repeat the request if it is idempotent; check the target.",
+)
--- /dev/null
+++ b/mothshunt/forwarding/connections.py
@@ -0,0 +1,183 @@
+"""Connections to targets, kept open for further requests."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from mothshunt.core.clock import Clock
+from mothshunt.core.types import TargetId
+from mothshunt.dispatch.const import CONNECT_TIMEOUT_S
+from mothshunt.forwarding import const
+from mothshunt.helpers.tasks import async_cancel, start_background
+from mothshunt.metrics.registry import Metrics
+from mothshunt.placement.model import PlacedTarget
+
+_TIMEOUT_PREFIX = "timeout="
+
+
+class NotConnectedError(Exception):
+    """Tell that no connection was opened, so that not one byte was handed over."""
+
+
+class TargetConnection(ResponseHandler):
+    """Carry requests to one target, one after the other.
+
+    :param loop: The event loop.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.requests = 0
+        self.idle_since = 0.0
+        self.idle_limit_s = const.DEFAULT_IDLE_S
+
+    def begin(self, *, skip_body: bool, max_field_bytes: int) -> None:
+        """Make ready to read the answer to one more request.
+
+        :param skip_body: Whether the answer has no body, whatever its head says.
+        :param max_field_bytes: Longest header field of the answer.
+        """
+        self.requests += 1
+        self.set_response_params(
+            skip_payload=skip_body,
+            read_until_eof=True,
+            auto_decompress=False,
+            max_line_size=max_field_bytes,
+            max_field_size=max_field_bytes,
+        )
+
+    def note_idle_limit(self, message: RawResponseMessage) -> None:
+        """Learn how long the target keeps idle connections.
+
+        :param message: Head of an answer.
+        """
+        for part in message.headers.get("Keep-Alive", "").split(","):
+            value = part.strip().removeprefix(_TIMEOUT_PREFIX)
+            if part.strip().startswith(_TIMEOUT_PREFIX) and value.isdigit():
+                self.idle_limit_s = int(value) * const.IDLE_PART
+
+    def is_reusable(self, now: float) -> bool:
+        """Tell whether one more request may be sent.
+
+        :param now: The present time, in seconds.
+        """
+        is_fresh = now - self.idle_since < self.idle_limit_s
+        return self.is_connected() and not self.should_close and is_fresh
+
+    def write(self, data: bytes) -> None:
+        """Hand bytes to the connection.
+
+        :param data: The bytes.
+        :raises ConnectionResetError: The connection is closed.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        transport.write(data)
+
+    async def async_flush(self) -> None:
+        """Wait until the connection takes more bytes."""
+        await self._drain_helper()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note the end of the connection.
+
+        The library takes an answer without a length as whole when its connection ends,
+        also when it was reset on the way.
+
+        :param exc: Why it ended; ``None`` when the target closed it.
+        """
+        payload: StreamReader | None = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError("the connection was reset"))
+        super().connection_lost(exc)
+
+
+@dataclass(slots=True, eq=False)
+class ConnectionPool:
+    """Keep idle connections by target.
+
+    :param clock: Source of the present time.
+    :param metrics: Counters of the process.
+    """
+
+    clock: Clock
+    metrics: Metrics
+    _idle_by_target: dict[TargetId, list[TargetConnection]] = field(
+        default_factory=dict
+    )
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to close connections that were idle for long."""
+        self._task = start_background("target-connections", self._async_sweep)
+
+    async def async_stop(self) -> None:
+        """Close all idle connections."""
+        await async_cancel(self._task)
+        for target in list(self._idle_by_target):
+            self.drop(target)
+
+    async def async_take(self, target: PlacedTarget) -> TargetConnection:
+        """Return a connection for one request.
+
+        :param target: The target.
+        :raises NotConnectedError: No connection could be opened.
+        """
+        idle = self._idle_by_target.get(target.id, [])
+        now = self.clock.monotonic()
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable(now):
+                return connection
+            connection.close()
+        return await self._async_open(target)
+
+    async def _async_open(self, target: PlacedTarget) -> TargetConnection:
+        loop = asyncio.get_running_loop()
+        self.metrics.count(const.METRIC_CONNECTIONS, service=target.service)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: TargetConnection(loop), target.host, target.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotConnectedError(type(error).__name__) from error
+        return connection
+
+    def give_back(self, target: PlacedTarget, connection: TargetConnection) -> None:
+        """Keep a connection whose answer was read to its end.
+
+        :param target: The target.
+        :param connection: The connection.
+        """
+        connection.idle_since = self.clock.monotonic()
+        if connection.is_reusable(connection.idle_since):
+            self._idle_by_target.setdefault(target.id, []).append(connection)
+        else:
+            connection.close()
+
+    def drop(self, target: TargetId) -> None:
+        """Close the idle connections to a target.
+
+        :param target: Name of the target.
+        """
+        for connection in self._idle_by_target.pop(target, []):
+            connection.close()
+
+    async def _async_sweep(self) -> None:
+        while True:
+            await asyncio.sleep(const.SWEEP_INTERVAL_S)
+            now = self.clock.monotonic()
+            for target, idle in list(self._idle_by_target.items()):
+                kept = [c for c in idle if c.is_reusable(now)]
+                for connection in set(idle) - set(kept):
+                    connection.close()
+                if kept:
+                    self._idle_by_target[target] = kept
+                else:
+                    del self._idle_by_target[target]
--- /dev/null
+++ b/mothshunt/forwarding/const.py
@@ -0,0 +1,45 @@
+"""Constants of the forwarding slice."""
+
+#: An answer that is ready shortly after the route's timeout is still delivered, for
+#: this time, in seconds; operators allow half a second.
+TIMEOUT_GRACE_S = 0.15
+#: Shortest time that is worth an attempt, in seconds: a round trip within a region.
+MIN_ATTEMPT_S = 0.01
+#: Connections to targets that may fail for one request before it is refused.
+MAX_CONNECT_FAILURES = 3
+#: Part of a target's idle timeout for which a connection is used again; beyond it the
+#: target may close it while a request is on its way.
+IDLE_PART = 0.7
+#: Idle time of a connection whose target names none, in seconds.
+DEFAULT_IDLE_S = 3.0
+#: Time between two looks for idle connections that have lasted long, in seconds.
+SWEEP_INTERVAL_S = 1.0
+#: Answers to earlier requests that are passed over on one connection.
+MAX_STALE_ANSWERS = 2
+#: Part of the retry budget that is used; the rest covers entry instances that don't
+#: know of each other yet.
+BUDGET_SAFETY = 0.8
+#: Time to come back while this instance is not ready, in seconds.
+NOT_READY_RETRY_S = 0.3
+#: Time to come back after a request that no target ran, in seconds.
+DEFAULT_RETRY_S = 0.2
+#: Idle connections of callers are closed after this time where no limit is in force,
+#: in seconds.
+DEFAULT_CALLER_IDLE_S = 15.0
+#: Longest header field of a caller where no limit is in force.
+DEFAULT_FIELD_BYTES = 16 * 1024
+#: The listener stays open for this part of the time that an instance has to leave;
+#: callers that asked before go on to connect meanwhile.
+LISTEN_PART = 0.55
+#: What is in flight has up to this part of that time.
+FINISH_PART = 0.93
+#: Lines about single requests in one second, at most; more are counted only.
+MAX_LINES_PER_S = 40
+
+METRIC_REQUESTS = "mothshunt_forwarding_requests_total"
+METRIC_ATTEMPTS = "mothshunt_forwarding_attempts_total"
+METRIC_RETRIES = "mothshunt_forwarding_retries_total"
+METRIC_LATENCY = "mothshunt_forwarding_seconds"
+METRIC_CONNECTIONS = "mothshunt_forwarding_connections_total"
+METRIC_LINES_DROPPED = "mothshunt_log_lines_dropped_total"
+METRIC_IN_FLIGHT = "mothshunt_forwarding_in_flight"
--- /dev/null
+++ b/mothshunt/forwarding/request.py
@@ -0,0 +1,137 @@
+"""Reading of a caller's request, and the head that a target gets."""
+
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import RequestId, ServiceName
+from mothshunt.dispatch import codes as dispatch_codes
+from mothshunt.dispatch.request import forwarded_headers
+from mothshunt.forwarding import codes
+from mothshunt.forwarding.model import HeaderNames, RoutedRequest
+from mothshunt.placement.model import PlacedTarget, ReportedLoad
+from mothshunt.routing.model import Route, RoutingTable
+
+MAX_DEADLINE_DIGITS = 9
+MAX_ID_LENGTH = 128
+MILLISECONDS_PER_SECOND = 1000
+
+
+def read_request(
+    request: web.Request,
+    table: RoutingTable,
+    names: HeaderNames,
+    next_service: Callable[[Route], ServiceName],
+    now: float,
+) -> RoutedRequest | Failure:
+    """Read what a caller asks for from the head of its request.
+
+    :param request: The request.
+    :param table: Routes in force.
+    :param names: Names of the header fields.
+    :param next_service: Chooses among the services of a route.
+    :param now: The present time, in seconds.
+    :return: What is asked for; or a failure with code 2802 or 2006.
+    """
+    target = request.raw_path
+    path = target.partition("?")[0]
+    if not path.startswith("/"):
+        path = request.rel_url.raw_path
+    route = table.find(request.headers.get("Host", ""), path)
+    if route is None:
+        return Failure(code=codes.UNKNOWN_ROUTE, detail=path[:80])
+    left_s = _time_left_s(request.headers.get(names.deadline_ms), route)
+    if left_s is None:
+        return Failure(code=dispatch_codes.BAD_HEADER, detail=names.deadline_ms)
+    return RoutedRequest(
+        request_id=RequestId(request.headers.get(names.request_id, "")[:MAX_ID_LENGTH]),
+        route=route,
+        service=next_service(route),
+        method=request.method,
+        target=target,
+        affinity_key=_affinity_key(request, route, names),
+        received_at=now,
+        deadline=now + left_s,
+    )
+
+
+def _time_left_s(value: str | None, route: Route) -> float | None:
+    if value is None:
+        return route.timeout_s
+    if not value.isascii() or not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+        return None
+    return min(int(value) / MILLISECONDS_PER_SECOND, route.timeout_s)
+
+
+def _affinity_key(request: web.Request, route: Route, names: HeaderNames) -> str | None:
+    if not route.has_affinity:
+        return None
+    for header in request.headers.getall("Cookie", ()):
+        for part in header.split(";"):
+            name, _, value = part.strip().partition("=")
+            if name == names.affinity_cookie:
+                return value
+    return None
+
+
+def target_headers(headers: Mapping[str, str], names: HeaderNames) -> CIMultiDict[str]:
+    """Return the header fields that are the same for each attempt.
+
+    :param headers: Header fields as the caller sent them.
+    :param names: Names of the header fields.
+    """
+    kept = forwarded_headers(headers)
+    for name in (names.deadline_ms, names.expected_target, "Expect", "Content-Length"):
+        kept.popall(name, None)
+    return kept
+
+
+def request_head(
+    call: RoutedRequest,
+    headers: CIMultiDict[str],
+    names: HeaderNames,
+    target: PlacedTarget,
+    body_length: int | None,
+    now: float,
+) -> bytes:
+    """Return the head of a request as a target gets it.
+
+    :param call: What is asked for.
+    :param headers: What ``target_headers`` returned.
+    :param names: Names of the header fields.
+    :param target: The target.
+    :param body_length: Bytes of the body; ``None`` where it is sent in chunks.
+    :param now: The present time, in seconds.
+    """
+    left_ms = max(1, int((call.deadline - now) * MILLISECONDS_PER_SECOND))
+    lines = [f"{call.method} {call.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"{names.deadline_ms}: {left_ms}")
+    lines.append(f"{names.expected_target}: {target.id}")
+    if body_length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif body_length or call.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {body_length}")
+    text = "\r\n".join(lines) + "\r\n\r\n"
+    return text.encode("utf-8", "surrogateescape")
+
+
+def reported_load(
+    headers: Mapping[str, str], names: HeaderNames
+) -> ReportedLoad | None:
+    """Return the load that a target reports; ``None`` where there is none to read.
+
+    :param headers: Header fields of its answer.
+    :param names: Names of the header fields.
+    """
+    parts = headers.get(names.load, "").split(",")
+    if len(parts) != 3 or not all(_is_count(part.strip()) for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 6
--- /dev/null
+++ b/mothshunt/forwarding/server.py
@@ -0,0 +1,173 @@
+"""HTTP server for callers of routed requests."""
+
+import asyncio
+import contextlib
+import traceback
+from collections.abc import Callable
+
+from aiohttp import web
+
+from mothshunt.configuration.model import ConfigurationSource
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import Ran, RequestId
+from mothshunt.dispatch import codes as dispatch_codes
+from mothshunt.dispatch.const import BACKLOG, FAULT_LOG_INTERVAL_S, MAX_HEADERS
+from mothshunt.forwarding import const
+from mothshunt.forwarding.forwarder import RoutedForwarder
+from mothshunt.forwarding.refusal import Refuser
+from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
+from mothshunt.helpers.log import get_logger
+from mothshunt.metrics.registry import Metrics
+
+_LOGGER = get_logger("forwarding")
+
+
+class RoutedServer:
+    """Serve callers on one address.
+
+    :param host: IP number to listen on.
+    :param port: TCP port; 0 takes a free one.
+    :param forwarder: Answers requests.
+    :param refuser: Makes answers of this instance's own.
+    :param configuration: Limits in force.
+    :param metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        forwarder: RoutedForwarder,
+        refuser: Refuser,
+        configuration: ConfigurationSource,
+        metrics: Metrics,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._forwarder = forwarder
+        self._refuser = refuser
+        self._configuration = configuration
+        self._metrics = metrics
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._is_leaving = False
+        self._next_fault_log_at = 0.0
+        self._protocols: ProtocolFactory | None = None
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """TCP port that is listened on."""
+        return self._port
+
+    def in_flight(self) -> int:
+        """Return the number of requests that are being answered."""
+        return self._in_flight
+
+    async def async_start(self) -> None:
+        """Listen, and begin to answer."""
+        self._metrics.gauge(const.METRIC_IN_FLIGHT, self.in_flight)
+        self._protocols = ProtocolFactory(
+            self._async_handle, self._refuse_malformed, self._options
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._protocols, self._host, self._port, backlog=BACKLOG
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    async def async_leave(self, leave_s: float, now: Callable[[], float]) -> None:
+        """Serve on for a while, then finish what is in flight.
+
+        Callers learn with the next answer that the connection ends. New connections
+        are taken for a while, as callers were told of this instance shortly before.
+
+        :param leave_s: Time that the instance has to leave, in seconds.
+        :param now: Returns the present time, in seconds.
+        """
+        self._is_leaving = True
+        began_at = now()
+        await asyncio.sleep(leave_s * const.LISTEN_PART)
+        if self._server is not None:
+            self._server.close()
+        left_s = leave_s * const.FINISH_PART - (now() - began_at)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self._idle.wait()
+        _LOGGER.info("left", unfinished=self._in_flight)
+
+    async def async_stop(self) -> None:
+        """Close all connections; may be called twice."""
+        if self._server is not None:
+            self._server.close()
+        protocols, self._protocols = self._protocols, None
+        if protocols is None:
+            return
+        protocols.pre_shutdown()
+        await protocols.shutdown(0.0)
+
+    def _options(self) -> ProtocolOptions:
+        limits = self._configuration.current().routing.limits
+        if limits is None:
+            return ProtocolOptions(
+                idle_timeout_s=const.DEFAULT_CALLER_IDLE_S,
+                max_field_bytes=const.DEFAULT_FIELD_BYTES,
+                max_headers=MAX_HEADERS,
+                passes_on=True,
+            )
+        return ProtocolOptions(
+            idle_timeout_s=limits.idle_timeout_s,
+            max_field_bytes=limits.max_header_bytes,
+            max_headers=MAX_HEADERS,
+            max_body_bytes=limits.max_body_bytes,
+            passes_on=True,
+        )
+
+    def _refuse_malformed(self, detail: str) -> web.Response:
+        failure = Failure(code=dispatch_codes.MALFORMED_HTTP, detail=detail)
+        self._metrics.count(const.METRIC_REQUESTS, outcome=failure.code.name)
+        return self._refuser.response(failure, RequestId(""))
+
+    async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        assert isinstance(request, web.Request)
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            response = await self._async_answer(request)
+            if self._is_leaving:
+                response.force_close()
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        except asyncio.CancelledError:
+            self._metrics.count(const.METRIC_REQUESTS, outcome="caller_left")
+            raise
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def _async_answer(self, request: web.Request) -> web.StreamResponse:
+        try:
+            return await self._forwarder.async_handle(request)
+        except (ConnectionError, web.HTTPException):
+            raise
+        except Exception as error:
+            self._log_fault(error)
+            failure = Failure(
+                code=dispatch_codes.INTERNAL,
+                detail=type(error).__name__,
+                ran=Ran.UNKNOWN,
+            )
+            return self._refuser.response(failure, RequestId(""))
+
+    def _log_fault(self, error: Exception) -> None:
+        """Log a fault, but not each of a flood; the refusals are all counted."""
+        now = asyncio.get_running_loop().time()
+        if now < self._next_fault_log_at:
+            return
+        self._next_fault_log_at = now + FAULT_LOG_INTERVAL_S
+        trace = traceback.format_exception(error)
+        _LOGGER.error("a request met a fault", error=repr(error), trace=trace)
--- a/mothshunt/admin/listener.py
+++ b/mothshunt/helpers/http_listener.py
@@ -4,14 +4,17 @@
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import StreamReader
 
-from mothshunt.admin.const import MAX_BODY_BYTES
-from mothshunt.helpers.http_protocol import MalformedHandler, NumberedProtocol
+from mothshunt.helpers.http_protocol import (
+    MalformedHandler,
+    ProtocolFactory,
+    ProtocolOptions,
+)
 
+#: Connections that may wait to be accepted.
 BACKLOG = 512
+#: Largest request body where the caller names no other bound.
+MAX_BODY_BYTES = 1024 * 1024
 STOP_TIMEOUT_S = 10.0
 
 RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -24,6 +27,7 @@
     :param port: TCP port; 0 takes a free one.
     :param handler: Answers requests.
     :param on_malformed: Makes the answer to a request that is not valid HTTP.
+    :param max_body_bytes: Largest request body.
     """
 
     def __init__(
@@ -33,12 +37,14 @@
         port: int,
         handler: RequestHandler,
         on_malformed: MalformedHandler,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         self._host = host
         self._port = port
         self._handler = handler
         self._on_malformed = on_malformed
-        self._protocols: _ProtocolFactory | None = None
+        self._options = ProtocolOptions(max_body_bytes=max_body_bytes)
+        self._protocols: ProtocolFactory | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -48,7 +54,9 @@
 
     async def async_start(self) -> None:
         """Begin to listen."""
-        self._protocols = _ProtocolFactory(self._async_handle, self._on_malformed)
+        self._protocols = ProtocolFactory(
+            self._async_handle, self._on_malformed, lambda: self._options
+        )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._protocols, self._host, self._port, backlog=BACKLOG
@@ -67,39 +75,3 @@
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request, web.Request)
         return await self._handler(request)
-
-
-class _ProtocolFactory(web.Server):
-    """Make the protocol of each connection."""
-
-    def __init__(
-        self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        on_malformed: MalformedHandler,
-    ) -> None:
-        super().__init__(handler, request_factory=self._make_full_request)
-        self._on_malformed = on_malformed
-
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
-        return NumberedProtocol(
-            self, on_malformed=self._on_malformed, loop=self._loop, access_log=None
-        )
-
-    def _make_full_request(
-        self,
-        message: RawRequestMessage,
-        payload: StreamReader,
-        protocol: web.RequestHandler,
-        writer: AbstractStreamWriter,
-        task: "asyncio.Task[None]",
-    ) -> web.Request:
-        return web.Request(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            self._loop,
-            client_max_size=MAX_BODY_BYTES,
-        )
--- a/mothshunt/helpers/http_protocol.py
+++ b/mothshunt/helpers/http_protocol.py
@@ -1,10 +1,14 @@
 """HTTP connections on which what can't be read gets a numbered refusal."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
 
 MAX_DETAIL_LENGTH = 200
 
@@ -62,3 +66,78 @@
         response = self._on_malformed((message or "")[:MAX_DETAIL_LENGTH])
         response.force_close()
         return response
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProtocolOptions:
+    """Hold the bounds of new connections; the defaults are the library's.
+
+    :param idle_timeout_s: Time after which an idle connection is closed, in seconds.
+    :param max_field_bytes: Longest request line and longest header field.
+    :param max_headers: Header fields of one request.
+    :param max_body_bytes: Largest body that is read whole.
+    :param passes_on: Whether bodies are passed on as they came, and a request whose
+        caller left is cancelled.
+    """
+
+    idle_timeout_s: float = 3630.0
+    max_field_bytes: int = 8190
+    max_headers: int = 128
+    max_body_bytes: int = 1024**2
+    passes_on: bool = False
+
+
+class ProtocolFactory(web.Server):
+    """Make the protocol of each connection.
+
+    :param handler: Answers requests.
+    :param on_malformed: Makes the answer to a request that is not valid HTTP.
+    :param options: Returns the bounds of a new connection.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        on_malformed: MalformedHandler,
+        options: Callable[[], ProtocolOptions],
+    ) -> None:
+        super().__init__(
+            handler,
+            request_factory=self._make_full_request,
+            handler_cancellation=options().passes_on,
+        )
+        self._on_malformed = on_malformed
+        self._options = options
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        options = self._options()
+        return NumberedProtocol(
+            self,
+            on_malformed=self._on_malformed,
+            loop=self._loop,
+            access_log=None,
+            auto_decompress=not options.passes_on,
+            keepalive_timeout=options.idle_timeout_s,
+            max_line_size=options.max_field_bytes,
+            max_field_size=options.max_field_bytes,
+            max_headers=options.max_headers,
+        )
+
+    def _make_full_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: "asyncio.Task[None]",
+    ) -> web.Request:
+        return web.Request(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            self._loop,
+            client_max_size=self._options().max_body_bytes,
+        )
--- a/mothshunt/helpers/log.py
+++ b/mothshunt/helpers/log.py
@@ -92,18 +92,19 @@
         return json.dumps(line, default=str)
 
 
-def set_up(instance: InstanceId, level: str) -> None:
-    """Send all logs of the process to standard error as JSON lines.
+def set_up(instance: InstanceId, level: str, stream: Any = None) -> None:
+    """Send all logs of the process to a stream as JSON lines.
 
     :param instance: Name of this instance.
     :param level: Least severity that is logged.
+    :param stream: Where to; standard error by default.
     """
     # absl warns on every first line until its own flags count as parsed.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonLineFormatter(instance))
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = sys.stderr if stream is None else stream
     handler.python_handler.setFormatter(JsonLineFormatter(instance))
     logging.set_verbosity(level)
 
--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -6,8 +6,11 @@
 HEARTBEAT_INTERVAL_S = 0.6
 SILENCE_TIMEOUT_S = 2.0
 WATCH_INTERVAL_S = 0.2
-CONNECT_TIMEOUT_S = 2.0
+#: Callers move on after a second without an answer; a redial must not last longer.
+CONNECT_TIMEOUT_S = 1.0
 MIN_REDIAL_DELAY_S = 0.05
-MAX_REDIAL_DELAY_S = 2.0
+#: An instance that was cut off must be attached again well within the 3 s after which
+#: it counts as in touch.
+MAX_REDIAL_DELAY_S = 0.5
 MAX_PENDING_HANDSHAKES = 64
 MAX_HANDSHAKES_PER_S = 200.0
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -12,3 +12,18 @@
 JOIN_TIMEOUT_S = 3.0
 ASK_POLL_S = 0.02
 STATUS_TIMEOUT_S = 1.0
+#: Longest wait for one control instance before another is asked, in seconds.
+ASK_ATTEMPT_S = 1.0
+#: Time between two reports of an entry instance to the control instances, in seconds.
+ENTRY_REPORT_INTERVAL_S = 1.0
+#: Time between two rosters to the entry instances, in seconds.
+ROSTER_INTERVAL_S = 2.0
+#: An entry instance whose stream closed is named to callers for this time, in seconds,
+#: as the stream alone may have been lost.
+ENTRY_GONE_AFTER_S = 0.6
+#: Limits that are divided among entry instances count one that is named no more for
+#: this time, in seconds: the longest window of those limits.
+ENTRY_COUNTS_FOR_S = 10.0
+#: A control instance that nobody names any more is still dialled for this time, in
+#: seconds; the longest cut that was planned for is well below it.
+CONTROL_KEPT_S = 60.0
--- /dev/null
+++ b/mothshunt/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target for each request, by affinity and load."""
--- /dev/null
+++ b/mothshunt/placement/const.py
@@ -0,0 +1,58 @@
+"""Constants of the placement slice."""
+
+#: Weight of a new measurement in the smoothed service time (RFC 6298 uses the same).
+SERVICE_TIME_WEIGHT = 1 / 8
+#: Weight of a new outcome in the smoothed share of failures of a target; about ten
+#: requests decide.
+FAILURE_WEIGHT = 0.1
+#: A target whose smoothed share of failures is above this gets only trial requests.
+FAILURE_LIMIT = 0.3
+#: Time between two trial requests to a target that fails, in seconds.
+TRIAL_INTERVAL_S = 1.0
+#: What a target reports of its load counts in full at once and fades over this time,
+#: in seconds: a few service times.
+LOAD_FADE_S = 0.5
+#: First pause after a connection to a target could not be opened, in seconds.
+DOWN_MIN_S = 0.5
+#: Longest such pause, in seconds.
+DOWN_MAX_S = 4.0
+#: A target counts as silent when its oldest request has waited this many times the
+#: usual service time and nothing came from it.
+SILENCE_FACTOR = 6.0
+#: Shortest such wait, in seconds; it covers a cold object at a slow target.
+SILENCE_MIN_S = 0.8
+#: A target whose renewals lag those of the others by this many renewal intervals gets
+#: no new requests, unless it answered lately.
+RENEWALS_MISSED = 3.5
+#: Time for which an answer proves that a target lives, in seconds.
+ANSWER_PROOF_S = 2.0
+#: Part of the limit of a cold target that is used; the rest covers jitter on the way.
+COLD_SAFETY = 0.85
+#: Window of the limit of a cold target, in seconds.
+COLD_WINDOW_S = 1.0
+#: Service time that is assumed before the first answer, as a part of the route's
+#: target latency.
+INITIAL_SERVICE_PART = 0.5
+#: Requests that may wait at a target, as a multiple of its slots; targets queue a few.
+MAX_QUEUE_FACTOR = 2.0
+#: Shortest and longest time to come back that a refusal names, in seconds.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 2.0
+#: Part by which the times to come back are spread, so that callers don't return
+#: together.
+RETRY_AFTER_SPREAD = 0.5
+#: Time between two adjustments of the parts that leave their zone or region, in
+#: seconds.
+ADJUST_INTERVAL_S = 0.5
+#: Load, as a part of the slots, above which more is sent away, and below which more
+#: is kept.
+HIGH_LOAD = 0.9
+LOW_LOAD = 0.6
+#: Part of the requests by which the part that leaves its availability zone changes in
+#: one adjustment.
+ZONE_STEP = 0.05
+#: Part of the allowed shift between regions that is used; the rest covers requests
+#: that change region for other reasons.
+SHIFT_SAFETY = 0.3
+#: Window of the allowed shift between regions, in seconds.
+SHIFT_WINDOW_S = 2.0
--- /dev/null
+++ b/mothshunt/placement/coordinator.py
@@ -0,0 +1,193 @@
+"""Targets of an entry instance, kept in step with registry and configuration."""
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from expression import Result
+
+from mothshunt.configuration.model import Configuration
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import AvailabilityZoneId, TargetId
+from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.tasks import async_cancel, start_background
+from mothshunt.membership.roster import RosterView
+from mothshunt.metrics.registry import Metrics
+from mothshunt.placement import const
+from mothshunt.placement.model import (
+    AttemptOutcome,
+    Choice,
+    ColdLimit,
+    PlacedTarget,
+    PlacementRequest,
+    ReportedLoad,
+)
+from mothshunt.placement.state import Placement
+from mothshunt.placement.target_load import TargetLoad
+from mothshunt.registry.messages import RenewalState
+from mothshunt.registry.state import KnownTarget, TargetRegistry
+from mothshunt.routing.model import RoutingTable
+from mothshunt.settings.config import RoutingSettings
+
+_LOGGER = get_logger("placement")
+
+METRIC_CHOICES = "mothshunt_placement_choices_total"
+METRIC_REFUSALS = "mothshunt_placement_refusals_total"
+
+
+@dataclass(slots=True, eq=False)
+class PlacementCoordinator:
+    """Own the placement of an entry instance.
+
+    :param placement: The decisions.
+    :param registry: Targets that are known.
+    :param roster: Entry instances that may be sending.
+    :param settings: Limits that hold for all entry instances together.
+    :param clock: Source of the present time.
+    :param metrics: Counters of the process.
+    """
+
+    placement: Placement
+    registry: TargetRegistry
+    roster: RosterView
+    settings: RoutingSettings
+    clock: Clock
+    metrics: Metrics
+    _table: RoutingTable
+    _evacuated: frozenset[AvailabilityZoneId] = frozenset()
+    _task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to follow the load."""
+        self.refresh()
+        self._task = start_background("placement", self._async_run)
+
+    async def async_stop(self) -> None:
+        """End."""
+        await async_cancel(self._task)
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Take a new configuration.
+
+        :param configuration: The configuration in force.
+        """
+        table = configuration.routing
+        returned = self._evacuated - table.evacuated_zones
+        self._table = table
+        self._evacuated = table.evacuated_zones
+        self.refresh()
+        if returned:
+            self._distrust(returned, self.clock.monotonic())
+
+    def _distrust(self, zones: frozenset[AvailabilityZoneId], now: float) -> None:
+        """Take targets as cold until they are heard of again.
+
+        Those of a zone that is taken back may have turned cold a moment ago.
+        """
+        for load in self.placement.load_by_target.values():
+            if load.target.availability_zone in zones:
+                load.distrust(now)
+
+    def refresh(self) -> None:
+        """Take over what the registry and the configuration say of targets."""
+        held = self.placement.load_by_target
+        loads = []
+        for known in self._servable():
+            target = _placed(known)
+            load = held.get(target.id)
+            if load is None or load.target.incarnation != target.incarnation:
+                load = TargetLoad(target=target, heard_at=known.heard_at)
+            load.renewed(target, known.heard_at, known.cold_until())
+            loads.append(load)
+        limits = {load.target.id: self._cold_limit(load.target) for load in loads}
+        self.placement.replace_targets(loads, limits)
+        self.placement.heard(self.registry.newest_heard_at)
+
+    def _servable(self) -> Iterator[KnownTarget]:
+        table = self._table
+        for known in self.registry.known_by_target.values():
+            renewal = known.renewal
+            if renewal.state is not RenewalState.SERVING:
+                continue
+            if renewal.availability_zone in table.evacuated_zones:
+                continue
+            if table.is_retired(renewal.target, renewal.incarnation):
+                continue
+            if renewal.service in table.service_by_name:
+                yield known
+
+    def _cold_limit(self, target: PlacedTarget) -> ColdLimit:
+        """Divide the limit of a cold target among the entry instances next to it."""
+        service = self._table.service_by_name[target.service]
+        zone = target.availability_zone
+        in_zone = self.roster.count_in_zone(zone)
+        own_zone = self.roster.own.availability_zone
+        per_s = (
+            service.cold_requests_per_s * self.settings.cold_factor
+            + self.settings.cold_slack
+        )
+        return ColdLimit(
+            requests_per_s=per_s,
+            entries=in_zone or self.roster.count(),
+            may_send=zone == own_zone or not in_zone,
+        )
+
+    def choose(self, request: PlacementRequest) -> Result[Choice, Failure]:
+        """Choose a target and take room at it; see ``Placement.choose``.
+
+        :param request: What the choice depends on.
+        """
+        result = self.placement.choose(request, self.clock.monotonic())
+        match result:
+            case Result(tag="ok", ok=choice):
+                self.metrics.count(METRIC_CHOICES, reason=choice.reason)
+            case Result(error=failure):
+                self.metrics.count(
+                    METRIC_REFUSALS, service=request.service, reason=failure.code.name
+                )
+        return result
+
+    def may_send(self, choice: Choice) -> bool:
+        """Tell whether a chosen target may still get the request.
+
+        :param choice: What ``choose`` returned.
+        """
+        load = self.placement.load_by_target.get(choice.target.id)
+        return load is not None and load.target.incarnation == choice.target.incarnation
+
+    def finish(
+        self, choice: Choice, outcome: AttemptOutcome, reported: ReportedLoad | None
+    ) -> None:
+        """Give room back and learn from the outcome; see ``Placement.finish``.
+
+        :param choice: What ``choose`` returned.
+        :param outcome: How the attempt ended.
+        :param reported: What the target said of its load.
+        """
+        self.placement.finish(choice, outcome, reported, self.clock.monotonic())
+
+    def retired_targets(self) -> Iterator[TargetId]:
+        """Return the known targets that get no new requests."""
+        servable = self.placement.load_by_target
+        return (t for t in self.registry.known_by_target if t not in servable)
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(const.ADJUST_INTERVAL_S)
+            self.refresh()
+            self.placement.adjust(self.clock.monotonic())
+
+
+def _placed(known: KnownTarget) -> PlacedTarget:
+    renewal = known.renewal
+    return PlacedTarget(
+        id=renewal.target,
+        incarnation=renewal.incarnation,
+        service=renewal.service,
+        host=renewal.host,
+        port=renewal.port,
+        region=renewal.region,
+        availability_zone=renewal.availability_zone,
+        slots=renewal.slots,
+    )
--- /dev/null
+++ b/mothshunt/placement/model.py
@@ -0,0 +1,126 @@
+"""Types of the placement slice."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    Incarnation,
+    RegionId,
+    ServiceName,
+    TargetId,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacedTarget:
+    """Describe a target that requests may be sent to.
+
+    :param id: Unique name of the target.
+    :param incarnation: Grows each time the target starts again.
+    :param service: Service that it serves.
+    :param host: IP number.
+    :param port: TCP port.
+    :param region: Region that it runs in.
+    :param availability_zone: Availability zone that it runs in.
+    :param slots: Requests that it runs at a time.
+    """
+
+    id: TargetId
+    incarnation: Incarnation
+    service: ServiceName
+    host: str
+    port: int
+    region: RegionId
+    availability_zone: AvailabilityZoneId
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementRequest:
+    """Hold what the choice of a target depends on.
+
+    :param service: Service that is asked for.
+    :param affinity_key: Object that the request concerns; ``None`` where there is none.
+    :param target_latency_s: Time within which an answer is worth most, in seconds.
+    :param time_left_s: Time left to the end of the request, in seconds.
+    :param home_regions: Regions that the request must not leave; none for all.
+    :param excluded: Targets that must not be chosen.
+    """
+
+    service: ServiceName
+    affinity_key: str | None
+    target_latency_s: float
+    time_left_s: float
+    home_regions: frozenset[RegionId] = frozenset()
+    excluded: frozenset[TargetId] = frozenset()
+
+
+@dataclass(eq=False, kw_only=True, slots=True)
+class Choice:
+    """Hold a chosen target and the room taken at it, until the attempt has ended.
+
+    :param target: The target.
+    :param sent_at: Time at which the room was taken, in seconds.
+    :param load: Requests at the target that were known of, this one included.
+    :param reason: Why this target and not one that ranks higher, for the logs.
+    """
+
+    target: PlacedTarget
+    sent_at: float
+    load: float
+    reason: str
+
+
+class AttemptOutcome(Enum):
+    """How an attempt at a target ended."""
+
+    ANSWERED = "answered"
+    #: An answer that says that the target failed.
+    ERROR_ANSWER = "error_answer"
+    #: The target said that it did not run the request.
+    SHED = "shed"
+    #: Another target answers at the address.
+    MISDIRECTED = "misdirected"
+    #: No connection could be opened.
+    CONNECT_FAILED = "connect_failed"
+    #: The connection broke, or what came was no answer.
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    #: The caller left, or another attempt answered first.
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReportedLoad:
+    """Hold what a target says of its load with an answer.
+
+    :param running: Requests that it runs.
+    :param waiting: Requests that wait in its queue.
+    :param slots: Requests that it runs at a time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdLimit:
+    """Bound what a cold target gets from all entry instances together.
+
+    :param requests_per_s: Requests in any second.
+    :param entries: Entry instances that share them.
+    :param may_send: Whether this entry instance is one of them.
+    """
+
+    requests_per_s: float
+    entries: int
+    may_send: bool
+
+    def own_per_window(self, safety: float) -> float:
+        """Return the part of this entry instance, in requests a second.
+
+        :param safety: Part of the limit that is used.
+        """
+        return self.requests_per_s * safety / max(1, self.entries)
--- /dev/null
+++ b/mothshunt/placement/state.py
@@ -0,0 +1,287 @@
+"""Choice of a target: pure decisions on what one entry instance knows.
+
+Requests for the same object go to the same target, from every entry instance, as long
+as the target has room: it answers sooner for what it handled before. Rendezvous hashing
+ranks the targets of each distance for an object, so a target that comes or goes moves
+only its own objects.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+
+import xxhash
+from expression import Error, Ok, Result
+
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
+from mothshunt.placement import codes, const
+from mothshunt.placement.model import (
+    AttemptOutcome,
+    Choice,
+    ColdLimit,
+    PlacementRequest,
+    ReportedLoad,
+)
+from mothshunt.placement.spill import RingLoad, Spill
+from mothshunt.placement.target_load import TargetLoad
+
+HASH_RANGE = float(1 << 64)
+
+
+class Ring(Enum):
+    """Distance of a target from this instance."""
+
+    ZONE = "zone"
+    REGION = "region"
+    BEYOND = "beyond"
+
+
+@dataclass(slots=True, eq=False)
+class ServiceTargets:
+    """Hold the targets of one service, by their distance.
+
+    :param in_zone: In the availability zone of this instance.
+    :param in_region: In other availability zones of its region.
+    :param beyond: In other regions.
+    :param spill: Parts that leave the zone and the region.
+    """
+
+    spill: Spill
+    in_zone: list[TargetLoad] = field(default_factory=list)
+    in_region: list[TargetLoad] = field(default_factory=list)
+    beyond: list[TargetLoad] = field(default_factory=list)
+
+    def loads_by_ring(self) -> dict[Ring, list[TargetLoad]]:
+        """Return the targets by their distance."""
+        return {
+            Ring.ZONE: self.in_zone,
+            Ring.REGION: self.in_region,
+            Ring.BEYOND: self.beyond,
+        }
+
+
+@dataclass(kw_only=True, slots=True)
+class Placement:
+    """Choose targets for the requests of one entry instance.
+
+    :param zone: Availability zone of this instance.
+    :param region: Region of this instance.
+    :param max_region_shift: Part of a region's requests that may change region from
+        one window to the next.
+    :param renewal_interval_s: Time between two renewals of a target, in seconds.
+    :param random: Spreads requests without an object and times to come back.
+    """
+
+    zone: AvailabilityZoneId
+    region: RegionId
+    max_region_shift: float
+    renewal_interval_s: float
+    random: Random
+    load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
+    _targets_by_service: dict[ServiceName, ServiceTargets] = field(default_factory=dict)
+    _cold_limit_by_target: Mapping[TargetId, ColdLimit] = field(default_factory=dict)
+    _newest_heard_at: float = float("-inf")
+
+    def replace_targets(
+        self,
+        loads: Iterable[TargetLoad],
+        cold_limit_by_target: Mapping[TargetId, ColdLimit],
+    ) -> None:
+        """Use these targets from now on.
+
+        :param loads: Targets that requests may be sent to; those known before are the
+            same objects.
+        :param cold_limit_by_target: What each gets at most while it is cold.
+        """
+        self.load_by_target = {load.target.id: load for load in loads}
+        self._cold_limit_by_target = cold_limit_by_target
+        spill_by_service = {
+            service: targets.spill
+            for service, targets in self._targets_by_service.items()
+        }
+        self._targets_by_service = {}
+        for load in self.load_by_target.values():
+            service = load.target.service
+            targets = self._targets_by_service.get(service)
+            if targets is None:
+                spill = spill_by_service.get(service) or Spill(self.max_region_shift)
+                targets = self._targets_by_service[service] = ServiceTargets(spill)
+            self._ring(targets, load).append(load)
+
+    def _ring(self, targets: ServiceTargets, load: TargetLoad) -> list[TargetLoad]:
+        if load.target.availability_zone == self.zone:
+            return targets.in_zone
+        if load.target.region == self.region:
+            return targets.in_region
+        return targets.beyond
+
+    def heard(self, newest_heard_at: float) -> None:
+        """Note the time of the newest renewal of any target.
+
+        :param newest_heard_at: That time, in seconds.
+        """
+        self._newest_heard_at = newest_heard_at
+
+    def choose(self, request: PlacementRequest, now: float) -> Result[Choice, Failure]:
+        """Choose a target and take room at it.
+
+        :param request: What the choice depends on.
+        :param now: The present time, in seconds.
+        :return: The choice; or a failure with code 2901 or 2902 that says when to come
+            back.
+        """
+        targets = self._targets_by_service.get(request.service)
+        if targets is None:
+            return Error(self._refusal(codes.NO_TARGETS, const.MAX_RETRY_AFTER_S))
+        usable_by_ring = {
+            ring: [load for load in loads if self._is_usable(load, request, now)]
+            for ring, loads in targets.loads_by_ring().items()
+        }
+        shortest_wait_s = float("inf")
+        for ring in self._rings(targets, usable_by_ring, request):
+            ranked = self._ranked(usable_by_ring[ring], request)
+            for rank, load in enumerate(ranked):
+                wait_s = self._wait_for_room(load, request, now)
+                if wait_s <= 0:
+                    return Ok(load.take(now, f"{ring.value}-{rank}"))
+                shortest_wait_s = min(shortest_wait_s, wait_s)
+        if shortest_wait_s == float("inf"):
+            return Error(self._refusal(codes.NO_TARGETS, const.DOWN_MIN_S))
+        return Error(self._refusal(codes.NO_ROOM, shortest_wait_s))
+
+    def _rings(
+        self,
+        targets: ServiceTargets,
+        usable_by_ring: Mapping[Ring, list[TargetLoad]],
+        request: PlacementRequest,
+    ) -> tuple[Ring, ...]:
+        """Return the distances to try, in order.
+
+        An object is always in the same part, so that it stays with its target while
+        the parts change little. Other regions are tried by objects of that part only,
+        and by all when the own region has no target that may be used.
+        """
+        if not usable_by_ring[Ring.ZONE] and not usable_by_ring[Ring.REGION]:
+            return (Ring.BEYOND,)
+        position = self._position(request)
+        if position < targets.spill.region_part:
+            return (Ring.BEYOND, Ring.ZONE, Ring.REGION)
+        if position > 1.0 - targets.spill.zone_part:
+            return (Ring.REGION, Ring.ZONE)
+        return (Ring.ZONE, Ring.REGION)
+
+    def _position(self, request: PlacementRequest) -> float:
+        if request.affinity_key is None:
+            return self.random.random()
+        key = f"{request.service}/{request.affinity_key}"
+        return _hash(key) / HASH_RANGE
+
+    def _ranked(
+        self, usable: list[TargetLoad], request: PlacementRequest
+    ) -> list[TargetLoad]:
+        key = request.affinity_key
+        if key is None:
+            self.random.shuffle(usable)
+            return sorted(usable, key=_load_share)
+        return sorted(
+            usable,
+            key=lambda load: _hash(f"{load.target.id}/{key}"),
+            reverse=True,
+        )
+
+    def _is_usable(
+        self, load: TargetLoad, request: PlacementRequest, now: float
+    ) -> bool:
+        target = load.target
+        if target.id in request.excluded or load.is_misplaced:
+            return False
+        if request.home_regions and target.region not in request.home_regions:
+            return False
+        if now < load.down_until or load.is_silent(now) or load.is_failing(now):
+            return False
+        if load.is_cold(now):
+            limit = self._cold_limit_by_target.get(target.id)
+            if limit is None or not limit.may_send:
+                return False
+            if not load.cold_room(limit.own_per_window(const.COLD_SAFETY), now):
+                return False
+        missed_s = self._newest_heard_at - load.heard_at
+        is_late = missed_s > const.RENEWALS_MISSED * self.renewal_interval_s
+        return not is_late or load.answered_lately(now)
+
+    def _wait_for_room(
+        self, load: TargetLoad, request: PlacementRequest, now: float
+    ) -> float:
+        """Return the time until a request would be answered in time, in seconds.
+
+        It is when those before it leave enough of the target latency; once that is
+        out of reach, of the time to its end. 0 or less means that there is room.
+        """
+        slots = load.target.slots
+        service_s = load.service_time_s
+        if service_s == 0.0:
+            service_s = request.target_latency_s * const.INITIAL_SERVICE_PART
+        present = load.load(now)
+        if present + 1 <= slots:
+            return 0.0
+        queued = present + 1 - slots
+        if queued > slots * const.MAX_QUEUE_FACTOR:
+            return max(0.01, (queued - slots * const.MAX_QUEUE_FACTOR)) * (
+                service_s / slots
+            )
+        wait_s = queued * service_s / slots
+        limit_s = min(request.target_latency_s, request.time_left_s)
+        return wait_s + service_s - limit_s
+
+    def _refusal(self, code: ResultCode, wait_s: float) -> Failure:
+        spread = 1.0 + self.random.random() * const.RETRY_AFTER_SPREAD
+        wait_s = min(const.MAX_RETRY_AFTER_S, max(const.MIN_RETRY_AFTER_S, wait_s))
+        return Failure(code=code, retry_after_s=wait_s * spread)
+
+    def finish(
+        self,
+        choice: Choice,
+        outcome: AttemptOutcome,
+        reported: ReportedLoad | None,
+        now: float,
+    ) -> None:
+        """Give room back and learn from the outcome.
+
+        :param choice: What ``choose`` returned; finished once.
+        :param outcome: How the attempt ended.
+        :param reported: What the target said of its load.
+        :param now: The present time, in seconds.
+        """
+        load = self.load_by_target.get(choice.target.id)
+        if load is not None:
+            load.ended(choice, outcome, reported, now)
+
+    def adjust(self, now: float) -> None:
+        """Adjust the parts that leave zone and region; called each interval.
+
+        :param now: The present time, in seconds.
+        """
+        for targets in self._targets_by_service.values():
+            targets.spill.adjust(
+                _ring_load(targets.in_zone, now),
+                _ring_load(targets.in_region, now),
+                _ring_load(targets.beyond, now),
+            )
+
+
+def _ring_load(ring: list[TargetLoad], now: float) -> RingLoad:
+    live = [load for load in ring if now >= load.down_until and not load.is_silent(now)]
+    return RingLoad(
+        slots=float(sum(load.target.slots for load in live)),
+        requests=sum(load.load(now) for load in live),
+    )
+
+
+def _load_share(load: TargetLoad) -> float:
+    return load.open_requests / load.target.slots
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/mothshunt/placement/target_load.py
@@ -0,0 +1,204 @@
+"""What one entry instance knows of the load and the health of one target."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from mothshunt.placement import const
+from mothshunt.placement.model import (
+    AttemptOutcome,
+    Choice,
+    PlacedTarget,
+    ReportedLoad,
+)
+
+_FAILURES = frozenset(
+    {AttemptOutcome.ERROR_ANSWER, AttemptOutcome.BROKEN, AttemptOutcome.TIMED_OUT}
+)
+_PROOFS_OF_LIFE = frozenset(
+    {AttemptOutcome.ANSWERED, AttemptOutcome.ERROR_ANSWER, AttemptOutcome.SHED}
+)
+
+
+@dataclass(slots=True, eq=False)
+class TargetLoad:
+    """Follow one target.
+
+    :param target: The target.
+    :param heard_at: Time of its newest renewal, in seconds.
+    :param cold_until: Time up to which it is cold, in seconds.
+    :param service_time_s: Smoothed time to an answer; 0 before the first.
+    :param failure_share: Smoothed share of requests that failed.
+    :param down_until: Time up to which no connection is tried, in seconds.
+    :param is_misplaced: Whether another target answered at its address.
+    """
+
+    target: PlacedTarget
+    heard_at: float
+    cold_until: float = 0.0
+    service_time_s: float = 0.0
+    failure_share: float = 0.0
+    down_until: float = 0.0
+    is_misplaced: bool = False
+    _open: set[Choice] = field(default_factory=set)
+    _others: float = 0.0
+    _others_at: float = 0.0
+    _last_answer_at: float = float("-inf")
+    _last_sent_at: float = float("-inf")
+    _last_trial_at: float = float("-inf")
+    _connect_failures: int = 0
+    _failed_at: float = float("-inf")
+    _sent_while_cold: deque[float] = field(default_factory=deque)
+
+    @property
+    def open_requests(self) -> int:
+        """Requests of this instance that the target has not answered."""
+        return len(self._open)
+
+    def renewed(self, target: PlacedTarget, heard_at: float, cold_until: float) -> None:
+        """Take a renewal of the target.
+
+        :param target: The target as it is now.
+        :param heard_at: Time of the renewal, in seconds.
+        :param cold_until: Time up to which the target is cold, in seconds.
+        """
+        self.target = target
+        if heard_at > self.heard_at:
+            self.is_misplaced = False
+            if heard_at > self._failed_at and self._connect_failures:
+                # It lives: the pause after a failed connection has served its purpose.
+                self.down_until = 0.0
+                self._connect_failures = 0
+        self.heard_at = heard_at
+        self.cold_until = cold_until
+
+    def distrust(self, now: float) -> None:
+        """Take the target as cold until it is heard of again.
+
+        :param now: The present time, in seconds.
+        """
+        self._failed_at = now
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target is cold, or may be so after a failed connection.
+
+        :param now: The present time, in seconds.
+        """
+        return now < self.cold_until or self._failed_at > self.heard_at
+
+    def load(self, now: float) -> float:
+        """Return the requests that the target has, as far as is known.
+
+        :param now: The present time, in seconds.
+        """
+        age_s = now - self._others_at
+        fade = max(0.0, 1.0 - age_s / const.LOAD_FADE_S)
+        return len(self._open) + self._others * fade
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether requests wait and nothing came from the target for long.
+
+        :param now: The present time, in seconds.
+        """
+        if not self._open:
+            return False
+        usual_s = self.service_time_s * const.SILENCE_FACTOR
+        limit_s = max(const.SILENCE_MIN_S, usual_s)
+        oldest = min(choice.sent_at for choice in self._open)
+        return now - max(oldest, self._last_answer_at) > limit_s
+
+    def answered_lately(self, now: float) -> bool:
+        """Tell whether an answer proves that the target lives.
+
+        :param now: The present time, in seconds.
+        """
+        return now - self._last_answer_at < const.ANSWER_PROOF_S
+
+    def is_failing(self, now: float) -> bool:
+        """Tell whether the target fails often and no trial is due.
+
+        :param now: The present time, in seconds.
+        """
+        if self.failure_share <= const.FAILURE_LIMIT:
+            return False
+        return now - self._last_trial_at < const.TRIAL_INTERVAL_S
+
+    def cold_room(self, per_window: float, now: float) -> bool:
+        """Tell whether a cold target may get one more request in this window.
+
+        :param per_window: Requests in any window, from this instance.
+        :param now: The present time, in seconds.
+        """
+        sent = self._sent_while_cold
+        while sent and now - sent[0] >= const.COLD_WINDOW_S:
+            sent.popleft()
+        return len(sent) + 1 <= per_window
+
+    def take(self, now: float, reason: str) -> Choice:
+        """Take room for one request.
+
+        :param now: The present time, in seconds.
+        :param reason: Why this target was chosen, for the logs.
+        """
+        load = self.load(now) + 1
+        choice = Choice(target=self.target, sent_at=now, load=load, reason=reason)
+        self._open.add(choice)
+        self._last_sent_at = now
+        self._sent_while_cold.append(now)
+        if not self.is_cold(now):
+            # The window matters again only once the target turns cold.
+            while now - self._sent_while_cold[0] >= const.COLD_WINDOW_S:
+                self._sent_while_cold.popleft()
+        if self.failure_share > const.FAILURE_LIMIT:
+            self._last_trial_at = now
+        return choice
+
+    def ended(
+        self,
+        choice: Choice,
+        outcome: AttemptOutcome,
+        reported: ReportedLoad | None,
+        now: float,
+    ) -> None:
+        """Give room back and learn from the outcome.
+
+        :param choice: What ``take`` returned; ended once.
+        :param outcome: How the attempt ended.
+        :param reported: What the target said of its load.
+        :param now: The present time, in seconds.
+        """
+        if choice not in self._open:
+            return
+        self._open.discard(choice)
+        if outcome in _PROOFS_OF_LIFE:
+            self._last_answer_at = now
+            self._connect_failures = 0
+        if outcome is AttemptOutcome.ANSWERED:
+            self._learn_time(now - choice.sent_at)
+        if outcome is AttemptOutcome.ANSWERED or outcome in _FAILURES:
+            failed = 1.0 if outcome in _FAILURES else 0.0
+            self.failure_share += const.FAILURE_WEIGHT * (failed - self.failure_share)
+        if outcome is AttemptOutcome.CONNECT_FAILED:
+            self._pause(now)
+        elif outcome is AttemptOutcome.MISDIRECTED:
+            self.is_misplaced = True
+        if reported is not None:
+            # The request that was answered may still be counted by the target.
+            others = reported.running + reported.waiting - len(self._open) - 1
+            self._others = max(0.0, float(others))
+            self._others_at = now
+        elif outcome is AttemptOutcome.SHED:
+            self._others = self.target.slots * (1 + const.MAX_QUEUE_FACTOR)
+            self._others_at = now
+
+    def _pause(self, now: float) -> None:
+        self._failed_at = now
+        wait_s = const.DOWN_MIN_S * 2**self._connect_failures
+        self.down_until = now + min(const.DOWN_MAX_S, wait_s)
+        self._connect_failures = min(self._connect_failures + 1, 8)
+
+    def _learn_time(self, took_s: float) -> None:
+        if self.service_time_s == 0.0:
+            self.service_time_s = took_s
+            return
+        error_s = took_s - self.service_time_s
+        self.service_time_s += const.SERVICE_TIME_WEIGHT * error_s
--- /dev/null
+++ b/mothshunt/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the platform; nothing here decides."""
--- /dev/null
+++ b/mothshunt/platform/endpoints.py
@@ -0,0 +1,203 @@
+"""The platform's calls to an instance, handed to the product."""
+
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from aiohttp import web
+from expression import Result
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import AvailabilityZoneId, Incarnation, RegionId, TargetId
+from mothshunt.daemon.routed_control import RoutedControl
+from mothshunt.helpers.http import failure_response
+from mothshunt.helpers.log import get_logger
+from mothshunt.lookup.nearest import nearest_entries
+from mothshunt.platform import documents, names
+from mothshunt.platform.values import BadValueError
+from mothshunt.registry.messages import RenewalState
+from mothshunt.routing import codes
+from mothshunt.routing.model import RetiredState
+
+_LOGGER = get_logger("platform")
+
+MILLISECONDS_PER_SECOND = 1000
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def _failed(failure: Failure) -> web.Response:
+    return failure_response(failure)
+
+
+def _bad_value(error: BadValueError, path: str) -> web.Response:
+    failure = Failure(code=codes.INVALID_ITEM, detail=str(error))
+    _LOGGER.failure(f"a call to {path[:80]} can't be read", failure)
+    return _failed(failure)
+
+
+def _done() -> web.Response:
+    return web.json_response({})
+
+
+def refuse_malformed(detail: str) -> web.Response:
+    """Return the answer to what is not valid HTTP.
+
+    :param detail: What is wrong with it.
+    """
+    return _failed(Failure(code=codes.INVALID_ITEM, detail=detail))
+
+
+@dataclass(slots=True, eq=False)
+class ControlEndpoints:
+    """Answer the calls of targets and operators.
+
+    :param control: What the calls are handed to.
+    :param region_by_zone: Regions of the availability zones.
+    """
+
+    control: RoutedControl
+    region_by_zone: Mapping[AvailabilityZoneId, RegionId]
+
+    async def async_handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call.
+
+        :param request: The call.
+        """
+        path = request.path
+        try:
+            if request.method == "GET" and path == names.PATH_READ:
+                return await self._async_read()
+            if request.method != "POST":
+                return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=path[:80]))
+            if path == names.PATH_PATCH:
+                return await self._async_patch(await request.read())
+            for prefix, handler in (
+                (names.PATH_BEAT, self._async_beat),
+                (names.PATH_LEAVE, self._async_leave),
+                (names.PATH_EVACUATE, self._async_evacuate),
+                (names.PATH_TAKE_BACK, self._async_take_back),
+            ):
+                if path.startswith(prefix):
+                    name = unquote(request.raw_path.partition("?")[0][len(prefix) :])
+                    return await handler(name, await request.read())
+        except BadValueError as error:
+            return _bad_value(error, path)
+        return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=path[:80]))
+
+    async def _async_patch(self, body: bytes) -> web.Response:
+        patch = documents.read_patch(documents.read_json(body))
+        return _answer(await self.control.routing.async_patch(patch))
+
+    async def _async_read(self) -> web.Response:
+        match await self.control.routing.async_items():
+            case Result(tag="ok", ok=items):
+                return web.json_response(documents.items_document(items))
+            case Result(error=failure):
+                return _failed(failure)
+
+    async def _async_beat(self, target: str, body: bytes) -> web.Response:
+        renewal = documents.read_renewal(
+            target, documents.read_json(body), self.region_by_zone
+        )
+        self.control.registry.renew(renewal)
+        if renewal.state is not RenewalState.LEAVING:
+            return _done()
+        return _answer(
+            await self.control.routing.async_retire(
+                renewal.target, renewal.incarnation, RetiredState.LEAVING
+            )
+        )
+
+    async def _async_leave(self, target: str, body: bytes) -> web.Response:
+        document = documents.read_json(body) if body.strip() else {}
+        incarnation = documents.read_incarnation(document)
+        known = self.control.registry.follower.registry.known_by_target.get(
+            TargetId(target)
+        )
+        if incarnation is None and known is not None:
+            incarnation = known.renewal.incarnation
+        if incarnation is None:
+            # It started before now; a later start will have a later time.
+            incarnation = Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
+        return _answer(
+            await self.control.routing.async_retire(
+                TargetId(target), incarnation, RetiredState.LEFT
+            )
+        )
+
+    async def _async_evacuate(self, zone: str, _: bytes) -> web.Response:
+        return await self._async_set_evacuation(zone, is_evacuated=True)
+
+    async def _async_take_back(self, zone: str, _: bytes) -> web.Response:
+        return await self._async_set_evacuation(zone, is_evacuated=False)
+
+    async def _async_set_evacuation(
+        self, name: str, *, is_evacuated: bool
+    ) -> web.Response:
+        zone = AvailabilityZoneId(name)
+        if zone not in self.region_by_zone:
+            return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=name[:80]))
+        return _answer(
+            await self.control.routing.async_set_evacuation(
+                documents.OPERATOR, zone, is_evacuated=is_evacuated
+            )
+        )
+
+
+def _answer(result: Result[object, Failure]) -> web.Response:
+    return _failed(result.error) if result.is_error() else _done()
+
+
+@dataclass(slots=True, eq=False)
+class DirectoryEndpoint:
+    """Tell callers which entry instances to use.
+
+    :param control: What the calls are handed to.
+    :param lifetime_s: Time for which callers may keep an answer, in seconds.
+    """
+
+    control: RoutedControl
+    lifetime_s: float
+
+    async def async_handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call.
+
+        :param request: The call.
+        """
+        if request.method != "GET" or request.path != names.PATH_RESOLVE:
+            return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=request.path[:80]))
+        entries = nearest_entries(
+            self.control.roster.table.ready(),
+            RegionId(request.query.get("region", "")),
+            AvailabilityZoneId(request.query.get("zone", "")),
+        )
+        if not entries:
+            failure = Failure(code=codes.NOT_COMMITTED, detail="no entry instance")
+            return _failed(failure)
+        document = {
+            "addresses": [f"{entry.host}:{entry.port}" for entry in entries],
+            "ttl": f"{int(self.lifetime_s * MILLISECONDS_PER_SECOND)}ms",
+        }
+        return web.json_response(document)
+
+
+@dataclass(slots=True, eq=False)
+class ReadinessEndpoint:
+    """Tell the platform whether an entry instance takes requests.
+
+    :param is_ready: Tells it.
+    """
+
+    is_ready: Callable[[], bool]
+
+    async def async_handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one call.
+
+        :param request: The call.
+        """
+        is_known = request.method == "GET" and request.path == names.PATH_READY
+        if not is_known:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.is_ready() else 503)
--- /dev/null
+++ b/mothshunt/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that renew themselves at the control instances."""
--- /dev/null
+++ b/mothshunt/registry/messages.py
@@ -0,0 +1,82 @@
+"""Renewals of targets, and how control instances tell of them."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated
+
+from pydantic import Field
+
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    Incarnation,
+    RegionId,
+    ServiceName,
+    TargetId,
+)
+from mothshunt.util.wire import message
+
+
+class RenewalState(Enum):
+    """What a target says of itself."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@message("registry.renewal")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Renewal:
+    """Hold what a target said of itself.
+
+    :param target: Unique name of the target.
+    :param incarnation: Grows each time the target starts again.
+    :param sequence: Grows with each renewal of an incarnation.
+    :param service: Service that it serves.
+    :param host: IP number.
+    :param port: TCP port.
+    :param region: Region that it runs in.
+    :param availability_zone: Availability zone that it runs in.
+    :param release: Version of its software.
+    :param slots: Requests that it runs at a time.
+    :param state: Whether it serves or leaves.
+    :param cold_ms: Milliseconds for which it stays cold after this renewal.
+    """
+
+    target: TargetId
+    incarnation: Annotated[Incarnation, Field(ge=0, lt=2**63)]
+    sequence: Annotated[int, Field(ge=0, lt=2**63)]
+    service: ServiceName
+    host: str
+    port: Annotated[int, Field(ge=1, le=65535)]
+    region: RegionId
+    availability_zone: AvailabilityZoneId
+    release: str = ""
+    slots: Annotated[int, Field(ge=1, le=100_000)] = 1
+    state: RenewalState = RenewalState.SERVING
+    cold_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
+
+
+@message("registry.row")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegistryRow:
+    """Tell of the newest renewal of one target.
+
+    :param renewal: The renewal.
+    :param age_ms: Milliseconds since a control instance received it.
+    """
+
+    renewal: Renewal
+    age_ms: int
+
+
+@message("registry.rows")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegistryRows:
+    """Tell of targets.
+
+    :param rows: Newest renewals.
+    :param is_whole: Whether these are all that the sender knows.
+    """
+
+    rows: tuple[RegistryRow, ...]
+    is_whole: bool = False
--- /dev/null
+++ b/mothshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and limits that operators change item by item."""
--- /dev/null
+++ b/mothshunt/routing/coordinator.py
@@ -0,0 +1,176 @@
+"""Changes and confirmed reads of the routing items at a control instance."""
+
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+
+from mothshunt.configuration.decode import ItemDecoder
+from mothshunt.configuration.model import ItemKey, Section
+from mothshunt.configuration.state import ReplicatedConfiguration
+from mothshunt.consensus import codes as consensus_codes
+from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    Incarnation,
+    OperatorId,
+    Ran,
+    Revision,
+    TargetId,
+)
+from mothshunt.helpers.log import get_logger
+from mothshunt.routing import codes, const
+from mothshunt.routing.applier import routing_items
+from mothshunt.routing.messages import (
+    EvacuationOutcome,
+    PatchOutcome,
+    PatchRouting,
+    PatchStatus,
+    RetireOutcome,
+    RetireTarget,
+    SetEvacuation,
+)
+from mothshunt.routing.model import RetiredState, RetiredTarget
+from mothshunt.routing.state import RoutingItems
+from mothshunt.util import wire
+
+_LOGGER = get_logger("routing")
+
+_INVALID_CODES: dict[int, ResultCode] = {
+    code.number: code
+    for code in (codes.INVALID_ITEM, codes.UNKNOWN_SERVICE, codes.SAME_PLACE)
+}
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, eq=False)
+class RoutingCoordinator:
+    """Have routing commands committed, and read what a majority holds.
+
+    :param state: The replicated configuration.
+    :param log: The replicated log that it is applied from.
+    """
+
+    state: ReplicatedConfiguration
+    log: ReplicatedLog
+    _decoder: ItemDecoder = field(default_factory=ItemDecoder)
+
+    async def async_patch(self, patch: PatchRouting) -> Result[PatchOutcome, Failure]:
+        """Set and drop routing items.
+
+        :param patch: What is asked for.
+        :return: The outcome, once a majority holds it; or a failure with code 2701 to
+            2705.
+        """
+        match await self._async_propose(patch, PatchOutcome):
+            case Result(tag="ok", ok=PatchOutcome(status=PatchStatus.INVALID) as bad):
+                failure = Failure(
+                    code=_INVALID_CODES.get(bad.code, codes.INVALID_ITEM),
+                    detail=bad.detail,
+                )
+                _LOGGER.failure("a routing call is refused", failure)
+                return Error(failure)
+            case Result(tag="ok", ok=outcome):
+                _LOGGER.info(
+                    "routing items are set",
+                    revision=outcome.revision,
+                    items=outcome.changed,
+                    operator=patch.operator,
+                )
+                return Ok(outcome)
+            case Result(error=failure):
+                return Error(failure)
+
+    async def async_items(self) -> Result[RoutingItems, Failure]:
+        """Return all routing items as a majority holds them."""
+        confirmed = await self.log.async_read_barrier(const.COMMIT_TIMEOUT_S)
+        return confirmed.map(lambda _: routing_items(self.state.store, self._decoder))
+
+    async def async_set_evacuation(
+        self, operator: OperatorId, zone: AvailabilityZoneId, *, is_evacuated: bool
+    ) -> Result[Revision, Failure]:
+        """Begin or end the evacuation of an availability zone.
+
+        :param operator: Who asks.
+        :param zone: The zone.
+        :param is_evacuated: Whether its targets are to get nothing.
+        :return: Revision that holds it; or a failure with code 2704 or 2706.
+        """
+        key = ItemKey(section=Section.EVACUATION, name=zone)
+        command = SetEvacuation(
+            operator=operator,
+            availability_zone=zone,
+            is_evacuated=is_evacuated,
+            base_revision=self.state.store.revision_of(key),
+        )
+        match await self._async_propose(command, EvacuationOutcome):
+            case Result(tag="ok", ok=EvacuationOutcome(is_accepted=True) as outcome):
+                _LOGGER.info(
+                    "evacuation is set",
+                    zone=zone,
+                    evacuated=is_evacuated,
+                    revision=outcome.revision,
+                )
+                return Ok(outcome.revision)
+            case Result(tag="ok"):
+                return Error(Failure(code=codes.SUPERSEDED, detail=zone))
+            case Result(error=failure):
+                return Error(failure)
+
+    async def async_retire(
+        self, target: TargetId, incarnation: Incarnation, state: RetiredState
+    ) -> Result[Revision, Failure]:
+        """Record that a target leaves or has left.
+
+        :param target: Name of the target.
+        :param incarnation: Incarnation that leaves.
+        :param state: Whether it leaves or has left.
+        :return: Revision that holds it; or a failure with code 2704.
+        """
+        retired = RetiredTarget(target=target, incarnation=incarnation, state=state)
+        key = ItemKey(section=Section.RETIRED_TARGET, name=target)
+        held = self._decoder.values(self.state.store, Section.RETIRED_TARGET).get(
+            target
+        )
+        if held == retired:
+            # Applied here, so a majority holds it.
+            return Ok(self.state.store.revision_of(key))
+        outcome = await self._async_propose(
+            RetireTarget(retired=retired), RetireOutcome
+        )
+        if outcome.is_ok():
+            _LOGGER.info(
+                "target retires",
+                target=target,
+                incarnation=incarnation,
+                state=state.value,
+                revision=outcome.ok.revision,
+            )
+        return outcome.map(lambda done: done.revision)
+
+    async def _async_propose(
+        self, command: object, kind: type[T]
+    ) -> Result[T, Failure]:
+        proposed = await self.log.async_propose(
+            wire.pack(command), const.COMMIT_TIMEOUT_S
+        )
+        if proposed.is_error():
+            return Error(_not_committed(proposed.error))
+        unpacked: Result[Any, Failure] = wire.unpack(proposed.ok)
+        if unpacked.is_ok() and isinstance(unpacked.ok, kind):
+            return Ok(unpacked.ok)
+        detail = "the log gave an outcome of another kind"
+        return Error(_not_committed(Failure(code=codes.NOT_COMMITTED, detail=detail)))
+
+
+def _not_committed(cause: Failure) -> Failure:
+    code = codes.NOT_COMMITTED
+    if cause.code is consensus_codes.COMMAND_TOO_LARGE:
+        code = codes.TOO_LARGE
+    failure = Failure(
+        code=code, detail=f"{cause.code.name}: {cause.detail}", ran=Ran.UNKNOWN
+    )
+    _LOGGER.failure("a command is not committed", failure)
+    return failure
--- /dev/null
+++ b/mothshunt/routing/table.py
@@ -0,0 +1,46 @@
+"""Routing table made of the items in force."""
+
+from mothshunt.configuration.decode import ItemDecoder
+from mothshunt.configuration.model import Section
+from mothshunt.configuration.store import ItemStore
+from mothshunt.core.types import HostName, ServiceName, TargetId
+from mothshunt.routing.model import Route, RoutingTable, Service
+from mothshunt.routing.state import RoutingItems
+
+
+def build_table(
+    items: RoutingItems, store: ItemStore, decoder: ItemDecoder
+) -> RoutingTable:
+    """Return the routing table of a store.
+
+    :param items: Its routing items.
+    :param store: The items.
+    :param decoder: Remembers decoded items.
+    """
+    routes_by_host: dict[HostName, list[Route]] = {}
+    for route in items.routes():
+        host = HostName(route.host.lower())
+        routes_by_host.setdefault(host, []).append(route)
+    service_by_name: dict[ServiceName, Service] = {
+        name: item.service
+        for name, item in items.service_by_name.items()
+        if item.service is not None
+    }
+    evacuations = decoder.values(store, Section.EVACUATION).values()
+    retired = decoder.values(store, Section.RETIRED_TARGET)
+    return RoutingTable(
+        routes_by_host={
+            host: tuple(sorted(routes, key=_by_prefix, reverse=True))
+            for host, routes in routes_by_host.items()
+        },
+        service_by_name=service_by_name,
+        limits=items.limits.limits if items.limits is not None else None,
+        evacuated_zones=frozenset(
+            e.availability_zone for e in evacuations if e.is_evacuated
+        ),
+        retired_by_target={TargetId(name): item for name, item in retired.items()},
+    )
+
+
+def _by_prefix(route: Route) -> int:
+    return len(route.path_prefix)
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -88,6 +88,42 @@
     port: Port
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingSettings:
+    """Say how a deployment routes by hosts and path prefixes.
+
+    The limits hold for all entry instances together.
+
+    :param may_found: Whether the control instances of the settings found a new log;
+        only at the first start of a deployment.
+    :param voters: Control instances that vote, at most.
+    :param renewal_interval_s: Time between two renewals of a target, in seconds.
+    :param retry_ratio: Attempts beyond the first, as a part of a service's requests.
+    :param retry_slack: Attempts beyond the first that are allowed besides.
+    :param retry_window_s: Window of these two, in seconds.
+    :param cold_factor: Part of a cold target's rate that it may get.
+    :param cold_slack: Requests a second that it may get besides.
+    :param max_region_shift: Part of a region's requests that may change the region
+        in which they run from one window of 2 s to the next.
+    :param lookup_lifetime_s: Time for which callers may keep a look-up, in seconds.
+    :param leave_s: Time that an instance has to leave, in seconds.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    may_found: bool = False
+    voters: Annotated[int, Field(ge=1, le=MAX_CONTROL_INSTANCES)] = 5
+    renewal_interval_s: Annotated[float, Field(gt=0)] = 1.5
+    retry_ratio: Annotated[float, Field(ge=0)] = 0.1
+    retry_slack: Annotated[float, Field(ge=0)] = 20.0
+    retry_window_s: Annotated[float, Field(gt=0)] = 10.0
+    cold_factor: Annotated[float, Field(ge=0)] = 1.0
+    cold_slack: Annotated[float, Field(ge=0)] = 0.0
+    max_region_shift: Annotated[float, Field(ge=0, le=1)] = 0.1
+    lookup_lifetime_s: Annotated[float, Field(gt=0)] = 2.0
+    leave_s: Annotated[float, Field(gt=0)] = 6.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Settings:
     """Hold all settings of one instance.
@@ -100,6 +136,8 @@
     :param bootstrap_token_sha256: Hash of the token of the first administrator,
         in hexadecimal digits; needed by the role ``control``.
     :param log_level: Least severity that is logged.
+    :param routing: How the deployment routes by hosts and path prefixes; absent
+        where it routes by contracts.
     """
 
     __pydantic_config__ = _STRICT
@@ -115,6 +153,7 @@
         None
     )
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+    routing: RoutingSettings | None = None
 
     @classmethod
     def from_file(cls, path: Path) -> Result["Settings", tuple[Failure, ...]]:
