Send work where room is left by what callers ask and targets can do

Ruled out: a faster step by load alone, which moves more than the allowed part from one window to the next.

Change: entries tell what callers ask of them; each plans which part of its requests should leave zone and region, and moves there within the allowed shift. Before the first request callers are expected everywhere alike.

--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -22,7 +22,6 @@
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
 from mothshunt.registry.coordinator import RegistryFollower
-from mothshunt.routing.model import RoutingTable
 from mothshunt.settings.config import RoutingSettings, Settings
 
 
@@ -119,7 +118,7 @@
             settings=routing,
             clock=clock,
             metrics=metrics,
-            _table=RoutingTable(),
+            on_demand=lambda demand: reporter.set_demand(demand),
         )
         holder.on_change(placement.on_configuration)
         registry.on_change(placement.refresh)
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -17,7 +17,7 @@
 #: Time between two reports of an entry instance to the control instances, in seconds.
 ENTRY_REPORT_INTERVAL_S = 1.0
 #: Time between two rosters to the entry instances, in seconds.
-ROSTER_INTERVAL_S = 2.0
+ROSTER_INTERVAL_S = 1.0
 #: An entry instance whose stream closed is named to callers for this time, in seconds,
 #: as the stream alone may have been lost.
 ENTRY_GONE_AFTER_S = 0.6
--- a/mothshunt/membership/roster.py
+++ b/mothshunt/membership/roster.py
@@ -8,11 +8,25 @@
     InstanceId,
     InstanceState,
     RegionId,
+    ServiceName,
 )
 from mothshunt.membership import const
 from mothshunt.util.wire import message
 
 
+@message("membership.service_demand")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceDemand:
+    """Tell how much callers ask an entry instance for one service.
+
+    :param service: The service.
+    :param per_s: Requests a second, smoothed.
+    """
+
+    service: ServiceName
+    per_s: float
+
+
 @message("membership.entry_report")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntryReport:
@@ -25,6 +39,7 @@
     :param port: TCP port for callers.
     :param state: State of the instance.
     :param revision: Revision of the configuration in force there.
+    :param demand: What callers ask it for.
     """
 
     instance: InstanceId
@@ -34,6 +49,7 @@
     port: int
     state: InstanceState
     revision: int = 0
+    demand: tuple[ServiceDemand, ...] = ()
 
 
 @message("membership.control_address")
@@ -169,6 +185,16 @@
         """Return the number of entry instances that may be sending."""
         return len(self.entries())
 
+    def demand(self) -> dict[ServiceName, dict[AvailabilityZoneId, float]]:
+        """Return what callers ask for, by service and availability zone."""
+        demand: dict[ServiceName, dict[AvailabilityZoneId, float]] = {}
+        for report in self.entries():
+            for item in report.demand:
+                by_zone = demand.setdefault(item.service, {})
+                zone = report.availability_zone
+                by_zone[zone] = by_zone.get(zone, 0.0) + item.per_s
+        return demand
+
     def count_in_zone(self, zone: AvailabilityZoneId) -> int:
         """Return how many of them run in an availability zone.
 
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -17,6 +17,7 @@
     Roster,
     RosterTable,
     RosterView,
+    ServiceDemand,
 )
 from mothshunt.settings.config import ControlPeer
 
@@ -144,6 +145,13 @@
         report = replace(self.view.own, revision=self.revision())
         self.network.post_all(self.attachments.attached(), report)
 
+    def set_demand(self, demand: tuple[ServiceDemand, ...]) -> None:
+        """Take what callers ask this instance for; told with the next report.
+
+        :param demand: What callers ask for.
+        """
+        self.view.own = replace(self.view.own, demand=demand)
+
     def _report_to(self, control: InstanceId) -> None:
         report = replace(self.view.own, revision=self.revision())
         self.network.post(control, report)
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -44,15 +44,16 @@
 #: Time between two adjustments of the parts that leave their zone or region, in
 #: seconds.
 ADJUST_INTERVAL_S = 0.5
-#: Load, as a part of the slots, above which more is sent away, and below which more
-#: is kept.
-HIGH_LOAD = 0.9
-LOW_LOAD = 0.6
+#: Load of a place, as a part of what its targets can run, up to which its requests
+#: stay; at higher loads requests wait for each other often.
+COMFORTABLE_LOAD = 0.6
+#: Weight of a new measurement in the smoothed rate of requests, for each interval.
+DEMAND_WEIGHT = 0.25
 #: Part of the requests by which the part that leaves its availability zone changes in
 #: one adjustment.
 ZONE_STEP = 0.05
 #: Part of the allowed shift between regions that is used; the rest covers requests
 #: that change region for other reasons.
-SHIFT_SAFETY = 0.3
+SHIFT_SAFETY = 0.6
 #: Window of the allowed shift between regions, in seconds.
 SHIFT_WINDOW_S = 2.0
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -1,20 +1,21 @@
 """Targets of an entry instance, kept in step with registry and configuration."""
 
 import asyncio
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 
 from expression import Result
 
 from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import AvailabilityZoneId, TargetId
+from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
-from mothshunt.membership.roster import RosterView
+from mothshunt.membership.roster import RosterView, ServiceDemand
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
+from mothshunt.placement.demand import DemandMeter
 from mothshunt.placement.model import (
     AttemptOutcome,
     Choice,
@@ -46,6 +47,7 @@
     :param settings: Limits that hold for all entry instances together.
     :param clock: Source of the present time.
     :param metrics: Counters of the process.
+    :param on_demand: Called with what callers ask this instance for.
     """
 
     placement: Placement
@@ -54,7 +56,9 @@
     settings: RoutingSettings
     clock: Clock
     metrics: Metrics
-    _table: RoutingTable
+    on_demand: Callable[[tuple[ServiceDemand, ...]], None]
+    _table: RoutingTable = field(default_factory=RoutingTable)
+    _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated: frozenset[AvailabilityZoneId] = frozenset()
     _task: asyncio.Task[None] | None = None
 
@@ -138,6 +142,8 @@
 
         :param request: What the choice depends on.
         """
+        if not request.excluded:
+            self._demand.count(request.service)
         result = self.placement.choose(request, self.clock.monotonic())
         match result:
             case Result(tag="ok", ok=choice):
@@ -176,7 +182,17 @@
         while True:
             await asyncio.sleep(const.ADJUST_INTERVAL_S)
             self.refresh()
-            self.placement.adjust(self.clock.monotonic())
+            self.on_demand(self._demand.measure(const.ADJUST_INTERVAL_S))
+            self.placement.adjust(self.roster.demand(), self._region_by_zone())
+
+    def _region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
+        region_by_zone = {
+            load.target.availability_zone: load.target.region
+            for load in self.placement.load_by_target.values()
+        }
+        for entry in self.roster.entries():
+            region_by_zone[entry.availability_zone] = entry.region
+        return region_by_zone
 
 
 def _placed(known: KnownTarget) -> PlacedTarget:
--- /dev/null
+++ b/mothshunt/placement/demand.py
@@ -0,0 +1,44 @@
+"""Measurement of what callers ask one entry instance for."""
+
+from dataclasses import dataclass, field
+
+from mothshunt.core.types import ServiceName
+from mothshunt.membership.roster import ServiceDemand
+from mothshunt.placement import const
+
+#: Rates below this are forgotten, in requests a second.
+NEGLIGIBLE_PER_S = 0.01
+
+
+@dataclass(slots=True)
+class DemandMeter:
+    """Count requests and smooth their rate, service by service."""
+
+    _count_by_service: dict[ServiceName, int] = field(default_factory=dict)
+    _per_s_by_service: dict[ServiceName, float] = field(default_factory=dict)
+
+    def count(self, service: ServiceName) -> None:
+        """Count a request.
+
+        :param service: The service that is asked for.
+        """
+        self._count_by_service[service] = self._count_by_service.get(service, 0) + 1
+
+    def measure(self, interval_s: float) -> tuple[ServiceDemand, ...]:
+        """Return the smoothed rates; called once each interval.
+
+        :param interval_s: Time since the last call, in seconds.
+        """
+        counts, self._count_by_service = self._count_by_service, {}
+        for service in {*counts, *self._per_s_by_service}:
+            per_s = counts.get(service, 0) / interval_s
+            held = self._per_s_by_service.get(service, per_s)
+            smoothed = held + const.DEMAND_WEIGHT * (per_s - held)
+            if smoothed < NEGLIGIBLE_PER_S:
+                self._per_s_by_service.pop(service, None)
+            else:
+                self._per_s_by_service[service] = smoothed
+        return tuple(
+            ServiceDemand(service=service, per_s=per_s)
+            for service, per_s in sorted(self._per_s_by_service.items())
+        )
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -6,7 +6,8 @@
 only its own objects.
 """
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -24,11 +25,14 @@
     PlacementRequest,
     ReportedLoad,
 )
-from mothshunt.placement.spill import RingLoad, Spill
+from mothshunt.placement.spill import PlaceLoad, Spill, plan_flow
 from mothshunt.placement.target_load import TargetLoad
 
 HASH_RANGE = float(1 << 64)
 
+DemandByZone = Mapping[ServiceName, Mapping[AvailabilityZoneId, float]]
+RegionByZone = Mapping[AvailabilityZoneId, RegionId]
+
 
 class Ring(Enum):
     """Distance of a target from this instance."""
@@ -53,6 +57,12 @@
     in_region: list[TargetLoad] = field(default_factory=list)
     beyond: list[TargetLoad] = field(default_factory=list)
 
+    def all_targets(self) -> Iterator[TargetLoad]:
+        """Return all targets."""
+        yield from self.in_zone
+        yield from self.in_region
+        yield from self.beyond
+
     def loads_by_ring(self) -> dict[Ring, list[TargetLoad]]:
         """Return the targets by their distance."""
         return {
@@ -141,7 +151,10 @@
         }
         shortest_wait_s = float("inf")
         for ring in self._rings(targets, usable_by_ring, request):
-            ranked = self._ranked(usable_by_ring[ring], request)
+            usable = usable_by_ring[ring]
+            if ring is Ring.BEYOND:
+                usable = self._in_chosen_region(targets.spill, usable, request)
+            ranked = self._ranked(usable, request)
             for rank, load in enumerate(ranked):
                 wait_s = self._wait_for_room(load, request, now)
                 if wait_s <= 0:
@@ -172,6 +185,32 @@
             return (Ring.REGION, Ring.ZONE)
         return (Ring.ZONE, Ring.REGION)
 
+    def _in_chosen_region(
+        self, spill: Spill, usable: list[TargetLoad], request: PlacementRequest
+    ) -> list[TargetLoad]:
+        """Return the targets of one other region, chosen by the room that each has.
+
+        Weighted rendezvous hashing keeps an object in its region while the rooms
+        change little.
+        """
+        room_by_region = {
+            load.target.region: spill.room_by_region.get(load.target.region, 0.0)
+            for load in usable
+        }
+        if not any(room_by_region.values()):
+            return usable
+        key = request.affinity_key or str(self.random.random())
+
+        def score(region: RegionId) -> float:
+            room = room_by_region[region]
+            if room <= 0:
+                return float("-inf")
+            chance = (_hash(f"{region}/{key}") + 1) / (HASH_RANGE + 1)
+            return math.log(chance) / room
+
+        chosen = max(room_by_region, key=score)
+        return [load for load in usable if load.target.region == chosen]
+
     def _position(self, request: PlacementRequest) -> float:
         if request.affinity_key is None:
             return self.random.random()
@@ -258,25 +297,71 @@
         if load is not None:
             load.ended(choice, outcome, reported, now)
 
-    def adjust(self, now: float) -> None:
+    def adjust(self, demand: DemandByZone, region_by_zone: RegionByZone) -> None:
         """Adjust the parts that leave zone and region; called each interval.
 
-        :param now: The present time, in seconds.
+        :param demand: Requests a second for each service, by availability zone.
+        :param region_by_zone: Regions of the availability zones.
         """
-        for targets in self._targets_by_service.values():
-            targets.spill.adjust(
-                _ring_load(targets.in_zone, now),
-                _ring_load(targets.in_region, now),
-                _ring_load(targets.beyond, now),
+        for service, targets in self._targets_by_service.items():
+            demand_by_zone = demand.get(service, {})
+            has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
+            by_zone = _load_by_zone(targets, demand_by_zone, region_by_zone)
+            by_region = _load_by_region(by_zone, region_by_zone)
+            region_flow = plan_flow(by_region, self.region)
+            in_region = {
+                zone: load
+                for zone, load in by_zone.items()
+                if region_by_zone.get(zone) == self.region
+            }
+            targets.spill.follow(
+                plan_flow(in_region, self.zone), region_flow, has_traffic=has_traffic
             )
 
 
-def _ring_load(ring: list[TargetLoad], now: float) -> RingLoad:
-    live = [load for load in ring if now >= load.down_until and not load.is_silent(now)]
-    return RingLoad(
-        slots=float(sum(load.target.slots for load in live)),
-        requests=sum(load.load(now) for load in live),
-    )
+def _load_by_zone(
+    targets: ServiceTargets,
+    demand_by_zone: Mapping[AvailabilityZoneId, float],
+    region_by_zone: RegionByZone,
+) -> dict[AvailabilityZoneId, PlaceLoad]:
+    known = [load.service_time_s for load in targets.all_targets()]
+    times = sorted(time_s for time_s in known if time_s > 0)
+    usual_s = times[len(times) // 2] if times else 1.0
+    capacity_by_zone: dict[AvailabilityZoneId, float] = {}
+    for load in targets.all_targets():
+        zone = load.target.availability_zone
+        # The median of all: what one target does differently is seen when it is full.
+        per_s = load.target.slots / usual_s
+        capacity_by_zone[zone] = capacity_by_zone.get(zone, 0.0) + per_s
+    if not any(demand_by_zone.values()):
+        # Until callers come, they are expected everywhere alike.
+        expected_per_s = sum(capacity_by_zone.values()) * const.COMFORTABLE_LOAD
+        demand_by_zone = dict.fromkeys(
+            region_by_zone, expected_per_s / max(1, len(region_by_zone))
+        )
+    return {
+        zone: PlaceLoad(
+            demand_per_s=demand_by_zone.get(zone, 0.0),
+            capacity_per_s=capacity_by_zone.get(zone, 0.0),
+        )
+        for zone in {*capacity_by_zone, *demand_by_zone}
+    }
+
+
+def _load_by_region(
+    load_by_zone: Mapping[AvailabilityZoneId, PlaceLoad], region_by_zone: RegionByZone
+) -> dict[RegionId, PlaceLoad]:
+    by_region: dict[RegionId, PlaceLoad] = {}
+    for zone, load in load_by_zone.items():
+        region = region_by_zone.get(zone)
+        if region is None:
+            continue
+        held = by_region.get(region, PlaceLoad(demand_per_s=0.0, capacity_per_s=0.0))
+        by_region[region] = PlaceLoad(
+            demand_per_s=held.demand_per_s + load.demand_per_s,
+            capacity_per_s=held.capacity_per_s + load.capacity_per_s,
+        )
+    return by_region
 
 
 def _load_share(load: TargetLoad) -> float:
--- a/mothshunt/routing/table.py
+++ b/mothshunt/routing/table.py
@@ -8,6 +8,20 @@
 from mothshunt.routing.state import RoutingItems
 
 
+def routes_by_host(items: RoutingItems) -> dict[HostName, tuple[Route, ...]]:
+    """Return the routes of each host, longest prefix first.
+
+    :param items: The routing items.
+    """
+    routes_of_host: dict[HostName, list[Route]] = {}
+    for route in items.routes():
+        routes_of_host.setdefault(HostName(route.host.lower()), []).append(route)
+    return {
+        host: tuple(sorted(routes, key=_by_prefix, reverse=True))
+        for host, routes in routes_of_host.items()
+    }
+
+
 def build_table(
     items: RoutingItems, store: ItemStore, decoder: ItemDecoder
 ) -> RoutingTable:
@@ -17,10 +31,6 @@
     :param store: The items.
     :param decoder: Remembers decoded items.
     """
-    routes_by_host: dict[HostName, list[Route]] = {}
-    for route in items.routes():
-        host = HostName(route.host.lower())
-        routes_by_host.setdefault(host, []).append(route)
     service_by_name: dict[ServiceName, Service] = {
         name: item.service
         for name, item in items.service_by_name.items()
@@ -29,10 +39,7 @@
     evacuations = decoder.values(store, Section.EVACUATION).values()
     retired = decoder.values(store, Section.RETIRED_TARGET)
     return RoutingTable(
-        routes_by_host={
-            host: tuple(sorted(routes, key=_by_prefix, reverse=True))
-            for host, routes in routes_by_host.items()
-        },
+        routes_by_host=routes_by_host(items),
         service_by_name=service_by_name,
         limits=items.limits.limits if items.limits is not None else None,
         evacuated_zones=frozenset(
--- /dev/null
+++ b/tests/placement/choice.feature
@@ -0,0 +1,64 @@
+Feature: Each request gets the target that knows its object, as long as it has room
+
+  Scenario: Every entry instance sends an object to the same target
+    Given 3 entry instances and 4 targets of 4 slots in their zone
+    Then all entry instances choose the same target for each of 200 objects
+    And the objects are spread over all targets
+
+  Scenario: A target that leaves moves only its own objects
+    Given 1 entry instances and 4 targets of 4 slots in their zone
+    When the target of most objects leaves
+    Then only its objects moved
+
+  Scenario: A target that is busy is passed over
+    Given 1 entry instances and 2 targets of 2 slots in their zone
+    When 2 requests wait at the target of object "o"
+    And the service takes 0.2 s of a target latency of 0.25 s
+    Then the next request for "o" goes to the other target
+
+  Scenario: A short wait at the target that knows the object is better than a cold one
+    Given 1 entry instances and 2 targets of 2 slots in their zone
+    When 2 requests wait at the target of object "o"
+    And the service takes 0.05 s of a target latency of 0.25 s
+    Then the next request for "o" goes to the same target
+
+  Scenario: What can't be answered in time is refused at once, with a time to come back
+    Given 1 entry instances and 2 targets of 2 slots in their zone
+    When each target has 2 requests that take 0.2 s of a target latency of 0.25 s
+    Then the next request is refused with code 2902
+    And the time to come back is between 0.05 and 1 s
+
+  Scenario: Targets of the own zone go before others
+    Given 1 entry instances and 2 targets of 4 slots in their zone
+    And 2 targets of 4 slots in another region
+    Then no object goes to another region
+
+  Scenario: Without a target in the region, another region serves
+    Given 1 entry instances and 0 targets of 4 slots in their zone
+    And 2 targets of 4 slots in another region
+    Then every object goes to another region
+
+  Scenario: Home regions are never left
+    Given 1 entry instances and 0 targets of 4 slots in their zone
+    And 2 targets of 4 slots in another region
+    Then a request with home region "north" is refused with code 2901
+
+  Scenario: A target whose connections fail rests until it is heard of again
+    Given 1 entry instances and 1 targets of 4 slots in their zone
+    When a connection to it fails at 10 s
+    Then it is not chosen at 10.3 s
+    When it renews itself at 10.4 s
+    Then it is chosen at 10.5 s
+
+  Scenario: A target that goes silent gets nothing more until it answers
+    Given 1 entry instances and 2 targets of 4 slots in their zone
+    When a request to the target of "o" has waited for 2 s
+    Then the next request for "o" goes to the other target
+
+  Scenario: A target that fails often gets only trial requests
+    Given 1 entry instances and 2 targets of 4 slots in their zone
+    When 8 requests for "o" fail at its target
+    Then at most 2 of 20 requests in a second go there
+
+  Scenario: No interleaving gives a cold target more than all may send together
+    Then 300 random walks of entry instances keep the limit of a cold target
--- /dev/null
+++ b/tests/routing/merge.feature
@@ -0,0 +1,64 @@
+Feature: Routing items are merged by their own version
+
+  Scenario: Order, repeats and drops don't matter
+    Then any order and repetition of valid patches gives the same items
+
+  Scenario: The highest version takes effect, whether it sets or drops
+    Given routing items with service "s" at version 1
+    When route "a" at "/a/" to "s" is set at version 5
+    And route "a" is dropped at version 7
+    And route "a" at "/b/" to "s" is set at version 6
+    Then route "a" is dropped at version 7
+    When route "a" at "/c/" to "s" is set at version 8
+    Then route "a" is at "/c/" at version 8
+
+  Scenario: Other content under the version held changes nothing and is acknowledged
+    Given routing items with service "s" at version 1
+    When route "a" at "/a/" to "s" is set at version 5
+    And route "a" at "/b/" to "s" is set at version 5
+    Then the last patch was accepted with 0 items changed
+    And route "a" is at "/a/" at version 5
+
+  Scenario Outline: A patch that is invalid takes no effect at all
+    Given routing items with service "s" at version 1
+    When route "a" at "/a/" to "s" is set at version 5
+    And a patch with <fault> is sent
+    Then the last patch was refused with code <code>
+    And there is no route "new"
+
+    Examples:
+      | fault                    | code |
+      | an unknown service       | 2702 |
+      | a place that is taken    | 2703 |
+      | one place twice          | 2703 |
+      | weights that add up to 0 | 2701 |
+      | a negative weight        | 2701 |
+      | no attempt               | 2701 |
+      | no timeout               | 2701 |
+      | a prefix without a slash | 2701 |
+
+  Scenario: A call that was accepted is acknowledged again after its service was dropped
+    Given routing items with service "s" at version 1
+    When route "a" at "/a/" to "s" is set at version 5
+    And route "a" is dropped at version 6
+    And service "s" is dropped at version 7
+    And route "a" at "/a/" to "s" is set at version 5
+    Then the last patch was accepted with 0 items changed
+
+  Scenario: A service that a route names can't be dropped
+    Given routing items with service "s" at version 1
+    When route "a" at "/a/" to "s" is set at version 5
+    And service "s" is dropped at version 6
+    Then the last patch was refused with code 2702
+
+  Scenario: The longest prefix that begins the path wins
+    Given routing items with service "s" at version 1
+    When route "short" at "/a/" to "s" is set at version 2
+    And route "long" at "/a/b/" to "s" is set at version 2
+    Then the path "/a/b/c" follows route "long"
+    And the path "/a/bc" follows route "short"
+    And the path "/b/" follows no route
+
+  Scenario: A split gives each service its part
+    Then 1000 requests split 90 to 10 give the parts within 1 request
+    And a change of the weights starts a new count
--- /dev/null
+++ b/tests/steps/forwarding_attempts.py
@@ -0,0 +1,298 @@
+"""Steps that send requests through a routed entry to raw targets."""
+
+import asyncio
+import re
+import socket
+import struct
+import time
+from random import Random
+
+from behave import given, then, when
+
+from mothshunt.forwarding.retry import RetryBudget
+from tests.support.raw_target import RawTarget
+from tests.support.routed_entry import RoutedWorld, request_bytes
+
+ID = "mothshunt-request-id"
+
+
+def echo(request, body: bytes, status="200 OK", headers="", length=True) -> bytes:
+    head = f"HTTP/1.1 {status}\r\nMothshunt-Request-Id: "
+    head += f"{request.header_by_name.get(ID, '')}\r\n{headers}"
+    if length:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+async def answers(target, request, writer):
+    writer.write(echo(request, request.header_by_name[ID].encode()))
+
+
+async def closes(target, request, writer):
+    writer.close()
+
+
+async def turns_away(target, request, writer):
+    writer.write(echo(request, b"", "503 Busy", "Mothshunt-Ran: no\r\n"))
+
+
+async def fails_with_503(target, request, writer):
+    writer.write(echo(request, b"", "503 Busy"))
+
+
+async def never(target, request, writer):
+    await asyncio.sleep(3600)
+
+
+async def late(target, request, writer):
+    await asyncio.sleep(0.3)
+    target.finished = getattr(target, "finished", 0) + 1
+    writer.write(echo(request, b"late"))
+
+
+async def twice(target, request, writer):
+    writer.write(echo(request, request.header_by_name[ID].encode()))
+    await asyncio.sleep(0.005)
+    writer.write(echo(request, b"again"))
+
+
+async def reset_unframed(target, request, writer):
+    writer.write(echo(request, b"half of it", length=False))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    # A linger time of 0 makes the close a reset.
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def unframed(target, request, writer):
+    writer.write(echo(request, b"all of it", length=False))
+    writer.close()
+
+
+BEHAVIOURS = {
+    "answers": answers,
+    "closes after reading": closes,
+    "turns away": turns_away,
+    "answers 503 after running": fails_with_503,
+    "never answers": never,
+    "answers after 300 ms": late,
+    "answers twice, the second time late": twice,
+    "is reset in an answer without a length": reset_unframed,
+    "ends an answer with its connection": unframed,
+}
+
+
+class FinishingTarget(RawTarget):
+    """Count the requests that were finished."""
+
+    finished = 0
+
+
+def set_up(context, **options):
+    context.runner = context.stack.enter_context(asyncio.Runner())
+    context.world = RoutedWorld(**options)
+    context.target_by_name = {}
+    context.runner.run(context.world.start())
+    context.stack.callback(lambda: context.runner.run(tear_down(context)))
+
+
+async def tear_down(context):
+    for target in context.target_by_name.values():
+        await target.stop()
+    await context.world.stop()
+
+
+@given("a routed entry")
+def routed_entry(context):
+    set_up(context)
+
+
+@given("a routed entry with a timeout of {timeout_ms:d} ms")
+def with_timeout(context, timeout_ms):
+    set_up(context, timeout_s=timeout_ms / 1000)
+
+
+@given("a routed entry that is not ready")
+def not_ready(context):
+    set_up(context)
+    context.world.is_ready = False
+
+
+@given('a routed target "{name}" that {behaviour}')
+def routed_target(context, name, behaviour):
+    target = FinishingTarget(name, BEHAVIOURS[behaviour])
+    context.runner.run(target.start())
+    context.target_by_name[name] = target
+    context.world.add_target(name, target.port)
+
+
+@given('a routed target "{name}" whose port is closed')
+def closed_target(context, name):
+    target = FinishingTarget(name, answers)
+    context.runner.run(target.start())
+    context.runner.run(target.stop())
+    context.target_by_name[name] = target
+    context.world.add_target(name, target.port)
+
+
+def send(context, method, path, **options):
+    data = request_bytes(method, path, **options)
+    return context.runner.run(context.world.exchange(data))
+
+
+@when('a routed caller sends {method} "{path}" with body "{body}"')
+def sends_body(context, method, path, body):
+    began = time.monotonic()
+    context.answers = [send(context, method, path, body=body.encode())]
+    context.took_ms = (time.monotonic() - began) * 1000
+
+
+@when('a routed caller sends {method} "{path}"')
+def sends(context, method, path):
+    context.answers = [send(context, method, path)]
+
+
+@when('a routed caller sends {method} "{path}" for each of {count:d} objects')
+def sends_for_objects(context, method, path, count):
+    context.answers = [
+        send(
+            context,
+            method,
+            path,
+            headers=f"Cookie: Mothshunt-Affinity={number}\r\n",
+            request_id=f"id-{number}",
+        )
+        for number in range(count)
+    ]
+
+
+@when('a routed caller leaves {delay_ms:d} ms after {method} "{path}"')
+def leaves(context, delay_ms, method, path):
+    data = request_bytes(method, path)
+    leaving = context.world.exchange(data, close_after_s=delay_ms / 1000)
+    context.runner.run(leaving)
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1]) if answer else 0
+
+
+def body(answer: bytes) -> bytes:
+    return answer.partition(b"\r\n\r\n")[2]
+
+
+@then("the routed caller got status {wanted:d}")
+def got_status(context, wanted):
+    assert status(context.answers[-1]) == wanted, context.answers
+
+
+@then("the routed caller got status {wanted:d} each time")
+def got_each_time(context, wanted):
+    assert {status(answer) for answer in context.answers} == {wanted}, context.answers
+
+
+@then("each answer names its own request")
+def names_own(context):
+    for number, answer in enumerate(context.answers):
+        assert body(answer) == f"id-{number}".encode(), (number, answer)
+
+
+@then("the routed caller is told to come back within {seconds:g} s")
+def come_back(context, seconds):
+    match = re.search(rb"Retry-After: ([0-9.]+)", context.answers[-1])
+    assert match is not None, context.answers
+    assert 0 < float(match[1]) <= seconds, match
+
+
+@then("the routed caller got no whole answer")
+def no_whole_answer(context):
+    answer = context.answers[-1]
+    is_error = status(answer) in (0, 502)
+    assert is_error or not answer.endswith(b"0\r\n\r\n"), answer
+
+
+@then("the routed caller got a whole body")
+def whole_body(context):
+    answer = context.answers[-1]
+    assert b"all of it" in answer, answer
+    assert answer.endswith((b"0\r\n\r\n", b"all of it")), answer
+
+
+@then("the last routed answer took between {least:d} and {most:d} ms")
+def took(context, least, most):
+    assert least <= context.took_ms <= most, context.took_ms
+
+
+@then('"{name}" got {method} "{path}" with body "{text}"')
+def target_got(context, name, method, path, text):
+    request = context.target_by_name[name].requests[-1]
+    found = (request.method, request.path, request.body)
+    assert found == (method, path, text.encode()), found
+
+
+@then('"{name}" got header "{header}" "{value}"')
+def target_got_header(context, name, header, value):
+    request = context.target_by_name[name].requests[-1]
+    assert request.header_by_name.get(header) == value, request.header_by_name
+
+
+@then('"{name}" got the time that is left, at most {most:d} ms')
+def target_got_time(context, name, most):
+    request = context.target_by_name[name].requests[-1]
+    left_ms = int(request.header_by_name["mothshunt-deadline-ms"])
+    assert 0 < left_ms <= most, left_ms
+
+
+@then("one request reached all targets together")
+def one_request(context):
+    counts = [len(t.requests) for t in context.target_by_name.values()]
+    assert sum(counts) == 1, counts
+
+
+@then('"{name}" loses its connection within {limit_ms:d} ms')
+def loses(context, name, limit_ms):
+    lost = context.target_by_name[name].lost.wait()
+    context.runner.run(asyncio.wait_for(lost, limit_ms / 1000))
+
+
+@then('"{name}" finishes {count:d} request within {limit_ms:d} ms')
+def finishes(context, name, count, limit_ms):
+    target = context.target_by_name[name]
+
+    async def wait():
+        async with asyncio.timeout(limit_ms / 1000):
+            while target.finished < count:
+                await asyncio.sleep(0.01)
+
+    context.runner.run(wait())
+
+
+@then('"{name}" saw {count:d} connection')
+def saw_connections(context, name, count):
+    assert context.target_by_name[name].connections == count
+
+
+@then("{count:d} random walks of 1 to 8 entry instances keep the retry budget")
+def budget_walks(context, count):
+    for seed in range(count):
+        random = Random(seed)
+        entries = random.randint(1, 8)
+        ratio, slack, window_s = 0.2, random.uniform(0, 60), 10.0
+        budgets = [RetryBudget(ratio, slack, window_s) for _ in range(entries)]
+        first, further = [], []
+        now = 0.0
+        while now < 30.0:
+            now += random.expovariate(20)
+            budget = random.choice(budgets)
+            if random.random() < 0.5:
+                budget.count_request("s", now)
+                first.append(now)
+            elif budget.take("s", entries, now):
+                further.append(now)
+        for end in further:
+            extra = sum(1 for at in further if end - window_s < at <= end)
+            asked = sum(1 for at in first if end - window_s < at <= end)
+            assert extra <= ratio * asked + slack, (extra, asked, slack)
--- /dev/null
+++ b/tests/steps/placement_choice.py
@@ -0,0 +1,225 @@
+"""Steps for the choice of targets."""
+
+from random import Random
+
+from behave import given, then, when
+
+from mothshunt.placement.model import AttemptOutcome
+from tests.support import placement_world as world
+
+OBJECTS = [f"object-{number}" for number in range(200)]
+
+
+@given(
+    "{entries:d} entry instances and {count:d} targets of {slots:d} slots in their zone"
+)
+def entries_and_targets(context, entries, count, slots):
+    context.targets = [world.target(number, slots) for number in range(count)]
+    context.entries = entries
+    rebuild(context)
+
+
+def rebuild(context):
+    context.placements = [
+        world.placement(context.targets, seed=seed) for seed in range(context.entries)
+    ]
+    context.placement = context.placements[0]
+    context.now = 0.0
+    context.took = {"took_s": 0.05, "latency_s": 0.25}
+
+
+@given("{count:d} targets of {slots:d} slots in another region")
+def other_region(context, count, slots):
+    context.targets += [
+        world.target(number, slots, "south-a", "south") for number in range(count)
+    ]
+    rebuild(context)
+
+
+@then("all entry instances choose the same target for each of {count:d} objects")
+def same_target(context, count):
+    context.chosen = {}
+    for key in OBJECTS[:count]:
+        ids = {world.chosen_id(p, key) for p in context.placements}
+        assert len(ids) == 1, ids
+        context.chosen[key] = ids.pop()
+
+
+@then("the objects are spread over all targets")
+def spread(context):
+    counts = [
+        sum(1 for chosen in context.chosen.values() if chosen == t.id)
+        for t in context.targets
+    ]
+    assert min(counts) > len(OBJECTS) / len(counts) / 2, counts
+
+
+@when("the target of most objects leaves")
+def target_leaves(context):
+    context.before = {key: world.chosen_id(context.placement, key) for key in OBJECTS}
+    ids = list(context.before.values())
+    context.gone = max(set(ids), key=ids.count)
+    context.targets = [t for t in context.targets if t.id != context.gone]
+    rebuild(context)
+
+
+@then("only its objects moved")
+def only_its_objects(context):
+    for key in OBJECTS:
+        after = world.chosen_id(context.placement, key)
+        if context.before[key] != context.gone:
+            assert after == context.before[key], key
+
+
+@when('{count:d} requests wait at the target of object "{key}"')
+def requests_wait(context, count, key):
+    context.waiting = [
+        context.placement.choose(world.request(key), 0.0).ok for _ in range(count)
+    ]
+    context.home = context.waiting[0].target.id
+
+
+@when("the service takes {took:g} s of a target latency of {latency:g} s")
+def service_takes(context, took, latency):
+    for load in context.placement.load_by_target.values():
+        load.service_time_s = took
+    context.latency_s = latency
+
+
+@then('the next request for "{key}" goes to the {which} target')
+def next_goes(context, key, which):
+    latency_s = getattr(context, "latency_s", 0.25)
+    chosen = world.chosen_id(context.placement, key, context.now, latency_s=latency_s)
+    assert (chosen == context.home) == (which == "same"), (chosen, context.home)
+
+
+@when(
+    "each target has {count:d} requests that take {took:g} s "
+    "of a target latency of {latency:g} s"
+)
+def all_busy(context, count, took, latency):
+    service_takes(context, took, latency)
+    for load in context.placement.load_by_target.values():
+        for _ in range(count):
+            load.take(0.0, "test")
+
+
+@then("the next request is refused with code {code:d}")
+def refused(context, code):
+    wanted = world.request("o", latency_s=context.latency_s)
+    context.failure = context.placement.choose(wanted, 0.0).error
+    assert context.failure.code.number == code, context.failure
+
+
+@then("the time to come back is between {least:g} and {most:g} s")
+def time_to_come_back(context, least, most):
+    assert least <= context.failure.retry_after_s <= most, context.failure
+
+
+@then("no object goes to another region")
+def none_leaves(context):
+    ids = {world.chosen_id(context.placement, key) for key in OBJECTS}
+    assert all(chosen.startswith("north") for chosen in ids), ids
+
+
+@then("every object goes to another region")
+def all_leave(context):
+    ids = {world.chosen_id(context.placement, key) for key in OBJECTS}
+    assert all(chosen.startswith("south") for chosen in ids), ids
+
+
+@then('a request with home region "{region}" is refused with code {code:d}')
+def home_refused(context, region, code):
+    wanted = world.request("o", homes=[region])
+    failure = context.placement.choose(wanted, 0.0).error
+    assert failure.code.number == code, failure
+
+
+@when("a connection to it fails at {now:g} s")
+def connection_fails(context, now):
+    choice = context.placement.choose(world.request("o"), now).ok
+    context.placement.finish(choice, AttemptOutcome.CONNECT_FAILED, None, now)
+
+
+@then("it is not chosen at {now:g} s")
+def not_chosen(context, now):
+    assert context.placement.choose(world.request("o"), now).is_error()
+
+
+@when("it renews itself at {now:g} s")
+def renews(context, now):
+    for load in context.placement.load_by_target.values():
+        load.renewed(load.target, now, 0.0)
+
+
+@then("it is chosen at {now:g} s")
+def is_chosen(context, now):
+    assert context.placement.choose(world.request("o"), now).is_ok()
+
+
+@when('a request to the target of "{key}" has waited for {seconds:g} s')
+def has_waited(context, key, seconds):
+    context.home = context.placement.choose(world.request(key), 0.0).ok.target.id
+    context.now = seconds
+
+
+@when('{count:d} requests for "{key}" fail at its target')
+def requests_fail(context, count, key):
+    context.home = None
+    for number in range(count):
+        now = number * 0.01
+        choice = context.placement.choose(world.request(key), now).ok
+        context.home = context.home or choice.target.id
+        if choice.target.id != context.home:
+            context.placement.finish(choice, AttemptOutcome.ANSWERED, None, now)
+            continue
+        context.placement.finish(choice, AttemptOutcome.ERROR_ANSWER, None, now)
+
+
+@then("at most {most:d} of {count:d} requests in a second go there")
+def few_go_there(context, most, count):
+    there = 0
+    for number in range(count):
+        now = 10.0 + number / count
+        choice = context.placement.choose(world.request("o"), now).ok
+        there += choice.target.id == context.home
+        failed = choice.target.id == context.home
+        outcome = AttemptOutcome.ERROR_ANSWER if failed else AttemptOutcome.ANSWERED
+        context.placement.finish(choice, outcome, None, now)
+    assert there <= most, there
+
+
+@then("{count:d} random walks of entry instances keep the limit of a cold target")
+def cold_walks(context, count):
+    for seed in range(count):
+        walk_cold(Random(seed))
+
+
+def walk_cold(random: Random) -> None:
+    """Send as fast as can be from entries that may come, go and freeze."""
+    per_s = random.uniform(10, 40)
+    entries = random.randint(1, 8)
+    cold = world.target(0, 50)
+    limits = {cold.id: world.cold_limit(per_s, entries)}
+    placements = [
+        world.placement([cold], seed=n, cold_limits=limits, cold_until=1e9)
+        for n in range(entries)
+    ]
+    frozen_until = [0.0] * entries
+    sent: list[float] = []
+    now = 0.0
+    while now < 4.0:
+        now += random.expovariate(200)
+        index = random.randrange(entries)
+        if random.random() < 0.01:
+            frozen_until[index] = now + random.uniform(0.1, 2.0)
+        if now < frozen_until[index]:
+            continue
+        result = placements[index].choose(world.request(str(random.random())), now)
+        if result.is_ok():
+            sent.append(now)
+            took = now + random.uniform(0, 0.3)
+            placements[index].finish(result.ok, AttemptOutcome.ANSWERED, None, took)
+    for start in sent:
+        in_window = sum(1 for at in sent if start <= at < start + 1.0)
+        assert in_window <= per_s, (in_window, per_s, entries)
