--- /dev/null
+++ b/tests/platform/documents.feature
@@ -0,0 +1,47 @@
+Feature: What comes from the platform's wire is decoded once, or refused clearly
+
+  Scenario: Any bytes are read or refused
+    Then 500 random documents are read or refused, each with a place and a problem
+
+  Scenario: A report of a target becomes a renewal
+    When the platform's target "i-1" reports '{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":4,"state":"draining","cold_remaining":"1.5s","sequence":4,"born":77}'
+    Then the renewal is of "i-1" with incarnation 77, sequence 4 and state leaving
+    And the renewal is cold for 1500 ms
+
+  Scenario Outline: A report that is not as the pages say names no target
+    When the platform's target "i-1" reports '<report>'
+    Then the report is refused at "<place>"
+
+    Examples:
+      | report                                                                                                       | place    |
+      | {"service":"s","address":"10.0.0.9","zone":"z","slots":4,"state":"ready","sequence":4}                       | address  |
+      | {"service":"s","address":"ten:80","zone":"z","slots":4,"state":"ready","sequence":4}                         | address  |
+      | {"service":"s","address":"10.0.0.9:80","zone":"nowhere","slots":4,"state":"ready","sequence":4}              | zone     |
+      | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":true,"state":"ready","sequence":4}                 | slots    |
+      | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"lurking","sequence":4}                  | state    |
+      | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":"4"}                  | sequence |
+      | {"service":7,"address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4}                      | service  |
+      | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4,"born":"yesterday"} | born     |
+
+  Scenario: Items are given back as they were sent
+    When the platform's operator sends a patch of all kinds of items
+    Then the items that are read back are those that were sent
+
+  Scenario Outline: A patch that can't be read in full is refused
+    When the platform's operator sends '<patch>'
+    Then the patch is refused
+
+    Examples:
+      | patch                                                                                   |
+      | {"upsert":{"hosts":[{"host":"h","paths":[{"name":"r"                                    |
+      | {"upsert":{"hosts":[{"host":"h","paths":[{"name":"r"}]}]}}                              |
+      | {"upsert":{"hosts":{"host":"h"}}}                                                       |
+      | {"remove":{"routes":[{"name":"r"}]}}                                                    |
+      | {"upsert":{"limits":{"max_header_bytes":"many","version":"r1"}}}                        |
+      | []                                                                                      |
+
+  Scenario: Settings become those of the product
+    When the platform hands out settings of a core machine
+    Then the instance is "10.1.0.17" with peers at port 7620
+    And it may found a log of 5 voters with "10.1.0.17, 10.2.0.44, 10.3.0.40"
+    And a leave takes 6 s and a retry budget of 0.2 and 56 is shared
--- /dev/null
+++ b/tests/steps/consensus_self_managed.py
@@ -0,0 +1,70 @@
+"""Steps for control instances that manage their membership by themselves."""
+
+import shutil
+from dataclasses import replace
+
+from behave import given, then, when
+
+from tests.steps.consensus_coordinator import names_of
+from tests.support.consensus_net import CONFIG, Deployment
+
+SELF_MANAGED = replace(CONFIG, max_voters=5, is_self_managed=True)
+
+
+@given('a self-managed log founded by "{seeds}" and joined by "{others}"')
+def self_managed(context, seeds, others):
+    context.seeds = names_of(seeds)
+    names = [*context.seeds, *names_of(others)]
+    context.log = Deployment(context.stack, names, SELF_MANAGED)
+    for name in names:
+        context.log.run(context.log.async_start(name, context.seeds))
+
+
+def status(context):
+    log = context.log
+    leaders = log.leaders()
+    return log.coordinator_by_id[leaders[0]].status() if len(leaders) == 1 else None
+
+
+@then('the voters are "{names}" within {seconds:d} s')
+def voters_are(context, names, seconds):
+    def is_so():
+        now = status(context)
+        return now is not None and {v.id for v in now.voters} == set(names_of(names))
+
+    context.log.run(context.log.async_until(is_so, seconds))
+
+
+@then('"{name}" is a learner within {seconds:d} s')
+def is_learner(context, name, seconds):
+    def is_so():
+        now = status(context)
+        return now is not None and name in {v.id for v in now.learners}
+
+    context.log.run(context.log.async_until(is_so, seconds))
+
+
+@when('"{name}" loses its disk and starts again without founding')
+def loses_disk(context, name):
+    log = context.log
+    log.run(log.async_kill(name))
+    shutil.rmtree(log.folder / name)
+    log.run(log.async_start(name, context.seeds, may_found=False))
+
+
+@when('"{gone}" is gone and "{name}" starts')
+def is_replaced(context, gone, name):
+    log = context.log
+    log.run(log.async_kill(gone))
+    log.run(log.async_start(name, context.seeds, may_found=False))
+
+
+@when('"{name}" starts')
+def starts(context, name):
+    context.log.run(context.log.async_start(name, context.seeds, may_found=False))
+
+
+@then("every control instance has applied nothing else")
+def applied_nothing(context):
+    for commands in context.log.commands_by_id.values():
+        assert commands.commands == [], commands.commands
--- /dev/null
+++ b/tests/steps/platform_documents.py
@@ -0,0 +1,197 @@
+"""Steps for documents on the platform's wire."""
+
+import json
+
+from behave import then, when
+from hypothesis import given as property_given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from mothshunt.platform import documents
+from mothshunt.platform.settings import read_settings
+from mothshunt.platform.values import BadValueError
+from mothshunt.routing.state import RoutingItems, merge
+
+ZONES = {"z": "r"}
+SETTINGS = {
+    "node_name": "core-a-1",
+    "role": "control",
+    "machine_class": "core",
+    "serves": ["control", "directory"],
+    "ip": "10.1.0.17",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "listen": {"control": "10.1.0.17:8649", "directory": "10.1.0.17:8644"},
+    "internal_ports": [7620, 7635],
+    "seeds": ["10.1.0.17:8649", "10.2.0.44:8649", "10.3.0.40:8649"],
+    "bootstrap": True,
+    "data_dir": "/data/control",
+    "heartbeat": "1500ms",
+    "fault_tolerance": {"nodes": 2, "zones": 1, "regions": 1},
+    "bounds": {"grace": "6s", "retry_budget_ratio": 0.2, "retry_slack": 56},
+    "something_new": {"that": "nobody knows"},
+}
+PATCH = {
+    "upsert": {
+        "services": [
+            {
+                "name": "s",
+                "health_path": "/healthz",
+                "max_connections": 360,
+                "protocol": "h1",
+                "tls": False,
+                "cold_start": "3s",
+                "cold_per_s": 9.9,
+                "version": "r7",
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+            "version": "r7",
+        },
+        "hosts": [
+            {
+                "host": "h.example",
+                "paths": [
+                    {
+                        "name": "r-1",
+                        "path_prefix": "/a/",
+                        "kind": "safe",
+                        "timeout": "2.5s",
+                        "target_latency": "300ms",
+                        "priority": 2,
+                        "traffic_split": [{"service": "s", "weight": 90}],
+                        "max_attempts": 2,
+                        "sticky": True,
+                        "allowed_regions": [],
+                        "version": "r7",
+                    }
+                ],
+            }
+        ],
+    },
+    "remove": {"routes": []},
+}
+
+
+@when("the platform's target \"{name}\" reports '{report}'")
+def target_reports(context, name, report):
+    context.error = context.renewal = None
+    try:
+        document = documents.read_json(report.encode())
+        context.renewal = documents.read_renewal(name, document, ZONES)
+    except BadValueError as error:
+        context.error = error
+
+
+@then(
+    'the renewal is of "{name}" with incarnation {incarnation:d}, '
+    "sequence {sequence:d} and state {state}"
+)
+def renewal_is(context, name, incarnation, sequence, state):
+    held = context.renewal
+    found = (held.target, held.incarnation, held.sequence, held.state.value)
+    assert found == (name, incarnation, sequence, state), found
+
+
+@then("the renewal is cold for {cold_ms:d} ms")
+def renewal_is_cold(context, cold_ms):
+    assert context.renewal.cold_ms == cold_ms
+
+
+@then('the report is refused at "{place}"')
+def report_refused(context, place):
+    assert context.error is not None, context.renewal
+    assert str(context.error).startswith(f"{place}: "), context.error
+
+
+@when("the platform's operator sends a patch of all kinds of items")
+def sends_patch(context):
+    patch = documents.read_patch(documents.read_json(json.dumps(PATCH).encode()))
+    context.items = merge(RoutingItems(), patch).ok.items
+
+
+@then("the items that are read back are those that were sent")
+def read_back(context):
+    assert documents.items_document(context.items) == PATCH["upsert"]
+
+
+@when("the platform's operator sends '{patch}'")
+def sends_text(context, patch):
+    context.error = None
+    try:
+        documents.read_patch(documents.read_json(patch.encode()))
+    except BadValueError as error:
+        context.error = error
+
+
+@then("the patch is refused")
+def patch_refused(context):
+    assert context.error is not None
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(
+                ["upsert", "remove", "hosts", "paths", "routes", "services", "limits"]
+                + ["host", "name", "version", "state", "address", "sequence", "born"]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=20,
+)
+
+
+@then("{count:d} random documents are read or refused, each with a place and a problem")
+def random_documents(context, count):
+    @settings(max_examples=count, deadline=None, derandomize=True)
+    @property_given(JSON.map(lambda d: json.dumps(d).encode()) | st.binary())
+    def check(content):
+        for read in (
+            lambda: documents.read_patch(documents.read_json(content)),
+            lambda: documents.read_renewal("t", documents.read_json(content), ZONES),
+            lambda: read_settings(content),
+        ):
+            try:
+                read()
+            except BadValueError as error:
+                assert ": " in str(error)
+
+    check()
+
+
+@when("the platform hands out settings of a core machine")
+def hands_out(context):
+    context.settings = read_settings(json.dumps(SETTINGS).encode()).settings
+
+
+@then('the instance is "{name}" with peers at port {port:d}')
+def instance_is(context, name, port):
+    assert context.settings.instance.id == name
+    assert context.settings.listen.peer.port == port
+
+
+@then('it may found a log of {voters:d} voters with "{names}"')
+def may_found(context, voters, names):
+    routing = context.settings.routing
+    assert routing.may_found
+    assert routing.voters == voters
+    assert ", ".join(peer.id for peer in context.settings.control) == names
+
+
+@then(
+    "a leave takes {leave:g} s and a retry budget of {ratio:g} and {slack:g} is shared"
+)
+def bounds_are(context, leave, ratio, slack):
+    routing = context.settings.routing
+    found = (routing.leave_s, routing.retry_ratio, routing.retry_slack)
+    assert found == (leave, ratio, slack), found
--- a/tests/support/consensus_net.py
+++ b/tests/support/consensus_net.py
@@ -164,19 +164,20 @@
         }
         return schema.from_plain(Settings, document).ok
 
-    async def async_start(self, name):
+    async def async_start(self, name, seeds=None, *, may_found=True):
         network = FakeNetwork(self.hub, name)
         commands = CommandList()
         metrics = Metrics()
         self.number += 1
         coordinator = ConsensusCoordinator.from_config(
-            settings=self.settings(name, self.names),
+            settings=self.settings(name, seeds or self.names),
             network=network,
             state_machine=commands,
             clock=SystemClock(),
             metrics=metrics,
             config=self.config,
             random=Random(f"{SEED}/{name}/{self.number}"),
+            may_found=may_found,
         )
         self.hub.network_by_id[name] = network
         self.coordinator_by_id[name] = coordinator
