Choose targets by the time to an answer, and tell less between instances

A request was refused when the mean of cold and warm answers did not fit the target latency, also when the target knew its object; and each further target that an object was sent to ran it cold.

Change: entries remember which objects a target answered; known and unknown objects have times of their own, and a target its slowness. The expected time to the answer decides among the three targets that rank first. A cold object is sent although it will be late, where few wait for it.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -83,7 +83,7 @@
                 for voter in (*status.voters, *status.learners)
             )
 
-        roster = RosterHub(network, clock, control)
+        roster = RosterHub(network, clock, control, settings.instance.region)
         publisher = RegistryPublisher(
             network=network,
             clock=clock,
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -18,6 +18,8 @@
 ENTRY_REPORT_INTERVAL_S = 1.0
 #: Time between two rosters to the entry instances, in seconds.
 ROSTER_INTERVAL_S = 1.0
+#: Time between two rosters to entry instances of other regions, in seconds.
+FULL_ROSTER_INTERVAL_S = 4.0
 #: An entry instance whose stream closed is named to callers for this time, in seconds,
 #: as the stream alone may have been lost.
 ENTRY_GONE_AFTER_S = 0.6
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from mothshunt.core.clock import Clock
-from mothshunt.core.types import InstanceId, InstanceState
+from mothshunt.core.types import InstanceId, InstanceState, RegionId
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
@@ -34,12 +34,15 @@
     :param network: Streams of this instance.
     :param clock: Source of the present time.
     :param control: Returns the addresses of all control instances.
+    :param region: Region of this instance; its entry instances are told often, the
+        others are told often by control instances of their own.
     :param table: What is known.
     """
 
     network: StreamNetwork
     clock: Clock
     control: Callable[[], tuple[ControlAddress, ...]]
+    region: RegionId
     table: RosterTable = field(default_factory=RosterTable)
     _attach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
     _task: asyncio.Task[None] | None = None
@@ -91,16 +94,27 @@
     def _tell_all(self) -> None:
         self.network.post_all(self.attached(), self._roster())
 
+    def _tell_region(self) -> None:
+        standing_by_id = self.table.standing_by_id
+        near = [
+            i for i in self.attached() if standing_by_id[i].report.region == self.region
+        ]
+        self.network.post_all(near, self._roster())
+
     async def _async_run(self) -> None:
-        tell_at = 0.0
+        tell_at = tell_all_at = 0.0
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             now = self.clock.monotonic()
             if self.table.expire(now):
                 _LOGGER.warning("entry instances are gone", left=len(self.attached()))
-                tell_at = now
-            if now >= tell_at:
+                tell_all_at = now
+            if now >= tell_all_at:
                 self._tell_all()
+                tell_all_at = now + const.FULL_ROSTER_INTERVAL_S
+                tell_at = now + const.ROSTER_INTERVAL_S
+            elif now >= tell_at:
+                self._tell_region()
                 tell_at = now + const.ROSTER_INTERVAL_S
 
 
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -30,9 +30,25 @@
 COLD_SAFETY = 0.85
 #: Window of the limit of a cold target, in seconds.
 COLD_WINDOW_S = 1.0
-#: Service time that is assumed before the first answer, as a part of the route's
-#: target latency.
-INITIAL_SERVICE_PART = 0.5
+#: Time that a target is assumed to take before the first answer, as a part of the
+#: route's target latency.
+INITIAL_UNKNOWN_PART = 1.0
+#: The same for an object that it handled before, as a part of the time for others.
+INITIAL_KNOWN_PART = 0.5
+#: Objects that are remembered for each target; targets remember fewer.
+MAX_KNOWN_OBJECTS = 512
+#: Targets of one distance that are compared for a request; further ones don't know its
+#: object, and each that learns it gives up another one.
+COMPARED_TARGETS = 3
+#: A target that ranks lower is chosen only if it is expected to answer in less than
+#: this part of the time of those that rank higher.
+LOWER_RANK_GAIN = 0.75
+#: A request that will be late is still sent where no more than this many wait, as a
+#: part of the slots: the target learns its object, and others hardly wait for it.
+LATE_QUEUE_FACTOR = 0.75
+#: Bounds of how much slower than usual a target is taken for.
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
 #: Requests that may wait at a target, as a multiple of its slots; targets queue a few.
 MAX_QUEUE_FACTOR = 2.0
 #: Shortest and longest time to come back that a refusal names, in seconds.
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -25,6 +25,7 @@
     PlacementRequest,
     ReportedLoad,
 )
+from mothshunt.placement.service_time import ServiceTime
 from mothshunt.placement.spill import PlaceLoad, Spill, plan_flow
 from mothshunt.placement.target_load import TargetLoad
 
@@ -42,6 +43,31 @@
     BEYOND = "beyond"
 
 
+@dataclass(slots=True, eq=False)
+class Estimate:
+    """Hold what a request can expect of a target.
+
+    :param load: The target.
+    :param queued_part: Requests that would wait there, as a part of its slots.
+    :param expected_s: Time that a usual target takes for the request, in seconds.
+    :param total_s: Time to the answer, in seconds.
+    :param reason: Distance and rank of the target.
+    """
+
+    load: TargetLoad
+    queued_part: float
+    expected_s: float
+    total_s: float
+    reason: str = ""
+
+    def is_better_than(self, higher: "Estimate") -> bool:
+        """Tell whether this target is to be chosen before one that ranks higher.
+
+        :param higher: What can be expected of the other one.
+        """
+        return self.total_s < higher.total_s * const.LOWER_RANK_GAIN
+
+
 @dataclass(slots=True, eq=False)
 class ServiceTargets:
     """Hold the targets of one service, by their distance.
@@ -50,9 +76,11 @@
     :param in_region: In other availability zones of its region.
     :param beyond: In other regions.
     :param spill: Parts that leave the zone and the region.
+    :param times: How long the targets take.
     """
 
     spill: Spill
+    times: ServiceTime
     in_zone: list[TargetLoad] = field(default_factory=list)
     in_region: list[TargetLoad] = field(default_factory=list)
     beyond: list[TargetLoad] = field(default_factory=list)
@@ -107,17 +135,18 @@
         """
         self.load_by_target = {load.target.id: load for load in loads}
         self._cold_limit_by_target = cold_limit_by_target
-        spill_by_service = {
-            service: targets.spill
-            for service, targets in self._targets_by_service.items()
-        }
-        self._targets_by_service = {}
+        before, self._targets_by_service = self._targets_by_service, {}
         for load in self.load_by_target.values():
             service = load.target.service
             targets = self._targets_by_service.get(service)
             if targets is None:
-                spill = spill_by_service.get(service) or Spill(self.max_region_shift)
-                targets = self._targets_by_service[service] = ServiceTargets(spill)
+                held = before.get(service)
+                targets = ServiceTargets(
+                    held.spill if held else Spill(self.max_region_shift),
+                    held.times if held else ServiceTime(),
+                )
+                self._targets_by_service[service] = targets
+            load.service_time = targets.times
             self._ring(targets, load).append(load)
 
     def _ring(self, targets: ServiceTargets, load: TargetLoad) -> list[TargetLoad]:
@@ -149,20 +178,60 @@
             ring: [load for load in loads if self._is_usable(load, request, now)]
             for ring, loads in targets.loads_by_ring().items()
         }
-        shortest_wait_s = float("inf")
+        best: Estimate | None = None
         for ring in self._rings(targets, usable_by_ring, request):
             usable = usable_by_ring[ring]
             if ring is Ring.BEYOND:
                 usable = self._in_chosen_region(targets.spill, usable, request)
-            ranked = self._ranked(usable, request)
+            ranked = self._ranked(usable, request)[: const.COMPARED_TARGETS]
             for rank, load in enumerate(ranked):
-                wait_s = self._wait_for_room(load, request, now)
-                if wait_s <= 0:
-                    return Ok(load.take(now, f"{ring.value}-{rank}"))
-                shortest_wait_s = min(shortest_wait_s, wait_s)
-        if shortest_wait_s == float("inf"):
+                found = self._estimate(targets, load, request, now)
+                found.reason = f"{ring.value}-{rank}"
+                if best is None or found.is_better_than(best):
+                    best = found
+            if best is not None and best.total_s <= request.target_latency_s:
+                break
+        if best is None:
             return Error(self._refusal(codes.NO_TARGETS, const.DOWN_MIN_S))
-        return Error(self._refusal(codes.NO_ROOM, shortest_wait_s))
+        if not self._is_worthwhile(best, request):
+            wait_s = best.total_s - request.target_latency_s
+            return Error(self._refusal(codes.NO_ROOM, wait_s))
+        return Ok(
+            best.load.take(now, best.reason, request.affinity_key, best.expected_s)
+        )
+
+    def _estimate(
+        self,
+        targets: ServiceTargets,
+        load: TargetLoad,
+        request: PlacementRequest,
+        now: float,
+    ) -> "Estimate":
+        """Estimate when a target would answer."""
+        latency_s = request.target_latency_s
+        times = targets.times
+        is_known = request.affinity_key is None or load.knows(request.affinity_key)
+        expected_s = times.expected_s(is_known=is_known, target_latency_s=latency_s)
+        slots = load.target.slots
+        queued = max(0.0, load.load(now) + 1 - slots)
+        wait_s = queued / slots * times.usual_s(latency_s) * load.slowness
+        return Estimate(
+            load=load,
+            queued_part=queued / slots,
+            expected_s=expected_s,
+            total_s=wait_s + expected_s * load.slowness,
+        )
+
+    def _is_worthwhile(self, best: "Estimate", request: PlacementRequest) -> bool:
+        """Tell whether a request is sent: in time, or late where few wait for it."""
+        if best.queued_part == 0.0:
+            return True
+        if best.queued_part > const.MAX_QUEUE_FACTOR:
+            return False
+        if best.total_s <= request.target_latency_s:
+            return True
+        is_in_time = best.total_s <= request.time_left_s
+        return is_in_time and best.queued_part <= const.LATE_QUEUE_FACTOR
 
     def _rings(
         self,
@@ -250,30 +319,6 @@
         is_late = missed_s > const.RENEWALS_MISSED * self.renewal_interval_s
         return not is_late or load.answered_lately(now)
 
-    def _wait_for_room(
-        self, load: TargetLoad, request: PlacementRequest, now: float
-    ) -> float:
-        """Return the time until a request would be answered in time, in seconds.
-
-        It is when those before it leave enough of the target latency; once that is
-        out of reach, of the time to its end. 0 or less means that there is room.
-        """
-        slots = load.target.slots
-        service_s = load.service_time_s
-        if service_s == 0.0:
-            service_s = request.target_latency_s * const.INITIAL_SERVICE_PART
-        present = load.load(now)
-        if present + 1 <= slots:
-            return 0.0
-        queued = present + 1 - slots
-        if queued > slots * const.MAX_QUEUE_FACTOR:
-            return max(0.01, (queued - slots * const.MAX_QUEUE_FACTOR)) * (
-                service_s / slots
-            )
-        wait_s = queued * service_s / slots
-        limit_s = min(request.target_latency_s, request.time_left_s)
-        return wait_s + service_s - limit_s
-
     def _refusal(self, code: ResultCode, wait_s: float) -> Failure:
         spread = 1.0 + self.random.random() * const.RETRY_AFTER_SPREAD
         wait_s = min(const.MAX_RETRY_AFTER_S, max(const.MIN_RETRY_AFTER_S, wait_s))
@@ -324,14 +369,11 @@
     demand_by_zone: Mapping[AvailabilityZoneId, float],
     region_by_zone: RegionByZone,
 ) -> dict[AvailabilityZoneId, PlaceLoad]:
-    known = [load.service_time_s for load in targets.all_targets()]
-    times = sorted(time_s for time_s in known if time_s > 0)
-    usual_s = times[len(times) // 2] if times else 1.0
+    usual_s = targets.times.mean_s or 1.0
     capacity_by_zone: dict[AvailabilityZoneId, float] = {}
     for load in targets.all_targets():
         zone = load.target.availability_zone
-        # The median of all: what one target does differently is seen when it is full.
-        per_s = load.target.slots / usual_s
+        per_s = load.target.slots / (usual_s * load.slowness)
         capacity_by_zone[zone] = capacity_by_zone.get(zone, 0.0) + per_s
     if not any(demand_by_zone.values()):
         # Until callers come, they are expected everywhere alike.
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -1,6 +1,6 @@
 """What one entry instance knows of the load and the health of one target."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from mothshunt.placement import const
@@ -10,6 +10,7 @@
     PlacedTarget,
     ReportedLoad,
 )
+from mothshunt.placement.service_time import ServiceTime
 
 _FAILURES = frozenset(
     {AttemptOutcome.ERROR_ANSWER, AttemptOutcome.BROKEN, AttemptOutcome.TIMED_OUT}
@@ -26,7 +27,8 @@
     :param target: The target.
     :param heard_at: Time of its newest renewal, in seconds.
     :param cold_until: Time up to which it is cold, in seconds.
-    :param service_time_s: Smoothed time to an answer; 0 before the first.
+    :param service_time: Time to an answer over all targets of the service.
+    :param slowness: Smoothed time of this target, as a multiple of the usual one.
     :param failure_share: Smoothed share of requests that failed.
     :param down_until: Time up to which no connection is tried, in seconds.
     :param is_misplaced: Whether another target answered at its address.
@@ -35,7 +37,8 @@
     target: PlacedTarget
     heard_at: float
     cold_until: float = 0.0
-    service_time_s: float = 0.0
+    service_time: ServiceTime = field(default_factory=ServiceTime)
+    slowness: float = 1.0
     failure_share: float = 0.0
     down_until: float = 0.0
     is_misplaced: bool = False
@@ -48,6 +51,7 @@
     _connect_failures: int = 0
     _failed_at: float = float("-inf")
     _sent_while_cold: deque[float] = field(default_factory=deque)
+    _known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
     @property
     def open_requests(self) -> int:
@@ -101,7 +105,7 @@
         """
         if not self._open:
             return False
-        usual_s = self.service_time_s * const.SILENCE_FACTOR
+        usual_s = self.service_time.mean_s * self.slowness * const.SILENCE_FACTOR
         limit_s = max(const.SILENCE_MIN_S, usual_s)
         oldest = min(choice.sent_at for choice in self._open)
         return now - max(oldest, self._last_answer_at) > limit_s
@@ -133,14 +137,36 @@
             sent.popleft()
         return len(sent) + 1 <= per_window
 
-    def take(self, now: float, reason: str) -> Choice:
+    def knows(self, affinity_key: str | None) -> bool:
+        """Tell whether the target handled an object before, as far as is known here.
+
+        :param affinity_key: The object.
+        """
+        return affinity_key is not None and affinity_key in self._known_objects
+
+    def take(
+        self,
+        now: float,
+        reason: str,
+        affinity_key: str | None = None,
+        expected_s: float = 0.0,
+    ) -> Choice:
         """Take room for one request.
 
         :param now: The present time, in seconds.
-        :param reason: Why this target was chosen, for the logs.
+        :param reason: Distance and rank of the target, for the logs.
+        :param affinity_key: Object that the request concerns.
+        :param expected_s: Time that a usual target takes for it, in seconds.
         """
-        load = self.load(now) + 1
-        choice = Choice(target=self.target, sent_at=now, load=load, reason=reason)
+        choice = Choice(
+            target=self.target,
+            sent_at=now,
+            load=self.load(now) + 1,
+            reason=reason,
+            affinity_key=affinity_key,
+            is_known=self.knows(affinity_key),
+            expected_s=expected_s,
+        )
         self._open.add(choice)
         self._last_sent_at = now
         self._sent_while_cold.append(now)
@@ -173,7 +199,7 @@
             self._last_answer_at = now
             self._connect_failures = 0
         if outcome is AttemptOutcome.ANSWERED:
-            self._learn_time(now - choice.sent_at)
+            self._learn(choice, now - choice.sent_at)
         if outcome is AttemptOutcome.ANSWERED or outcome in _FAILURES:
             failed = 1.0 if outcome in _FAILURES else 0.0
             self.failure_share += const.FAILURE_WEIGHT * (failed - self.failure_share)
@@ -196,9 +222,18 @@
         self.down_until = now + min(const.DOWN_MAX_S, wait_s)
         self._connect_failures = min(self._connect_failures + 1, 8)
 
-    def _learn_time(self, took_s: float) -> None:
-        if self.service_time_s == 0.0:
-            self.service_time_s = took_s
+    def _learn(self, choice: Choice, took_s: float) -> None:
+        key = choice.affinity_key
+        if key is not None:
+            self._known_objects[key] = None
+            self._known_objects.move_to_end(key)
+            if len(self._known_objects) > const.MAX_KNOWN_OBJECTS:
+                self._known_objects.popitem(last=False)
+        if choice.load > self.target.slots:
+            # It may have waited for others, which tells nothing of its own time.
             return
-        error_s = took_s - self.service_time_s
-        self.service_time_s += const.SERVICE_TIME_WEIGHT * error_s
+        if choice.expected_s > 0:
+            ratio = took_s / choice.expected_s
+            ratio = min(const.MAX_SLOWNESS, max(const.MIN_SLOWNESS, ratio))
+            self.slowness += const.SERVICE_TIME_WEIGHT * (ratio - self.slowness)
+        self.service_time.learn(took_s, is_known=choice.is_known)
--- a/mothshunt/registry/const.py
+++ b/mothshunt/registry/const.py
@@ -4,7 +4,7 @@
 FLUSH_INTERVAL_S = 0.1
 #: A renewal that changes nothing is passed on only when the last one is this old, in
 #: seconds; entries need it to tell a live target from a lost one.
-REFRESH_INTERVAL_S = 2.0
+REFRESH_INTERVAL_S = 1.0
 #: A target is forgotten when it was not heard of for this time, in seconds, while
 #: others were.
 FORGET_AFTER_S = 60.0
--- a/mothshunt/registry/coordinator.py
+++ b/mothshunt/registry/coordinator.py
@@ -10,7 +10,7 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.registry import const
-from mothshunt.registry.messages import RegistryRows, Renewal
+from mothshunt.registry.messages import RegistryRefreshes, RegistryRows, Renewal
 from mothshunt.registry.state import News, TargetRegistry
 
 _LOGGER = get_logger("registry")
@@ -35,6 +35,17 @@
     async def async_start(self) -> None:
         """Begin to take what control instances tell."""
         self.network.on_message(RegistryRows, self._on_rows)
+        self.network.on_message(RegistryRefreshes, self.on_refreshes)
+
+    def on_refreshes(self, peer: InstanceId, refreshes: RegistryRefreshes) -> None:
+        """Take renewals that changed nothing.
+
+        :param peer: Control instance that tells of them.
+        :param refreshes: The renewals.
+        """
+        now = self.clock.monotonic()
+        for target, incarnation, sequence, age_ms in refreshes.rows:
+            self.registry.refresh(target, incarnation, sequence, now - age_ms / 1000)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener when anything but the time of hearing changed.
@@ -89,12 +100,14 @@
     entries: Callable[[], Iterable[InstanceId]]
     control_peers: Callable[[], Iterable[InstanceId]]
     _own: set[TargetId] = field(default_factory=set)
+    _refreshed: set[TargetId] = field(default_factory=set)
     _relayed: set[TargetId] = field(default_factory=set)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def async_start(self) -> None:
         """Begin to pass renewals on."""
         self.network.on_message(RegistryRows, self._on_rows)
+        self.network.on_message(RegistryRefreshes, self.follower.on_refreshes)
         self._tasks = [
             start_background("registry-flush", self._async_flush),
             start_background("registry-repair", self._async_repair),
@@ -122,9 +135,12 @@
             log_change(renewal)
             self.follower.tell()
         is_due = now - known.told_at >= const.REFRESH_INTERVAL_S
+        if news is News.CHANGE:
+            self._own.add(renewal.target)
+        elif is_due:
+            self._refreshed.add(renewal.target)
         if news is News.CHANGE or is_due:
             known.told_at = now
-            self._own.add(renewal.target)
         return news
 
     def welcome(self, instance: InstanceId) -> None:
@@ -151,6 +167,10 @@
         entries = list(self.entries())
         own, self._own = self._own, set()
         relayed, self._relayed = self._relayed - own, set()
+        refreshed, self._refreshed = self._refreshed - own, set()
+        if refreshed:
+            refreshes = registry.refreshes(refreshed, now)
+            self.network.post_all([*self.control_peers(), *entries], refreshes)
         if own:
             rows = RegistryRows(rows=registry.rows(own, now))
             self.network.post_all([*self.control_peers(), *entries], rows)
--- a/mothshunt/registry/messages.py
+++ b/mothshunt/registry/messages.py
@@ -69,6 +69,18 @@
     age_ms: int
 
 
+@message("registry.refreshes")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegistryRefreshes:
+    """Tell of renewals that changed nothing, in a few bytes each.
+
+    :param rows: Target, incarnation, sequence, and milliseconds since a control
+        instance received the renewal.
+    """
+
+    rows: tuple[tuple[TargetId, Incarnation, int, int], ...]
+
+
 @message("registry.rows")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RegistryRows:
--- a/mothshunt/registry/state.py
+++ b/mothshunt/registry/state.py
@@ -1,12 +1,17 @@
 """Targets that are known at one instance, ordered by incarnation and sequence."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from mothshunt.core.types import ServiceName, TargetId
+from mothshunt.core.types import Incarnation, ServiceName, TargetId
 from mothshunt.registry import const
-from mothshunt.registry.messages import RegistryRow, RegistryRows, Renewal
+from mothshunt.registry.messages import (
+    RegistryRefreshes,
+    RegistryRow,
+    RegistryRows,
+    Renewal,
+)
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -84,6 +89,43 @@
         self.changes += 1
         return News.CHANGE
 
+    def refresh(
+        self, target: TargetId, incarnation: Incarnation, sequence: int, heard_at: float
+    ) -> None:
+        """Take a renewal that changed nothing at the instance that received it.
+
+        :param target: Name of the target.
+        :param incarnation: Its incarnation.
+        :param sequence: Number of the renewal.
+        :param heard_at: Time at which a control instance received it, in seconds.
+        """
+        held = self.known_by_target.get(target)
+        if held is None or held.renewal.incarnation != incarnation:
+            return
+        if sequence <= held.renewal.sequence:
+            return
+        held.renewal = replace(held.renewal, sequence=sequence)
+        held.heard_at = heard_at
+        self.newest_heard_at = max(self.newest_heard_at, heard_at)
+
+    def refreshes(self, targets: Iterable[TargetId], now: float) -> RegistryRefreshes:
+        """Return the newest renewals of targets, without what they say.
+
+        :param targets: Names of the targets; those not known are passed over.
+        :param now: The present time, in seconds.
+        """
+        return RegistryRefreshes(
+            rows=tuple(
+                (
+                    row.renewal.target,
+                    row.renewal.incarnation,
+                    row.renewal.sequence,
+                    row.age_ms,
+                )
+                for row in self.rows(targets, now)
+            )
+        )
+
     def _drop_replaced(self, renewal: Renewal) -> None:
         """Drop a target whose address a later one has taken over, or this one.
 
