Keep objects where they are known although it is crowded there

A busy target sent objects on to others, which gave up objects of their own for them: all became slower, and stayed so.

Change: a lower rank is chosen only if it knows the object, or if it is free while more wait at the higher rank than it has slots. Failing targets are passed over only while at least half are sound. A known object that took long counts as given up.

--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -7,6 +7,8 @@
 FAILURE_WEIGHT = 0.1
 #: A target whose smoothed share of failures is above this gets only trial requests.
 FAILURE_LIMIT = 0.3
+#: Part of the targets that must be sound for the failing ones to be passed over.
+SOUND_PART = 0.5
 #: Time between two trial requests to a target that fails, in seconds.
 TRIAL_INTERVAL_S = 1.0
 #: What a target reports of its load counts in full at once and fades over this time,
@@ -44,6 +46,9 @@
 #: A target that ranks lower is chosen only if it is expected to answer in less than
 #: this part of the time of those that rank higher.
 LOWER_RANK_GAIN = 0.75
+#: Requests that wait at a target, as a part of its slots, above which a free target that
+#: does not know the object is considered.
+CROWDED_PART = 1.0
 #: A request that will be late is still sent where no more than this many wait, as a
 #: part of the slots: the target learns its object, and others hardly wait for it.
 LATE_QUEUE_FACTOR = 0.75
--- a/mothshunt/placement/service_time.py
+++ b/mothshunt/placement/service_time.py
@@ -45,7 +45,9 @@
         :param is_known: Whether the target handled the object before.
         """
         self.mean_s = _smoothed(self.mean_s, took_s)
-        if is_known:
+        # A target gives up objects that it did not handle lately.
+        is_given_up = took_s > (self.known_s + self.unknown_s) / 2
+        if is_known and not (self.known_s and is_given_up):
             self.known_s = _smoothed(self.known_s, took_s)
         else:
             self.unknown_s = _smoothed(self.unknown_s, took_s)
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -50,6 +50,7 @@
 
     :param load: The target.
     :param queued_part: Requests that would wait there, as a part of its slots.
+    :param is_known: Whether the target handled the object before.
     :param expected_s: Time that a usual target takes for the request, in seconds.
     :param total_s: Time to the answer, in seconds.
     :param reason: Distance and rank of the target.
@@ -57,6 +58,7 @@
 
     load: TargetLoad
     queued_part: float
+    is_known: bool
     expected_s: float
     total_s: float
     reason: str = ""
@@ -64,9 +66,15 @@
     def is_better_than(self, higher: "Estimate") -> bool:
         """Tell whether this target is to be chosen before one that ranks higher.
 
+        One that does not know the object takes longer and gives up another object for
+        it. Where many are busy, that makes all of them busier.
+
         :param higher: What can be expected of the other one.
         """
-        return self.total_s < higher.total_s * const.LOWER_RANK_GAIN
+        if self.total_s >= higher.total_s * const.LOWER_RANK_GAIN:
+            return False
+        is_free = self.queued_part == 0.0
+        return self.is_known or (is_free and higher.queued_part > const.CROWDED_PART)
 
 
 @dataclass(slots=True)
@@ -216,7 +224,7 @@
                 found.reason = f"{ring.value}-{rank}"
                 if best is None or found.is_better_than(best):
                     best = found
-            if best is not None and best.total_s <= request.target_latency_s:
+            if best is not None and best.queued_part <= const.CROWDED_PART:
                 break
         if best is None:
             return Error(self._refusal(codes.NO_TARGETS, const.DOWN_MIN_S))
@@ -233,7 +241,8 @@
     ) -> dict[Ring, list[TargetLoad]]:
         """Return the targets that may get a request, by their distance.
 
-        Targets that fail often are passed over only while there are others.
+        Targets that fail often are passed over only while they are few: what all of
+        them do is not made better by sending everything to some.
         """
         usable = {
             ring: [load for load in loads if self._is_usable(load, request, now)]
@@ -243,7 +252,9 @@
             ring: [load for load in loads if not load.is_failing(now)]
             for ring, loads in usable.items()
         }
-        return sound if any(sound.values()) else usable
+        count = sum(len(loads) for loads in usable.values())
+        sound_count = sum(len(loads) for loads in sound.values())
+        return sound if sound_count >= count * const.SOUND_PART else usable
 
     def _estimate(
         self,
@@ -263,6 +274,7 @@
         return Estimate(
             load=load,
             queued_part=queued / slots,
+            is_known=is_known,
             expected_s=expected_s,
             total_s=wait_s + expected_s * load.slowness,
         )
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -67,5 +67,10 @@
     When 8 requests for "o" fail at its target
     Then at most 2 of 20 requests in a second go there
 
+  Scenario: When all targets fail often, none is passed over for it
+    Given 1 entry instances and 4 targets of 4 slots in their zone
+    When all targets shed half of 400 requests with slots free
+    Then each object still goes to the target that knows it
+
   Scenario: No interleaving gives a cold target more than all may send together
     Then 300 random walks of entry instances keep the limit of a cold target
--- a/tests/steps/placement_choice.py
+++ b/tests/steps/placement_choice.py
@@ -181,6 +181,28 @@
         context.placement.finish(choice, AttemptOutcome.ERROR_ANSWER, None, now)
 
 
+@when("all targets shed half of {count:d} requests with slots free")
+def all_shed(context, count):
+    for number in range(count):
+        context.now = number * 0.01
+        wanted = world.request(OBJECTS[number % 20])
+        choice = context.placement.choose(wanted, context.now).ok
+        is_shed = number // 20 % 2 == 0
+        outcome = AttemptOutcome.SHED if is_shed else AttemptOutcome.ANSWERED
+        report = world.idle_report(choice.target.slots)
+        context.placement.finish(choice, outcome, report, context.now + 0.001)
+
+
+@then("each object still goes to the target that knows it")
+def goes_to_known(context):
+    for key in OBJECTS[:20]:
+        wanted = world.request(key)
+        choice = context.placement.choose(wanted, context.now + 0.1).ok
+        context.placement.finish(choice, AttemptOutcome.CANCELLED, None, context.now)
+        assert choice.is_known, (key, choice)
+        assert choice.reason == "zone-0", (key, choice)
+
+
 @then("at most {most:d} of {count:d} requests in a second go there")
 def few_go_there(context, most, count):
     there = 0
