Share the targets of a region among all its availability zones

Each zone of a region gave each object a target of its own, so targets gave objects up for each other.

Change: an object has one target in its region, whichever zone asks; the part that leaves the zone is gone, and half of the planning with it.

--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -46,8 +46,8 @@
 #: A target that ranks lower is chosen only if it is expected to answer in less than
 #: this part of the time of those that rank higher.
 LOWER_RANK_GAIN = 0.75
-#: Requests that wait at a target, as a part of its slots, above which a free target that
-#: does not know the object is considered.
+#: Requests that wait at a target, as a part of its slots, above which a free target is
+#: considered that does not know the object.
 CROWDED_PART = 1.0
 #: A request that will be late is still sent where no more than this many wait, as a
 #: part of the slots: the target learns its object, and others hardly wait for it.
@@ -63,8 +63,7 @@
 #: Part by which the times to come back are spread, so that callers don't return
 #: together.
 RETRY_AFTER_SPREAD = 0.5
-#: Time between two adjustments of the parts that leave their zone or region, in
-#: seconds.
+#: Time between two adjustments of the part that leaves its region, in seconds.
 ADJUST_INTERVAL_S = 0.5
 #: Load of a place, as a part of what its targets can run, up to which its requests
 #: stay; at higher loads requests wait for each other often.
@@ -73,9 +72,6 @@
 DEMAND_WEIGHT = 0.25
 #: Time between two lines on what is chosen, for each service, in seconds.
 REPORT_INTERVAL_S = 2.0
-#: Part of the requests by which the part that leaves its availability zone changes in
-#: one adjustment.
-ZONE_STEP = 0.05
 #: Part of the allowed shift between regions that is used; the rest covers requests
 #: that change region for other reasons.
 SHIFT_SAFETY = 0.6
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -2,8 +2,9 @@
 
 Requests for the same object go to the same target, from every entry instance, as long
 as the target has room: it answers sooner for what it handled before. Rendezvous hashing
-ranks the targets of each distance for an object, so a target that comes or goes moves
-only its own objects.
+ranks the targets of a region for an object, so a target that comes or goes moves only
+its own objects. All availability zones of a region share its targets: what one zone's
+callers ask for, those of the others ask for as well.
 """
 
 import math
@@ -39,7 +40,6 @@
 class Ring(Enum):
     """Distance of a target from this instance."""
 
-    ZONE = "zone"
     REGION = "region"
     BEYOND = "beyond"
 
@@ -107,10 +107,9 @@
 class ServiceTargets:
     """Hold the targets of one service, by their distance.
 
-    :param in_zone: In the availability zone of this instance.
-    :param in_region: In other availability zones of its region.
+    :param in_region: In the region of this instance.
     :param beyond: In other regions.
-    :param spill: Parts that leave the zone and the region.
+    :param spill: Part that leaves the region.
     :param times: How long the targets take.
     :param tally: What was chosen since the last report.
     """
@@ -118,20 +117,17 @@
     spill: Spill
     times: ServiceTime
     tally: Tally
-    in_zone: list[TargetLoad] = field(default_factory=list)
     in_region: list[TargetLoad] = field(default_factory=list)
     beyond: list[TargetLoad] = field(default_factory=list)
 
     def all_targets(self) -> Iterator[TargetLoad]:
         """Return all targets."""
-        yield from self.in_zone
         yield from self.in_region
         yield from self.beyond
 
     def loads_by_ring(self) -> dict[Ring, list[TargetLoad]]:
         """Return the targets by their distance."""
         return {
-            Ring.ZONE: self.in_zone,
             Ring.REGION: self.in_region,
             Ring.BEYOND: self.beyond,
         }
@@ -188,8 +184,6 @@
             self._ring(targets, load).append(load)
 
     def _ring(self, targets: ServiceTargets, load: TargetLoad) -> list[TargetLoad]:
-        if load.target.availability_zone == self.zone:
-            return targets.in_zone
         if load.target.region == self.region:
             return targets.in_region
         return targets.beyond
@@ -299,17 +293,14 @@
         """Return the distances to try, in order.
 
         An object is always in the same part, so that it stays with its target while
-        the parts change little. Other regions are tried by objects of that part only,
+        the part changes little. Other regions are tried by objects of that part only,
         and by all when the own region has no target that may be used.
         """
-        if not usable_by_ring[Ring.ZONE] and not usable_by_ring[Ring.REGION]:
+        if not usable_by_ring[Ring.REGION]:
             return (Ring.BEYOND,)
-        position = self._position(request)
-        if position < targets.spill.region_part:
-            return (Ring.BEYOND, Ring.ZONE, Ring.REGION)
-        if position > 1.0 - targets.spill.zone_part:
-            return (Ring.REGION, Ring.ZONE)
-        return (Ring.ZONE, Ring.REGION)
+        if self._position(request) < targets.spill.region_part:
+            return (Ring.BEYOND, Ring.REGION)
+        return (Ring.REGION,)
 
     def _in_chosen_region(
         self, spill: Spill, usable: list[TargetLoad], request: PlacementRequest
@@ -349,13 +340,17 @@
         key = request.affinity_key
         if key is None:
             self.random.shuffle(usable)
-            return sorted(usable, key=_load_share)
+            return sorted(usable, key=self._load_and_distance)
         return sorted(
             usable,
             key=lambda load: _hash(f"{load.target.id}/{key}"),
             reverse=True,
         )
 
+    def _load_and_distance(self, load: TargetLoad) -> tuple[float, bool]:
+        share = load.open_requests / load.target.slots
+        return share, load.target.availability_zone != self.zone
+
     def _is_usable(
         self, load: TargetLoad, request: PlacementRequest, now: float
     ) -> bool:
@@ -412,7 +407,6 @@
                 "refused": tally.refused,
                 "known": tally.known,
                 "by_ring": tally.count_by_reason,
-                "zone_part": round(spill.zone_part, 3),
                 "region_part": round(spill.region_part, 3),
                 "known_ms": round(times.known_s * 1000),
                 "unknown_ms": round(times.unknown_s * 1000),
@@ -421,7 +415,7 @@
             }
 
     def adjust(self, demand: DemandByZone, region_by_zone: RegionByZone) -> None:
-        """Adjust the parts that leave zone and region; called each interval.
+        """Adjust the part that leaves the region; called each interval.
 
         :param demand: Requests a second for each service, by availability zone.
         :param region_by_zone: Regions of the availability zones.
@@ -429,64 +423,42 @@
         for service, targets in self._targets_by_service.items():
             demand_by_zone = demand.get(service, {})
             has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
-            by_zone = _load_by_zone(targets, demand_by_zone, region_by_zone)
-            by_region = _load_by_region(by_zone, region_by_zone)
-            region_flow = plan_flow(by_region, self.region)
-            in_region = {
-                zone: load
-                for zone, load in by_zone.items()
-                if region_by_zone.get(zone) == self.region
-            }
+            by_region = _load_by_region(targets, demand_by_zone, region_by_zone)
             targets.spill.follow(
-                plan_flow(in_region, self.zone), region_flow, has_traffic=has_traffic
+                plan_flow(by_region, self.region), has_traffic=has_traffic
             )
 
 
-def _load_by_zone(
+def _load_by_region(
     targets: ServiceTargets,
     demand_by_zone: Mapping[AvailabilityZoneId, float],
     region_by_zone: RegionByZone,
-) -> dict[AvailabilityZoneId, PlaceLoad]:
+) -> dict[RegionId, PlaceLoad]:
     usual_s = targets.times.mean_s or 1.0
-    capacity_by_zone: dict[AvailabilityZoneId, float] = {}
+    capacity_by_region: dict[RegionId, float] = {}
     for load in targets.all_targets():
-        zone = load.target.availability_zone
         per_s = load.target.slots / (usual_s * load.slowness)
-        capacity_by_zone[zone] = capacity_by_zone.get(zone, 0.0) + per_s
+        region = load.target.region
+        capacity_by_region[region] = capacity_by_region.get(region, 0.0) + per_s
     if not any(demand_by_zone.values()):
         # Until callers come, they are expected everywhere alike.
-        expected_per_s = sum(capacity_by_zone.values()) * const.COMFORTABLE_LOAD
+        expected_per_s = sum(capacity_by_region.values()) * const.COMFORTABLE_LOAD
         demand_by_zone = dict.fromkeys(
             region_by_zone, expected_per_s / max(1, len(region_by_zone))
         )
+    demand_by_region: dict[RegionId, float] = {}
+    for zone, per_s in demand_by_zone.items():
+        found = region_by_zone.get(zone)
+        if found is not None:
+            demand_by_region[found] = demand_by_region.get(found, 0.0) + per_s
     return {
-        zone: PlaceLoad(
-            demand_per_s=demand_by_zone.get(zone, 0.0),
-            capacity_per_s=capacity_by_zone.get(zone, 0.0),
+        region: PlaceLoad(
+            demand_per_s=demand_by_region.get(region, 0.0),
+            capacity_per_s=capacity_by_region.get(region, 0.0),
         )
-        for zone in {*capacity_by_zone, *demand_by_zone}
+        for region in {*capacity_by_region, *demand_by_region}
     }
 
 
-def _load_by_region(
-    load_by_zone: Mapping[AvailabilityZoneId, PlaceLoad], region_by_zone: RegionByZone
-) -> dict[RegionId, PlaceLoad]:
-    by_region: dict[RegionId, PlaceLoad] = {}
-    for zone, load in load_by_zone.items():
-        region = region_by_zone.get(zone)
-        if region is None:
-            continue
-        held = by_region.get(region, PlaceLoad(demand_per_s=0.0, capacity_per_s=0.0))
-        by_region[region] = PlaceLoad(
-            demand_per_s=held.demand_per_s + load.demand_per_s,
-            capacity_per_s=held.capacity_per_s + load.capacity_per_s,
-        )
-    return by_region
-
-
-def _load_share(load: TargetLoad) -> float:
-    return load.open_requests / load.target.slots
-
-
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
