--- /dev/null
+++ b/tests/platform/whole_path.feature
@@ -0,0 +1,48 @@
+Feature: The real programs serve the platform's protocol as processes
+
+  Scenario: A request is served from one end to the other
+    Given a platform deployment of 3 control and 2 entry processes
+    And 2 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    Then a caller who asks the directory is told of 2 entries
+    And a caller's GET "/stock/a%2Fb?x=1" is answered by a target, with its proof
+    And the targets got the path "/stock/a%2Fb?x=1" and the id of the request
+    And a path without a route is answered 404
+    And the operator reads back what was sent
+    And both entries are ready
+
+  Scenario: A target that says that it leaves gets nothing more
+    Given a platform deployment of 3 control and 1 entry processes
+    And 2 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And target 1 says that it is draining
+    Then after 2 s none of 30 requests reaches target 1
+
+  Scenario: An evacuated zone gets nothing until it is taken back
+    Given a platform deployment of 3 control and 1 entry processes
+    And 2 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And the operator evacuates the zone of target 1
+    Then after 2 s none of 30 requests reaches target 1
+    When the operator takes the zone of target 1 back
+    Then after 3 s some of 30 requests reach target 1
+
+  Scenario: What was confirmed survives the loss of a control process and its disk
+    Given a platform deployment of 3 control and 1 entry processes
+    And 1 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And control process 1 is killed and loses its disk
+    Then the operator reads back what was sent
+    When control process 1 starts again, not for the first time
+    And control process 2 is killed
+    Then the operator reads back what was sent
+
+  Scenario: An entry that is told to stop finishes what it began
+    Given a platform deployment of 3 control and 2 entry processes
+    And 1 platform targets of service "stock" that take 1 s
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And entry 1 is told to stop while a request is at its target
+    Then that request is answered
+    And entry 1 is not ready any more
+    And a caller who asks the directory is told of 1 entries
+    And entry 1 ends with exit code 0 within 6 s
