Elect at once after all ended, and say in each line what was known and how old

Lines of failed attempts carry the time that the attempt took, the age of the target's newest renewal and whether it knew the object.

--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from mothshunt.consensus import voters
+from mothshunt.consensus import const, voters
 from mothshunt.consensus.config import ConsensusConfig
 from mothshunt.consensus.log import Log
 from mothshunt.consensus.messages import NodeMessage
@@ -283,6 +283,13 @@
             leader_heard_at=now,
         )
         state.reset_election(now)
+        if config.is_self_managed:
+            # Nobody counts on this voter's silence: leaders hold no leases, and a
+            # pre-vote leaves one alone that others hear. So all that start at once
+            # need not wait for a leader that ended with them.
+            state.leader_heard_at = now - config.election_min_s
+            wait_s = random.uniform(const.LOST_MIN_S, const.LOST_MAX_S)
+            state.election_due = now + wait_s
         return state
 
     def reset_election(self, now: float) -> None:
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -186,7 +186,8 @@
                 return result.answer
             if result.answer is None and result.failure is not None:
                 last = result.failure
-                self._decide("attempt failed", call, result.failure, 0.0, choice)
+                took_s = self._clock.monotonic() - choice.sent_at
+                self._decide("attempt failed", call, result.failure, took_s, choice)
                 if not self._may_retry(call, progress):
                     return _final(last, progress)
 
@@ -303,6 +304,10 @@
             target=None if choice is None else choice.target.id,
             ring=None if choice is None else choice.reason,
             load=None if choice is None else round(choice.load, 1),
+            known=None if choice is None else choice.is_known,
+            renewal_age_ms=(
+                None if choice is None else round(choice.renewal_age_s * 1000)
+            ),
         )
 
 
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -67,6 +67,7 @@
     :param affinity_key: Object that the request concerns.
     :param is_known: Whether the target handled the object before.
     :param expected_s: Time that a usual target takes for it, in seconds.
+    :param renewal_age_s: Age of the target's newest renewal, in seconds.
     """
 
     target: PlacedTarget
@@ -76,6 +77,7 @@
     affinity_key: str | None = None
     is_known: bool = False
     expected_s: float = 0.0
+    renewal_age_s: float = 0.0
 
 
 class AttemptOutcome(Enum):
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -166,6 +166,7 @@
             affinity_key=affinity_key,
             is_known=self.knows(affinity_key),
             expected_s=expected_s,
+            renewal_age_s=now - self.heard_at,
         )
         self._open.add(choice)
         self._last_sent_at = now
--- a/tests/consensus/self_managed.feature
+++ b/tests/consensus/self_managed.feature
@@ -31,3 +31,9 @@
     Then the voters are "a, b, c, d, f" within 8 s
     When "e" starts
     Then "e" is a learner within 8 s
+
+  Scenario: After all ended at once a leader is there without the wait for a lost one
+    Given a self-managed log founded by "a, b, c" and joined by "d, e"
+    Then the voters are "a, b, c, d, e" within 8 s
+    When all end at once and start again
+    Then there is a leader within 0.6 s
--- a/tests/steps/consensus_self_managed.py
+++ b/tests/steps/consensus_self_managed.py
@@ -68,3 +68,17 @@
 def applied_nothing(context):
     for commands in context.log.commands_by_id.values():
         assert commands.commands == [], commands.commands
+
+
+@when("all end at once and start again")
+def all_start_again(context):
+    log = context.log
+    log.run(log.async_stop_all())
+    for name in log.names:
+        log.run(log.async_start(name, context.seeds, may_found=False))
+
+
+@then("there is a leader within {seconds:g} s")
+def leader_within(context, seconds):
+    log = context.log
+    log.run(log.async_until(lambda: len(log.leaders()) == 1, seconds))
