--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -10,7 +10,6 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 from typing import Any
 
@@ -27,110 +26,21 @@
     PlacementRequest,
     ReportedLoad,
 )
+from mothshunt.placement.service_targets import (
+    Estimate,
+    RegionByZone,
+    Ring,
+    ServiceTargets,
+    Tally,
+    load_by_region,
+)
 from mothshunt.placement.service_time import ServiceTime
-from mothshunt.placement.spill import PlaceLoad, Spill, plan_flow
+from mothshunt.placement.spill import Spill, plan_flow
 from mothshunt.placement.target_load import TargetLoad
 
 HASH_RANGE = float(1 << 64)
 
 DemandByZone = Mapping[ServiceName, Mapping[AvailabilityZoneId, float]]
-RegionByZone = Mapping[AvailabilityZoneId, RegionId]
-
-
-class Ring(Enum):
-    """Distance of a target from this instance."""
-
-    REGION = "region"
-    BEYOND = "beyond"
-
-
-@dataclass(slots=True, eq=False)
-class Estimate:
-    """Hold what a request can expect of a target.
-
-    :param load: The target.
-    :param queued_part: Requests that would wait there, as a part of its slots.
-    :param is_known: Whether the target handled the object before.
-    :param expected_s: Time that a usual target takes for the request, in seconds.
-    :param total_s: Time to the answer, in seconds.
-    :param reason: Distance and rank of the target.
-    """
-
-    load: TargetLoad
-    queued_part: float
-    is_known: bool
-    expected_s: float
-    total_s: float
-    reason: str = ""
-
-    def is_better_than(self, higher: "Estimate") -> bool:
-        """Tell whether this target is to be chosen before one that ranks higher.
-
-        One that does not know the object takes longer and gives up another object for
-        it. Where many are busy, that makes all of them busier.
-
-        :param higher: What can be expected of the other one.
-        """
-        if self.total_s >= higher.total_s * const.LOWER_RANK_GAIN:
-            return False
-        is_free = self.queued_part == 0.0
-        return self.is_known or (is_free and higher.queued_part > const.CROWDED_PART)
-
-
-@dataclass(slots=True)
-class Tally:
-    """Count what was chosen for a service.
-
-    :param chosen: Requests that got a target.
-    :param known: Those whose target handled the object before.
-    :param refused: Requests that got none for want of room.
-    :param count_by_reason: Chosen targets by distance and rank.
-    """
-
-    chosen: int = 0
-    known: int = 0
-    refused: int = 0
-    count_by_reason: dict[str, int] = field(default_factory=dict)
-
-    def count(self, choice: Choice) -> None:
-        """Count a choice.
-
-        :param choice: The choice.
-        """
-        self.chosen += 1
-        self.known += choice.is_known
-        held = self.count_by_reason.get(choice.reason, 0)
-        self.count_by_reason[choice.reason] = held + 1
-
-
-@dataclass(slots=True, eq=False)
-class ServiceTargets:
-    """Hold the targets of one service, by their distance.
-
-    :param in_region: In the region of this instance.
-    :param beyond: In other regions.
-    :param spill: Part that leaves the region.
-    :param times: How long the targets take.
-    :param tally: What was chosen since the last report.
-    """
-
-    spill: Spill
-    times: ServiceTime
-    tally: Tally
-    in_region: list[TargetLoad] = field(default_factory=list)
-    beyond: list[TargetLoad] = field(default_factory=list)
-
-    def all_targets(self) -> Iterator[TargetLoad]:
-        """Return all targets."""
-        yield from self.in_region
-        yield from self.beyond
-
-    def loads_by_ring(self) -> dict[Ring, list[TargetLoad]]:
-        """Return the targets by their distance."""
-        return {
-            Ring.REGION: self.in_region,
-            Ring.BEYOND: self.beyond,
-        }
 
 
 @dataclass(kw_only=True, slots=True)
@@ -256,7 +166,7 @@
         load: TargetLoad,
         request: PlacementRequest,
         now: float,
-    ) -> "Estimate":
+    ) -> Estimate:
         """Estimate when a target would answer."""
         latency_s = request.target_latency_s
         times = targets.times
@@ -273,7 +183,7 @@
             total_s=wait_s + expected_s * load.slowness,
         )
 
-    def _is_worthwhile(self, best: "Estimate", request: PlacementRequest) -> bool:
+    def _is_worthwhile(self, best: Estimate, request: PlacementRequest) -> bool:
         """Tell whether a request is sent: in time, or late where few wait for it."""
         if best.queued_part == 0.0:
             return True
@@ -423,42 +333,11 @@
         for service, targets in self._targets_by_service.items():
             demand_by_zone = demand.get(service, {})
             has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
-            by_region = _load_by_region(targets, demand_by_zone, region_by_zone)
+            by_region = load_by_region(targets, demand_by_zone, region_by_zone)
             targets.spill.follow(
                 plan_flow(by_region, self.region), has_traffic=has_traffic
             )
 
 
-def _load_by_region(
-    targets: ServiceTargets,
-    demand_by_zone: Mapping[AvailabilityZoneId, float],
-    region_by_zone: RegionByZone,
-) -> dict[RegionId, PlaceLoad]:
-    usual_s = targets.times.mean_s or 1.0
-    capacity_by_region: dict[RegionId, float] = {}
-    for load in targets.all_targets():
-        per_s = load.target.slots / (usual_s * load.slowness)
-        region = load.target.region
-        capacity_by_region[region] = capacity_by_region.get(region, 0.0) + per_s
-    if not any(demand_by_zone.values()):
-        # Until callers come, they are expected everywhere alike.
-        expected_per_s = sum(capacity_by_region.values()) * const.COMFORTABLE_LOAD
-        demand_by_zone = dict.fromkeys(
-            region_by_zone, expected_per_s / max(1, len(region_by_zone))
-        )
-    demand_by_region: dict[RegionId, float] = {}
-    for zone, per_s in demand_by_zone.items():
-        found = region_by_zone.get(zone)
-        if found is not None:
-            demand_by_region[found] = demand_by_region.get(found, 0.0) + per_s
-    return {
-        region: PlaceLoad(
-            demand_per_s=demand_by_region.get(region, 0.0),
-            capacity_per_s=capacity_by_region.get(region, 0.0),
-        )
-        for region in {*capacity_by_region, *demand_by_region}
-    }
-
-
 def _hash(text: str) -> int:
     return xxhash.xxh64_intdigest(text.encode())
