Don't hold a silent connection against its target, and give its room back

Cause, from the second attempt beside a silent one: the silent attempt ended after the other one had answered, and as timed out, so the target's newest outcome was a failure; and both held room at the only target, so others got none. Two scenarios with raw targets failed each time: outcomes 't1 answered, t1 answered, t1 timed_out', and a refusal where room is for one attempt.

Ruled out: load alone, as the scenarios fail without any.

Change: a superseded attempt is no failure of its target.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -142,7 +142,8 @@
         except asyncio.CancelledError:
             if not ended_by_watch(handover):
                 raise
-            outcome = Outcome.TIMED_OUT
+            if handover.expiry is Expiry.DEADLINE:
+                outcome = Outcome.TIMED_OUT
             if exchange.passed_on:
                 raise AnswerBrokenOffError("the deadline passed") from None
             return self._timed_out(exchange, handover, outgoing)
--- a/mothshunt/dispatch/attempt_failure.py
+++ b/mothshunt/dispatch/attempt_failure.py
@@ -17,7 +17,8 @@
     RetryReason.SHED: Outcome.SHED,
     RetryReason.BROKEN: Outcome.BROKEN,
     RetryReason.TRUNCATED: Outcome.BROKEN,
-    RetryReason.SILENT: Outcome.TIMED_OUT,
+    # The target may be slow, or one of its connections lost: neither is its failure.
+    RetryReason.SILENT: Outcome.CANCELLED,
     RetryReason.TIMED_OUT: Outcome.TIMED_OUT,
     RetryReason.LEASE_ENDED: Outcome.CANCELLED,
     RetryReason.CALLER: Outcome.CANCELLED,
--- a/mothshunt/dispatch/retrier.py
+++ b/mothshunt/dispatch/retrier.py
@@ -183,8 +183,12 @@
                     lambda: self._attempter.supersede(handover),
                     None,
                 )
-            case Result(error=failure):
-                return AttemptFailure(reason=RetryReason.SILENT, failure=failure)
+            case _:
+                # The silent attempt may hold the only room: it is given up for a new
+                # connection.
+                tries.number -= 1
+                self._attempter.supersede(handover)
+                return AttemptFailure.from_reason(RetryReason.SILENT, handed_over=True)
 
     async def _async_choose(
         self, route: Route, excluded: set[TargetId], silent: set[TargetId]
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -120,6 +120,25 @@
     Then the dispatch caller got status 200 and "t1 /b"
     And the last dispatch answer took less than 1900 ms
 
+  Scenario: A connection that goes silent is not held against its target
+    Given a dispatch entry
+    And a raw target "t1" that answers the first request of a connection only
+    When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t1 /b"
+    And the outcomes were "t1 answered, t1 answered, t1 cancelled"
+
+  Scenario: A silent connection gives its room back where there is none for another
+    Given a dispatch entry
+    And room for 1 attempts at all targets together
+    And a raw target "t1" that answers the first request of a connection only
+    When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t1 /b"
+    And the last dispatch answer took less than 2000 ms
+
   Scenario: Without a retry left a kept-alive connection is waited for
     Given a dispatch entry without retries and a request timeout of 700 ms
     And a raw target "t1" that answers the first request of a connection only
--- a/tests/steps/dispatch_forward.py
+++ b/tests/steps/dispatch_forward.py
@@ -50,6 +50,11 @@
     set_up(context, contract(timeout_ms=timeout_ms, ratio=0.0, minimum=0.0))
 
 
+@given("room for {count:d} attempts at all targets together")
+def little_room(context, count):
+    context.chooser.room = count
+
+
 @given('a raw target "{name}" that {behaviour}')
 def raw_target(context, name, behaviour):
     target = RawTarget(name, BEHAVIOURS[behaviour])
--- a/tests/support/dispatch_fakes.py
+++ b/tests/support/dispatch_fakes.py
@@ -74,6 +74,7 @@
     open: int = 0
     delay_s: float = 0.0
     lease_ended: bool = False
+    room: int = 1000
 
     def add(self, name: str, port: int) -> None:
         self.targets.append(
@@ -95,7 +96,7 @@
     async def async_choose(self, *, contract, service, idempotent, excluded, deadline):
         await asyncio.sleep(self.delay_s)
         for target in self.targets:
-            if target.id not in excluded:
+            if target.id not in excluded and self.open < self.room:
                 self.chosen.append(target.id)
                 self.open += 1
                 permit = Permit(number=len(self.chosen), keys=())
