Wait for a slow answer where there is no room for another attempt

Change: such an attempt is given up only when three limits of silence are left to the deadline, which is enough for a usual answer over a new connection.

--- a/mothshunt/dispatch/attempt.py
+++ b/mothshunt/dispatch/attempt.py
@@ -107,6 +107,13 @@
         """
         self._watch.supersede(handover)
 
+    def supersede_late(self, handover: Handover) -> None:
+        """End an attempt if it is still silent when little time is left.
+
+        :param handover: The attempt, whose connection is silent.
+        """
+        self._watch.supersede_late(handover)
+
     async def async_attempt(
         self,
         exchange: Exchange,
--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -115,6 +115,7 @@
                 raise LeaseEndedError
             handover.done = True
             if opened.reused and outgoing.silence_limit_s is not None:
+                handover.silence_limit_s = outgoing.silence_limit_s
                 handover.silent_at = self._clock.monotonic() + outgoing.silence_limit_s
             response = await _async_exchange(request, opened)
             handover.silent_at = None
--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -30,6 +30,9 @@
 MAX_SILENCE_S = 2.0
 SILENCE_DEVIATIONS = 4.0
 SILENCE_FACTOR = 3.0
+#: A silent attempt beside which there is no room for another is given up when this many
+#: times its limit of silence are left to the deadline: enough for a usual answer.
+SILENT_RESERVE = 3.0
 #: Steps in which attempts are looked at whose time may be over.
 WATCH_INTERVAL_S = 0.01
 #: Longest time to come back that a target may name.
--- a/mothshunt/dispatch/retrier.py
+++ b/mothshunt/dispatch/retrier.py
@@ -184,10 +184,10 @@
                     None,
                 )
             case _:
-                # The silent attempt may hold the only room: it is given up for a new
-                # connection.
+                # The silent attempt may hold the only room. It may be slow, so it is
+                # given up for a new connection only when that takes the time left.
                 tries.number -= 1
-                self._attempter.supersede(handover)
+                self._attempter.supersede_late(handover)
                 return AttemptFailure.from_reason(RetryReason.SILENT, handed_over=True)
 
     async def _async_choose(
--- a/mothshunt/dispatch/watch.py
+++ b/mothshunt/dispatch/watch.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from mothshunt.core.clock import Clock
-from mothshunt.dispatch.const import WATCH_INTERVAL_S
+from mothshunt.dispatch.const import SILENT_RESERVE, WATCH_INTERVAL_S
 
 
 class Expiry(Enum):
@@ -27,6 +27,7 @@
     :param done: Whether a byte of the request may have been handed to a connection.
     :param silent_at: Monotonic time up to which the connection may stay silent, in
         seconds; ``None`` for as long as it likes.
+    :param silence_limit_s: How long it may stay silent, in seconds.
     :param on_silence: Called once when the connection stayed silent for longer.
     :param expiry: Why the watch cancelled the task, if it did.
     """
@@ -36,6 +37,7 @@
     task: "asyncio.Task[object]"
     done: bool = False
     silent_at: float | None = None
+    silence_limit_s: float = 0.0
     on_silence: "Callable[[Handover], None] | None" = None
     expiry: Expiry | None = None
 
@@ -95,6 +97,15 @@
         if handover in self._handovers:
             self._cancel(handover, Expiry.SUPERSEDED)
 
+    def supersede_late(self, handover: Handover) -> None:
+        """End an attempt if it is still silent when little time is left.
+
+        :param handover: What ``begin`` returned; its connection is silent.
+        """
+        reserve_s = handover.silence_limit_s * SILENT_RESERVE
+        handover.silent_at = handover.deadline - reserve_s
+        handover.on_silence = self.supersede
+
     def _cancel(self, handover: Handover, expiry: Expiry) -> None:
         self._handovers.discard(handover)
         handover.expiry = expiry
