Leave a silent attempt the time that a slow answer needs

Ruled out: a lost retry token (then no second attempt is made and the first is waited for).

Change: the time kept is half a limit of silence, at least 0.25 s, which is 1.5 times the mean and four deviations of an answer. 'A silent connection gives its room back' still passes. tests/dispatch/whole_answers 23 passed.

--- a/mothshunt/dispatch/const.py
+++ b/mothshunt/dispatch/const.py
@@ -30,9 +30,10 @@
 MAX_SILENCE_S = 2.0
 SILENCE_DEVIATIONS = 4.0
 SILENCE_FACTOR = 3.0
-#: A silent attempt beside which there is no room for another is given up when this many
-#: times its limit of silence are left to the deadline: enough for a usual answer.
-SILENT_RESERVE = 3.0
+#: A silent attempt beside which there is no room for another is given up when this part
+#: of its limit of silence is left to the deadline, and at least ``MIN_SILENCE_S``. That
+#: is 1.5 times the mean and four deviations, in which a usual answer still fits.
+SILENT_RESERVE = 0.5
 #: Steps in which attempts are looked at whose time may be over.
 WATCH_INTERVAL_S = 0.01
 #: Longest time to come back that a target may name.
--- a/mothshunt/dispatch/watch.py
+++ b/mothshunt/dispatch/watch.py
@@ -6,7 +6,11 @@
 from enum import Enum
 
 from mothshunt.core.clock import Clock
-from mothshunt.dispatch.const import SILENT_RESERVE, WATCH_INTERVAL_S
+from mothshunt.dispatch.const import (
+    MIN_SILENCE_S,
+    SILENT_RESERVE,
+    WATCH_INTERVAL_S,
+)
 
 
 class Expiry(Enum):
@@ -102,7 +106,7 @@
 
         :param handover: What ``begin`` returned; its connection is silent.
         """
-        reserve_s = handover.silence_limit_s * SILENT_RESERVE
+        reserve_s = max(MIN_SILENCE_S, handover.silence_limit_s * SILENT_RESERVE)
         handover.silent_at = handover.deadline - reserve_s
         handover.on_silence = self.supersede
 
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -139,6 +139,16 @@
     Then the dispatch caller got status 200 and "t1 /b"
     And the last dispatch answer took less than 800 ms
 
+  Scenario: A much slower answer is waited for where there is no room for another attempt
+    Given a dispatch entry with a request timeout of 2000 ms
+    And room for 1 attempts at all targets together
+    And a raw target "t1" that answers in 60 ms once and in 1500 ms later
+    When a dispatch caller sends GET "/a"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/b"
+    Then the dispatch caller got status 200 and "t1 /b"
+    And the last dispatch answer took less than 1900 ms
+
   Scenario: A silent connection gives its room back where there is none for another
     Given a dispatch entry with a request timeout of 2000 ms
     And room for 1 attempts at all targets together
