--- a/mothshunt/admin/api.py
+++ b/mothshunt/admin/api.py
@@ -8,6 +8,8 @@
 from mothshunt.admin.messages import Route
 from mothshunt.admin.operators import OperatorHandlers
 from mothshunt.admin.pages import PageHandlers
+from mothshunt.admin.routing import RoutingHandlers
+from mothshunt.admin.targets import TargetHandlers
 from mothshunt.admin.voters import VoterHandlers
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.configuration.service import ConfigurationService, StatusService
@@ -15,6 +17,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import InstanceId
 from mothshunt.discovery.model import TargetDirectory
+from mothshunt.routing.coordinator import RoutingCoordinator
 
 
 def api_routes(
@@ -63,3 +66,43 @@
         *VoterHandlers(log, source).routes(),
     )
     return (*routes, *PageHandlers(routes).routes())
+
+
+def routed_api_routes(
+    *,
+    instance: InstanceId,
+    configuration: ConfigurationService,
+    status: StatusService,
+    source: ConfigurationSource,
+    log: ReplicatedLog,
+    routing: RoutingCoordinator,
+    targets: TargetHandlers,
+) -> tuple[Route, ...]:
+    """Return all operations of a deployment that routes by hosts and path prefixes.
+
+    :param instance: Name of this instance.
+    :param configuration: Changes and confirmed reads.
+    :param status: How the instances stand.
+    :param source: Configuration in force here.
+    :param log: Replicated log.
+    :param routing: Changes and confirmed reads of the routing items.
+    :param targets: Operations on targets and entry instances.
+    """
+    changes = ChangeHandlers(configuration)
+    instances = InstanceHandlers(
+        instance=instance,
+        status=status,
+        source=source,
+        configuration=configuration,
+        changes=changes,
+    )
+    routes = (
+        *RoutingHandlers(routing).routes(),
+        *targets.routes(),
+        *changes.routes(),
+        *HistoryHandlers(configuration, changes).audit_routes(),
+        *OperatorHandlers(configuration, changes).routes(),
+        *instances.list_routes(),
+        *VoterHandlers(log, source).routes(),
+    )
+    return (*routes, *PageHandlers(routes).routes())
--- a/mothshunt/admin/const.py
+++ b/mothshunt/admin/const.py
@@ -32,6 +32,8 @@
 ATTR_OPERATOR = "operator"
 ATTR_VOTER = "voter"
 ATTR_INSTANCE = "instance"
+ATTR_ZONE = "availability_zone"
+ATTR_TARGET = "target"
 
 STATE_LOST = "lost"
 
--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -1,27 +1,32 @@
 """HTTP server of the administration API, metrics and health."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 from expression import Error, Ok, Result
 
 from mothshunt.access.model import Operator
 from mothshunt.admin import codes
-from mothshunt.admin.api import api_routes
 from mothshunt.admin.const import ATTR_CUSTOMER, METRIC_LATENCY, METRIC_REQUESTS
 from mothshunt.admin.deployment_model import HealthDocument, ReadinessDocument
 from mothshunt.admin.gate import Gate
 from mothshunt.admin.instances import control_addresses
-from mothshunt.admin.messages import Call, Refusal, Reply, Scope, parsed_query
+from mothshunt.admin.messages import (
+    Call,
+    Refusal,
+    Reply,
+    Route,
+    Scope,
+    parsed_query,
+)
 from mothshunt.admin.responses import refusal_response, reply_response
 from mothshunt.admin.router import RouteMatch, find_route
 from mothshunt.configuration.model import ConfigurationSource
-from mothshunt.configuration.service import ConfigurationService, StatusService
-from mothshunt.consensus.model import ReplicatedLog
+from mothshunt.configuration.service import ConfigurationService
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import CustomerId, OperatorId, Ran
-from mothshunt.discovery.model import TargetDirectory
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
@@ -36,54 +41,53 @@
 ANONYMOUS = Operator(id=OperatorId("anonymous"), token_sha256="0" * 64, grants=())
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Operations:
+    """Hold what operators may ask an instance with the role ``control`` to do.
+
+    :param configuration: Holds the operators and what they may do.
+    :param routes: The operations.
+    """
+
+    configuration: ConfigurationService
+    routes: tuple[Route, ...]
+
+
 class AdminServer:
     """Serve the administration API, metrics and health of one instance.
 
     :param settings: Settings of this instance.
-    :param configuration: Changes and confirmed reads; ``None`` without the role
-        ``control``.
-    :param status: How the instances stand; ``None`` without the role ``control``.
+    :param operations: What operators may ask for; ``None`` where that is nothing, as
+        without the role ``control``.
     :param source: Configuration in force here.
-    :param log: Replicated log; ``None`` without the role ``control``.
     :param metrics: Metrics of the process.
     :param is_ready: Tells whether this instance takes requests.
     :param clock: Source of the present time.
-    :param targets: Targets known here, where there are any.
     """
 
     def __init__(
         self,
         *,
         settings: Settings,
-        configuration: ConfigurationService | None,
-        status: StatusService | None,
+        operations: Operations | None,
         source: ConfigurationSource,
-        log: ReplicatedLog | None,
         metrics: Metrics,
         is_ready: Callable[[], bool],
         clock: Clock,
-        targets: TargetDirectory | None = None,
     ) -> None:
         self._source = source
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
         self._gate: Gate | None = None
-        if configuration is not None and status is not None and log is not None:
+        self._routes: tuple[Route, ...] = ()
+        if operations is not None:
+            self._routes = operations.routes
             self._gate = Gate(
-                configuration=configuration,
+                configuration=operations.configuration,
                 bootstrap_token_sha256=settings.bootstrap_token_sha256,
                 clock=clock,
             )
-            self._routes = api_routes(
-                instance=settings.instance.id,
-                configuration=configuration,
-                status=status,
-                source=source,
-                log=log,
-                targets=targets,
-                clock=clock,
-            )
         self._listener = HttpListener(
             host=settings.listen.admin.host,
             port=settings.listen.admin.port,
--- a/mothshunt/admin/history.py
+++ b/mothshunt/admin/history.py
@@ -59,6 +59,12 @@
                 query=RollbackQuery,
                 answer=ChangeDocument,
             ),
+            *self.audit_routes(),
+        )
+
+    def audit_routes(self) -> tuple[Route, ...]:
+        """Return the operations that concern no contract."""
+        return (
             Route(
                 method="GET",
                 path="/v1/audit",
--- a/mothshunt/admin/instances.py
+++ b/mothshunt/admin/instances.py
@@ -55,15 +55,7 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the operations of this module."""
         return (
-            Route(
-                method="GET",
-                path="/v1/instances",
-                summary="Show how the instances stand and which revision they hold.",
-                role=AccessRole.READ,
-                scope=Scope.ANY,
-                handler=self._async_list,
-                answer=InstanceList,
-            ),
+            *self.list_routes(),
             Route(
                 method="DELETE",
                 path="/v1/instances/{instance}",
@@ -76,6 +68,20 @@
             ),
         )
 
+    def list_routes(self) -> tuple[Route, ...]:
+        """Return the operations that change nothing."""
+        return (
+            Route(
+                method="GET",
+                path="/v1/instances",
+                summary="Show how the instances stand and which revision they hold.",
+                role=AccessRole.READ,
+                scope=Scope.ANY,
+                handler=self._async_list,
+                answer=InstanceList,
+            ),
+        )
+
     async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         statuses = await self._status.async_instances(call.query.timeout_s)
         if statuses.is_error():
--- /dev/null
+++ b/mothshunt/admin/targets.py
@@ -0,0 +1,176 @@
+"""Operations on targets that renew themselves, and on the entry instances."""
+
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from pydantic import ConfigDict
+
+from mothshunt.access.model import AccessRole
+from mothshunt.admin.const import ATTR_TARGET, MS_PER_S
+from mothshunt.admin.instances import address_text
+from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope
+from mothshunt.admin.parameters import ReadQuery
+from mothshunt.admin.routing_model import (
+    EntryDocument,
+    EntryList,
+    LeaveBody,
+    LeaveDocument,
+    RegisteredTargetDocument,
+    RegisteredTargetList,
+    RenewalDocument,
+)
+from mothshunt.core.clock import Clock
+from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId
+from mothshunt.lookup.nearest import nearest_entries
+from mothshunt.membership.roster import RosterTable
+from mothshunt.registry.intake import TargetIntake
+from mothshunt.registry.messages import Renewal
+from mothshunt.registry.state import KnownTarget
+from mothshunt.settings.config import RoutingSettings
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlaceQuery(ReadQuery):
+    """Say where a caller is.
+
+    :param region: Region of the caller.
+    :param availability_zone: Availability zone of the caller.
+    """
+
+    __pydantic_config__ = ConfigDict(extra="forbid")
+
+    region: str = ""
+    availability_zone: str = ""
+
+
+class TargetHandlers:
+    """Take what targets say of themselves, and tell callers of entry instances.
+
+    :param intake: Takes renewals and leaves.
+    :param roster: Entry instances that are attached here.
+    :param settings: How the deployment routes.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self,
+        *,
+        intake: TargetIntake,
+        roster: RosterTable,
+        settings: RoutingSettings,
+        clock: Clock,
+    ) -> None:
+        self._intake = intake
+        self._roster = roster
+        self._settings = settings
+        self._clock = clock
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the operations of this module."""
+        return (
+            Route(
+                method="GET",
+                path="/v1/targets",
+                summary="List the targets that this instance knows.",
+                role=AccessRole.READ,
+                scope=Scope.DEPLOYMENT,
+                handler=self._async_list,
+                answer=RegisteredTargetList,
+            ),
+            Route(
+                method="POST",
+                path="/v1/targets",
+                summary="Renew a target; targets send this at each interval.",
+                role=AccessRole.READ,
+                scope=Scope.OPEN,
+                handler=self._async_renew,
+                body=Renewal,
+                answer=RenewalDocument,
+            ),
+            Route(
+                method="DELETE",
+                path="/v1/targets/{target}",
+                summary="Record that a target has left.",
+                role=AccessRole.READ,
+                scope=Scope.OPEN,
+                handler=self._async_leave,
+                body=LeaveBody,
+                answer=LeaveDocument,
+            ),
+            Route(
+                method="GET",
+                path="/v1/entries",
+                summary="Name the entry instances that a caller should use.",
+                role=AccessRole.READ,
+                scope=Scope.OPEN,
+                handler=self._async_entries,
+                query=PlaceQuery,
+                answer=EntryList,
+            ),
+        )
+
+    async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        now = self._clock.monotonic()
+        known = self._intake.publisher.follower.registry.known_by_target.values()
+        documents = sorted(
+            (_target_document(target, now) for target in known),
+            key=lambda document: (document.service, document.target),
+        )
+        return Ok(Reply(body=RegisteredTargetList(targets=tuple(documents))))
+
+    async def _async_renew(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        renewal = call.document(Renewal)
+        if renewal.is_error():
+            return Error(renewal.error)
+        renewed = await self._intake.async_renew(renewal.ok)
+        if renewed.is_error():
+            return Error(Refusal(failure=renewed.error))
+        interval_ms = int(self._settings.renewal_interval_s * MS_PER_S)
+        return Ok(Reply(body=RenewalDocument(renew_after_ms=interval_ms)))
+
+    async def _async_leave(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+        body = call.document(LeaveBody)
+        if body.is_error():
+            return Error(body.error)
+        target = TargetId(call.path_values[ATTR_TARGET])
+        left = await self._intake.async_leave(target, body.ok.incarnation)
+        if left.is_error():
+            return Error(Refusal(failure=left.error))
+        return Ok(Reply(body=LeaveDocument()))
+
+    async def _async_entries(self, call: Call[PlaceQuery]) -> Result[Reply, Refusal]:
+        entries = nearest_entries(
+            self._roster.ready(),
+            RegionId(call.query.region),
+            AvailabilityZoneId(call.query.availability_zone),
+        )
+        document = EntryList(
+            entries=tuple(
+                EntryDocument(
+                    id=entry.instance,
+                    region=entry.region,
+                    availability_zone=entry.availability_zone,
+                    address=address_text(entry.host, entry.port),
+                )
+                for entry in entries
+            ),
+            lifetime_ms=int(self._settings.lookup_lifetime_s * MS_PER_S),
+        )
+        return Ok(Reply(body=document))
+
+
+def _target_document(known: KnownTarget, now: float) -> RegisteredTargetDocument:
+    renewal = known.renewal
+    return RegisteredTargetDocument(
+        target=renewal.target,
+        incarnation=renewal.incarnation,
+        service=renewal.service,
+        address=address_text(renewal.host, renewal.port),
+        region=renewal.region,
+        availability_zone=renewal.availability_zone,
+        release=renewal.release,
+        slots=renewal.slots,
+        state=renewal.state.value,
+        age_s=max(0.0, now - known.heard_at),
+        cold_s=max(0.0, known.cold_until() - now),
+    )
--- a/mothshunt/cli/commands/contract.py
+++ b/mothshunt/cli/commands/contract.py
@@ -2,8 +2,6 @@
 
 import argparse
 import json
-import sys
-from pathlib import Path
 
 from expression import Error, Ok, Result
 
@@ -15,12 +13,11 @@
 )
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.const import DEFAULT_RECORDS
-from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
+from mothshunt.cli.files import read_text
+from mothshunt.cli.model import CommandFailure, CommandOutput
 from mothshunt.cli.output import FORMAT_JSON
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
 
-STANDARD_INPUT = "-"
-
 
 def add_commands(subparsers: Subparsers) -> None:
     """Add the commands of this module.
@@ -96,7 +93,7 @@
 async def _async_validate(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
-    text = _read(arguments.file)
+    text = read_text(arguments.file)
     if text.is_error():
         return Error(text.error)
     answer = await client.async_send(_validation(text.ok))
@@ -174,7 +171,7 @@
 async def _async_contract(
     client: ApiClient, file: str
 ) -> Result[tuple[str, bytes], CommandFailure]:
-    text = _read(file)
+    text = read_text(file)
     if text.is_error():
         return Error(text.error)
     customer = _customer_of(text.ok)
@@ -214,15 +211,5 @@
     return customer if isinstance(customer, str) and customer else None
 
 
-def _read(file: str) -> Result[bytes, CommandFailure]:
-    try:
-        if file == STANDARD_INPUT:
-            return Ok(sys.stdin.buffer.read())
-        return Ok(Path(file).read_bytes())
-    except OSError as error:
-        text = f"{file}: {error.strerror}"
-        return Error(CommandFailure(exit_code=ExitCode.USAGE, text=text))
-
-
 def _path(customer: str) -> str:
     return path_of("contracts", customer)
--- /dev/null
+++ b/mothshunt/cli/commands/routing.py
@@ -0,0 +1,146 @@
+"""Commands on deployments that route by hosts and path prefixes."""
+
+import argparse
+import json
+from typing import Any
+
+from expression import Error, Result
+
+from mothshunt.cli.client import ApiClient, ApiRequest, path_of
+from mothshunt.cli.files import read_text
+from mothshunt.cli.model import CommandFailure, CommandOutput
+from mothshunt.cli.parsing import Subparsers, add_command, add_group
+
+PATH_ROUTING = "/v1/routing"
+
+
+def add_commands(subparsers: Subparsers) -> None:
+    """Add the commands of this module.
+
+    :param subparsers: Where to add them.
+    """
+    _add_routing(subparsers)
+    _add_zones(subparsers)
+    targets = add_group(subparsers, "targets", "show the targets that renew themselves")
+    add_command(targets, "list", "list the targets and their state", _async_targets)
+    entries = add_command(
+        subparsers,
+        "entries",
+        "ask which entries a caller should use, as the caller would see it",
+        _async_entries,
+    )
+    entries.add_argument("--region", default="", help="region of the caller")
+    entries.add_argument(
+        "--availability-zone", default="", help="availability zone of the caller"
+    )
+
+
+def _add_routing(subparsers: Subparsers) -> None:
+    group = add_group(subparsers, "routing", "read and change routes and services")
+    add_command(group, "show", "show routes, services and limits", _async_show)
+    apply = add_command(
+        group, "apply", "set and drop items; the highest version wins", _async_apply
+    )
+    apply.add_argument("file", help="JSON file of the items; - reads stdin")
+    for kind in ("route", "service"):
+        drop = add_command(group, f"drop-{kind}", f"drop a {kind}", _async_drop)
+        drop.set_defaults(kind=kind)
+        drop.add_argument("name", help=f"name of the {kind}")
+        drop.add_argument(
+            "--version",
+            type=int,
+            required=True,
+            metavar="N",
+            help="version at which it is dropped; higher than the present one",
+        )
+
+
+def _add_zones(subparsers: Subparsers) -> None:
+    group = add_group(subparsers, "zone", "evacuate availability zones")
+    add_command(group, "list", "list the evacuated zones", _async_zones)
+    evacuate = add_command(
+        group, "evacuate", "send nothing new to the targets of a zone", _async_evacuate
+    )
+    evacuate.add_argument("zone", help="name of the availability zone")
+    take_back = add_command(
+        group, "take-back", "end the evacuation of a zone", _async_take_back
+    )
+    take_back.add_argument("zone", help="name of the availability zone")
+
+
+async def _async_show(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    return _output(await client.async_read(PATH_ROUTING))
+
+
+async def _async_apply(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    text = read_text(arguments.file)
+    if text.is_error():
+        return Error(text.error)
+    return await _async_patch(client, text.ok)
+
+
+async def _async_drop(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    dropped = {"name": arguments.name, "version": arguments.version}
+    body = json.dumps({f"dropped_{arguments.kind}s": [dropped]})
+    return await _async_patch(client, body.encode())
+
+
+async def _async_patch(
+    client: ApiClient, body: bytes
+) -> Result[CommandOutput, CommandFailure]:
+    # Sent again unchanged where the answer is lost: the versions make it the same.
+    request = ApiRequest(method="POST", path=PATH_ROUTING, body=body)
+    return _output(await client.async_send(request))
+
+
+async def _async_zones(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    return _output(await client.async_read("/v1/evacuations"))
+
+
+async def _async_evacuate(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    return await _async_set_zone(client, "PUT", arguments.zone)
+
+
+async def _async_take_back(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    return await _async_set_zone(client, "DELETE", arguments.zone)
+
+
+async def _async_set_zone(
+    client: ApiClient, method: str, zone: str
+) -> Result[CommandOutput, CommandFailure]:
+    request = ApiRequest(method=method, path=path_of("evacuations", zone))
+    return _output(await client.async_send(request))
+
+
+async def _async_targets(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    return _output(await client.async_read("/v1/targets"))
+
+
+async def _async_entries(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    query = {
+        "region": arguments.region,
+        "availability_zone": arguments.availability_zone,
+    }
+    return _output(await client.async_read("/v1/entries", query))
+
+
+def _output(
+    answer: Result[Any, CommandFailure],
+) -> Result[CommandOutput, CommandFailure]:
+    return answer.map(lambda document: CommandOutput(document=document))
--- a/mothshunt/cli/main.py
+++ b/mothshunt/cli/main.py
@@ -10,7 +10,14 @@
 
 from mothshunt import __version__
 from mothshunt.cli.client import ApiClient
-from mothshunt.cli.commands import contract, drain, members, operators, status
+from mothshunt.cli.commands import (
+    contract,
+    drain,
+    members,
+    operators,
+    routing,
+    status,
+)
 from mothshunt.cli.const import (
     DEFAULT_TIMEOUT_S,
     DEFAULT_WAIT_S,
@@ -38,6 +45,7 @@
   export MOTHSHUNT_TOKEN=...
   mothshunt contract apply rackhaven.json --wait
   mothshunt drain add availability-zone north-a --wait
+  mothshunt routing apply routes.json
   mothshunt status --output json
 """
 
@@ -57,6 +65,7 @@
     subparsers = parser.add_subparsers(metavar="COMMAND", required=True)
     contract.add_commands(subparsers)
     drain.add_commands(subparsers)
+    routing.add_commands(subparsers)
     status.add_commands(subparsers)
     members.add_commands(subparsers)
     operators.add_commands(subparsers)
--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -7,7 +7,8 @@
 
 from expression import Result
 
-from mothshunt.admin.coordinator import AdminServer
+from mothshunt.admin.api import api_routes
+from mothshunt.admin.coordinator import AdminServer, Operations
 from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import Incarnation, InstanceId, InstanceState
 from mothshunt.daemon.base import Base
@@ -73,15 +74,11 @@
         relay = _relay(base, control, discovery) if control else None
         admin = AdminServer(
             settings=settings,
-            configuration=control.configuration if control else None,
-            status=control.presence if control else None,
+            operations=_operations(base, control, relay) if control else None,
             source=base.holder,
-            log=control.log if control else None,
             metrics=base.metrics,
             is_ready=is_ready,
             clock=base.clock,
-            # Only a relay hears of the loads of all regions.
-            targets=relay.table if relay else table,
         )
         daemon = cls(base, discovery, admin, control, relay)
         return daemon
@@ -100,6 +97,13 @@
         if self.control is not None:
             self.control.log.on_fatal(take)
 
+    def reload(self, settings: Settings) -> None:
+        """Take changed settings: none of them can change while running.
+
+        :param settings: The new settings.
+        """
+        _LOGGER.info("changed settings take effect with the next start")
+
     async def async_start(self) -> None:
         """Start, join the deployment, and serve once the configuration is current.
 
@@ -176,6 +180,20 @@
             self.discovery.take(rows)
 
 
+def _operations(base: Base, control: Control, relay: TargetRelay | None) -> Operations:
+    routes = api_routes(
+        instance=base.settings.instance.id,
+        configuration=control.configuration,
+        status=control.presence,
+        source=base.holder,
+        log=control.log,
+        # Only a relay hears of the loads of all regions.
+        targets=relay.table if relay else None,
+        clock=base.clock,
+    )
+    return Operations(configuration=control.configuration, routes=routes)
+
+
 def _relay(
     base: Base, control: Control, discovery: DiscoveryCoordinator
 ) -> TargetRelay:
--- a/mothshunt/daemon/main.py
+++ b/mothshunt/daemon/main.py
@@ -4,13 +4,14 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 from expression import Result
 
 from mothshunt import __version__
 from mothshunt.core.codes import Failure, MothshuntError
-from mothshunt.daemon.app import Daemon
 from mothshunt.helpers import log
 from mothshunt.settings.config import Settings
 
@@ -34,23 +35,68 @@
                 print(f"{parsed.config}: the settings are valid")
                 return EXIT_OK
             log.set_up(settings.instance.id, settings.log_level)
-            return asyncio.run(async_run(settings))
+            return asyncio.run(async_run(settings, Path(parsed.config)))
         case Result(error=failures):
             for failure in failures:
                 print(_line(parsed.config, failure), file=sys.stderr)
             return EXIT_BAD_SETTINGS
 
 
-async def async_run(settings: Settings) -> int:
+class Instance(Protocol):
+    """Run one instance of a deployment, whichever way it routes."""
+
+    fatal: Failure | None
+
+    def on_fatal(self, listener: Callable[[], None]) -> None:
+        """Call a listener when the instance can't go on; ``fatal`` then tells why.
+
+        :param listener: Called in the event loop.
+        """
+        ...
+
+    def reload(self, settings: Settings) -> None:
+        """Take changed settings; what can't change while running stays as it is.
+
+        :param settings: The new settings.
+        """
+        ...
+
+    async def async_start(self) -> None:
+        """Start, and serve once the configuration is current."""
+        ...
+
+    async def async_stop(self) -> None:
+        """Leave gracefully, then stop whatever was started."""
+        ...
+
+
+def instance_of(settings: Settings) -> Instance:
+    """Build an instance; nothing is started.
+
+    :param settings: Settings of the instance.
+    """
+    # The other way to route is not loaded: the start is sooner.
+    if settings.routing is not None:
+        from mothshunt.daemon.routed import RoutedDaemon
+
+        return RoutedDaemon.from_config(settings)
+    from mothshunt.daemon.app import Daemon
+
+    return Daemon.from_config(settings)
+
+
+async def async_run(settings: Settings, path: Path) -> int:
     """Run an instance until it is told to stop; return the exit code.
 
     :param settings: Settings of the instance.
+    :param path: File that they were read from; read again on SIGHUP.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    daemon = Daemon.from_config(settings)
+    daemon = instance_of(settings)
+    loop.add_signal_handler(signal.SIGHUP, _reload, daemon, path)
     daemon.on_fatal(stop.set)
     starting = asyncio.create_task(daemon.async_start())
     stopping = asyncio.create_task(stop.wait())
@@ -67,6 +113,15 @@
     return EXIT_FATAL if daemon.fatal is not None else code
 
 
+def _reload(daemon: Instance, path: Path) -> None:
+    match Settings.from_file(path):
+        case Result(tag="ok", ok=settings):
+            daemon.reload(settings)
+        case Result(error=failures):
+            for failure in failures:
+                _LOGGER.failure("the settings can't be read", failure)
+
+
 def _start_result(starting: "asyncio.Task[None]") -> int:
     error = starting.exception()
     if error is None:
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -4,14 +4,16 @@
 import gc
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
 
+from mothshunt.admin.coordinator import AdminServer
 from mothshunt.configuration.follower import ConfigurationFollower
 from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.consensus.model import ReplicatedLog
 from mothshunt.core.clock import Clock, SystemClock
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceState, Role
-from mothshunt.daemon.routed_control import RoutedControl
-from mothshunt.daemon.routed_entry import EntryInterface, RoutedEntry
+from mothshunt.forwarding.model import EntryInterface
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership.attachments import Attachments
@@ -19,6 +21,12 @@
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.settings.config import RoutingSettings, Settings
 
+if TYPE_CHECKING:
+    from mothshunt.daemon.routed_control import RoutedControl
+    from mothshunt.daemon.routed_entry import RoutedEntry
+
+#: Longest wait for a majority to confirm what a control instance holds, in seconds.
+CONFIRM_TIMEOUT_S = 2.0
 #: Wait between two looks at whether an entry instance may serve, in seconds.
 READY_POLL_S = 0.05
 
@@ -37,6 +45,7 @@
     :param attachments: Streams to the control instances.
     :param holder: Configuration in force.
     :param registry: Targets that are known.
+    :param admin: HTTP for operators, metrics and health.
     :param control: Parts of the role ``control``.
     :param entry: Parts of the role ``entry``.
     """
@@ -49,8 +58,9 @@
     attachments: Attachments
     holder: ConfigurationHolder
     registry: RegistryFollower
-    control: RoutedControl | None = None
-    entry: RoutedEntry | None = None
+    admin: AdminServer
+    control: "RoutedControl | None" = None
+    entry: "RoutedEntry | None" = None
     follower: ConfigurationFollower | None = None
     is_ready: bool = False
     fatal: Failure | None = None
@@ -73,44 +83,66 @@
         metrics = Metrics()
         network = StreamNetwork.from_config(settings, clock, metrics)
         holder = ConfigurationHolder()
-        daemon = cls(
-            settings=settings,
-            routing=routing,
-            clock=clock,
-            metrics=metrics,
-            network=network,
-            attachments=Attachments(network, clock, settings.control),
-            holder=holder,
-            registry=RegistryFollower(network, clock),
-        )
+        attachments = Attachments(network, clock, settings.control)
+        registry = RegistryFollower(network, clock)
+        control = entry = follower = None
         if settings.has_role(Role.CONTROL):
-            daemon.control = RoutedControl.from_parts(
+            # A role that the instance doesn't have is not loaded: its start is sooner.
+            from mothshunt.daemon.routed_control import RoutedControl
+
+            control = RoutedControl.from_parts(
                 settings=settings,
                 routing=routing,
                 network=network,
-                attachments=daemon.attachments,
+                attachments=attachments,
                 holder=holder,
-                registry=daemon.registry,
+                registry=registry,
                 clock=clock,
                 metrics=metrics,
             )
         else:
-            daemon.follower = ConfigurationFollower(
-                holder, network, daemon.attachments, clock
-            )
+            follower = ConfigurationFollower(holder, network, attachments, clock)
         if settings.has_role(Role.ENTRY):
-            daemon.entry = RoutedEntry.from_parts(
+            from mothshunt.daemon.routed_entry import RoutedEntry
+
+            entry = RoutedEntry.from_parts(
                 settings=settings,
                 routing=routing,
                 network=network,
-                attachments=daemon.attachments,
+                attachments=attachments,
                 holder=holder,
-                registry=daemon.registry,
+                registry=registry,
                 is_ready=lambda: daemon.is_ready,
                 interface=interface or EntryInterface(),
+                local=control.roster if control is not None else None,
                 clock=clock,
                 metrics=metrics,
             )
+        operations = None
+        if control is not None and settings.bootstrap_token_sha256 is not None:
+            operations = control.operations(settings, routing, holder, clock)
+        admin = AdminServer(
+            settings=settings,
+            operations=operations,
+            source=holder,
+            metrics=metrics,
+            is_ready=lambda: daemon.is_ready,
+            clock=clock,
+        )
+        daemon = cls(
+            settings=settings,
+            routing=routing,
+            clock=clock,
+            metrics=metrics,
+            network=network,
+            attachments=attachments,
+            holder=holder,
+            registry=registry,
+            admin=admin,
+            control=control,
+            entry=entry,
+            follower=follower,
+        )
         metrics.gauge("mothshunt_revision", lambda: holder.current().revision)
         metrics.gauge("mothshunt_peer_streams", lambda: len(network.connected()))
         metrics.gauge("mothshunt_ready", lambda: float(daemon.is_ready))
@@ -126,6 +158,7 @@
     async def async_start(self) -> None:
         """Start, and serve once the configuration is current."""
         _LOGGER.info("starting", roles=[r.value for r in self.settings.instance.roles])
+        await self.admin.async_start()
         if self.follower is not None:
             await self.follower.async_start()
             self.attachments.on_attach(self.follower.subscribe)
@@ -151,15 +184,28 @@
         _LOGGER.info("ready", revision=self.holder.current().revision)
 
     async def _async_wait_until_current(self) -> None:
-        if self.follower is None:
+        if self.entry is None:
             return
-        await self.follower.async_wait_until_current()
+        if self.follower is not None:
+            await self.follower.async_wait_until_current()
+        if self.control is not None:
+            await self._async_wait_until_confirmed(self.control.log)
         while True:
-            has_routes = self.holder.current().routing.has_routes
-            if has_routes and self.registry.is_whole:
+            if self._knows_routes_and_targets():
                 return
             await asyncio.sleep(READY_POLL_S)
 
+    async def _async_wait_until_confirmed(self, log: ReplicatedLog) -> None:
+        while True:
+            if (await log.async_read_barrier(CONFIRM_TIMEOUT_S)).is_ok():
+                return
+            await asyncio.sleep(READY_POLL_S)
+
+    def _knows_routes_and_targets(self) -> bool:
+        # Targets renew themselves at a control instance, so it knows what there is.
+        knows_targets = self.registry.is_whole or self.control is not None
+        return knows_targets and self.holder.current().routing.has_items
+
     def _on_fatal(self, failure: Failure) -> None:
         self.fatal = failure
         _LOGGER.failure("the instance can't go on", failure)
@@ -180,7 +226,7 @@
         self.settings = replace(self.settings, control=settings.control)
         _LOGGER.info("settings reloaded", seeds=[p.id for p in settings.control])
 
-    async def async_leave(self) -> None:
+    async def _async_leave(self) -> None:
         """Take no more requests, and finish what is in flight."""
         _LOGGER.info("leaving")
         self.is_ready = self.is_ready and self.entry is None
@@ -191,10 +237,13 @@
             )
 
     async def async_stop(self) -> None:
-        """Stop whatever was started."""
+        """Leave gracefully, then stop whatever was started."""
+        if self.is_ready and self.fatal is None:
+            await self._async_leave()
         if self.entry is not None:
             await self.entry.async_stop()
         if self.control is not None:
             await self.control.async_stop()
         await self.network.async_stop()
+        await self.admin.async_stop()
         _LOGGER.info("stopped")
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
+from mothshunt.admin.api import routed_api_routes
+from mothshunt.admin.coordinator import Operations
+from mothshunt.admin.targets import TargetHandlers
+from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.configuration.publisher import ConfigurationPublisher
 from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.consensus.config import ConsensusConfig
@@ -14,8 +19,10 @@
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster import ControlAddress
 from mothshunt.membership.roster_coordinator import RosterHub
+from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
+from mothshunt.registry.intake import TargetIntake
 from mothshunt.routing.coordinator import RoutingCoordinator
 from mothshunt.settings.config import ControlPeer, RoutingSettings, Settings
 
@@ -29,6 +36,7 @@
     :param publisher: Delivery of the configuration.
     :param roster: Entry instances that are attached.
     :param registry: Targets that renew themselves here.
+    :param intake: Takes what targets say of themselves.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -38,8 +46,10 @@
     publisher: ConfigurationPublisher
     roster: RosterHub
     registry: RegistryPublisher
+    intake: TargetIntake
     attachments: Attachments
     network: StreamNetwork
+    _state: ReplicatedConfiguration
 
     @classmethod
     def from_parts(
@@ -93,16 +103,57 @@
         )
         roster.on_attached(publisher.welcome)
         attachments.on_attach(publisher.welcome)
+        coordinator = RoutingCoordinator(state, log)
         return cls(
             log=log,
-            routing=RoutingCoordinator(state, log),
+            routing=coordinator,
             publisher=ConfigurationPublisher(state, log, holder, network, clock),
             roster=roster,
             registry=publisher,
+            intake=TargetIntake(publisher, coordinator),
             attachments=attachments,
             network=network,
+            _state=state,
         )
 
+    def operations(
+        self,
+        settings: Settings,
+        routing: RoutingSettings,
+        source: ConfigurationSource,
+        clock: Clock,
+    ) -> Operations:
+        """Return what operators, targets and callers may ask for.
+
+        :param settings: Settings of the instance.
+        :param routing: Their part about routing.
+        :param source: Configuration in force here.
+        :param clock: Source of the present time.
+        """
+        configuration = ConfigurationCoordinator(self._state, self.log)
+        status = RosterStatus(
+            own=settings.instance,
+            table=self.roster.table,
+            revision=lambda: source.current().revision,
+            clock=clock,
+        )
+        targets = TargetHandlers(
+            intake=self.intake,
+            roster=self.roster.table,
+            settings=routing,
+            clock=clock,
+        )
+        routes = routed_api_routes(
+            instance=settings.instance.id,
+            configuration=configuration,
+            status=status,
+            source=source,
+            log=self.log,
+            routing=self.routing,
+            targets=targets,
+        )
+        return Operations(configuration=configuration, routes=routes)
+
     async def async_start(self) -> None:
         """Start the parts; the network is started after them."""
         self.network.on_disconnect(self.publisher.forget)
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -1,8 +1,7 @@
 """What an entry instance of a routed deployment runs."""
 
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 from mothshunt.configuration.holder import ConfigurationHolder
@@ -10,14 +9,14 @@
 from mothshunt.core.types import InstanceState
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
-from mothshunt.forwarding.model import HeaderNames
+from mothshunt.forwarding.model import EntryInterface
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster import EntryReport, RosterView
-from mothshunt.membership.roster_coordinator import RosterReporter
+from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
@@ -25,26 +24,6 @@
 from mothshunt.settings.config import RoutingSettings, Settings
 
 
-def whole_seconds(seconds: float) -> str:
-    """Write a time to come back as RFC 9110 has it, rounded up.
-
-    :param seconds: The time, in seconds.
-    """
-    return str(max(1, math.ceil(seconds)))
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EntryInterface:
-    """Say how callers and targets are spoken to.
-
-    :param names: Names of the header fields.
-    :param format_retry_after: Writes the time to come back, given in seconds.
-    """
-
-    names: HeaderNames = field(default_factory=HeaderNames)
-    format_retry_after: Callable[[float], str] = whole_seconds
-
-
 @dataclass(slots=True, eq=False)
 class RoutedEntry:
     """Hold the parts that an entry instance has.
@@ -74,6 +53,7 @@
         registry: RegistryFollower,
         is_ready: Callable[[], bool],
         interface: EntryInterface,
+        local: RosterHub | None,
         clock: Clock,
         metrics: Metrics,
     ) -> "RoutedEntry":
@@ -87,6 +67,7 @@
         :param registry: Targets that are known.
         :param is_ready: Tells whether the configuration is current.
         :param interface: How callers and targets are spoken to.
+        :param local: Gathers reports here, where this is a control instance as well.
         :param clock: Source of the present time.
         :param metrics: Metrics of the process.
         """
@@ -154,6 +135,8 @@
             attachments=attachments,
             view=roster,
             revision=lambda: holder.current().revision,
+            in_flight=server.in_flight,
+            local=local,
         )
         return cls(
             server=server,
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -92,7 +92,7 @@
         table = self._configuration.current().routing
         names = self._refuser.names
         now = self._clock.monotonic()
-        if not self._is_ready() or not table.has_routes:
+        if not self._is_ready() or not table.has_items:
             failure = Failure(
                 code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S
             )
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -1,6 +1,8 @@
 """Types of the forwarding slice."""
 
-from dataclasses import dataclass
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from mothshunt.core.const import (
     HEADER_DEADLINE_MS,
@@ -40,6 +42,26 @@
     retry_after: str = HEADER_RETRY_AFTER
 
 
+def whole_seconds(seconds: float) -> str:
+    """Write a time to come back as RFC 9110 has it, rounded up.
+
+    :param seconds: The time, in seconds.
+    """
+    return str(max(1, math.ceil(seconds)))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryInterface:
+    """Say how callers and targets are spoken to.
+
+    :param names: Names of the header fields.
+    :param format_retry_after: Writes the time to come back, given in seconds.
+    """
+
+    names: HeaderNames = field(default_factory=HeaderNames)
+    format_retry_after: Callable[[float], str] = whole_seconds
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutedRequest:
     """Hold what a caller asks for.
--- a/mothshunt/membership/roster.py
+++ b/mothshunt/membership/roster.py
@@ -40,6 +40,7 @@
     :param state: State of the instance.
     :param revision: Revision of the configuration in force there.
     :param demand: What callers ask it for.
+    :param in_flight: Requests that are being answered there.
     """
 
     instance: InstanceId
@@ -50,6 +51,7 @@
     state: InstanceState
     revision: int = 0
     demand: tuple[ServiceDemand, ...] = ()
+    in_flight: int = 0
 
 
 @message("membership.control_address")
@@ -85,11 +87,13 @@
     """Hold what a control instance knows of an entry instance.
 
     :param report: Its last report.
+    :param reported_at: Time of that report, in seconds.
     :param detached_at: Time at which its stream closed, in seconds; ``None`` while
         one is open.
     """
 
     report: EntryReport
+    reported_at: float
     detached_at: float | None = None
 
 
@@ -99,14 +103,17 @@
 
     standing_by_id: dict[InstanceId, EntryStanding] = field(default_factory=dict)
 
-    def report(self, report: EntryReport) -> bool:
+    def report(self, report: EntryReport, now: float) -> bool:
         """Take the report of an attached entry instance.
 
         :param report: The report.
-        :return: Whether anything but its revision changed.
+        :param now: The present time, in seconds.
+        :return: Whether the state of the instance changed.
         """
         held = self.standing_by_id.get(report.instance)
-        self.standing_by_id[report.instance] = EntryStanding(report=report)
+        self.standing_by_id[report.instance] = EntryStanding(
+            report=report, reported_at=now
+        )
         return held is None or held.report.state is not report.state
 
     def detach(self, instance: InstanceId, now: float) -> None:
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -49,7 +49,7 @@
 
     async def async_start(self) -> None:
         """Begin to gather and to tell."""
-        self.network.on_message(EntryReport, self._on_report)
+        self.network.on_message(EntryReport, self.take_report)
         self.network.on_disconnect(self._on_disconnect)
         self._task = start_background("roster", self._async_run)
 
@@ -72,12 +72,17 @@
             if standing.detached_at is None
         ]
 
-    def _on_report(self, peer: InstanceId, report: EntryReport) -> None:
+    def take_report(self, peer: InstanceId, report: EntryReport) -> None:
+        """Take the report of an entry instance.
+
+        :param peer: Instance that sent it.
+        :param report: The report.
+        """
         if report.instance != peer:
             return
         standing = self.table.standing_by_id.get(peer)
         is_new = standing is None or standing.detached_at is not None
-        if self.table.report(report):
+        if self.table.report(report, self.clock.monotonic()):
             _LOGGER.info("entry instance", entry=peer, state=report.state.value)
             self._tell_all()
         if is_new:
@@ -127,6 +132,8 @@
     :param attachments: Streams to the control instances.
     :param view: What the control instances tell.
     :param revision: Returns the revision in force here.
+    :param in_flight: Returns the requests that are being answered here.
+    :param local: Gathers the reports here, where this is a control instance as well.
     """
 
     network: StreamNetwork
@@ -134,6 +141,8 @@
     attachments: Attachments
     view: RosterView
     revision: Callable[[], int]
+    in_flight: Callable[[], int]
+    local: RosterHub | None = None
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -156,8 +165,10 @@
 
     def report(self) -> None:
         """Report how this instance stands."""
-        report = replace(self.view.own, revision=self.revision())
+        report = self._report()
         self.network.post_all(self.attachments.attached(), report)
+        if self.local is not None:
+            self.local.take_report(report.instance, report)
 
     def set_demand(self, demand: tuple[ServiceDemand, ...]) -> None:
         """Take what callers ask this instance for; told with the next report.
@@ -167,8 +178,12 @@
         self.view.own = replace(self.view.own, demand=demand)
 
     def _report_to(self, control: InstanceId) -> None:
-        report = replace(self.view.own, revision=self.revision())
-        self.network.post(control, report)
+        self.network.post(control, self._report())
+
+    def _report(self) -> EntryReport:
+        return replace(
+            self.view.own, revision=self.revision(), in_flight=self.in_flight()
+        )
 
     async def _async_run(self) -> None:
         while True:
--- /dev/null
+++ b/mothshunt/membership/roster_status.py
@@ -0,0 +1,73 @@
+"""How the instances of a routed deployment stand, for operators."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Ok, Result
+
+from mothshunt.configuration.service import InstanceStatus
+from mothshunt.core.clock import Clock
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import InstanceState, Revision, Role
+from mothshunt.membership.roster import EntryStanding, RosterTable
+from mothshunt.settings.config import InstanceSettings
+
+STATE_LOST = "lost"
+
+
+@dataclass(slots=True, eq=False)
+class RosterStatus:
+    """Implement ``StatusService`` by the entry instances attached to this one.
+
+    :param own: Which instance this is.
+    :param table: Entry instances that are attached here.
+    :param revision: Returns the revision in force here.
+    :param clock: Source of the present time.
+    """
+
+    own: InstanceSettings
+    table: RosterTable
+    revision: Callable[[], int]
+    clock: Clock
+
+    async def async_instances(
+        self, timeout_s: float
+    ) -> Result[tuple[InstanceStatus, ...], Failure]:
+        """Return this instance and the entry instances, sorted by id.
+
+        :param timeout_s: Not needed, as nothing is asked for elsewhere.
+        """
+        now = self.clock.monotonic()
+        by_id = {
+            id: _entry_status(standing, now)
+            for id, standing in self.table.standing_by_id.items()
+        }
+        by_id[self.own.id] = self._own_status()
+        return Ok(tuple(status for _, status in sorted(by_id.items())))
+
+    def _own_status(self) -> InstanceStatus:
+        return InstanceStatus(
+            id=self.own.id,
+            region=self.own.region,
+            availability_zone=self.own.availability_zone,
+            roles=tuple(role.value for role in self.own.roles),
+            state=InstanceState.READY.value,
+            revision=Revision(self.revision()),
+            age_s=0.0,
+            in_flight=0,
+        )
+
+
+def _entry_status(standing: EntryStanding, now: float) -> InstanceStatus:
+    report = standing.report
+    is_lost = standing.detached_at is not None
+    return InstanceStatus(
+        id=report.instance,
+        region=report.region,
+        availability_zone=report.availability_zone,
+        roles=(Role.ENTRY.value,),
+        state=STATE_LOST if is_lost else report.state.value,
+        revision=Revision(report.revision),
+        age_s=max(0.0, now - standing.reported_at),
+        in_flight=report.in_flight,
+    )
--- a/mothshunt/platform/endpoints.py
+++ b/mothshunt/platform/endpoints.py
@@ -1,7 +1,6 @@
 """The platform's calls to an instance, handed to the product."""
 
-import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from urllib.parse import unquote
 
@@ -9,23 +8,19 @@
 from expression import Result
 
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import AvailabilityZoneId, Incarnation, RegionId, TargetId
+from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId
 from mothshunt.daemon.routed_control import RoutedControl
 from mothshunt.helpers.http import failure_response
 from mothshunt.helpers.log import get_logger
 from mothshunt.lookup.nearest import nearest_entries
 from mothshunt.platform import documents, names
 from mothshunt.platform.values import BadValueError
-from mothshunt.registry.messages import RenewalState
 from mothshunt.routing import codes
-from mothshunt.routing.model import RetiredState
 
 _LOGGER = get_logger("platform")
 
 MILLISECONDS_PER_SECOND = 1000
 
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-
 
 def _failed(failure: Failure) -> web.Response:
     return failure_response(failure)
@@ -41,14 +36,6 @@
     return web.json_response({})
 
 
-def refuse_malformed(detail: str) -> web.Response:
-    """Return the answer to what is not valid HTTP.
-
-    :param detail: What is wrong with it.
-    """
-    return _failed(Failure(code=codes.INVALID_ITEM, detail=detail))
-
-
 @dataclass(slots=True, eq=False)
 class ControlEndpoints:
     """Answer the calls of targets and operators.
@@ -101,30 +88,13 @@
         renewal = documents.read_renewal(
             target, documents.read_json(body), self.region_by_zone
         )
-        self.control.registry.renew(renewal)
-        if renewal.state is not RenewalState.LEAVING:
-            return _done()
-        return _answer(
-            await self.control.routing.async_retire(
-                renewal.target, renewal.incarnation, RetiredState.LEAVING
-            )
-        )
+        return _answer(await self.control.intake.async_renew(renewal))
 
     async def _async_leave(self, target: str, body: bytes) -> web.Response:
         document = documents.read_json(body) if body.strip() else {}
         incarnation = documents.read_incarnation(document)
-        known = self.control.registry.follower.registry.known_by_target.get(
-            TargetId(target)
-        )
-        if incarnation is None and known is not None:
-            incarnation = known.renewal.incarnation
-        if incarnation is None:
-            # It started before now; a later start will have a later time.
-            incarnation = Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
         return _answer(
-            await self.control.routing.async_retire(
-                TargetId(target), incarnation, RetiredState.LEFT
-            )
+            await self.control.intake.async_leave(TargetId(target), incarnation)
         )
 
     async def _async_evacuate(self, zone: str, _: bytes) -> web.Response:
@@ -181,23 +151,3 @@
             "ttl": f"{int(self.lifetime_s * MILLISECONDS_PER_SECOND)}ms",
         }
         return web.json_response(document)
-
-
-@dataclass(slots=True, eq=False)
-class ReadinessEndpoint:
-    """Tell the platform whether an entry instance takes requests.
-
-    :param is_ready: Tells it.
-    """
-
-    is_ready: Callable[[], bool]
-
-    async def async_handle(self, request: web.Request) -> web.StreamResponse:
-        """Answer one call.
-
-        :param request: The call.
-        """
-        is_known = request.method == "GET" and request.path == names.PATH_READY
-        if not is_known:
-            return web.Response(status=404)
-        return web.Response(status=200 if self.is_ready() else 503)
--- a/mothshunt/platform/main.py
+++ b/mothshunt/platform/main.py
@@ -12,18 +12,13 @@
 
 from mothshunt.core.types import InstanceId
 from mothshunt.daemon.routed import RoutedDaemon
-from mothshunt.daemon.routed_entry import EntryInterface
+from mothshunt.forwarding.model import EntryInterface
 from mothshunt.helpers import log
 from mothshunt.helpers.bounded_stream import BoundedStream
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.metrics.registry import Metrics
 from mothshunt.platform import names
-from mothshunt.platform.endpoints import (
-    ControlEndpoints,
-    DirectoryEndpoint,
-    ReadinessEndpoint,
-    refuse_malformed,
-)
+from mothshunt.platform.readiness import ReadinessEndpoint, refuse_malformed
 from mothshunt.platform.settings import PlatformSettings, read_settings
 from mothshunt.platform.values import BadValueError
 from mothshunt.settings.config import Address
@@ -35,9 +30,6 @@
 SETTINGS_INTERVAL_S = 1.0
 #: Largest body of an operator's call: some thousands of routes.
 MAX_CALL_BYTES = 8 * 1024 * 1024
-METRICS_PATH = "/metrics"
-#: TCP port of the metrics, as deploy/system.toml names it.
-METRICS_PORT = 9464
 METRIC_LINES_DROPPED = "mothshunt_log_lines_dropped_total"
 
 _LOGGER = log.get_logger("platform")
@@ -80,6 +72,9 @@
     def _listen(self, settings: PlatformSettings) -> None:
         daemon = self.daemon
         if daemon.control is not None:
+            # An entry instance loads nothing of what it doesn't answer.
+            from mothshunt.platform.endpoints import ControlEndpoints, DirectoryEndpoint
+
             control = ControlEndpoints(daemon.control, settings.region_by_zone)
             directory = DirectoryEndpoint(
                 daemon.control, daemon.routing.lookup_lifetime_s
@@ -88,8 +83,6 @@
             self._add(settings.directory, directory.async_handle)
         readiness = ReadinessEndpoint(lambda: daemon.is_ready)
         self._add(settings.readiness, readiness.async_handle)
-        host = settings.settings.listen.peer.host
-        self._add(Address(host=host, port=METRICS_PORT), self._async_metrics)
 
     def _add(
         self,
@@ -107,9 +100,6 @@
         )
         self.listeners.append(listener)
 
-    async def _async_metrics(self, request: web.Request) -> web.StreamResponse:
-        return web.Response(text=self.daemon.metrics.render())
-
     async def async_start(self) -> None:
         """Answer the platform's calls, and start the instance."""
         for listener in self.listeners:
@@ -193,8 +183,6 @@
     starting.cancel()
     following.cancel()
     await asyncio.gather(starting, following, return_exceptions=True)
-    if not failed and instance.daemon.fatal is None:
-        await instance.daemon.async_leave()
     await instance.async_stop()
     stopping.cancel()
     return EXIT_FATAL if failed or instance.daemon.fatal is not None else EXIT_OK
--- a/mothshunt/platform/settings.py
+++ b/mothshunt/platform/settings.py
@@ -21,6 +21,8 @@
 #: docs/design/platform.md tells. The key only keeps apart what speaks another protocol.
 PLATFORM_KEY = "mothshunt-platform-network"
 
+#: TCP port of the metrics, as deploy/system.toml names it.
+METRICS_PORT = 9464
 #: Part of the lifetime of a look-up that the platform allows; instances that are gone
 #: are named for a shorter time.
 LOOKUP_LIFETIME_PART = 0.4
@@ -76,7 +78,7 @@
         ),
         listen=ListenSettings(
             traffic=entry,
-            admin=Address(host=ip, port=first_port + 1),
+            admin=Address(host=ip, port=METRICS_PORT),
             peer=Address(host=ip, port=first_port),
         ),
         control=tuple(_seeds(document, first_port)),
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -88,6 +88,18 @@
         confirmed = await self.log.async_read_barrier(const.COMMIT_TIMEOUT_S)
         return confirmed.map(lambda _: routing_items(self.state.store, self._decoder))
 
+    async def async_evacuated_zones(
+        self,
+    ) -> Result[tuple[AvailabilityZoneId, ...], Failure]:
+        """Return the evacuated availability zones as a majority holds them, sorted."""
+        confirmed = await self.log.async_read_barrier(const.COMMIT_TIMEOUT_S)
+        return confirmed.map(lambda _: self._evacuated_zones())
+
+    def _evacuated_zones(self) -> tuple[AvailabilityZoneId, ...]:
+        held = self._decoder.values(self.state.store, Section.EVACUATION)
+        evacuated = (item for item in held.values() if item.is_evacuated)
+        return tuple(sorted(item.availability_zone for item in evacuated))
+
     async def async_set_evacuation(
         self, operator: OperatorId, zone: AvailabilityZoneId, *, is_evacuated: bool
     ) -> Result[Revision, Failure]:
--- a/mothshunt/routing/model.py
+++ b/mothshunt/routing/model.py
@@ -193,6 +193,8 @@
     :param limits: Limits for callers, once there are any.
     :param evacuated_zones: Availability zones whose targets get nothing.
     :param retired_by_target: Targets that leave or have left.
+    :param has_items: Whether any route was ever set; before that nothing is known of
+        what callers may ask for.
     """
 
     routes_by_host: Mapping[HostName, tuple[Route, ...]] = field(default_factory=dict)
@@ -200,11 +202,7 @@
     limits: RequestLimits | None = None
     evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
     retired_by_target: Mapping[TargetId, RetiredTarget] = field(default_factory=dict)
-
-    @property
-    def has_routes(self) -> bool:
-        """Whether there is anything to route by."""
-        return bool(self.routes_by_host)
+    has_items: bool = False
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path.
--- a/mothshunt/routing/table.py
+++ b/mothshunt/routing/table.py
@@ -46,6 +46,7 @@
             e.availability_zone for e in evacuations if e.is_evacuated
         ),
         retired_by_target={TargetId(name): item for name, item in retired.items()},
+        has_items=bool(items.route_by_name),
     )
 
 
--- a/testkit/deployment.py
+++ b/testkit/deployment.py
@@ -93,6 +93,8 @@
         a proxy of its own.
     :param region_rtt_s: Round-trip time between regions that the proxies add.
     :param log_level: Least severity that the instances log.
+    :param routing: Settings about routing by hosts and path prefixes; ``None`` for a
+        deployment that routes by contracts.
     """
 
     def __init__(
@@ -102,11 +104,13 @@
         with_proxies: bool = False,
         region_rtt_s: float = 0.0,
         log_level: str = "info",
+        routing: dict[str, Any] | None = None,
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="mothshunt-"))
         self.ports = PortReservations()
         self.loop = LoopThread()
         self._log_level = log_level
+        self._routing = routing
         self.instance_by_id = {
             plan.id: Instance(plan, self.ports, self.folder) for plan in plans
         }
@@ -247,6 +251,8 @@
             "deployment_key": DEPLOYMENT_KEY,
             "log_level": self._log_level,
         }
+        if self._routing is not None:
+            settings["routing"] = self._routing
         if plan.is_control:
             token = hashlib.sha256(BOOTSTRAP_TOKEN.encode()).hexdigest()
             settings["data_folder"] = str(instance.data_folder)
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -5,21 +5,29 @@
 from urllib.parse import urlencode
 
 from mothshunt.access.token import token_sha256
-from mothshunt.admin.coordinator import AdminServer
+from mothshunt.admin.api import api_routes, routed_api_routes
+from mothshunt.admin.coordinator import AdminServer, Operations
+from mothshunt.admin.targets import TargetHandlers
 from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.core.clock import SystemClock
 from mothshunt.core.types import Role
+from mothshunt.membership.roster import RosterTable
 from mothshunt.metrics.registry import Metrics
+from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
+from mothshunt.registry.intake import TargetIntake
+from mothshunt.routing.coordinator import RoutingCoordinator
 from mothshunt.settings.config import (
     Address,
     ControlPeer,
     InstanceSettings,
     ListenSettings,
+    RoutingSettings,
     Settings,
 )
 from testkit.loop_thread import LoopThread
 from tests.support.admin_fakes import FakeLog, FakeSource, FakeStatus, FakeTargets
+from tests.support.recording_network import RecordingNetwork
 
 BOOTSTRAP_TOKEN = "bootstrap-token"
 FREE_PORT = 0
@@ -42,7 +50,8 @@
 class AdminDeployment:
     """Run administration servers that share one configuration."""
 
-    def __init__(self, stack, clock=None):
+    def __init__(self, stack, clock=None, *, is_routed=False):
+        self.is_routed = is_routed
         self.clock = clock or SystemClock()
         self.loop = LoopThread()
         stack.callback(self.loop.close)
@@ -63,19 +72,57 @@
         configuration = ConfigurationCoordinator(self.state, self.log)
         server = AdminServer(
             settings=settings(*roles),
-            configuration=configuration if is_control else None,
-            status=self.status if is_control else None,
+            operations=self.operations(configuration) if is_control else None,
             source=self.source,
-            log=self.log if is_control else None,
             metrics=self.metrics,
             is_ready=lambda: self.ready,
             clock=self.clock,
-            targets=self.targets,
         )
         self.loop.run(server.async_start())
         self._stack.callback(lambda: self.loop.run(server.async_stop()))
         return server.port
 
+    def operations(self, configuration):
+        """Return the operations of a deployment, whichever way it routes."""
+        if self.is_routed:
+            return self.routed_operations(configuration)
+        routes = api_routes(
+            instance="a1",
+            configuration=configuration,
+            status=self.status,
+            source=self.source,
+            log=self.log,
+            targets=self.targets,
+            clock=self.clock,
+        )
+        return Operations(configuration=configuration, routes=routes)
+
+    def routed_operations(self, configuration):
+        routing = RoutingCoordinator(self.state, self.log)
+        publisher = RegistryPublisher(
+            network=RecordingNetwork(),
+            clock=self.clock,
+            follower=RegistryFollower(RecordingNetwork(), self.clock),
+            entries=lambda: (),
+            control_peers=lambda: (),
+        )
+        targets = TargetHandlers(
+            intake=TargetIntake(publisher, routing),
+            roster=RosterTable(),
+            settings=RoutingSettings(),
+            clock=self.clock,
+        )
+        routes = routed_api_routes(
+            instance="a1",
+            configuration=configuration,
+            status=self.status,
+            source=self.source,
+            log=self.log,
+            routing=routing,
+            targets=targets,
+        )
+        return Operations(configuration=configuration, routes=routes)
+
 
 def ask(port, method, path, query=None, body=None, token=None):
     """Send one request; return status, headers and JSON document."""
--- /dev/null
+++ b/tests/support/routed_deployment.py
@@ -0,0 +1,164 @@
+"""A deployment that routes by hosts and path prefixes, as processes on loopback."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+from mothshunt.core.const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
+from testkit.deployment import BOOTSTRAP_TOKEN, Deployment
+from testkit.ports import HOST
+from testkit.process import REPOSITORY
+from testkit.shape import InstancePlan
+
+CLI_MODULE = "mothshunt.cli.main"
+CLI_TIMEOUT_S = 60.0
+START_TIMEOUT_S = 20.0
+RENEW_INTERVAL_S = 0.3
+ROUTING = {"may_found": True, "voters": 3, "renewal_interval_s": RENEW_INTERVAL_S}
+REGIONS = ("north", "centre", "south")
+
+
+@dataclass
+class Target:
+    """A target that renews itself at the control instances."""
+
+    number: int
+    service: str
+    port: int = 0
+    sequence: int = 0
+    requests: list = field(default_factory=list)
+    runner: web.AppRunner | None = None
+    renewals: asyncio.Task | None = None
+
+    @property
+    def region(self) -> str:
+        return REGIONS[(self.number - 1) % len(REGIONS)]
+
+    @property
+    def name(self) -> str:
+        return f"target-{self.number}"
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", self.handle)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, HOST, 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+
+    async def handle(self, request: web.Request) -> web.Response:
+        request_id = request.headers.get(HEADER_REQUEST_ID, "")
+        self.requests.append(request.raw_path)
+        return web.Response(text=self.name, headers={HEADER_REQUEST_ID: request_id})
+
+    def renewal(self) -> dict:
+        self.sequence += 1
+        return {
+            "target": self.name,
+            "incarnation": 1,
+            "sequence": self.sequence,
+            "service": self.service,
+            "host": HOST,
+            "port": self.port,
+            "region": self.region,
+            "availability_zone": f"{self.region}-a",
+            "slots": 4,
+        }
+
+
+class RoutedDeployment:
+    """Run the product's own program, and call it as operators and callers do."""
+
+    def __init__(self, stack, plans: tuple[InstancePlan, ...]) -> None:
+        self.deployment = stack.enter_context(Deployment(plans, routing=ROUTING))
+        self.targets: list[Target] = []
+        self.runner = stack.enter_context(asyncio.Runner())
+        stack.callback(self.stop_targets)
+        for instance in self.deployment.instances:
+            instance.process.start()
+        controls = self.deployment.control_instances
+        self.urls = [instance.admin_url for instance in controls]
+
+    def run(self, coroutine):
+        return self.runner.run(coroutine)
+
+    def command(self, *words: str) -> subprocess.CompletedProcess:
+        environment = {
+            **os.environ,
+            "PYTHONPATH": str(REPOSITORY),
+            "MOTHSHUNT_ADMIN": ",".join(self.urls),
+            "MOTHSHUNT_TOKEN": BOOTSTRAP_TOKEN,
+        }
+        return subprocess.run(
+            [sys.executable, "-m", CLI_MODULE, *words],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=CLI_TIMEOUT_S,
+            env=environment,
+        )
+
+    def write(self, name: str, document: dict) -> str:
+        path = self.deployment.folder / name
+        path.write_text(json.dumps(document))
+        return str(path)
+
+    def add_target(self, service: str) -> None:
+        target = Target(len(self.targets) + 1, service)
+        self.run(target.start())
+        self.targets.append(target)
+        target.renewals = self.runner.get_loop().create_task(self._renew(target))
+
+    async def _renew(self, target: Target) -> None:
+        while True:
+            await self.send("POST", "/v1/targets", target.renewal())
+            await asyncio.sleep(RENEW_INTERVAL_S)
+
+    async def send(self, method: str, path: str, document=None):
+        """Call a control instance, and the next one where that fails."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for url in self.urls:
+                try:
+                    async with session.request(
+                        method, url + path, json=document
+                    ) as answer:
+                        if answer.status < 500:
+                            return answer.status, await answer.json()
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    continue
+        return 0, {}
+
+    async def get(self, address: str, host: str, path: str) -> tuple[int, str]:
+        """Send a GET as a caller does; return status and body."""
+        headers = {"Host": host, HEADER_REQUEST_ID: "r-1", HEADER_DEADLINE_MS: "2000"}
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            try:
+                url = f"http://{address}{path}"
+                async with session.get(url, headers=headers) as answer:
+                    return answer.status, await answer.text()
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                return 0, ""
+
+    async def async_until(self, condition, timeout_s=START_TIMEOUT_S):
+        """Wait until an awaited condition holds."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                found = await condition()
+                if found:
+                    return found
+                await asyncio.sleep(0.1)
+
+    def stop_targets(self) -> None:
+        for target in self.targets:
+            if target.renewals is not None:
+                target.renewals.cancel()
+            self.run(target.runner.cleanup())
--- a/tests/support/routed_entry.py
+++ b/tests/support/routed_entry.py
@@ -8,9 +8,9 @@
 from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import SystemClock
 from mothshunt.core.types import InstanceState
-from mothshunt.daemon.routed_entry import EntryInterface
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
+from mothshunt.forwarding.model import EntryInterface
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
@@ -84,6 +84,7 @@
         routes_by_host={HOST: (reads, orders)},
         service_by_name={"s": service},
         limits=limits,
+        has_items=True,
     )
 
 
--- a/tools/key_pages.py
+++ b/tools/key_pages.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from mothshunt.admin import routing_model
 from mothshunt.admin.field_texts import field_texts
+from mothshunt.admin.routing_model import PatchBody
 from mothshunt.contract import model as contract_model
 from mothshunt.contract.model import Contract
 from mothshunt.settings import config as settings_config
@@ -39,7 +41,20 @@
 3103 to 3111 in [RESULT_CODES.md](RESULT_CODES.md).
 """
 
-_CLASS_BY_NAME: dict[str, Any] = {**vars(settings_config), **vars(contract_model)}
+ROUTING_HEAD = """\
+## Routing items
+
+The JSON file that `mothshunt routing apply FILE` sends. Each item has a version of
+its own, and the highest takes effect, whether it sets or drops the item. All items of
+a file take effect, or none does; see the codes 2701 to 2706 in
+[RESULT_CODES.md](RESULT_CODES.md).
+"""
+
+_CLASS_BY_NAME: dict[str, Any] = {
+    **vars(settings_config),
+    **vars(contract_model),
+    **vars(routing_model),
+}
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,7 +80,12 @@
 
 def _lines() -> Iterator[str]:
     yield HEAD
-    for head, cls in ((SETTINGS_HEAD, Settings), (CONTRACT_HEAD, Contract)):
+    tables = (
+        (SETTINGS_HEAD, Settings),
+        (CONTRACT_HEAD, Contract),
+        (ROUTING_HEAD, PatchBody),
+    )
+    for head, cls in tables:
         yield head
         yield from _table(cls)
         yield ""
