--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -134,6 +134,7 @@
         status = RosterStatus(
             own=settings.instance,
             table=self.roster.table,
+            control=lambda: frozenset(c.id for c in self.roster.control()),
             revision=lambda: source.current().revision,
             clock=clock,
         )
--- a/mothshunt/membership/roster_status.py
+++ b/mothshunt/membership/roster_status.py
@@ -8,7 +8,7 @@
 from mothshunt.configuration.service import InstanceStatus
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import InstanceState, Revision, Role
+from mothshunt.core.types import InstanceId, InstanceState, Revision, Role
 from mothshunt.membership.roster import EntryStanding, RosterTable
 from mothshunt.settings.config import InstanceSettings
 
@@ -21,12 +21,14 @@
 
     :param own: Which instance this is.
     :param table: Entry instances that are attached here.
+    :param control: Returns the names of the control instances.
     :param revision: Returns the revision in force here.
     :param clock: Source of the present time.
     """
 
     own: InstanceSettings
     table: RosterTable
+    control: Callable[[], frozenset[InstanceId]]
     revision: Callable[[], int]
     clock: Clock
 
@@ -38,8 +40,9 @@
         :param timeout_s: Not needed, as nothing is asked for elsewhere.
         """
         now = self.clock.monotonic()
+        control = self.control()
         by_id = {
-            id: _entry_status(standing, now)
+            id: _entry_status(standing, now, is_control=id in control)
             for id, standing in self.table.standing_by_id.items()
         }
         by_id[self.own.id] = self._own_status()
@@ -58,14 +61,17 @@
         )
 
 
-def _entry_status(standing: EntryStanding, now: float) -> InstanceStatus:
+def _entry_status(
+    standing: EntryStanding, now: float, *, is_control: bool
+) -> InstanceStatus:
     report = standing.report
+    roles = (Role.ENTRY, Role.CONTROL) if is_control else (Role.ENTRY,)
     is_lost = standing.detached_at is not None
     return InstanceStatus(
         id=report.instance,
         region=report.region,
         availability_zone=report.availability_zone,
-        roles=(Role.ENTRY.value,),
+        roles=tuple(role.value for role in roles),
         state=STATE_LOST if is_lost else report.state.value,
         revision=Revision(report.revision),
         age_s=max(0.0, now - standing.reported_at),
