--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 from mothshunt.forwarding.model import EntryInterface
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.attachments import Attachments
 from mothshunt.metrics.registry import Metrics
 from mothshunt.registry.coordinator import RegistryFollower
@@ -27,6 +29,8 @@
 
 #: Longest wait for a majority to confirm what a control instance holds, in seconds.
 CONFIRM_TIMEOUT_S = 2.0
+#: Time between two lines on what was sent to other instances, in seconds.
+TRAFFIC_REPORT_INTERVAL_S = 10.0
 #: Wait between two looks at whether an entry instance may serve, in seconds.
 READY_POLL_S = 0.05
 
@@ -65,6 +69,7 @@
     is_ready: bool = False
     fatal: Failure | None = None
     _fatal_listeners: list[Callable[[], None]] = field(default_factory=list)
+    _reporting: asyncio.Task[None] | None = None
 
     @classmethod
     def from_config(
@@ -145,6 +150,11 @@
         )
         metrics.gauge("mothshunt_revision", lambda: holder.current().revision)
         metrics.gauge("mothshunt_peer_streams", lambda: len(network.connected()))
+        metrics.counters(
+            "mothshunt_peer_posted_bytes_total",
+            "message",
+            lambda: network.traffic.posted_bytes_by_kind,
+        )
         metrics.gauge("mothshunt_ready", lambda: float(daemon.is_ready))
         return daemon
 
@@ -170,6 +180,7 @@
         if self.entry is not None:
             await self.entry.async_start()
         await self.network.async_start()
+        self._reporting = start_background("peer-traffic", self._async_report_traffic)
         await self.attachments.async_start()
         if self.control is not None:
             await self.control.async_open_log()
@@ -206,6 +217,15 @@
         knows_targets = self.registry.is_whole or self.control is not None
         return knows_targets and self.holder.current().routing.has_items
 
+    async def _async_report_traffic(self) -> None:
+        """Log what was sent to other instances, by kind of message."""
+        before: Counter[str] = Counter()
+        while True:
+            await asyncio.sleep(TRAFFIC_REPORT_INTERVAL_S)
+            posted = self.network.traffic.posted_bytes_by_kind.copy()
+            _LOGGER.info("peer traffic", bytes_by_message=dict(posted - before))
+            before = posted
+
     def _on_fatal(self, failure: Failure) -> None:
         self.fatal = failure
         _LOGGER.failure("the instance can't go on", failure)
@@ -244,6 +264,7 @@
             await self.entry.async_stop()
         if self.control is not None:
             await self.control.async_stop()
+        await async_cancel(self._reporting)
         await self.network.async_stop()
         await self.admin.async_stop()
         _LOGGER.info("stopped")
--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,7 @@
 from mothshunt.core.types import InstanceId
 from mothshunt.helpers.peer import codes, const, frame
 from mothshunt.helpers.peer.frame import Frame, FrameKind
+from mothshunt.util import wire
 
 
 @dataclass(slots=True)
@@ -24,12 +26,14 @@
     :param bytes_received: Bytes of complete frames received.
     :param frames_sent: Frames handed to sockets.
     :param frames_received: Complete frames received.
+    :param posted_bytes_by_kind: Bytes queued for peers, by kind of message.
     """
 
     bytes_sent: int = 0
     bytes_received: int = 0
     frames_sent: int = 0
     frames_received: int = 0
+    posted_bytes_by_kind: Counter[str] = field(default_factory=Counter)
 
 
 @dataclass(slots=True, eq=False)
@@ -66,7 +70,11 @@
         :param item: The frame.
         :return: ``False`` when the stream is closed or its queue is full.
         """
-        return self.post_encoded(frame.encode(item))
+        data = frame.encode(item)
+        if item.message is not None:
+            kind = wire.kind_of(item.message)
+            self.traffic.posted_bytes_by_kind[kind] += len(data)
+        return self.post_encoded(data)
 
     def post_encoded(self, data: bytes) -> bool:
         """Queue an encoded frame without waiting.
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -20,6 +20,7 @@
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address, Settings
+from mothshunt.util import wire
 
 _LOGGER = get_logger("peer")
 
@@ -133,9 +134,11 @@
     def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
         """Queue one message for several peers; see ``PeerNetwork``."""
         data = frame.encode(Frame(FrameKind.MESSAGE, 0, message))
+        kind = wire.kind_of(message)
         for peer in peers:
             link = self._link(peer)
             if link is not None:
+                self.traffic.posted_bytes_by_kind[kind] += len(data)
                 link.post_encoded(data)
             elif peer == self.own_id:
                 self.post(peer, message)
--- a/mothshunt/metrics/registry.py
+++ b/mothshunt/metrics/registry.py
@@ -1,6 +1,6 @@
 """Counters, gauges and latency histograms of one process."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -45,6 +45,9 @@
     counter_by_series: dict[Series, int] = field(default_factory=dict)
     gauge_by_series: dict[Series, Callable[[], float]] = field(default_factory=dict)
     histogram_by_series: dict[Series, HdrHistogram] = field(default_factory=dict)
+    read_by_name: dict[str, tuple[str, Callable[[], Mapping[str, int]]]] = field(
+        default_factory=dict
+    )
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter.
@@ -73,6 +76,17 @@
         """
         self.gauge_by_series[_series(name, labels)] = read
 
+    def counters(
+        self, name: str, label: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        """Register counters that are kept elsewhere and read when metrics are asked for.
+
+        :param name: Metric name; ends in ``_total``.
+        :param label: Label whose values are the keys.
+        :param read: Returns the counts by the value of the label.
+        """
+        self.read_by_name[name] = (label, read)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a latency.
 
@@ -107,6 +121,9 @@
     def _lines(self) -> Iterator[str]:
         for series, count in sorted(self.counter_by_series.items(), key=_by_text):
             yield f"{series.render()} {count}"
+        for name, (label, read_counts) in sorted(self.read_by_name.items()):
+            for value, count in sorted(read_counts().items()):
+                yield f"{Series(name, ((label, value),)).render()} {count}"
         for series, read in sorted(self.gauge_by_series.items(), key=_by_text):
             yield f"{series.render()} {read():.{GAUGE_DIGITS}g}"
         for series, histogram in sorted(self.histogram_by_series.items(), key=_by_text):
