--- a/mothshunt/admin/targets.py
+++ b/mothshunt/admin/targets.py
@@ -172,5 +172,5 @@
         slots=renewal.slots,
         state=renewal.state.value,
         age_s=max(0.0, now - known.heard_at),
-        cold_s=max(0.0, known.cold_until() - now),
+        cold_s=max(0.0, known.cold_until - now),
     )
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -19,6 +19,7 @@
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.attachments import Attachments
+from mothshunt.membership.primaries import Place
 from mothshunt.metrics.registry import Metrics
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.settings.config import RoutingSettings, Settings
@@ -88,8 +89,10 @@
         metrics = Metrics()
         network = StreamNetwork.from_config(settings, clock, metrics)
         holder = ConfigurationHolder()
-        attachments = Attachments(network, clock, settings.control)
-        registry = RegistryFollower(network, clock)
+        own = settings.instance
+        place = Place(region=own.region, availability_zone=own.availability_zone)
+        attachments = Attachments(network, clock, settings.control, place)
+        registry = RegistryFollower(network, clock, routing.renewal_interval_s)
         control = entry = follower = None
         if settings.has_role(Role.CONTROL):
             # A role that the instance doesn't have is not loaded: its start is sooner.
@@ -264,6 +267,8 @@
             await self.entry.async_stop()
         if self.control is not None:
             await self.control.async_stop()
+        else:
+            await self.registry.async_stop()
         await async_cancel(self._reporting)
         await self.network.async_stop()
         await self.admin.async_stop()
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -93,12 +93,13 @@
                 for voter in (*status.voters, *status.learners)
             )
 
-        roster = RosterHub(network, clock, control, settings.instance.region)
+        roster = RosterHub(network, clock, control, attachments.place)
         publisher = RegistryPublisher(
             network=network,
             clock=clock,
             follower=registry,
             entries=roster.attached,
+            primary_entries=roster.primary_entries,
             control_peers=attachments.peers,
         )
         roster.on_attached(publisher.welcome)
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -14,6 +14,7 @@
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership import const
+from mothshunt.membership.primaries import Place, choose_primaries
 from mothshunt.settings.config import ControlPeer
 
 _LOGGER = get_logger("membership")
@@ -29,11 +30,15 @@
     :param network: Streams of this instance.
     :param clock: Source of the present time.
     :param seeds: Control instances of the settings; dialled in any case.
+    :param place: Where this instance runs.
     """
 
     network: StreamNetwork
     clock: Clock
     seeds: tuple[ControlPeer, ...]
+    place: Place
+    _place_by_id: dict[InstanceId, Place] = field(default_factory=dict)
+    _detach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
     _peer_by_id: dict[InstanceId, ControlPeer] = field(default_factory=dict)
     _named_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
@@ -78,6 +83,27 @@
         """
         self._listeners.append(listener)
 
+    def on_detach(self, listener: Callable[[InstanceId], None]) -> None:
+        """Call a listener each time the last stream to a control instance closed.
+
+        :param listener: Called in the event loop with the control instance's name.
+        """
+        self._detach_listeners.append(listener)
+
+    def note_place(self, control: InstanceId, place: Place) -> None:
+        """Take where a control instance runs.
+
+        :param control: Name of the control instance.
+        :param place: Where it runs.
+        """
+        self._place_by_id[control] = place
+
+    def primaries(self) -> frozenset[InstanceId]:
+        """Return the control instances that are to tell of each change at once."""
+        own_id = self.network.own_id
+        others = (control for control in self.attached() if control != own_id)
+        return choose_primaries(others, self._place_by_id, own_id, self.place)
+
     def attached(self) -> list[InstanceId]:
         """Return the control instances that a stream leads to, this one first."""
         own_id = self.network.own_id
@@ -120,3 +146,5 @@
     def _on_disconnect(self, peer: InstanceId) -> None:
         if peer in self._peer_by_id:
             _LOGGER.warning("detached", control=peer)
+            for listener in self._detach_listeners:
+                listener(peer)
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -14,12 +14,25 @@
 STATUS_TIMEOUT_S = 1.0
 #: Longest wait for one control instance before another is asked, in seconds.
 ASK_ATTEMPT_S = 1.0
-#: Time between two reports of an entry instance to the control instances, in seconds.
-ENTRY_REPORT_INTERVAL_S = 1.0
-#: Time between two rosters to the entry instances, in seconds.
+#: Time between two reports of an entry instance that nothing asked for, in seconds;
+#: they repair what a full queue did not take.
+ENTRY_REPORT_INTERVAL_S = 5.0
+#: Time between two messages on what an entry instance has to do, in seconds.
+ENTRY_LOAD_INTERVAL_S = 1.0
+#: Control instances that tell an instance of each change at once; it hears of a change
+#: from one when the other is lost.
+PRIMARIES = 2
+#: Changes of the roster are gathered for this time before they are told, in seconds.
+ROSTER_FLUSH_INTERVAL_S = 0.2
+#: Time between two pulses to the entry instances that this is a primary of, in seconds.
 ROSTER_INTERVAL_S = 1.0
-#: Time between two rosters to entry instances of other regions, in seconds.
+#: Time between two pulses to all others, in seconds; well below ENTRY_COUNTS_FOR_S.
 FULL_ROSTER_INTERVAL_S = 4.0
+#: A roster that differs from what its control instance holds is asked for after this
+#: time, in seconds: changes that are on their way arrive sooner.
+DIFFERS_FOR_S = 0.9
+#: Decimal digits of a rate of requests that is told.
+DEMAND_DIGITS = 2
 #: An entry instance whose stream closed is named to callers for this time, in seconds,
 #: as the stream alone may have been lost.
 ENTRY_GONE_AFTER_S = 0.6
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -1,31 +1,33 @@
 """Exchange of rosters between entry and control instances."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
 from mothshunt.core.clock import Clock
-from mothshunt.core.types import InstanceId, InstanceState, RegionId
+from mothshunt.core.types import InstanceId, InstanceState, ServiceName
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import const
 from mothshunt.membership.attachments import Attachments
+from mothshunt.membership.primaries import Place
 from mothshunt.membership.roster import (
     ControlAddress,
+    ControlList,
+    EntryLoad,
     EntryReport,
-    Roster,
+    RosterPulse,
+    RosterRequest,
+    RosterRows,
     RosterTable,
     RosterView,
-    ServiceDemand,
+    roster_digest,
 )
 from mothshunt.settings.config import ControlPeer
 
 _LOGGER = get_logger("membership")
 
-#: Time between two looks at entry instances that may be gone, in seconds.
-EXPIRE_INTERVAL_S = 0.2
-
 
 @dataclass(slots=True, eq=False)
 class RosterHub:
@@ -34,22 +36,25 @@
     :param network: Streams of this instance.
     :param clock: Source of the present time.
     :param control: Returns the addresses of all control instances.
-    :param region: Region of this instance; its entry instances are told often, the
-        others are told often by control instances of their own.
+    :param place: Where this instance runs.
     :param table: What is known.
     """
 
     network: StreamNetwork
     clock: Clock
     control: Callable[[], tuple[ControlAddress, ...]]
-    region: RegionId
+    place: Place
     table: RosterTable = field(default_factory=RosterTable)
     _attach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
+    _changed: set[InstanceId] = field(default_factory=set)
+    _gone: set[InstanceId] = field(default_factory=set)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
         """Begin to gather and to tell."""
         self.network.on_message(EntryReport, self.take_report)
+        self.network.on_message(EntryLoad, self.take_load)
+        self.network.on_message(RosterRequest, self._on_request)
         self.network.on_disconnect(self._on_disconnect)
         self._task = start_background("roster", self._async_run)
 
@@ -66,11 +71,11 @@
 
     def attached(self) -> list[InstanceId]:
         """Return the entry instances that a stream leads to."""
-        return [
-            instance
-            for instance, standing in self.table.standing_by_id.items()
-            if standing.detached_at is None
-        ]
+        return self.table.attached()
+
+    def primary_entries(self) -> list[InstanceId]:
+        """Return those that this instance is to tell of each change at once."""
+        return self.table.attached(primary_only=True)
 
     def take_report(self, peer: InstanceId, report: EntryReport) -> None:
         """Take the report of an entry instance.
@@ -84,43 +89,75 @@
         is_new = standing is None or standing.detached_at is not None
         if self.table.report(report, self.clock.monotonic()):
             _LOGGER.info("entry instance", entry=peer, state=report.state.value)
-            self._tell_all()
+            self._gone.discard(peer)
+            self._changed.add(peer)
         if is_new:
-            self.network.post(peer, self._roster())
+            self.network.post(peer, self._control_list())
+            self.network.post(peer, self._whole())
             for listener in self._attach_listeners:
                 listener(peer)
 
+    def take_load(self, peer: InstanceId, load: EntryLoad) -> None:
+        """Take what an entry instance has to do.
+
+        :param peer: Instance that sent it.
+        :param load: What it has to do.
+        """
+        self.table.take_load(peer, load, self.clock.monotonic())
+
+    def _on_request(self, peer: InstanceId, request: RosterRequest) -> None:
+        self.network.post(peer, self._whole())
+
     def _on_disconnect(self, peer: InstanceId) -> None:
         self.table.detach(peer, self.clock.monotonic())
 
-    def _roster(self) -> Roster:
-        return Roster(entries=self.table.reports(), control=self.control())
+    def _whole(self) -> RosterRows:
+        return RosterRows(rows=self.table.rows(), is_whole=True)
 
-    def _tell_all(self) -> None:
-        self.network.post_all(self.attached(), self._roster())
+    def _control_list(self) -> ControlList:
+        return ControlList(
+            region=self.place.region,
+            availability_zone=self.place.availability_zone,
+            control=self.control(),
+        )
 
-    def _tell_region(self) -> None:
+    def _tell_changes(self, now: float) -> None:
+        gone = self.table.expire(now)
+        if gone:
+            _LOGGER.warning(
+                "entry instances are gone", entries=gone, left=len(self.attached())
+            )
+        self._changed.difference_update(gone)
+        self._gone.update(gone)
+        if not self._changed and not self._gone:
+            return
         standing_by_id = self.table.standing_by_id
-        near = [
-            i for i in self.attached() if standing_by_id[i].report.region == self.region
-        ]
-        self.network.post_all(near, self._roster())
+        rows = RosterRows(
+            rows=tuple(standing_by_id[i].report.row for i in self._changed),
+            gone=tuple(self._gone),
+        )
+        self._changed.clear()
+        self._gone.clear()
+        self.network.post_all(self.attached(), rows)
 
     async def _async_run(self) -> None:
-        tell_at = tell_all_at = 0.0
+        pulse_at = pulse_all_at = 0.0
         while True:
-            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            await asyncio.sleep(const.ROSTER_FLUSH_INTERVAL_S)
             now = self.clock.monotonic()
-            if self.table.expire(now):
-                _LOGGER.warning("entry instances are gone", left=len(self.attached()))
-                tell_all_at = now
-            if now >= tell_all_at:
-                self._tell_all()
-                tell_all_at = now + const.FULL_ROSTER_INTERVAL_S
-                tell_at = now + const.ROSTER_INTERVAL_S
-            elif now >= tell_at:
-                self._tell_region()
-                tell_at = now + const.ROSTER_INTERVAL_S
+            self._tell_changes(now)
+            if now < pulse_at:
+                continue
+            pulse_at = now + const.ROSTER_INTERVAL_S
+            digest = roster_digest(self.table.rows())
+            primary = self.primary_entries()
+            pulse = RosterPulse(digest=digest, demand=self.table.demand())
+            self.network.post_all(primary, pulse)
+            if now >= pulse_all_at:
+                pulse_all_at = now + const.FULL_ROSTER_INTERVAL_S
+                others = set(self.attached()).difference(primary)
+                self.network.post_all(others, RosterPulse(digest=digest))
+                self.network.post_all(self.attached(), self._control_list())
 
 
 @dataclass(slots=True, eq=False)
@@ -143,12 +180,17 @@
     revision: Callable[[], int]
     in_flight: Callable[[], int]
     local: RosterHub | None = None
+    _primaries: frozenset[InstanceId] = frozenset()
+    _demand: Mapping[ServiceName, float] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
         """Begin to report."""
-        self.network.on_message(Roster, self._on_roster)
-        self.attachments.on_attach(self._report_to)
+        self.network.on_message(RosterRows, self._on_rows)
+        self.network.on_message(RosterPulse, self._on_pulse)
+        self.network.on_message(ControlList, self._on_control_list)
+        self.attachments.on_attach(self._on_attach)
+        self.attachments.on_detach(lambda _: self._follow_primaries())
         self._task = start_background("entry-report", self._async_run)
 
     async def async_stop(self) -> None:
@@ -163,36 +205,71 @@
         self.view.own = replace(self.view.own, state=state)
         self.report()
 
-    def report(self) -> None:
-        """Report how this instance stands."""
-        report = self._report()
-        self.network.post_all(self.attachments.attached(), report)
-        if self.local is not None:
-            self.local.take_report(report.instance, report)
-
-    def set_demand(self, demand: tuple[ServiceDemand, ...]) -> None:
+    def set_demand(self, demand: Mapping[ServiceName, float]) -> None:
         """Take what callers ask this instance for; told with the next report.
 
-        :param demand: What callers ask for.
+        :param demand: Requests a second by service.
         """
-        self.view.own = replace(self.view.own, demand=demand)
+        self._demand = demand
+
+    def report(self) -> None:
+        """Report who this instance is and how it stands."""
+        self._primaries = self.attachments.primaries()
+        for control in self.attachments.attached():
+            self._report_to(control)
+        if self.local is not None:
+            own = replace(self.view.own, is_primary=True)
+            self.local.take_report(own.instance, own)
+
+    def _report_load(self) -> None:
+        load = EntryLoad(
+            revision=self.revision(),
+            in_flight=self.in_flight(),
+            demand=tuple(
+                (service, round(per_s, const.DEMAND_DIGITS))
+                for service, per_s in self._demand.items()
+            ),
+        )
+        self.network.post_all(self.attachments.attached(), load)
+        if self.local is not None:
+            self.local.take_load(self.view.own.instance, load)
+
+    def _on_attach(self, control: InstanceId) -> None:
+        self._follow_primaries()
+        self._report_to(control)
 
     def _report_to(self, control: InstanceId) -> None:
-        self.network.post(control, self._report())
+        is_primary = control in self._primaries
+        self.network.post(control, replace(self.view.own, is_primary=is_primary))
 
-    def _report(self) -> EntryReport:
-        return replace(
-            self.view.own, revision=self.revision(), in_flight=self.in_flight()
-        )
+    def _follow_primaries(self) -> None:
+        before, self._primaries = self._primaries, self.attachments.primaries()
+        for control in before ^ self._primaries:
+            self._report_to(control)
 
     async def _async_run(self) -> None:
+        report_at = 0.0
         while True:
-            await asyncio.sleep(const.ENTRY_REPORT_INTERVAL_S)
-            self.report()
-
-    def _on_roster(self, peer: InstanceId, roster: Roster) -> None:
-        self.view.take(roster.entries, self.clock.monotonic())
-        if roster.control:
-            self.attachments.follow(
-                ControlPeer(id=c.id, host=c.host, port=c.port) for c in roster.control
-            )
+            await asyncio.sleep(const.ENTRY_LOAD_INTERVAL_S)
+            now = self.clock.monotonic()
+            if now >= report_at:
+                report_at = now + const.ENTRY_REPORT_INTERVAL_S
+                self.report()
+            self._report_load()
+
+    def _on_rows(self, peer: InstanceId, rows: RosterRows) -> None:
+        self.view.take_rows(peer, rows, self.clock.monotonic())
+
+    def _on_pulse(self, peer: InstanceId, pulse: RosterPulse) -> None:
+        if self.view.take_pulse(peer, pulse, self.clock.monotonic()):
+            self.network.post(peer, RosterRequest())
+
+    def _on_control_list(self, peer: InstanceId, told: ControlList) -> None:
+        self.attachments.note_place(
+            peer,
+            Place(region=told.region, availability_zone=told.availability_zone),
+        )
+        self.attachments.follow(
+            ControlPeer(id=c.id, host=c.host, port=c.port) for c in told.control
+        )
+        self._follow_primaries()
--- a/mothshunt/membership/roster_status.py
+++ b/mothshunt/membership/roster_status.py
@@ -73,7 +73,7 @@
         availability_zone=report.availability_zone,
         roles=tuple(role.value for role in roles),
         state=STATE_LOST if is_lost else report.state.value,
-        revision=Revision(report.revision),
+        revision=Revision(standing.load.revision),
         age_s=max(0.0, now - standing.reported_at),
-        in_flight=report.in_flight,
+        in_flight=standing.load.in_flight,
     )
--- a/mothshunt/metrics/registry.py
+++ b/mothshunt/metrics/registry.py
@@ -79,7 +79,7 @@
     def counters(
         self, name: str, label: str, read: Callable[[], Mapping[str, int]]
     ) -> None:
-        """Register counters that are kept elsewhere and read when metrics are asked for.
+        """Register counters that are kept elsewhere and read when asked for.
 
         :param name: Metric name; ends in ``_total``.
         :param label: Label whose values are the keys.
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -1,7 +1,7 @@
 """Targets of an entry instance, kept in step with registry and configuration."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from expression import Result
@@ -9,10 +9,15 @@
 from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    RegionId,
+    ServiceName,
+    TargetId,
+)
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
-from mothshunt.membership.roster import RosterView, ServiceDemand
+from mothshunt.membership.roster import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
 from mothshunt.placement.demand import DemandMeter
@@ -56,7 +61,7 @@
     settings: RoutingSettings
     clock: Clock
     metrics: Metrics
-    on_demand: Callable[[tuple[ServiceDemand, ...]], None]
+    on_demand: Callable[[Mapping[ServiceName, float]], None]
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated: frozenset[AvailabilityZoneId] = frozenset()
@@ -102,7 +107,7 @@
             load = held.get(target.id)
             if load is None or load.target.incarnation != target.incarnation:
                 load = TargetLoad(target=target, heard_at=known.heard_at)
-            load.renewed(target, known.heard_at, known.cold_until())
+            load.renewed(target, known.heard_at, known.cold_until)
             loads.append(load)
         limits = {load.target.id: self._cold_limit(load.target) for load in loads}
         self.placement.replace_targets(loads, limits)
@@ -188,17 +193,16 @@
                 report_at = now + const.REPORT_INTERVAL_S
                 for report in self.placement.reports():
                     _LOGGER.info("placement", **report)
-            self.on_demand(self._demand.measure(const.ADJUST_INTERVAL_S))
-            self.placement.adjust(self.roster.demand(), self._region_by_zone())
+            own = self._demand.measure(const.ADJUST_INTERVAL_S)
+            self.on_demand(own)
+            self.placement.adjust(self.roster.demand(own), self._region_by_zone())
 
     def _region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
         region_by_zone = {
             load.target.availability_zone: load.target.region
             for load in self.placement.load_by_target.values()
         }
-        for entry in self.roster.entries():
-            region_by_zone[entry.availability_zone] = entry.region
-        return region_by_zone
+        return region_by_zone | self.roster.region_by_zone()
 
 
 def _placed(known: KnownTarget) -> PlacedTarget:
--- a/mothshunt/placement/demand.py
+++ b/mothshunt/placement/demand.py
@@ -1,9 +1,9 @@
 """Measurement of what callers ask one entry instance for."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from mothshunt.core.types import ServiceName
-from mothshunt.membership.roster import ServiceDemand
 from mothshunt.placement import const
 
 #: Rates below this are forgotten, in requests a second.
@@ -24,8 +24,8 @@
         """
         self._count_by_service[service] = self._count_by_service.get(service, 0) + 1
 
-    def measure(self, interval_s: float) -> tuple[ServiceDemand, ...]:
-        """Return the smoothed rates; called once each interval.
+    def measure(self, interval_s: float) -> Mapping[ServiceName, float]:
+        """Return the smoothed requests a second by service; called each interval.
 
         :param interval_s: Time since the last call, in seconds.
         """
@@ -38,7 +38,4 @@
                 self._per_s_by_service.pop(service, None)
             else:
                 self._per_s_by_service[service] = smoothed
-        return tuple(
-            ServiceDemand(service=service, per_s=per_s)
-            for service, per_s in sorted(self._per_s_by_service.items())
-        )
+        return self._per_s_by_service
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -13,7 +13,6 @@
 from random import Random
 from typing import Any
 
-import xxhash
 from expression import Error, Ok, Result
 
 from mothshunt.core.codes import Failure, ResultCode
@@ -37,8 +36,7 @@
 from mothshunt.placement.service_time import ServiceTime
 from mothshunt.placement.spill import Spill, plan_flow
 from mothshunt.placement.target_load import TargetLoad
-
-HASH_RANGE = float(1 << 64)
+from mothshunt.util.hashing import HASH_RANGE, hash_text
 
 DemandByZone = Mapping[ServiceName, Mapping[AvailabilityZoneId, float]]
 
@@ -232,7 +230,7 @@
             room = room_by_region[region]
             if room <= 0:
                 return float("-inf")
-            chance = (_hash(f"{region}/{key}") + 1) / (HASH_RANGE + 1)
+            chance = (hash_text(f"{region}/{key}") + 1) / (HASH_RANGE + 1)
             return math.log(chance) / room
 
         chosen = max(room_by_region, key=score)
@@ -242,7 +240,7 @@
         if request.affinity_key is None:
             return self.random.random()
         key = f"{request.service}/{request.affinity_key}"
-        return _hash(key) / HASH_RANGE
+        return hash_text(key) / HASH_RANGE
 
     def _ranked(
         self, usable: list[TargetLoad], request: PlacementRequest
@@ -253,7 +251,7 @@
             return sorted(usable, key=self._load_and_distance)
         return sorted(
             usable,
-            key=lambda load: _hash(f"{load.target.id}/{key}"),
+            key=lambda load: hash_text(f"{load.target.id}/{key}"),
             reverse=True,
         )
 
@@ -337,7 +335,3 @@
             targets.spill.follow(
                 plan_flow(by_region, self.region), has_traffic=has_traffic
             )
-
-
-def _hash(text: str) -> int:
-    return xxhash.xxh64_intdigest(text.encode())
--- a/mothshunt/registry/coordinator.py
+++ b/mothshunt/registry/coordinator.py
@@ -10,8 +10,13 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.registry import const
-from mothshunt.registry.messages import RegistryRefreshes, RegistryRows, Renewal
-from mothshunt.registry.state import News, TargetRegistry
+from mothshunt.registry.messages import (
+    RegistryPulse,
+    RegistryRequest,
+    RegistryRows,
+    Renewal,
+)
+from mothshunt.registry.state import KnownTarget, News, TargetRegistry
 
 _LOGGER = get_logger("registry")
 
@@ -22,30 +27,30 @@
 
     :param network: Streams of this instance.
     :param clock: Source of the present time.
+    :param renewal_interval_s: Time between two renewals of a target, in seconds.
     :param registry: What is known here.
     :param is_whole: Whether a control instance has told all that it knows.
     """
 
     network: PeerNetwork
     clock: Clock
+    renewal_interval_s: float
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     is_whole: bool = False
+    _asked_at: float = float("-inf")
+    _differs_since_by_peer: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[], None]] = field(default_factory=list)
+    _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
         """Begin to take what control instances tell."""
         self.network.on_message(RegistryRows, self._on_rows)
-        self.network.on_message(RegistryRefreshes, self.on_refreshes)
+        self.network.on_message(RegistryPulse, self.on_pulse)
+        self._task = start_background("registry-forget", self._async_forget)
 
-    def on_refreshes(self, peer: InstanceId, refreshes: RegistryRefreshes) -> None:
-        """Take renewals that changed nothing.
-
-        :param peer: Control instance that tells of them.
-        :param refreshes: The renewals.
-        """
-        now = self.clock.monotonic()
-        for target, incarnation, sequence, age_ms in refreshes.rows:
-            self.registry.refresh(target, incarnation, sequence, now - age_ms / 1000)
+    async def async_stop(self) -> None:
+        """End."""
+        await async_cancel(self._task)
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call a listener when anything but the time of hearing changed.
@@ -54,10 +59,32 @@
         """
         self._listeners.append(listener)
 
+    def on_pulse(self, peer: InstanceId, pulse: RegistryPulse) -> None:
+        """Take when each target was heard of; ask for all targets where they differ.
+
+        :param peer: Control instance that tells.
+        :param pulse: What it tells.
+        """
+        now = self.clock.monotonic()
+        if self.registry.take_pulse(pulse, now):
+            self.is_whole = True
+            self._differs_since_by_peer.pop(peer, None)
+            return
+        if not self.is_whole:
+            if now - self._asked_at >= const.FIRST_REQUEST_INTERVAL_S:
+                self._ask(peer, now)
+            return
+        differs_since = self._differs_since_by_peer.setdefault(peer, now)
+        if now - differs_since >= const.DIFFERS_FOR_S:
+            self._ask(peer, now)
+
+    def _ask(self, peer: InstanceId, now: float) -> None:
+        self._asked_at = now
+        self._differs_since_by_peer[peer] = now
+        self.network.post(peer, RegistryRequest())
+
     def _on_rows(self, peer: InstanceId, rows: RegistryRows) -> None:
-        changed = self.take_rows(rows)
-        self.is_whole = self.is_whole or rows.is_whole
-        if changed:
+        if self.take_rows(rows):
             self.tell()
 
     def take_rows(self, rows: RegistryRows) -> list[TargetId]:
@@ -66,12 +93,12 @@
         :param rows: What a control instance told.
         """
         now = self.clock.monotonic()
+        self.is_whole = self.is_whole or rows.is_whole
         changed = []
         for row in rows.rows:
-            heard_at = now - row.age_ms / 1000
-            if self.registry.take(row.renewal, heard_at) is News.CHANGE:
-                changed.append(row.renewal.target)
-                log_change(row.renewal)
+            if self.registry.take_row(row, now) is News.CHANGE:
+                changed.append(row[0])
+                log_change(self.registry.known_by_target.get(row[0]))
         return changed
 
     def tell(self) -> None:
@@ -79,18 +106,25 @@
         for listener in self._listeners:
             listener()
 
+    async def _async_forget(self) -> None:
+        while True:
+            await asyncio.sleep(const.FORGET_INTERVAL_S)
+            self.registry.forget_lost(self.clock.monotonic())
+
 
 @dataclass(slots=True, eq=False)
 class RegistryPublisher:
-    """Take renewals at a control instance and pass them on.
+    """Take renewals at a control instance and pass on what they change.
 
-    A renewal goes to all other instances. A change that another control instance tells
-    of goes on to the attached entries, as some may be cut off from its origin.
+    A change goes to the other control instances and to the entry instances that have
+    this one as a primary. All others find out by the pulses, which also tell that the
+    targets live.
 
     :param network: Streams of this instance.
     :param clock: Source of the present time.
     :param follower: What is known here, and what other control instances tell.
     :param entries: Returns the attached entry instances.
+    :param primary_entries: Returns those that are to be told of each change at once.
     :param control_peers: Returns the other control instances.
     """
 
@@ -98,58 +132,58 @@
     clock: Clock
     follower: RegistryFollower
     entries: Callable[[], Iterable[InstanceId]]
+    primary_entries: Callable[[], Iterable[InstanceId]]
     control_peers: Callable[[], Iterable[InstanceId]]
     _own: set[TargetId] = field(default_factory=set)
-    _refreshed: set[TargetId] = field(default_factory=set)
     _relayed: set[TargetId] = field(default_factory=set)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def async_start(self) -> None:
         """Begin to pass renewals on."""
+        await self.follower.async_start()
         self.network.on_message(RegistryRows, self._on_rows)
-        self.network.on_message(RegistryRefreshes, self.follower.on_refreshes)
+        self.network.on_message(RegistryRequest, self._on_request)
         self._tasks = [
             start_background("registry-flush", self._async_flush),
-            start_background("registry-repair", self._async_repair),
+            start_background("registry-pulse", self._async_pulse),
         ]
 
     async def async_stop(self) -> None:
         """End."""
         for task in self._tasks:
             await async_cancel(task)
+        await self.follower.async_stop()
 
     def renew(self, renewal: Renewal) -> News:
         """Take a renewal of a target.
 
         :param renewal: The renewal.
         """
-        now = self.clock.monotonic()
         registry = self.follower.registry
-        news = registry.take(renewal, now)
-        if news is News.NOTHING:
-            return news
-        known = registry.known_by_target.get(renewal.target)
-        if known is None:
-            return News.NOTHING
-        if news is News.CHANGE:
-            log_change(renewal)
-            self.follower.tell()
-        is_due = now - known.told_at >= const.REFRESH_INTERVAL_S
+        news = registry.take(renewal, self.clock.monotonic())
         if news is News.CHANGE:
+            log_change(registry.known_by_target.get(renewal.target))
             self._own.add(renewal.target)
-        elif is_due:
-            self._refreshed.add(renewal.target)
-        if news is News.CHANGE or is_due:
-            known.told_at = now
+            self.follower.tell()
         return news
 
     def welcome(self, instance: InstanceId) -> None:
-        """Tell an instance that has just attached of all targets.
+        """Tell an instance that has just attached which targets there are.
+
+        It asks for them unless it knows them by another control instance.
 
         :param instance: Name of the instance.
         """
+        self.network.post(instance, self._pulse())
+
+    def _pulse(self) -> RegistryPulse:
+        return self.follower.registry.pulse(
+            self.clock.monotonic(), self.follower.renewal_interval_s
+        )
+
+    def _on_request(self, peer: InstanceId, request: RegistryRequest) -> None:
         whole = self.follower.registry.whole(self.clock.monotonic())
-        self.network.post(instance, whole)
+        self.network.post(peer, whole)
 
     def _on_rows(self, peer: InstanceId, rows: RegistryRows) -> None:
         changed = self.follower.take_rows(rows)
@@ -164,35 +198,37 @@
 
     def _flush(self, now: float) -> None:
         registry = self.follower.registry
-        entries = list(self.entries())
         own, self._own = self._own, set()
         relayed, self._relayed = self._relayed - own, set()
-        refreshed, self._refreshed = self._refreshed - own, set()
-        if refreshed:
-            refreshes = registry.refreshes(refreshed, now)
-            self.network.post_all([*self.control_peers(), *entries], refreshes)
         if own:
             rows = RegistryRows(rows=registry.rows(own, now))
-            self.network.post_all([*self.control_peers(), *entries], rows)
-        if relayed:
-            rows = RegistryRows(rows=registry.rows(relayed, now))
-            self.network.post_all(entries, rows)
+            self.network.post_all(self.control_peers(), rows)
+        if own or relayed:
+            rows = RegistryRows(rows=registry.rows(own | relayed, now))
+            self.network.post_all(self.primary_entries(), rows)
 
-    async def _async_repair(self) -> None:
+    async def _async_pulse(self) -> None:
+        pulse_all_at = 0.0
         while True:
-            await asyncio.sleep(const.FULL_INTERVAL_S)
+            await asyncio.sleep(const.PULSE_INTERVAL_S)
             now = self.clock.monotonic()
-            self.follower.registry.forget_lost(now)
-            self.network.post_all(
-                self.control_peers(), self.follower.registry.whole(now)
-            )
+            pulse = self._pulse()
+            self.network.post_all(self.control_peers(), pulse)
+            if now < pulse_all_at:
+                self.network.post_all(self.primary_entries(), pulse)
+                continue
+            pulse_all_at = now + const.FULL_PULSE_INTERVAL_S
+            self.network.post_all(self.entries(), pulse)
 
 
-def log_change(renewal: Renewal) -> None:
+def log_change(known: KnownTarget | None) -> None:
     """Log what a renewal changed.
 
-    :param renewal: The renewal.
+    :param known: The target; ``None`` where another has its address by now.
     """
+    if known is None:
+        return
+    renewal = known.renewal
     _LOGGER.info(
         "target changed",
         target=renewal.target,
--- a/mothshunt/registry/messages.py
+++ b/mothshunt/registry/messages.py
@@ -56,29 +56,24 @@
     cold_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
 
 
-@message("registry.row")
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RegistryRow:
-    """Tell of the newest renewal of one target.
-
-    :param renewal: The renewal.
-    :param age_ms: Milliseconds since a control instance received it.
-    """
-
-    renewal: Renewal
-    age_ms: int
-
-
-@message("registry.refreshes")
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RegistryRefreshes:
-    """Tell of renewals that changed nothing, in a few bytes each.
-
-    :param rows: Target, incarnation, sequence, and milliseconds since a control
-        instance received the renewal.
-    """
-
-    rows: tuple[tuple[TargetId, Incarnation, int, int], ...]
+#: Renewal of a target as other instances are told of it: name, incarnation, sequence,
+#: service, host, port, region, availability zone, release, slots, state, milliseconds
+#: for which it stays cold, and milliseconds since a control instance heard of it.
+RegistryRow = tuple[
+    TargetId,
+    Incarnation,
+    int,
+    ServiceName,
+    str,
+    int,
+    RegionId,
+    AvailabilityZoneId,
+    str,
+    int,
+    RenewalState,
+    int,
+    int,
+]
 
 
 @message("registry.rows")
@@ -92,3 +87,26 @@
 
     rows: tuple[RegistryRow, ...]
     is_whole: bool = False
+
+
+@message("registry.request")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegistryRequest:
+    """Ask a control instance for all targets that it knows."""
+
+
+@message("registry.pulse")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegistryPulse:
+    """Tell when each target was heard of, in a byte for each.
+
+    :param digest: Digest of the targets and their incarnations, without those whose
+        age takes more than a byte.
+    :param unit_ms: Milliseconds that a unit of an age stands for.
+    :param ages: Age of each of these targets in such units, in the order of their
+        names.
+    """
+
+    digest: int
+    unit_ms: Annotated[int, Field(ge=1)]
+    ages: bytes
--- a/mothshunt/registry/state.py
+++ b/mothshunt/registry/state.py
@@ -1,17 +1,19 @@
 """Targets that are known at one instance, ordered by incarnation and sequence."""
 
+import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 
-from mothshunt.core.types import Incarnation, ServiceName, TargetId
+from mothshunt.core.types import ServiceName, TargetId
 from mothshunt.registry import const
 from mothshunt.registry.messages import (
-    RegistryRefreshes,
+    RegistryPulse,
     RegistryRow,
     RegistryRows,
     Renewal,
 )
+from mothshunt.util.hashing import hash_text
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -21,19 +23,15 @@
     """Hold what is known of a target.
 
     :param renewal: Its newest renewal.
-    :param heard_at: Time at which a control instance received it, in seconds.
-    :param first_heard_at: Time at which its incarnation was first heard of, in seconds.
-    :param told_at: Time at which it was last passed on, in seconds.
+    :param heard_at: Time at which a control instance last heard of it, in seconds.
+    :param cold_until: Time up to which it is cold, in seconds.
+    :param digest: Digest of its name and incarnation.
     """
 
     renewal: Renewal
     heard_at: float
-    first_heard_at: float
-    told_at: float = 0.0
-
-    def cold_until(self) -> float:
-        """Return the time up to which the target is cold, in seconds."""
-        return self.heard_at + self.renewal.cold_ms / MILLISECONDS_PER_SECOND
+    cold_until: float
+    digest: int
 
 
 class News(Enum):
@@ -61,71 +59,61 @@
     known_by_target: dict[TargetId, KnownTarget] = field(default_factory=dict)
     changes: int = 0
     newest_heard_at: float = 0.0
+    _sorted: list[KnownTarget] = field(default_factory=list)
+    _sorted_at_change: int = -1
 
     def take(self, renewal: Renewal, heard_at: float) -> News:
         """Take a renewal unless the one held is as new.
 
         :param renewal: The renewal.
-        :param heard_at: Time at which a control instance received it, in seconds.
+        :param heard_at: Time at which a control instance heard of the target, in
+            seconds; what the renewal says of being cold counts from then.
         """
+        cold_until = heard_at + renewal.cold_ms / MILLISECONDS_PER_SECOND
+        return self._take(renewal, heard_at, cold_until)
+
+    def take_row(self, row: RegistryRow, now: float) -> News:
+        """Take what a control instance tells of a target.
+
+        :param row: What it tells.
+        :param now: The present time, in seconds.
+        """
+        renewal, heard_at = read_row(row, now)
+        cold_until = now + renewal.cold_ms / MILLISECONDS_PER_SECOND
+        return self._take(renewal, heard_at, cold_until)
+
+    def _take(self, renewal: Renewal, heard_at: float, cold_until: float) -> News:
         held = self.known_by_target.get(renewal.target)
-        if held is not None and _order(renewal) <= _order(held.renewal):
-            return News.NOTHING
         if held is None and len(self.known_by_target) >= const.MAX_TARGETS:
             return News.NOTHING
-        self.newest_heard_at = max(self.newest_heard_at, heard_at)
-        is_same = held is not None and _identity(renewal) == _identity(held.renewal)
-        if held is not None and is_same:
+        if held is not None and _order(renewal) <= _order(held.renewal):
+            if renewal.incarnation == held.renewal.incarnation:
+                # Its content is older, but it was heard of as well.
+                self._hear(held, heard_at)
+            return News.NOTHING
+        if held is not None and _identity(renewal) == _identity(held.renewal):
             held.renewal = renewal
-            held.heard_at = heard_at
+            held.cold_until = cold_until
+            self._hear(held, heard_at)
             return News.REFRESH
-        first_heard_at = heard_at
-        if held is not None and held.renewal.incarnation == renewal.incarnation:
-            first_heard_at = held.first_heard_at
-        self.known_by_target[renewal.target] = KnownTarget(
-            renewal=renewal, heard_at=heard_at, first_heard_at=first_heard_at
+        if held is not None and renewal.incarnation == held.renewal.incarnation:
+            heard_at = max(heard_at, held.heard_at)
+        known = KnownTarget(
+            renewal=renewal,
+            heard_at=heard_at,
+            cold_until=cold_until,
+            digest=_digest(renewal),
         )
+        self.known_by_target[renewal.target] = known
+        self.newest_heard_at = max(self.newest_heard_at, heard_at)
         self._drop_replaced(renewal)
         self.changes += 1
         return News.CHANGE
 
-    def refresh(
-        self, target: TargetId, incarnation: Incarnation, sequence: int, heard_at: float
-    ) -> None:
-        """Take a renewal that changed nothing at the instance that received it.
-
-        :param target: Name of the target.
-        :param incarnation: Its incarnation.
-        :param sequence: Number of the renewal.
-        :param heard_at: Time at which a control instance received it, in seconds.
-        """
-        held = self.known_by_target.get(target)
-        if held is None or held.renewal.incarnation != incarnation:
-            return
-        if sequence <= held.renewal.sequence:
-            return
-        held.renewal = replace(held.renewal, sequence=sequence)
-        held.heard_at = heard_at
+    def _hear(self, known: KnownTarget, heard_at: float) -> None:
+        known.heard_at = max(known.heard_at, heard_at)
         self.newest_heard_at = max(self.newest_heard_at, heard_at)
 
-    def refreshes(self, targets: Iterable[TargetId], now: float) -> RegistryRefreshes:
-        """Return the newest renewals of targets, without what they say.
-
-        :param targets: Names of the targets; those not known are passed over.
-        :param now: The present time, in seconds.
-        """
-        return RegistryRefreshes(
-            rows=tuple(
-                (
-                    row.renewal.target,
-                    row.renewal.incarnation,
-                    row.renewal.sequence,
-                    row.age_ms,
-                )
-                for row in self.rows(targets, now)
-            )
-        )
-
     def _drop_replaced(self, renewal: Renewal) -> None:
         """Drop a target whose address a later one has taken over, or this one.
 
@@ -139,6 +127,50 @@
             older = min(renewal, other, key=_order)
             del self.known_by_target[older.target]
 
+    def pulse(self, now: float, renewal_interval_s: float) -> RegistryPulse:
+        """Return when each target was heard of.
+
+        :param now: The present time, in seconds.
+        :param renewal_interval_s: Time between two renewals of a target, in seconds.
+        """
+        unit_ms = _unit_ms(renewal_interval_s)
+        ages = bytearray()
+        digest = 0
+        for known in self._by_name():
+            units = _units(known, now, unit_ms)
+            if units <= const.MAX_UNITS:
+                ages.append(units)
+                digest ^= known.digest
+        return RegistryPulse(digest=digest, unit_ms=unit_ms, ages=bytes(ages))
+
+    def take_pulse(self, pulse: RegistryPulse, now: float) -> bool:
+        """Take when each target was heard of, if the sender knows the same targets.
+
+        :param pulse: What a control instance tells.
+        :param now: The present time, in seconds.
+        :return: Whether it knows the same.
+        """
+        present = [
+            known
+            for known in self._by_name()
+            if _units(known, now, pulse.unit_ms) <= const.MAX_UNITS
+        ]
+        digest = 0
+        for known in present:
+            digest ^= known.digest
+        if digest != pulse.digest or len(present) != len(pulse.ages):
+            return False
+        unit_s = pulse.unit_ms / MILLISECONDS_PER_SECOND
+        for known, units in zip(present, pulse.ages, strict=True):
+            self._hear(known, now - units * unit_s)
+        return True
+
+    def _by_name(self) -> list[KnownTarget]:
+        if self._sorted_at_change != self.changes:
+            self._sorted = [known for _, known in sorted(self.known_by_target.items())]
+            self._sorted_at_change = self.changes
+        return self._sorted
+
     def forget_lost(self, now: float) -> None:
         """Forget targets that were not heard of for long, while others were.
 
@@ -175,14 +207,7 @@
         :param now: The present time, in seconds.
         """
         found = (self.known_by_target.get(target) for target in targets)
-        return tuple(
-            RegistryRow(
-                renewal=known.renewal,
-                age_ms=max(0, int((now - known.heard_at) * MILLISECONDS_PER_SECOND)),
-            )
-            for known in found
-            if known is not None
-        )
+        return tuple(_row(known, now) for known in found if known is not None)
 
     def whole(self, now: float) -> RegistryRows:
         """Return all that is known.
@@ -192,6 +217,65 @@
         return RegistryRows(rows=self.rows(self.known_by_target, now), is_whole=True)
 
 
+def _unit_ms(renewal_interval_s: float) -> int:
+    interval_ms = renewal_interval_s * MILLISECONDS_PER_SECOND
+    return max(1, round(interval_ms / const.UNITS_PER_INTERVAL))
+
+
+def _units(known: KnownTarget, now: float, unit_ms: int) -> int:
+    """Return the age of a target, rounded up: it is never taken for younger."""
+    age_ms = max(0.0, now - known.heard_at) * MILLISECONDS_PER_SECOND
+    return math.ceil(age_ms / unit_ms)
+
+
+def _row(known: KnownTarget, now: float) -> RegistryRow:
+    renewal = known.renewal
+    return (
+        renewal.target,
+        renewal.incarnation,
+        renewal.sequence,
+        renewal.service,
+        renewal.host,
+        renewal.port,
+        renewal.region,
+        renewal.availability_zone,
+        renewal.release,
+        renewal.slots,
+        renewal.state,
+        math.ceil(max(0.0, known.cold_until - now) * MILLISECONDS_PER_SECOND),
+        max(0, int((now - known.heard_at) * MILLISECONDS_PER_SECOND)),
+    )
+
+
+def read_row(row: RegistryRow, now: float) -> tuple[Renewal, float]:
+    """Return a renewal, and the time at which it was heard of, in seconds.
+
+    :param row: What a control instance tells.
+    :param now: The present time, in seconds.
+    """
+    target, incarnation, sequence, service, host, port = row[:6]
+    region, zone, release, slots, state, cold_ms, age_ms = row[6:]
+    renewal = Renewal(
+        target=target,
+        incarnation=incarnation,
+        sequence=sequence,
+        service=service,
+        host=host,
+        port=port,
+        region=region,
+        availability_zone=zone,
+        release=release,
+        slots=slots,
+        state=state,
+        cold_ms=cold_ms,
+    )
+    return renewal, now - age_ms / MILLISECONDS_PER_SECOND
+
+
+def _digest(renewal: Renewal) -> int:
+    return hash_text(f"{renewal.target} {renewal.incarnation}")
+
+
 def _order(renewal: Renewal) -> tuple[int, int]:
     return (renewal.incarnation, renewal.sequence)
 
--- /dev/null
+++ b/tests/membership/roster.feature
@@ -0,0 +1,74 @@
+Feature: Entry instances know how many of them may be sending
+
+  Limits that hold for all entry instances together are divided by their number, so none
+  may be left out that still sends.
+
+  Pattern: dozens of entry instances behind thin links that come and go all at once.
+
+  Scenario: What control instances tell is united
+    Given a roster view of entry "e1"
+    When control "c1" tells it of entries "e1, e2" at 0 s
+    And control "c2" tells it of entries "e2, e3" at 0 s
+    Then the view counts 3 entries
+    And 3 of them run in zone "north-a"
+
+  Scenario: An entry that is gone still counts for the longest window of a limit
+    Given a roster view of entry "e1"
+    When control "c1" tells it of entries "e1, e2" at 0 s
+    And control "c1" tells it that entry "e2" is gone at 1 s
+    And control "c1" confirms its entries at 9.5 s
+    Then the view counts 2 entries
+    When control "c1" confirms its entries at 11.5 s
+    Then the view counts 1 entries
+
+  Scenario: Entries count on while pulses confirm them
+    Given a roster view of entry "e1"
+    When control "c1" tells it of entries "e1, e2" at 0 s
+    And control "c1" confirms its entries at 5 s
+    And control "c1" confirms its entries at 14 s
+    Then the view counts 2 entries
+
+  Scenario: A roster that differs for long is asked for
+    Given a roster view of entry "e1"
+    When control "c1" tells it of entries "e1, e2" at 0 s
+    Then a pulse of control "c1" about entries "e1, e2, e3" at 1 s asks for nothing
+    And a pulse of control "c1" about entries "e1, e2, e3" at 1.5 s asks for nothing
+    And a pulse of control "c1" about entries "e1, e2, e3" at 2 s asks for all
+    When control "c1" tells it of all entries "e1, e2, e3" at 2.1 s
+    Then the view counts 3 entries
+    And a pulse of control "c1" about entries "e1, e2, e3" at 3 s asks for nothing
+
+  Scenario: Demand is summed by zone, and the most that any control instance tells counts
+    Given a roster view of entry "e1"
+    And a roster table
+    When entry "e1" of zone "north-a" reports a demand of 10 at 0 s
+    And entry "e2" of zone "north-a" reports a demand of 5 at 0 s
+    And entry "e3" of zone "south-a" reports a demand of 7 at 0 s
+    And control "c1" tells the view of the table's demand at 0 s
+    Then the view's demand is 15 in "north-a" and 7 in "south-a"
+    When control "c2" tells of a demand of 3 in "south-a" at 0 s
+    Then the view's demand is 15 in "north-a" and 7 in "south-a"
+
+  Scenario: Whoever comes and goes, shares that are handed out never exceed the whole
+    Then for any arrivals, leaves and cuts the shares of those that were told add up
+
+  Scenario: Dozens of entries take little of a thin link
+    Given a roster table of 60 entries that all report a demand of 4 services
+    Then its pulses to an entry take less than 1250 bytes a second
+    And the arrival of one entry takes less than 150 bytes at each other
+
+  Scenario Outline: The nearest control instances tell of each change at once
+    Given control instances "north-a, north-b, centre-a, south-a" that are attached
+    When an entry of zone "<zone>" chooses its primaries
+    Then they are <count> and one is that of "<nearest>"
+
+    Examples:
+      | zone     | count | nearest  |
+      | north-a  | 2     | north-a  |
+      | north-b  | 2     | north-b  |
+      | south-a  | 2     | south-a  |
+
+  Scenario: Entries without a near control instance spread over all
+    Given control instances "north-a, north-b, centre-a, south-a" that are attached
+    When 60 entries of zone "west-a" choose their primaries
+    Then each control instance is a primary of 15 or more of them
--- /dev/null
+++ b/tests/steps/membership_roster.py
@@ -0,0 +1,238 @@
+"""Steps for the roster of entry instances."""
+
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from mothshunt.core.types import InstanceState
+from mothshunt.helpers.peer import frame
+from mothshunt.helpers.peer.frame import Frame, FrameKind
+from mothshunt.membership.primaries import Place, choose_primaries
+from mothshunt.membership.roster import (
+    EntryLoad,
+    EntryReport,
+    RosterPulse,
+    RosterRows,
+    RosterTable,
+    RosterView,
+    roster_digest,
+)
+
+SERVICE = "inventory-1"
+
+
+def report(name, zone="north-a") -> EntryReport:
+    return EntryReport(
+        instance=name,
+        region=zone.rpartition("-")[0],
+        availability_zone=zone,
+        host="10.0.0.1",
+        port=8641,
+        state=InstanceState.READY,
+    )
+
+
+def rows(names):
+    return tuple(report(name).row for name in names.split(", "))
+
+
+@given('a roster view of entry "{name}"')
+def view(context, name):
+    context.view = RosterView(report(name))
+
+
+@when('control "{control}" tells it of entries "{names}" at {now:g} s')
+def told(context, control, names, now):
+    context.view.take_rows(control, RosterRows(rows=rows(names)), now)
+
+
+@when('control "{control}" tells it of all entries "{names}" at {now:g} s')
+def told_all(context, control, names, now):
+    whole = RosterRows(rows=rows(names), is_whole=True)
+    context.view.take_rows(control, whole, now)
+
+
+@when('control "{control}" tells it that entry "{name}" is gone at {now:g} s')
+def told_gone(context, control, name, now):
+    context.view.take_rows(control, RosterRows(rows=(), gone=(name,)), now)
+
+
+@when('control "{control}" confirms its entries at {now:g} s')
+def confirms(context, control, now):
+    held = context.view._roster_by_control[control].row_by_id.values()
+    pulse = RosterPulse(digest=roster_digest(held))
+    assert not context.view.take_pulse(control, pulse, now)
+
+
+@then("the view counts {count:d} entries")
+def counts(context, count):
+    assert context.view.count() == count, context.view.rows()
+
+
+@then('{count:d} of them run in zone "{zone}"')
+def counts_in_zone(context, count, zone):
+    assert context.view.count_in_zone(zone) == count, context.view.rows()
+
+
+@then(
+    'a pulse of control "{control}" about entries "{names}" at {now:g} s '
+    "asks for {what}"
+)
+def pulse_asks(context, control, names, now, what):
+    pulse = RosterPulse(digest=roster_digest(rows(names)))
+    assert context.view.take_pulse(control, pulse, now) == (what == "all")
+
+
+@given("a roster table")
+def table(context):
+    context.roster_table = RosterTable()
+
+
+@when('entry "{name}" of zone "{zone}" reports a demand of {per_s:g} at {now:g} s')
+def reports_demand(context, name, zone, per_s, now):
+    context.roster_table.report(report(name, zone), now)
+    context.roster_table.take_load(name, EntryLoad(demand=((SERVICE, per_s),)), now)
+
+
+@when('control "{control}" tells the view of the table\'s demand at {now:g} s')
+def tells_demand(context, control, now):
+    pulse = RosterPulse(digest=0, demand=context.roster_table.demand())
+    context.view.take_pulse(control, pulse, now)
+
+
+@when('control "{control}" tells of a demand of {per_s:g} in "{zone}" at {now:g} s')
+def tells_single_demand(context, control, per_s, zone, now):
+    pulse = RosterPulse(digest=0, demand=((SERVICE, ((zone, round(10 * per_s)),)),))
+    context.view.take_pulse(control, pulse, now)
+
+
+@then('the view\'s demand is {one:g} in "{zone}" and {other:g} in "{other_zone}"')
+def demand_is(context, one, zone, other, other_zone):
+    assert context.view.demand({}) == {SERVICE: {zone: one, other_zone: other}}
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "stop", "cut", "join", "pulse", "wait"]),
+        st.integers(0, 5),
+        st.integers(0, 2),
+    ),
+    min_size=1,
+    max_size=50,
+)
+
+
+@then("for any arrivals, leaves and cuts the shares of those that were told add up")
+def shares_add_up(context):
+    """Each entry that sends takes one part of as many as it counts.
+
+    An entry sends only while a control instance has told it of the others, and a new
+    one is told of before it sends. Cut off from all, it counts those it was told of.
+    """
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @property_given(EVENTS)
+    def check(events):
+        now = 0.0
+        tables = [RosterTable() for _ in range(3)]
+        views, cut = {}, set()
+        for verb, number, control in events:
+            name = f"e{number}"
+            now += 0.1
+            if verb == "start" and name not in views:
+                views[name] = RosterView(report(name))
+                cut -= {(name, c) for c in range(3)}
+            elif verb == "stop" and name in views:
+                del views[name]
+                for table_ in tables:
+                    table_.detach(name, now)
+            elif verb == "cut":
+                cut.add((name, control))
+                tables[control].detach(name, now)
+            elif verb == "join":
+                cut.discard((name, control))
+            elif verb == "wait":
+                now += 3.0
+            exchange(tables, views, cut, now, with_pulse=verb in {"pulse", "wait"})
+            # Those that see a common control instance know of each other.
+            for c in range(3):
+                near = [v for n, v in views.items() if (n, c) not in cut]
+                parts = sum(1 / v.count() for v in near)
+                assert parts <= 1 + 1e-9, (events, parts)
+
+    def exchange(tables, views, cut, now, *, with_pulse):
+        for c, table_ in enumerate(tables):
+            gone = tuple(table_.expire(now))
+            for name, view_ in views.items():
+                if (name, c) not in cut:
+                    table_.report(view_.own, now)
+            told = RosterRows(rows=table_.rows(), gone=gone)
+            pulse = RosterPulse(digest=roster_digest(table_.rows()))
+            for name, view_ in views.items():
+                if (name, c) in cut:
+                    continue
+                view_.take_rows(f"c{c}", told, now)
+                if with_pulse and view_.take_pulse(f"c{c}", pulse, now):
+                    whole = RosterRows(rows=table_.rows(), is_whole=True)
+                    view_.take_rows(f"c{c}", whole, now)
+
+    check()
+
+
+@given("a roster table of {count:d} entries that all report a demand of 4 services")
+def big_table(context, count):
+    context.roster_table = RosterTable()
+    zones = ("north-a", "north-b", "centre-a", "centre-b", "south-a", "south-b")
+    for number in range(count):
+        name = f"10.1.{number}.15"
+        context.roster_table.report(report(name, zones[number % len(zones)]), 0.0)
+        demand = tuple((f"service-{i}", 12.34) for i in range(4))
+        context.roster_table.take_load(name, EntryLoad(demand=demand), 0.0)
+
+
+def size(message):
+    return len(frame.encode(Frame(FrameKind.MESSAGE, 0, message)))
+
+
+@then("the arrival of one entry takes less than {limit:d} bytes at each other")
+def arrival_bytes(context, limit):
+    assert size(RosterRows(rows=context.roster_table.rows()[:1])) < limit
+
+
+@given('control instances "{zones}" that are attached')
+def controls(context, zones):
+    context.place_by_id = {
+        f"c-{zone}": Place(region=zone.rpartition("-")[0], availability_zone=zone)
+        for zone in zones.split(", ")
+    }
+
+
+@when('an entry of zone "{zone}" chooses its primaries')
+def chooses(context, zone):
+    own = Place(region=zone.rpartition("-")[0], availability_zone=zone)
+    context.primaries = choose_primaries(
+        context.place_by_id, context.place_by_id, "e1", own
+    )
+
+
+@then('they are {count:d} and one is that of "{zone}"')
+def chosen(context, count, zone):
+    assert len(context.primaries) == count, context.primaries
+    assert f"c-{zone}" in context.primaries, context.primaries
+
+
+@when('{count:d} entries of zone "{zone}" choose their primaries')
+def many_choose(context, count, zone):
+    own = Place(region=zone.rpartition("-")[0], availability_zone=zone)
+    context.chosen = [
+        choose_primaries(context.place_by_id, context.place_by_id, f"e{n}", own)
+        for n in range(count)
+    ]
+
+
+@then("each control instance is a primary of {least:d} or more of them")
+def spread(context, least):
+    for control in context.place_by_id:
+        count = sum(control in primaries for primaries in context.chosen)
+        assert count >= least, (control, count)
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -102,8 +102,9 @@
         publisher = RegistryPublisher(
             network=RecordingNetwork(),
             clock=self.clock,
-            follower=RegistryFollower(RecordingNetwork(), self.clock),
+            follower=RegistryFollower(RecordingNetwork(), self.clock, 1.5),
             entries=lambda: (),
+            primary_entries=lambda: (),
             control_peers=lambda: (),
         )
         targets = TargetHandlers(
