Find a leader and readiness sooner after a common start

Entries were ready 0.64 s after the leader: each had asked one control instance for the confirmed revision and waited a second for it before asking another.

Changes of the configuration are told by the primaries; the other control instances tell beats, and who lacks something asks for it. The line of a failed attempt has what the target reported.

--- a/mothshunt/configuration/delivery.py
+++ b/mothshunt/configuration/delivery.py
@@ -14,6 +14,22 @@
 
     :param revision: Revision that the subscriber holds.
     :param is_whole: Whether all items are wanted, as the subscriber's differ.
+    :param wants_changes: Whether each change is to be told at once; otherwise only the
+        beats are, and the subscriber asks for what they show that it lacks.
+    """
+
+    revision: Revision
+    is_whole: bool = False
+    wants_changes: bool = True
+
+
+@message("configuration.delta_request")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DeltaRequest:
+    """Ask a control instance once for all changes after a revision.
+
+    :param revision: Revision that the sender holds.
+    :param is_whole: Whether all items are wanted, as the sender's differ.
     """
 
     revision: Revision
--- a/mothshunt/configuration/follower.py
+++ b/mothshunt/configuration/follower.py
@@ -11,6 +11,7 @@
     ConfirmedRevision,
     ConfirmedRevisionRequest,
     Delta,
+    DeltaRequest,
     Subscribe,
 )
 from mothshunt.configuration.holder import ConfigurationHolder
@@ -47,12 +48,17 @@
     async def async_stop(self) -> None:
         """End; nothing is kept."""
 
-    def subscribe(self, hub: InstanceId) -> None:
+    def subscribe(self, hub: InstanceId, *, wants_changes: bool = True) -> None:
         """Ask a control instance for deliveries.
 
         :param hub: Name of the control instance.
+        :param wants_changes: Whether it is to tell of each change at once; otherwise
+            its beats show what is to be asked for.
         """
-        self.network.post(hub, Subscribe(revision=self.mirror.store.revision))
+        revision = self.mirror.store.revision
+        self.network.post(
+            hub, Subscribe(revision=revision, wants_changes=wants_changes)
+        )
 
     def _on_delta(self, peer: InstanceId, delta: Delta) -> None:
         held = self.mirror.store.revision
@@ -75,7 +81,7 @@
         self._asked_at = now
         revision = self.mirror.store.revision
         is_whole = need is MirrorNeed.WHOLE
-        self.network.post(hub, Subscribe(revision=revision, is_whole=is_whole))
+        self.network.post(hub, DeltaRequest(revision=revision, is_whole=is_whole))
 
     def confirmed_age_s(self, now: float) -> float:
         """Return the time since a majority confirmed what this copy follows.
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -12,6 +12,7 @@
     ConfirmedRevision,
     ConfirmedRevisionRequest,
     Delta,
+    DeltaRequest,
     Subscribe,
 )
 from mothshunt.configuration.holder import ConfigurationHolder
@@ -45,7 +46,10 @@
     clock: Clock
     #: Items that are delivered; operators stay at the control instances.
     delivered: ItemStore = field(default_factory=ItemStore)
+    #: Those that are told of each change at once.
     revision_by_subscriber: dict[InstanceId, Revision] = field(default_factory=dict)
+    #: All that are told beats.
+    subscribers: set[InstanceId] = field(default_factory=set)
     confirmed_at: float | None = None
     _task: asyncio.Task[None] | None = None
 
@@ -53,6 +57,7 @@
         """Begin to deliver."""
         self.log.on_applied(self._on_applied)
         self.network.on_message(Subscribe, self._on_subscribe)
+        self.network.on_message(DeltaRequest, self._on_request)
         self.network.on_request(ConfirmedRevisionRequest, self._async_confirm)
         self._task = start_background("configuration-beat", self._async_beat)
 
@@ -75,6 +80,7 @@
         :param subscriber: Name of the instance.
         """
         self.revision_by_subscriber.pop(subscriber, None)
+        self.subscribers.discard(subscriber)
 
     def _on_applied(self, index: LogIndex) -> None:
         if self.state.store.revision == self.delivered.revision:
@@ -89,10 +95,20 @@
         self._push_all()
 
     def _on_subscribe(self, peer: InstanceId, message: Subscribe) -> None:
+        self.subscribers.add(peer)
+        if not message.wants_changes:
+            self.revision_by_subscriber.pop(peer, None)
+            self.network.post(peer, self._beat())
+            return
         self.revision_by_subscriber[peer] = self.delivered.revision
-        since = NO_REVISION if message.is_whole else message.revision
-        delta = self._delta(since, is_whole=message.is_whole)
-        self.network.post(peer, delta)
+        self._send(peer, message.revision, is_whole=message.is_whole)
+
+    def _on_request(self, peer: InstanceId, message: DeltaRequest) -> None:
+        self._send(peer, message.revision, is_whole=message.is_whole)
+
+    def _send(self, peer: InstanceId, since: Revision, *, is_whole: bool) -> None:
+        since = NO_REVISION if is_whole else since
+        self.network.post(peer, self._delta(since, is_whole=is_whole))
 
     def _push_all(self) -> None:
         """Send each subscriber what it lacks; the same delta is made only once.
@@ -131,10 +147,12 @@
             result = await self.log.async_read_barrier(const.CONFIRM_TIMEOUT_S)
             if result.is_ok():
                 self.confirmed_at = asked_at
-            beat = Beat(
-                revision=self.delivered.revision,
-                digest=self.delivered.digest,
-                confirmed_age_ms=self.confirmed_age_ms(self.clock.monotonic()),
-            )
-            self.network.post_all(self.revision_by_subscriber, beat)
+            self.network.post_all(self.subscribers, self._beat())
             await asyncio.sleep(const.BEAT_INTERVAL_S * random.uniform(0.8, 1.2))
+
+    def _beat(self) -> Beat:
+        return Beat(
+            revision=self.delivered.revision,
+            digest=self.delivered.digest,
+            confirmed_age_ms=self.confirmed_age_ms(self.clock.monotonic()),
+        )
--- a/mothshunt/consensus/election.py
+++ b/mothshunt/consensus/election.py
@@ -48,8 +48,7 @@
     """
     # A pre-vote raises no term, so one without an answer may be repeated soon: streams
     # that had gone silent come back at any moment.
-    wait_s = state.config.election_min_s * state.random.uniform(0.4, 0.8)
-    state.election_due = now + wait_s
+    _retry_soon(state, now)
     state.leader = None
     if not state.may_campaign:
         return
@@ -68,7 +67,8 @@
     :param now: Monotonic time, in seconds.
     :param transfer: Whether the leader itself asked for it.
     """
-    state.reset_election(now)
+    state.lost_rounds += 1
+    _retry_soon(state, now)
     state.role = NodeRole.CANDIDATE
     state.leader = None
     state.term = Term(state.term + 1)
@@ -80,6 +80,17 @@
     _ask_for_votes(state, state.term, pre_vote=False, transfer=transfer)
 
 
+def _retry_soon(state: NodeState, now: float) -> None:
+    """Put the next round off for little; twice as long after each that elected nobody.
+
+    Candidates that stood at the same time split the votes. Where disks or links are too
+    slow for a round, later rounds give them the time.
+    """
+    wait_s = state.random.uniform(const.LOST_MIN_S, const.LOST_MAX_S)
+    wait_s *= 2**state.lost_rounds
+    state.election_due = now + min(wait_s, state.config.election_max_s)
+
+
 def _ask_for_votes(
     state: NodeState, term: Term, *, pre_vote: bool, transfer: bool = False
 ) -> None:
--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -142,6 +142,7 @@
             election.become_follower(state, message.term, peer, now)
         state.role = NodeRole.FOLLOWER
         state.leader_heard_at = now
+        state.lost_rounds = 0
         state.reset_election(now)
         if isinstance(message, Append):
             replication.on_append(state, peer, message, now)
@@ -202,6 +203,7 @@
     def _lead(self, now: float) -> None:
         state = self.state
         state.role = NodeRole.LEADER
+        state.lost_rounds = 0
         state.leader = state.id
         state.votes.clear()
         first_index = LogIndex(state.log.last_index + 1)
--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -190,6 +190,7 @@
     :param memberships: Memberships set by the snapshot and the entries after it.
     :param election_due: Monotonic time at which an election starts, in seconds.
     :param leader_heard_at: Monotonic time at which a leader was last heard.
+    :param lost_rounds: Elections of this node since then that it has not won.
     :param write_number: Number of the last write asked for.
     :param hard_state_write: Number of the last write of term and vote.
     :param synced_write: Number up to which all writes are synced.
@@ -210,6 +211,7 @@
     commit_index: LogIndex = NO_INDEX
     election_due: float = 0.0
     leader_heard_at: float = 0.0
+    lost_rounds: int = 0
     write_number: WriteNumber = NO_WRITE
     hard_state_write: WriteNumber = NO_WRITE
     synced_write: WriteNumber = NO_WRITE
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -13,7 +13,7 @@
 from mothshunt.consensus.model import ReplicatedLog
 from mothshunt.core.clock import Clock, SystemClock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import InstanceState, Role
+from mothshunt.core.types import InstanceId, InstanceState, Role
 from mothshunt.forwarding.model import EntryInterface
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
@@ -70,6 +70,7 @@
     is_ready: bool = False
     fatal: Failure | None = None
     _fatal_listeners: list[Callable[[], None]] = field(default_factory=list)
+    _told_primaries: frozenset[InstanceId] = frozenset()
     _reporting: asyncio.Task[None] | None = None
 
     @classmethod
@@ -174,7 +175,8 @@
         await self.admin.async_start()
         if self.follower is not None:
             await self.follower.async_start()
-            self.attachments.on_attach(self.follower.subscribe)
+            self.attachments.on_attach(self._subscribe)
+            self.attachments.on_primaries(self._follow_primaries)
         if self.control is not None:
             self.control.log.on_fatal(self._on_fatal)
             await self.control.async_start()
@@ -197,6 +199,16 @@
         gc.freeze()
         _LOGGER.info("ready", revision=self.holder.current().revision)
 
+    def _subscribe(self, control: InstanceId) -> None:
+        if self.follower is not None:
+            is_primary = control in self.attachments.primaries
+            self.follower.subscribe(control, wants_changes=is_primary)
+
+    def _follow_primaries(self, primaries: frozenset[InstanceId]) -> None:
+        before, self._told_primaries = self._told_primaries, primaries
+        for control in before ^ primaries:
+            self._subscribe(control)
+
     async def _async_wait_until_current(self) -> None:
         if self.entry is None:
             return
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -37,6 +37,7 @@
     AttemptOutcome,
     Choice,
     PlacementRequest,
+    ReportedLoad,
 )
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
@@ -187,7 +188,14 @@
             if result.answer is None and result.failure is not None:
                 last = result.failure
                 took_s = self._clock.monotonic() - choice.sent_at
-                self._decide("attempt failed", call, result.failure, took_s, choice)
+                self._decide(
+                    "attempt failed",
+                    call,
+                    result.failure,
+                    took_s,
+                    choice,
+                    result.reported,
+                )
                 if not self._may_retry(call, progress):
                     return _final(last, progress)
 
@@ -286,6 +294,7 @@
         failure: Failure,
         took_s: float,
         choice: Choice | None = None,
+        reported: ReportedLoad | None = None,
     ) -> None:
         asked = call.request
         self._decisions.line(
@@ -308,6 +317,7 @@
             renewal_age_ms=(
                 None if choice is None else round(choice.renewal_age_s * 1000)
             ),
+            reported=None if reported is None else reported.text(),
         )
 
 
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -31,14 +31,18 @@
     :param clock: Source of the present time.
     :param seeds: Control instances of the settings; dialled in any case.
     :param place: Where this instance runs.
+    :param primaries: Control instances that are to tell of each change at once.
     """
 
     network: StreamNetwork
     clock: Clock
     seeds: tuple[ControlPeer, ...]
     place: Place
+    primaries: frozenset[InstanceId] = frozenset()
     _place_by_id: dict[InstanceId, Place] = field(default_factory=dict)
-    _detach_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
+    _primaries_listeners: list[Callable[[frozenset[InstanceId]], None]] = field(
+        default_factory=list
+    )
     _peer_by_id: dict[InstanceId, ControlPeer] = field(default_factory=dict)
     _named_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
@@ -83,12 +87,12 @@
         """
         self._listeners.append(listener)
 
-    def on_detach(self, listener: Callable[[InstanceId], None]) -> None:
-        """Call a listener each time the last stream to a control instance closed.
+    def on_primaries(self, listener: Callable[[frozenset[InstanceId]], None]) -> None:
+        """Call a listener when other control instances are to tell of each change.
 
-        :param listener: Called in the event loop with the control instance's name.
+        :param listener: Called in the event loop with the names of the primaries.
         """
-        self._detach_listeners.append(listener)
+        self._primaries_listeners.append(listener)
 
     def note_place(self, control: InstanceId, place: Place) -> None:
         """Take where a control instance runs.
@@ -97,12 +101,17 @@
         :param place: Where it runs.
         """
         self._place_by_id[control] = place
+        self._choose_primaries()
 
-    def primaries(self) -> frozenset[InstanceId]:
-        """Return the control instances that are to tell of each change at once."""
+    def _choose_primaries(self) -> None:
         own_id = self.network.own_id
         others = (control for control in self.attached() if control != own_id)
-        return choose_primaries(others, self._place_by_id, own_id, self.place)
+        chosen = choose_primaries(others, self._place_by_id, own_id, self.place)
+        if chosen == self.primaries:
+            return
+        self.primaries = chosen
+        for listener in self._primaries_listeners:
+            listener(chosen)
 
     def attached(self) -> list[InstanceId]:
         """Return the control instances that a stream leads to, this one first."""
@@ -118,33 +127,40 @@
     async def async_ask(
         self, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
-        """Ask control instances in turn until one answers; see ``ControlConnection``.
+        """Ask all control instances until one answers; see ``ControlConnection``.
 
-        Only for requests that may be handled twice.
+        Only for requests that may be handled twice. One that can't answer yet, as it
+        knows of no leader, keeps nobody from the answer of another.
         """
         deadline = self.clock.monotonic() + timeout_s
         failure = Failure(code=peer_codes.NOT_CONNECTED, detail="control")
-        while self.clock.monotonic() < deadline:
-            for peer in self.attached():
-                left_s = deadline - self.clock.monotonic()
-                answer = await self.network.async_request(
-                    peer, message, max(0.0, min(left_s, const.ASK_ATTEMPT_S))
-                )
-                if answer.is_ok():
-                    return answer
-                failure = answer.error
-            await asyncio.sleep(const.ASK_POLL_S)
+        asked: dict[InstanceId, asyncio.Task[Result[Any, Failure]]] = {}
+        try:
+            while (left_s := deadline - self.clock.monotonic()) > 0:
+                for peer in self.attached():
+                    if peer not in asked:
+                        request = self.network.async_request(peer, message, left_s)
+                        asked[peer] = asyncio.create_task(request)
+                await asyncio.sleep(const.ASK_POLL_S)
+                for peer in [p for p, task in asked.items() if task.done()]:
+                    answer = asked.pop(peer).result()
+                    if answer.is_ok():
+                        return answer
+                    failure = answer.error
+        finally:
+            for task in asked.values():
+                task.cancel()
         return Error(failure)
 
     def _on_connect(self, peer: InstanceId) -> None:
         if peer not in self._peer_by_id:
             return
         _LOGGER.info("attached", control=peer)
+        self._choose_primaries()
         for listener in self._listeners:
             listener(peer)
 
     def _on_disconnect(self, peer: InstanceId) -> None:
         if peer in self._peer_by_id:
             _LOGGER.warning("detached", control=peer)
-            for listener in self._detach_listeners:
-                listener(peer)
+            self._choose_primaries()
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -180,7 +180,7 @@
     revision: Callable[[], int]
     in_flight: Callable[[], int]
     local: RosterHub | None = None
-    _primaries: frozenset[InstanceId] = frozenset()
+    _told_primaries: frozenset[InstanceId] = frozenset()
     _demand: Mapping[ServiceName, float] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
@@ -189,8 +189,8 @@
         self.network.on_message(RosterRows, self._on_rows)
         self.network.on_message(RosterPulse, self._on_pulse)
         self.network.on_message(ControlList, self._on_control_list)
-        self.attachments.on_attach(self._on_attach)
-        self.attachments.on_detach(lambda _: self._follow_primaries())
+        self.attachments.on_attach(self._report_to)
+        self.attachments.on_primaries(self._follow_primaries)
         self._task = start_background("entry-report", self._async_run)
 
     async def async_stop(self) -> None:
@@ -214,7 +214,6 @@
 
     def report(self) -> None:
         """Report who this instance is and how it stands."""
-        self._primaries = self.attachments.primaries()
         for control in self.attachments.attached():
             self._report_to(control)
         if self.local is not None:
@@ -234,17 +233,13 @@
         if self.local is not None:
             self.local.take_load(self.view.own.instance, load)
 
-    def _on_attach(self, control: InstanceId) -> None:
-        self._follow_primaries()
-        self._report_to(control)
-
     def _report_to(self, control: InstanceId) -> None:
-        is_primary = control in self._primaries
+        is_primary = control in self.attachments.primaries
         self.network.post(control, replace(self.view.own, is_primary=is_primary))
 
-    def _follow_primaries(self) -> None:
-        before, self._primaries = self._primaries, self.attachments.primaries()
-        for control in before ^ self._primaries:
+    def _follow_primaries(self, primaries: frozenset[InstanceId]) -> None:
+        before, self._told_primaries = self._told_primaries, primaries
+        for control in before ^ primaries:
             self._report_to(control)
 
     async def _async_run(self) -> None:
@@ -272,4 +267,3 @@
         self.attachments.follow(
             ControlPeer(id=c.id, host=c.host, port=c.port) for c in told.control
         )
-        self._follow_primaries()
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -112,6 +112,10 @@
     waiting: int
     slots: int
 
+    def text(self) -> str:
+        """Return it for the logs: running and waiting requests of so many slots."""
+        return f"{self.running}+{self.waiting}/{self.slots}"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ColdLimit:
