--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -27,7 +27,9 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, LogIndex
+from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.log_events import RoleChanged, VotersChanged
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("consensus")
@@ -248,10 +250,20 @@
                 "mothshunt_consensus_role_changes_total", role=state.role.value
             )
             if state.role is not NodeRole.PRE_CANDIDATE:
-                _LOGGER.info("role changed", role=state.role.value, term=state.term)
+                log.write(
+                    RoleChanged(
+                        role=state.role.value, term=state.term, leader=state.leader
+                    )
+                )
         if state.membership is self.membership:
             return
         self.membership = state.membership
+        log.write(
+            VotersChanged(
+                voters=tuple(member.id for member in self.membership.voters),
+                learners=tuple(member.id for member in self.membership.learners),
+            )
+        )
         for listener in self._membership_listeners:
             listener(self.membership)
 
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -10,12 +10,23 @@
 from mothshunt.admin.coordinator import AdminServer
 from mothshunt.configuration.follower import ConfigurationFollower
 from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.model import Configuration
 from mothshunt.consensus.model import ReplicatedLog
 from mothshunt.core.clock import Clock, SystemClock
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId, InstanceState, Role
 from mothshunt.forwarding.model import EntryInterface
+from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.log_events import (
+    ConfigurationInForce,
+    Leaving,
+    PeerTraffic,
+    Ready,
+    SettingsReloaded,
+    Starting,
+    Stopped,
+)
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.attachments import Attachments
@@ -152,6 +163,7 @@
             entry=entry,
             follower=follower,
         )
+        holder.on_change(_log_configuration)
         metrics.gauge("mothshunt_revision", lambda: holder.current().revision)
         metrics.gauge("mothshunt_peer_streams", lambda: len(network.connected()))
         metrics.counters(
@@ -171,7 +183,8 @@
 
     async def async_start(self) -> None:
         """Start, and serve once the configuration is current."""
-        _LOGGER.info("starting", roles=[r.value for r in self.settings.instance.roles])
+        roles = tuple(role.value for role in self.settings.instance.roles)
+        log.write(Starting(roles=roles))
         await self.admin.async_start()
         if self.follower is not None:
             await self.follower.async_start()
@@ -197,7 +210,7 @@
         # garbage need look at it again.
         gc.collect()
         gc.freeze()
-        _LOGGER.info("ready", revision=self.holder.current().revision)
+        log.write(Ready(revision=self.holder.current().revision))
 
     def _subscribe(self, control: InstanceId) -> None:
         if self.follower is not None:
@@ -228,9 +241,7 @@
             await asyncio.sleep(READY_POLL_S)
 
     def _knows_routes_and_targets(self) -> bool:
-        # Targets renew themselves at a control instance, so it knows what there is.
-        knows_targets = self.registry.is_whole or self.control is not None
-        return knows_targets and self.holder.current().routing.has_items
+        return self.registry.is_settled and self.holder.current().routing.has_items
 
     async def _async_report_traffic(self) -> None:
         """Log what was sent to other instances, by kind of message."""
@@ -238,7 +249,7 @@
         while True:
             await asyncio.sleep(TRAFFIC_REPORT_INTERVAL_S)
             posted = self.network.traffic.posted_bytes_by_kind.copy()
-            _LOGGER.info("peer traffic", bytes_by_message=dict(posted - before))
+            log.write(PeerTraffic(bytes_by_message=dict(posted - before)))
             before = posted
 
     def _on_fatal(self, failure: Failure) -> None:
@@ -259,11 +270,12 @@
         if self.entry is not None:
             self.entry.reload(routing)
         self.settings = replace(self.settings, control=settings.control)
-        _LOGGER.info("settings reloaded", seeds=[p.id for p in settings.control])
+        log.write(SettingsReloaded(seeds=tuple(p.id for p in settings.control)))
 
     async def _async_leave(self) -> None:
         """Take no more requests, and finish what is in flight."""
-        _LOGGER.info("leaving")
+        in_flight = self.entry.server.in_flight() if self.entry is not None else 0
+        log.write(Leaving(in_flight=in_flight))
         self.is_ready = self.is_ready and self.entry is None
         if self.entry is not None:
             self.entry.reporter.set_state(InstanceState.LEAVING)
@@ -284,4 +296,15 @@
         await async_cancel(self._reporting)
         await self.network.async_stop()
         await self.admin.async_stop()
-        _LOGGER.info("stopped")
+        log.write(Stopped())
+
+
+def _log_configuration(configuration: Configuration) -> None:
+    table = configuration.routing
+    log.write(
+        ConfigurationInForce(
+            revision=configuration.revision,
+            routes=sum(len(routes) for routes in table.routes_by_host.values()),
+            evacuated_zones=tuple(sorted(table.evacuated_zones)),
+        )
+    )
--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
@@ -75,6 +75,16 @@
     reported: ReportedLoad | None = None
     is_reused: bool = False
 
+    @property
+    def is_shed_with_room(self) -> bool:
+        """Whether the target turned the request away although it has room.
+
+        The next request may well be run there, and sooner than by a target that does
+        not know its object.
+        """
+        is_shed = self.outcome is AttemptOutcome.SHED
+        return is_shed and self.reported is not None and self.reported.has_room
+
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class Call:
@@ -233,6 +243,10 @@
         if refused is not None:
             await payload.read()
             refused.reported = reported
+            if refused.is_shed_with_room and refused.failure is not None:
+                refused.failure = replace(
+                    refused.failure, retry_after_s=const.SHED_RETRY_S
+                )
             return refused
         is_success = 200 <= message.code < 300
         has_proof = self._names.proof is None or self._names.proof in message.headers
--- a/mothshunt/forwarding/codes.py
+++ b/mothshunt/forwarding/codes.py
@@ -30,3 +30,10 @@
     summary="An answer does not show that the target gave it to this request.",
     action="Repeat the request if it is idempotent; check the target.",
 )
+ERROR_ANSWERED = ResultCode(
+    number=2805,
+    name="target_answered_error",
+    http_status=502,
+    summary="A target answered an idempotent request with an error of its own.",
+    action="Repeat the request; check the target where that happens often.",
+)
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -26,6 +26,11 @@
 NOT_READY_RETRY_S = 0.3
 #: Time to come back after a request that no target ran, in seconds.
 DEFAULT_RETRY_S = 0.2
+#: Time to come back after a target turned a request away although it has room, in
+#: seconds: a round trip within a region, so that the caller still gets its answer soon.
+SHED_RETRY_S = 0.02
+#: Requests that may be sent to one target that turns them away although it has room.
+MAX_SENDS_TO_TARGET = 2
 #: Idle connections of callers are closed after this time where no limit is in force,
 #: in seconds.
 DEFAULT_CALLER_IDLE_S = 15.0
@@ -36,8 +41,13 @@
 LISTEN_PART = 0.55
 #: What is in flight has up to this part of that time.
 FINISH_PART = 0.93
-#: Lines about single requests in one second, at most; more are counted only.
-MAX_LINES_PER_S = 40
+#: Lines in one second about requests that failed, at most; more are counted only. A
+#: line takes some 30 microseconds, so this is about 0.1% of a core.
+MAX_FAILURE_LINES_PER_S = 40
+#: The same about requests that were answered later than the route's target latency.
+MAX_LATE_LINES_PER_S = 10
+#: The same about requests that were answered in time.
+MAX_TIMELY_LINES_PER_S = 5
 
 METRIC_REQUESTS = "mothshunt_forwarding_requests_total"
 METRIC_ATTEMPTS = "mothshunt_forwarding_attempts_total"
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -1,42 +1,199 @@
 """Lines about single requests, bounded in number."""
 
-from dataclasses import dataclass
-from typing import Any
+from collections import Counter
+from dataclasses import dataclass, field
 
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import Revision
 from mothshunt.forwarding import const
-from mothshunt.helpers.log import get_logger
+from mothshunt.forwarding.attempt import Call
+from mothshunt.helpers import log
+from mothshunt.helpers.log_events import (
+    AnswerBrokenOff,
+    Answered,
+    AttemptFailed,
+    LinesLeftOut,
+    Refused,
+)
 from mothshunt.metrics.registry import Metrics
+from mothshunt.placement.model import Choice, ReportedLoad
 
-_LOGGER = get_logger("forwarding")
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(slots=True, eq=False)
 class DecisionLog:
     """Write a line for each decision on a request, and count what is over the bound.
 
+    What went wrong has a bound of its own, so that nothing that went well keeps it out.
+
     :param metrics: Counters of the process.
     """
 
     metrics: Metrics
     _second: int = 0
-    _lines: int = 0
-    _dropped: int = 0
+    _written: Counter[int] = field(default_factory=Counter)
+    _left_out: Counter[str] = field(default_factory=Counter)
+
+    def answered(
+        self,
+        call: Call,
+        choice: Choice,
+        *,
+        status: int,
+        attempts: int,
+        revision: Revision,
+        now: float,
+    ) -> None:
+        """Tell that a target's answer is passed on.
+
+        :param call: The request.
+        :param choice: The target, and what it was chosen for.
+        :param status: HTTP status of the answer.
+        :param attempts: Targets that the request was sent to.
+        :param revision: Revision of the configuration in force.
+        :param now: The present time, in seconds.
+        """
+        asked = call.request
+        took_s = now - asked.received_at
+        is_late = took_s > asked.route.target_latency_s
+        per_s = const.MAX_LATE_LINES_PER_S if is_late else const.MAX_TIMELY_LINES_PER_S
+        if not self._may_write("answered", per_s, now):
+            return
+        log.write(
+            Answered(
+                request_id=asked.request_id,
+                route=asked.route.name,
+                service=asked.service,
+                status=status,
+                took_ms=_milliseconds(took_s),
+                is_late=is_late,
+                attempts=attempts,
+                target=choice.target.id,
+                ring=choice.reason,
+                load=round(choice.load, 1),
+                known=choice.is_known,
+                expected_ms=_milliseconds(choice.expected_s),
+                revision=revision,
+            )
+        )
+
+    def attempt_failed(
+        self,
+        call: Call,
+        choice: Choice,
+        reported: ReportedLoad | None,
+        failure: Failure,
+        *,
+        next_step: str,
+        revision: Revision,
+        now: float,
+    ) -> None:
+        """Tell that an attempt gave no answer for the caller.
+
+        :param call: The request.
+        :param choice: The target, and what it was chosen for.
+        :param reported: What the target said of its load.
+        :param failure: How the attempt ended.
+        :param next_step: ``retried``, or why no other attempt is made.
+        :param revision: Revision of the configuration in force.
+        :param now: The present time, in seconds.
+        """
+        if not self._may_write("attempt failed", const.MAX_FAILURE_LINES_PER_S, now):
+            return
+        asked = call.request
+        log.write(
+            AttemptFailed(
+                request_id=asked.request_id,
+                route=asked.route.name,
+                service=asked.service,
+                code=failure.code.number,
+                code_name=failure.code.name,
+                detail=failure.detail or None,
+                ran=failure.ran.value,
+                took_ms=_milliseconds(now - choice.sent_at),
+                revision=revision,
+                target=choice.target.id,
+                ring=choice.reason,
+                load=round(choice.load, 1),
+                known=choice.is_known,
+                renewal_age_ms=_milliseconds(choice.renewal_age_s),
+                reported=reported.text() if reported else None,
+                next_step=next_step,
+            )
+        )
 
-    def line(self, text: str, now: float, **fields: Any) -> None:
-        """Write a line, unless too many were written in this second.
+    def refused(
+        self,
+        call: Call,
+        failure: Failure,
+        *,
+        attempts: int,
+        revision: Revision,
+        now: float,
+    ) -> None:
+        """Tell that a request gets an answer of this instance's own.
 
-        :param text: What was decided.
+        :param call: The request.
+        :param failure: What the answer tells.
+        :param attempts: Targets that the request was sent to.
+        :param revision: Revision of the configuration in force.
         :param now: The present time, in seconds.
-        :param fields: The id of the request, and what decided.
         """
+        if not self._may_write("refused", const.MAX_FAILURE_LINES_PER_S, now):
+            return
+        asked = call.request
+        log.write(
+            Refused(
+                request_id=asked.request_id,
+                route=asked.route.name,
+                service=asked.service,
+                code=failure.code.number,
+                code_name=failure.code.name,
+                detail=failure.detail or None,
+                ran=failure.ran.value,
+                retry_after_s=failure.retry_after_s,
+                took_ms=_milliseconds(now - asked.received_at),
+                attempts=attempts,
+                revision=revision,
+            )
+        )
+
+    def broken_off(self, call: Call, choice: Choice, detail: str, now: float) -> None:
+        """Tell that an answer ended early after a part of it was passed on.
+
+        :param call: The request.
+        :param choice: The target.
+        :param detail: What happened.
+        :param now: The present time, in seconds.
+        """
+        if not self._may_write("answer broken off", const.MAX_FAILURE_LINES_PER_S, now):
+            return
+        log.write(
+            AnswerBrokenOff(
+                request_id=call.request.request_id,
+                service=call.request.service,
+                target=choice.target.id,
+                detail=detail,
+            )
+        )
+
+    def _may_write(self, text: str, per_s: int, now: float) -> bool:
+        """Count a line, and tell whether its bound allows it in this second."""
         second = int(now)
         if second != self._second:
-            if self._dropped:
-                _LOGGER.warning("lines were left out", lines=self._dropped)
-            self._second, self._lines, self._dropped = second, 0, 0
-        if self._lines >= const.MAX_LINES_PER_S:
-            self._dropped += 1
+            if self._left_out:
+                log.write(LinesLeftOut(lines=dict(self._left_out)))
+            self._second = second
+            self._written.clear()
+            self._left_out.clear()
+        if self._written[per_s] >= per_s:
+            self._left_out[text] += 1
             self.metrics.count(const.METRIC_LINES_DROPPED, slice="forwarding")
-            return
-        self._lines += 1
-        _LOGGER.info(text, **fields)
+            return False
+        self._written[per_s] += 1
+        return True
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS_PER_SECOND)
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -1,8 +1,9 @@
 """Forwarding of routed requests to targets, with retries."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import aiohttp
 from aiohttp import web
@@ -29,7 +30,7 @@
 from mothshunt.forwarding.model import RoutedRequest
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.request import read_request, target_headers
-from mothshunt.forwarding.retry import Progress, RetryBudget
+from mothshunt.forwarding.retry import GiveUp, Progress, RetryBudget
 from mothshunt.membership.roster import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
@@ -37,12 +38,23 @@
     AttemptOutcome,
     Choice,
     PlacementRequest,
-    ReportedLoad,
 )
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
 
 
+@dataclass(frozen=True, slots=True)
+class ChosenAnswer:
+    """Hold an answer for the caller with the target that gave it.
+
+    :param choice: The target, and what it was chosen for.
+    :param answer: Its answer.
+    """
+
+    choice: Choice
+    answer: TargetAnswer
+
+
 class RoutedForwarder:
     """Forward callers' requests by routes.
 
@@ -138,80 +150,88 @@
                 limits.max_header_bytes if limits else const.DEFAULT_FIELD_BYTES
             ),
         )
-        result = await self._async_try(request, call)
-        took_s = self._clock.monotonic() - asked.received_at
+        progress = Progress(
+            is_idempotent=asked.route.is_idempotent,
+            max_attempts=asked.route.max_attempts,
+        )
+        result = await self._async_try(request, call, progress)
+        now = self._clock.monotonic()
         self._metrics.observe(
             const.METRIC_LATENCY,
-            took_s,
+            now - asked.received_at,
             service=asked.service,
             kind=asked.route.kind.value,
             outcome="refused" if isinstance(result, Failure) else "answered",
         )
+        revision = self._configuration.current().revision
         if isinstance(result, Failure):
-            self._decide("refused", call, result, took_s)
+            self._decisions.refused(
+                call, result, attempts=progress.sent, revision=revision, now=now
+            )
             return self._refuse(result, asked.request_id)
+        self._decisions.answered(
+            call,
+            result.choice,
+            status=result.answer.message.code,
+            attempts=progress.sent,
+            revision=revision,
+            now=now,
+        )
         return await self._async_pass_on(request, call, result)
 
     async def _async_try(
-        self, request: web.Request, call: Call
-    ) -> TargetAnswer | Failure:
+        self, request: web.Request, call: Call, progress: Progress
+    ) -> ChosenAnswer | Failure:
         """Try targets until one answers or no further attempt is allowed."""
         asked = call.request
-        route = asked.route
-        progress = Progress(
-            is_idempotent=route.is_idempotent, max_attempts=route.max_attempts
-        )
         excluded: frozenset[TargetId] = frozenset()
+        sends_by_target: Counter[TargetId] = Counter()
         last: Failure | None = None
+        # An error that a target answered is passed on where no other answer is had.
+        held: ChosenAnswer | None = None
         self._budget.count_request(asked.service, asked.received_at)
         while True:
             now = self._clock.monotonic()
             if asked.deadline - now < const.MIN_ATTEMPT_S:
                 code = dispatch_codes.DEADLINE_PASSED
-                return _final(last or Failure(code=code), progress)
+                return held or _final(last or Failure(code=code), progress)
             match self._placement.choose(_wanted(asked, excluded, now)):
                 case Result(tag="ok", ok=choice):
                     pass
                 case Result(error=failure):
-                    return _final(last or failure, progress)
+                    return held or _final(last or failure, progress)
             if request.transport is None:
                 # The caller left before anything was sent.
                 self._placement.finish(choice, AttemptOutcome.CANCELLED, None)
                 return _final(Failure(code=dispatch_codes.BODY_INCOMPLETE), progress)
             result = await self._async_attempt(call, choice)
-            progress.note(result.outcome, result.ran)
-            excluded |= {choice.target.id}
-            if result.answer is not None and not self._is_worth_retry(
-                call, result, progress
-            ):
-                return result.answer
-            if result.answer is None and result.failure is not None:
-                last = result.failure
-                took_s = self._clock.monotonic() - choice.sent_at
-                self._decide(
-                    "attempt failed",
-                    call,
-                    result.failure,
-                    took_s,
-                    choice,
-                    result.reported,
-                )
-                if not self._may_retry(call, progress):
-                    return _final(last, progress)
-
-    def _is_worth_retry(
-        self, call: Call, result: AttemptResult, progress: Progress
-    ) -> bool:
-        """Tell whether an error that a target answered is asked for elsewhere."""
-        answer = result.answer
-        if result.outcome is not AttemptOutcome.ERROR_ANSWER or answer is None:
-            return False
-        is_idempotent = call.request.route.is_idempotent
-        if not is_idempotent or answer.whole is None:
-            return False
-        return self._may_retry(call, progress)
-
-    def _may_retry(self, call: Call, progress: Progress) -> bool:
+            target = choice.target.id
+            is_again = sends_by_target[target] > 0
+            progress.note(result.outcome, result.ran, is_again=is_again)
+            sends_by_target[target] += 1
+            is_spent = sends_by_target[target] >= const.MAX_SENDS_TO_TARGET
+            if is_spent or not result.is_shed_with_room:
+                excluded |= {target}
+            if result.answer is not None:
+                held = ChosenAnswer(choice, result.answer)
+                if not _may_be_better_elsewhere(call, result):
+                    return held
+            last = _failure_of(result)
+            give_up = self._give_up(call, progress)
+            self._decisions.attempt_failed(
+                call,
+                choice,
+                result.reported,
+                last,
+                next_step="retried" if give_up is None else give_up.value,
+                revision=self._configuration.current().revision,
+                now=self._clock.monotonic(),
+            )
+            if give_up is not None:
+                return held or _final(last, progress)
+
+    def _give_up(self, call: Call, progress: Progress) -> GiveUp | None:
+        """Tell why no other attempt is made; ``None`` takes one from the budget."""
         now = self._clock.monotonic()
         asked = call.request
         give_up = progress.give_up(
@@ -221,11 +241,10 @@
         if give_up is None and is_counted:
             entries = self._roster.count()
             if not self._budget.take(asked.service, entries, now):
-                self._metrics.count(const.METRIC_RETRIES, decision="budget")
-                return False
+                give_up = GiveUp.BUDGET
         decision = "retried" if give_up is None else give_up.value
         self._metrics.count(const.METRIC_RETRIES, decision=decision)
-        return give_up is None
+        return give_up
 
     async def _async_attempt(self, call: Call, choice: Choice) -> AttemptResult:
         left_s = call.request.deadline - self._clock.monotonic()
@@ -250,8 +269,9 @@
         return result
 
     async def _async_pass_on(
-        self, request: web.Request, call: Call, answer: TargetAnswer
+        self, request: web.Request, call: Call, chosen: ChosenAnswer
     ) -> web.StreamResponse:
+        answer = chosen.answer
         message = answer.message
         self._metrics.count(const.METRIC_REQUESTS, outcome="answered")
         headers = _answer_headers(message.headers)
@@ -272,10 +292,9 @@
             await _async_copy(answer, response)
             await response.write_eof()
         except AnswerBrokenOffError as error:
-            failure = Failure(
-                code=dispatch_codes.TARGET_BROKE, detail=str(error), ran=Ran.UNKNOWN
+            self._decisions.broken_off(
+                call, chosen.choice, str(error), self._clock.monotonic()
             )
-            self._decide("answer broken off", call, failure, 0.0)
             if request.transport is not None:
                 request.transport.abort()
             raise ConnectionResetError("the answer was broken off") from error
@@ -287,39 +306,6 @@
         self._metrics.count(const.METRIC_REQUESTS, outcome=failure.code.name)
         return self._refuser.response(failure, request_id)
 
-    def _decide(
-        self,
-        text: str,
-        call: Call,
-        failure: Failure,
-        took_s: float,
-        choice: Choice | None = None,
-        reported: ReportedLoad | None = None,
-    ) -> None:
-        asked = call.request
-        self._decisions.line(
-            text,
-            self._clock.monotonic(),
-            request_id=asked.request_id,
-            route=asked.route.name,
-            service=asked.service,
-            code=failure.code.number,
-            code_name=failure.code.name,
-            detail=failure.detail or None,
-            ran=failure.ran.value,
-            retry_after_s=failure.retry_after_s,
-            took_ms=round(took_s * 1000),
-            revision=self._configuration.current().revision,
-            target=None if choice is None else choice.target.id,
-            ring=None if choice is None else choice.reason,
-            load=None if choice is None else round(choice.load, 1),
-            known=None if choice is None else choice.is_known,
-            renewal_age_ms=(
-                None if choice is None else round(choice.renewal_age_s * 1000)
-            ),
-            reported=None if reported is None else reported.text(),
-        )
-
 
 def _wanted(
     asked: RoutedRequest, excluded: frozenset[TargetId], now: float
@@ -336,6 +322,22 @@
     )
 
 
+def _may_be_better_elsewhere(call: Call, result: AttemptResult) -> bool:
+    """Tell whether a target's answer is an error that another one might not give."""
+    is_error = result.outcome is AttemptOutcome.ERROR_ANSWER
+    is_whole = result.answer is not None and result.answer.whole is not None
+    return is_error and is_whole and call.request.route.is_idempotent
+
+
+def _failure_of(result: AttemptResult) -> Failure:
+    if result.failure is not None:
+        return result.failure
+    status = result.answer.message.code if result.answer is not None else 0
+    return Failure(
+        code=codes.ERROR_ANSWERED, detail=f"status {status}", ran=Ran.UNKNOWN
+    )
+
+
 def _final(failure: Failure, progress: Progress) -> Failure:
     """Return what the caller is told, with whether any target may have run it."""
     retry_after_s = failure.retry_after_s
--- a/mothshunt/forwarding/retry.py
+++ b/mothshunt/forwarding/retry.py
@@ -93,15 +93,16 @@
     connect_failures: int = 0
     ran: Ran = Ran.NO
 
-    def note(self, outcome: AttemptOutcome, ran: Ran) -> None:
+    def note(self, outcome: AttemptOutcome, ran: Ran, *, is_again: bool) -> None:
         """Take the end of an attempt.
 
         :param outcome: How it ended.
         :param ran: Whether the target may have run the request.
+        :param is_again: Whether it was sent to that target before.
         """
         if outcome is AttemptOutcome.CONNECT_FAILED:
             self.connect_failures += 1
-        elif outcome is not AttemptOutcome.CANCELLED:
+        elif outcome is not AttemptOutcome.CANCELLED and not is_again:
             self.sent += 1
         if ran is Ran.UNKNOWN:
             self.ran = ran
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -15,8 +15,10 @@
 from mothshunt.forwarding import const
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.refusal import Refuser
+from mothshunt.helpers import log
 from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.log_events import Left
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("forwarding")
@@ -96,7 +98,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._idle.wait()
-        _LOGGER.info("left", unfinished=self._in_flight)
+        log.write(Left(unfinished=self._in_flight))
 
     async def async_stop(self) -> None:
         """Close all connections; may be called twice."""
--- a/mothshunt/helpers/log.py
+++ b/mothshunt/helpers/log.py
@@ -4,13 +4,117 @@
 import logging as std_logging
 import sys
 import time
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
 
 from absl import flags, logging
 
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId, RequestId
 
+T = TypeVar("T")
+
+
+class Level(Enum):
+    """Severity of a log line."""
+
+    INFO = std_logging.INFO
+    WARNING = std_logging.WARNING
+    ERROR = std_logging.ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class EventKind:
+    """Say how the lines of a class of events look.
+
+    :param text: Their text, the same for all.
+    :param slice_name: Slice that they come from.
+    :param level: Their severity.
+    """
+
+    text: str
+    slice_name: str
+    level: Level
+
+
+KIND_BY_CLASS: dict[type[Any], EventKind] = {}
+
+
+def log_event(
+    text: str, *, slice_name: str, level: Level = Level.INFO
+) -> Callable[[type[T]], type[T]]:
+    """Register a frozen dataclass as a log line.
+
+    :param text: Text of its lines.
+    :param slice_name: Slice that they come from.
+    :param level: Their severity.
+    :return: The class decorator.
+    """
+
+    def register(cls: type[T]) -> type[T]:
+        KIND_BY_CLASS[cls] = EventKind(text, slice_name, level)
+        return cls
+
+    return register
+
+
+def fields_of(event: object) -> dict[str, Any]:
+    """Return the fields of a dataclass with slots, by name.
+
+    :param event: Instance of such a class.
+    """
+    names: tuple[str, ...] = type(event).__slots__  # type: ignore[attr-defined]
+    return {name: getattr(event, name) for name in names}
+
+
+def write(event: object) -> None:
+    """Write a log line.
+
+    :param event: Instance of a class that is registered with ``log_event``.
+    """
+    kind = KIND_BY_CLASS[type(event)]
+    logger = logging.get_absl_logger()
+    if logger.isEnabledFor(kind.level.value):
+        extra = {"mothshunt": {"slice": kind.slice_name, **fields_of(event)}}
+        logger.log(kind.level.value, "%s", kind.text, extra=extra)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FailureMet:
+    """Something failed; ``text`` and ``slice`` tell what was being done.
+
+    :param code: Result code.
+    :param code_name: Name of the result code.
+    :param detail: More on this occurrence.
+    :param path: Place of the fault in a document.
+    :param request_id: Request that met it, where there is one.
+    """
+
+    code: int
+    code_name: str
+    detail: str
+    path: str
+    request_id: RequestId | None = None
+
+    @classmethod
+    def from_failure(
+        cls, failure: Failure, request_id: RequestId | None
+    ) -> "FailureMet":
+        """Describe a failure.
+
+        :param failure: The failure.
+        :param request_id: Request that met it, where there is one.
+        """
+        return cls(
+            code=failure.code.number,
+            code_name=failure.code.name,
+            detail=failure.detail,
+            path=failure.path,
+            request_id=request_id,
+        )
+
 
 class SliceLogger:
     """Write log lines of one slice.
@@ -46,14 +150,8 @@
         :param failure: The failure.
         :param request_id: Request that met it, where there is one.
         """
-        self.warning(
-            text,
-            code=failure.code.number,
-            code_name=failure.code.name,
-            detail=failure.detail,
-            path=failure.path,
-            request_id=request_id,
-        )
+        event = FailureMet.from_failure(failure, request_id)
+        self._log(std_logging.WARNING, text, fields_of(event))
 
     def _log(self, level: int, text: str, fields: dict[str, Any]) -> None:
         logger = logging.get_absl_logger()
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -10,15 +10,14 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId
-from mothshunt.helpers.log import get_logger
+from mothshunt.helpers import log
+from mothshunt.helpers.log_events import Attached, Detached
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership import const
 from mothshunt.membership.primaries import Place, choose_primaries
 from mothshunt.settings.config import ControlPeer
 
-_LOGGER = get_logger("membership")
-
 
 @dataclass(slots=True, eq=False)
 class Attachments:
@@ -155,12 +154,12 @@
     def _on_connect(self, peer: InstanceId) -> None:
         if peer not in self._peer_by_id:
             return
-        _LOGGER.info("attached", control=peer)
+        log.write(Attached(control=peer, attached=len(self.attached())))
         self._choose_primaries()
         for listener in self._listeners:
             listener(peer)
 
     def _on_disconnect(self, peer: InstanceId) -> None:
         if peer in self._peer_by_id:
-            _LOGGER.warning("detached", control=peer)
+            log.write(Detached(control=peer, attached=len(self.attached())))
             self._choose_primaries()
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -6,7 +6,8 @@
 
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import InstanceId, InstanceState, ServiceName
-from mothshunt.helpers.log import get_logger
+from mothshunt.helpers import log
+from mothshunt.helpers.log_events import EntriesGone, EntryChanged
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import const
@@ -26,8 +27,6 @@
 )
 from mothshunt.settings.config import ControlPeer
 
-_LOGGER = get_logger("membership")
-
 
 @dataclass(slots=True, eq=False)
 class RosterHub:
@@ -88,7 +87,7 @@
         standing = self.table.standing_by_id.get(peer)
         is_new = standing is None or standing.detached_at is not None
         if self.table.report(report, self.clock.monotonic()):
-            _LOGGER.info("entry instance", entry=peer, state=report.state.value)
+            log.write(EntryChanged(entry=peer, state=report.state.value))
             self._gone.discard(peer)
             self._changed.add(peer)
         if is_new:
@@ -124,9 +123,7 @@
     def _tell_changes(self, now: float) -> None:
         gone = self.table.expire(now)
         if gone:
-            _LOGGER.warning(
-                "entry instances are gone", entries=gone, left=len(self.attached())
-            )
+            log.write(EntriesGone(entries=tuple(gone), left=len(self.attached())))
         self._changed.difference_update(gone)
         self._gone.update(gone)
         if not self._changed and not self._gone:
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -15,7 +15,7 @@
     ServiceName,
     TargetId,
 )
-from mothshunt.helpers.log import get_logger
+from mothshunt.helpers import log
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.roster import RosterView
 from mothshunt.metrics.registry import Metrics
@@ -36,8 +36,6 @@
 from mothshunt.routing.model import RoutingTable
 from mothshunt.settings.config import RoutingSettings
 
-_LOGGER = get_logger("placement")
-
 METRIC_CHOICES = "mothshunt_placement_choices_total"
 METRIC_REFUSALS = "mothshunt_placement_refusals_total"
 
@@ -192,7 +190,9 @@
             if now >= report_at:
                 report_at = now + const.REPORT_INTERVAL_S
                 for report in self.placement.reports():
-                    _LOGGER.info("placement", **report)
+                    log.write(report)
+            for changed in self.placement.changed_beliefs(now):
+                log.write(changed)
             own = self._demand.measure(const.ADJUST_INTERVAL_S)
             self.on_demand(own)
             self.placement.adjust(self.roster.demand(own), self._region_by_zone())
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -10,6 +10,7 @@
     ServiceName,
     TargetId,
 )
+from mothshunt.placement import const
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +100,22 @@
     CANCELLED = "cancelled"
 
 
+class Belief(Enum):
+    """What an entry instance takes a target for."""
+
+    SOUND = "sound"
+    COLD = "cold"
+    #: No connection could be opened a moment ago.
+    DOWN = "down"
+    #: Requests wait and nothing comes.
+    SILENT = "silent"
+    #: Its renewals are missing.
+    LATE = "late"
+    FAILING = "failing"
+    #: Another target answers at its address.
+    MISPLACED = "misplaced"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReportedLoad:
     """Hold what a target says of its load with an answer.
@@ -112,6 +129,11 @@
     waiting: int
     slots: int
 
+    @property
+    def has_room(self) -> bool:
+        """Whether few enough wait that another request would not be turned away."""
+        return self.waiting < self.slots * const.CROWDED_PART
+
     def text(self) -> str:
         """Return it for the logs: running and waiting requests of so many slots."""
         return f"{self.running}+{self.waiting}/{self.slots}"
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -11,12 +11,12 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
 
 from expression import Error, Ok, Result
 
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
+from mothshunt.helpers.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement import codes, const
 from mothshunt.placement.model import (
     AttemptOutcome,
@@ -275,9 +275,11 @@
                 return False
             if not load.cold_room(limit.own_per_window(const.COLD_SAFETY), now):
                 return False
+        return not self._is_late(load) or load.answered_lately(now)
+
+    def _is_late(self, load: TargetLoad) -> bool:
         missed_s = self._newest_heard_at - load.heard_at
-        is_late = missed_s > const.RENEWALS_MISSED * self.renewal_interval_s
-        return not is_late or load.answered_lately(now)
+        return missed_s > const.RENEWALS_MISSED * self.renewal_interval_s
 
     def _refusal(self, code: ResultCode, wait_s: float) -> Failure:
         spread = 1.0 + self.random.random() * const.RETRY_AFTER_SPREAD
@@ -302,25 +304,45 @@
         if load is not None:
             load.ended(choice, outcome, reported, now)
 
-    def reports(self) -> Iterator[dict[str, Any]]:
+    def changed_beliefs(self, now: float) -> Iterator[TargetBelieved]:
+        """Return the targets that are taken for something else than last time.
+
+        :param now: The present time, in seconds.
+        """
+        for load in self.load_by_target.values():
+            before = load.belief
+            load.belief = load.present_belief(now, is_late=self._is_late(load))
+            if load.belief is before:
+                continue
+            yield TargetBelieved(
+                target=load.target.id,
+                service=load.target.service,
+                belief=load.belief.value,
+                before=before.value,
+                failure_share=round(load.failure_share, 2),
+                slowness=round(load.slowness, 1),
+                renewal_age_ms=round((now - load.heard_at) * 1000),
+            )
+
+    def reports(self) -> Iterator[PlacementReport]:
         """Return what was chosen for each service since the last call, for the logs."""
         for service, targets in self._targets_by_service.items():
             tally, targets.tally = targets.tally, Tally()
             if not tally.chosen and not tally.refused:
                 continue
             spill, times = targets.spill, targets.times
-            yield {
-                "service": service,
-                "chosen": tally.chosen,
-                "refused": tally.refused,
-                "known": tally.known,
-                "by_ring": tally.count_by_reason,
-                "region_part": round(spill.region_part, 3),
-                "known_ms": round(times.known_s * 1000),
-                "unknown_ms": round(times.unknown_s * 1000),
-                "mean_ms": round(times.mean_s * 1000),
-                "targets": sum(1 for _ in targets.all_targets()),
-            }
+            yield PlacementReport(
+                service=service,
+                chosen=tally.chosen,
+                refused=tally.refused,
+                known=tally.known,
+                by_ring=tally.count_by_reason,
+                region_part=round(spill.region_part, 3),
+                known_ms=round(times.known_s * 1000),
+                unknown_ms=round(times.unknown_s * 1000),
+                mean_ms=round(times.mean_s * 1000),
+                targets=sum(1 for _ in targets.all_targets()),
+            )
 
     def adjust(self, demand: DemandByZone, region_by_zone: RegionByZone) -> None:
         """Adjust the part that leaves the region; called each interval.
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -6,6 +6,7 @@
 from mothshunt.placement import const
 from mothshunt.placement.model import (
     AttemptOutcome,
+    Belief,
     Choice,
     PlacedTarget,
     ReportedLoad,
@@ -32,6 +33,7 @@
     :param failure_share: Smoothed share of requests that failed.
     :param down_until: Time up to which no connection is tried, in seconds.
     :param is_misplaced: Whether another target answered at its address.
+    :param belief: What it was last taken for, for the logs.
     """
 
     target: PlacedTarget
@@ -42,6 +44,7 @@
     failure_share: float = 0.0
     down_until: float = 0.0
     is_misplaced: bool = False
+    belief: Belief = Belief.SOUND
     _open: set[Choice] = field(default_factory=set)
     _others: float = 0.0
     _others_at: float = 0.0
@@ -126,6 +129,22 @@
             return False
         return now - self._last_trial_at < const.TRIAL_INTERVAL_S
 
+    def present_belief(self, now: float, *, is_late: bool) -> Belief:
+        """Return what the target is taken for.
+
+        :param now: The present time, in seconds.
+        :param is_late: Whether its renewals are missing.
+        """
+        beliefs = (
+            (self.is_misplaced, Belief.MISPLACED),
+            (now < self.down_until, Belief.DOWN),
+            (is_late and not self.answered_lately(now), Belief.LATE),
+            (self.is_silent(now), Belief.SILENT),
+            (self.failure_share > const.FAILURE_LIMIT, Belief.FAILING),
+            (self.is_cold(now), Belief.COLD),
+        )
+        return next((belief for holds, belief in beliefs if holds), Belief.SOUND)
+
     def cold_room(self, per_window: float, now: float) -> bool:
         """Tell whether a cold target may get one more request in this window.
 
--- a/mothshunt/platform/main.py
+++ b/mothshunt/platform/main.py
@@ -16,6 +16,7 @@
 from mothshunt.helpers import log
 from mothshunt.helpers.bounded_stream import BoundedStream
 from mothshunt.helpers.http_listener import HttpListener
+from mothshunt.helpers.log_events import SettingsUnreadable
 from mothshunt.metrics.registry import Metrics
 from mothshunt.platform import names
 from mothshunt.platform.readiness import ReadinessEndpoint, refuse_malformed
@@ -126,7 +127,7 @@
                 return
             settings = read_settings(content)
         except (OSError, BadValueError) as error:
-            _LOGGER.error("the settings can't be read", error=str(error))
+            log.write(SettingsUnreadable(error=str(error)))
             return
         self._content = content
         self.daemon.reload(settings.settings)
--- a/mothshunt/registry/coordinator.py
+++ b/mothshunt/registry/coordinator.py
@@ -7,7 +7,8 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, TargetId
-from mothshunt.helpers.log import get_logger
+from mothshunt.helpers import log
+from mothshunt.helpers.log_events import TargetChanged
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.registry import const
 from mothshunt.registry.messages import (
@@ -18,8 +19,6 @@
 )
 from mothshunt.registry.state import KnownTarget, News, TargetRegistry
 
-_LOGGER = get_logger("registry")
-
 
 @dataclass(slots=True, eq=False)
 class RegistryFollower:
@@ -29,14 +28,14 @@
     :param clock: Source of the present time.
     :param renewal_interval_s: Time between two renewals of a target, in seconds.
     :param registry: What is known here.
-    :param is_whole: Whether a control instance has told all that it knows.
+    :param is_settled: Whether these are all targets that there are.
     """
 
     network: PeerNetwork
     clock: Clock
     renewal_interval_s: float
     registry: TargetRegistry = field(default_factory=TargetRegistry)
-    is_whole: bool = False
+    is_settled: bool = False
     _asked_at: float = float("-inf")
     _differs_since_by_peer: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[], None]] = field(default_factory=list)
@@ -67,10 +66,10 @@
         """
         now = self.clock.monotonic()
         if self.registry.take_pulse(pulse, now):
-            self.is_whole = True
+            self.is_settled = self.is_settled or pulse.is_settled
             self._differs_since_by_peer.pop(peer, None)
             return
-        if not self.is_whole:
+        if pulse.is_settled and not self.is_settled:
             if now - self._asked_at >= const.FIRST_REQUEST_INTERVAL_S:
                 self._ask(peer, now)
             return
@@ -93,7 +92,7 @@
         :param rows: What a control instance told.
         """
         now = self.clock.monotonic()
-        self.is_whole = self.is_whole or rows.is_whole
+        self.is_settled = self.is_settled or rows.is_settled
         changed = []
         for row in rows.rows:
             if self.registry.take_row(row, now) is News.CHANGE:
@@ -134,12 +133,14 @@
     entries: Callable[[], Iterable[InstanceId]]
     primary_entries: Callable[[], Iterable[InstanceId]]
     control_peers: Callable[[], Iterable[InstanceId]]
+    _started_at: float = 0.0
     _own: set[TargetId] = field(default_factory=set)
     _relayed: set[TargetId] = field(default_factory=set)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     async def async_start(self) -> None:
         """Begin to pass renewals on."""
+        self._started_at = self.clock.monotonic()
         await self.follower.async_start()
         self.network.on_message(RegistryRows, self._on_rows)
         self.network.on_message(RegistryRequest, self._on_request)
@@ -177,12 +178,18 @@
         self.network.post(instance, self._pulse())
 
     def _pulse(self) -> RegistryPulse:
-        return self.follower.registry.pulse(
-            self.clock.monotonic(), self.follower.renewal_interval_s
+        follower = self.follower
+        return follower.registry.pulse(
+            self.clock.monotonic(),
+            follower.renewal_interval_s,
+            is_settled=follower.is_settled,
         )
 
     def _on_request(self, peer: InstanceId, request: RegistryRequest) -> None:
-        whole = self.follower.registry.whole(self.clock.monotonic())
+        follower = self.follower
+        whole = follower.registry.whole(
+            self.clock.monotonic(), is_settled=follower.is_settled
+        )
         self.network.post(peer, whole)
 
     def _on_rows(self, peer: InstanceId, rows: RegistryRows) -> None:
@@ -194,7 +201,9 @@
     async def _async_flush(self) -> None:
         while True:
             await asyncio.sleep(const.FLUSH_INTERVAL_S)
-            self._flush(self.clock.monotonic())
+            now = self.clock.monotonic()
+            self._flush(now)
+            self._settle(now)
 
     def _flush(self, now: float) -> None:
         registry = self.follower.registry
@@ -207,6 +216,14 @@
             rows = RegistryRows(rows=registry.rows(own | relayed, now))
             self.network.post_all(self.primary_entries(), rows)
 
+    def _settle(self, now: float) -> None:
+        """Take the targets for all there are, once each has renewed itself here."""
+        settle_s = self.follower.renewal_interval_s * const.SETTLE_INTERVALS
+        if self.follower.is_settled or now - self._started_at < settle_s:
+            return
+        self.follower.is_settled = True
+        self.network.post_all(self.entries(), self._pulse())
+
     async def _async_pulse(self) -> None:
         pulse_all_at = 0.0
         while True:
@@ -229,13 +246,14 @@
     if known is None:
         return
     renewal = known.renewal
-    _LOGGER.info(
-        "target changed",
-        target=renewal.target,
-        incarnation=renewal.incarnation,
-        sequence=renewal.sequence,
-        service=renewal.service,
-        state=renewal.state.value,
-        cold_ms=renewal.cold_ms,
-        address=f"{renewal.host}:{renewal.port}",
+    log.write(
+        TargetChanged(
+            target=renewal.target,
+            incarnation=renewal.incarnation,
+            sequence=renewal.sequence,
+            service=renewal.service,
+            state=renewal.state.value,
+            cold_ms=renewal.cold_ms,
+            address=f"{renewal.host}:{renewal.port}",
+        )
     )
--- a/mothshunt/registry/messages.py
+++ b/mothshunt/registry/messages.py
@@ -82,11 +82,12 @@
     """Tell of targets.
 
     :param rows: Newest renewals.
-    :param is_whole: Whether these are all that the sender knows.
+    :param is_settled: Whether these are all that there are: each target has had the
+        time to renew itself at the sender, or at another one that told it.
     """
 
     rows: tuple[RegistryRow, ...]
-    is_whole: bool = False
+    is_settled: bool = False
 
 
 @message("registry.request")
@@ -105,8 +106,10 @@
     :param unit_ms: Milliseconds that a unit of an age stands for.
     :param ages: Age of each of these targets in such units, in the order of their
         names.
+    :param is_settled: Whether these are all that there are; see ``RegistryRows``.
     """
 
     digest: int
     unit_ms: Annotated[int, Field(ge=1)]
     ages: bytes
+    is_settled: bool = False
--- a/mothshunt/registry/state.py
+++ b/mothshunt/registry/state.py
@@ -127,11 +127,14 @@
             older = min(renewal, other, key=_order)
             del self.known_by_target[older.target]
 
-    def pulse(self, now: float, renewal_interval_s: float) -> RegistryPulse:
+    def pulse(
+        self, now: float, renewal_interval_s: float, *, is_settled: bool = True
+    ) -> RegistryPulse:
         """Return when each target was heard of.
 
         :param now: The present time, in seconds.
         :param renewal_interval_s: Time between two renewals of a target, in seconds.
+        :param is_settled: Whether these are all targets that there are.
         """
         unit_ms = _unit_ms(renewal_interval_s)
         ages = bytearray()
@@ -141,7 +144,9 @@
             if units <= const.MAX_UNITS:
                 ages.append(units)
                 digest ^= known.digest
-        return RegistryPulse(digest=digest, unit_ms=unit_ms, ages=bytes(ages))
+        return RegistryPulse(
+            digest=digest, unit_ms=unit_ms, ages=bytes(ages), is_settled=is_settled
+        )
 
     def take_pulse(self, pulse: RegistryPulse, now: float) -> bool:
         """Take when each target was heard of, if the sender knows the same targets.
@@ -209,12 +214,14 @@
         found = (self.known_by_target.get(target) for target in targets)
         return tuple(_row(known, now) for known in found if known is not None)
 
-    def whole(self, now: float) -> RegistryRows:
+    def whole(self, now: float, *, is_settled: bool = True) -> RegistryRows:
         """Return all that is known.
 
         :param now: The present time, in seconds.
+        :param is_settled: Whether these are all targets that there are.
         """
-        return RegistryRows(rows=self.rows(self.known_by_target, now), is_whole=True)
+        rows = self.rows(self.known_by_target, now)
+        return RegistryRows(rows=rows, is_settled=is_settled)
 
 
 def _unit_ms(renewal_interval_s: float) -> int:
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -19,7 +19,9 @@
     Revision,
     TargetId,
 )
+from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.log_events import EvacuationSet, RoutingItemsSet, TargetRetires
 from mothshunt.routing import codes, const
 from mothshunt.routing.applier import routing_items
 from mothshunt.routing.messages import (
@@ -73,11 +75,12 @@
                 _LOGGER.failure("a routing call is refused", failure)
                 return Error(failure)
             case Result(tag="ok", ok=outcome):
-                _LOGGER.info(
-                    "routing items are set",
-                    revision=outcome.revision,
-                    items=outcome.changed,
-                    operator=patch.operator,
+                log.write(
+                    RoutingItemsSet(
+                        revision=outcome.revision,
+                        items=outcome.changed,
+                        operator=patch.operator,
+                    )
                 )
                 return Ok(outcome)
             case Result(error=failure):
@@ -119,11 +122,10 @@
         )
         match await self._async_propose(command, EvacuationOutcome):
             case Result(tag="ok", ok=EvacuationOutcome(is_accepted=True) as outcome):
-                _LOGGER.info(
-                    "evacuation is set",
-                    zone=zone,
-                    evacuated=is_evacuated,
-                    revision=outcome.revision,
+                log.write(
+                    EvacuationSet(
+                        zone=zone, evacuated=is_evacuated, revision=outcome.revision
+                    )
                 )
                 return Ok(outcome.revision)
             case Result(tag="ok"):
@@ -153,12 +155,13 @@
             RetireTarget(retired=retired), RetireOutcome
         )
         if outcome.is_ok():
-            _LOGGER.info(
-                "target retires",
-                target=target,
-                incarnation=incarnation,
-                state=state.value,
-                revision=outcome.ok.revision,
+            log.write(
+                TargetRetires(
+                    target=target,
+                    incarnation=incarnation,
+                    state=state.value,
+                    revision=outcome.ok.revision,
+                )
             )
         return outcome.map(lambda done: done.revision)
 
--- a/tests/forwarding/attempts.feature
+++ b/tests/forwarding/attempts.feature
@@ -24,6 +24,13 @@
     When a routed caller sends GET "/reads/a" for each of 8 objects
     Then the routed caller got status 200 each time
 
+  Scenario: The error of a target is passed on where no other answer is had
+    Given a routed entry
+    And a routed target "t1" that answers 500
+    And a routed target "t2" whose port is closed
+    When a routed caller sends GET "/reads/a" for each of 8 objects
+    Then the routed caller got status 500 each time
+
   Scenario: An order that a target turned away goes to another one
     Given a routed entry
     And a routed target "t1" that turns away
@@ -31,6 +38,33 @@
     When a routed caller sends POST "/orders/a" for each of 8 objects
     Then the routed caller got status 200 each time
 
+  Scenario: A target that turns requests away with room is asked once more
+
+    Pattern: servers that reject a part of their requests at random while their queues
+    are short; another target would be slow, as it doesn't know the object.
+
+    Given a routed entry
+    And a routed target "t1" that turns away every other request with room
+    And a routed target "t2" that turns away every other request with room
+    When a routed caller sends POST "/orders/a" for each of 8 objects
+    Then the routed caller got status 200 each time
+    And each object reached one target only
+
+  Scenario: A caller whose request was turned away with room may come back at once
+    Given a routed entry
+    And a routed target "t1" that turns away with room
+    When a routed caller sends POST "/orders/a" with body "some bytes"
+    Then the routed caller got status 503
+    And the routed caller is told to come back within 0.05 s
+    And 2 requests reached all targets together
+
+  Scenario: A target that turns requests away for want of room is not asked again
+    Given a routed entry
+    And a routed target "t1" that turns away without room
+    When a routed caller sends POST "/orders/a" with body "some bytes"
+    Then the routed caller got status 503
+    And one request reached all targets together
+
   Scenario: What no target ran is refused with a time to come back
     Given a routed entry
     And a routed target "t1" that turns away
--- a/tests/registry/pulses.feature
+++ b/tests/registry/pulses.feature
@@ -43,6 +43,20 @@
     And the entry registry takes the control registry's pulse at 12 s
     Then the entry registry has target "cold" cold up to 13 s
 
+  Scenario: A control instance that has just started has not heard of all targets
+
+    Pattern: all instances start at once while the targets go on; requests that are sent
+    to the few targets known by then would queue there.
+
+    Given a registry publisher that starts at 0 s
+    Then its pulses are not settled at 1.4 s
+    And its pulses are settled at 1.7 s
+
+  Scenario: A control instance that another one tells of all targets has heard of all
+    Given a registry publisher that starts at 0 s
+    When a settled control instance tells it of its targets at 0.2 s
+    Then its pulses are settled at 0.3 s
+
   Scenario: Any exchange of rows and pulses between control instances and an entry
     Then whatever is exchanged in any order, no target is taken for younger than it is
 
--- /dev/null
+++ b/tests/steps/configuration_delivery.py
@@ -0,0 +1,93 @@
+"""Steps for the delivery of the configuration."""
+
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from mothshunt.configuration.delivery import Beat, Delta, DeltaRequest, Subscribe
+from mothshunt.configuration.follower import ConfigurationFollower
+from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.model import ItemKey, Section
+from mothshunt.configuration.publisher import ConfigurationPublisher
+from mothshunt.configuration.service import Item
+from mothshunt.configuration.state import ReplicatedConfiguration
+from tests.support.recording_network import ManualClock, RecordingNetwork
+
+
+@dataclass
+class NoLog:
+    """Stand in for a log whose state the test changes by itself."""
+
+
+def put_item(context, revision):
+    key = ItemKey(section=Section.EVACUATION, name=f"zone-{revision}")
+    value = f'{{"availability_zone": "zone-{revision}", "is_evacuated": true}}'
+    context.state.store.put(Item(key=key, revision=revision, value=value.encode()))
+    context.state.store.revision = revision
+
+
+@given("a publisher of the configuration with {count:d} items")
+def publisher(context, count):
+    context.network = RecordingNetwork()
+    context.state = ReplicatedConfiguration()
+    context.publisher = ConfigurationPublisher(
+        context.state, NoLog(), ConfigurationHolder(), context.network, ManualClock()
+    )
+    for revision in range(1, count + 1):
+        put_item(context, revision)
+    context.publisher._on_applied(count)
+
+
+@when('"{name}" subscribes at revision {revision:d} and wants changes')
+def subscribes(context, name, revision):
+    context.publisher._on_subscribe(name, Subscribe(revision=revision))
+
+
+@when('"{name}" subscribes at revision {revision:d} and wants beats only')
+def subscribes_to_beats(context, name, revision):
+    wanted = Subscribe(revision=revision, wants_changes=False)
+    context.publisher._on_subscribe(name, wanted)
+
+
+@when("an item is changed at revision {revision:d}")
+def item_changed(context, revision):
+    put_item(context, revision)
+    context.publisher._on_applied(revision)
+
+
+@when('"{name}" asks for what came after revision {revision:d}')
+def asks(context, name, revision):
+    context.publisher._on_request(name, DeltaRequest(revision=revision))
+
+
+@then('"{name}" was last sent the items up to revision {revision:d}')
+def last_sent_items(context, name, revision):
+    last = context.network.posted_by_peer[name][-1]
+    assert isinstance(last, Delta), last
+    assert last.to_revision == revision, last
+    assert last.items, last
+
+
+@then('"{name}" was last sent a beat')
+def last_sent_beat(context, name):
+    assert isinstance(context.network.posted_by_peer[name][-1], Beat)
+
+
+@given("a follower of the configuration that holds revision 0")
+def follower(context):
+    context.network = RecordingNetwork()
+    context.follower = ConfigurationFollower(
+        ConfigurationHolder(), context.network, None, ManualClock()
+    )
+
+
+@when('control "{control}" sends it a beat of revision {revision:d}')
+def sends_beat(context, control, revision):
+    beat = Beat(revision=revision, digest=1, confirmed_age_ms=10)
+    context.follower._on_beat(control, beat)
+
+
+@then('it asked "{control}" for what came after revision {revision:d}')
+def it_asked(context, control, revision):
+    asked = context.network.posted_by_peer[control][-1]
+    assert asked == DeltaRequest(revision=revision), asked
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -36,10 +36,32 @@
     writer.write(echo(request, b"", "503 Busy", "Mothshunt-Ran: no\r\n"))
 
 
+async def turns_away_with_room(target, request, writer):
+    headers = "Mothshunt-Ran: no\r\nMothshunt-Load: 1,0,4\r\n"
+    writer.write(echo(request, b"", "503 Busy", headers))
+
+
+async def turns_away_every_other(target, request, writer):
+    target.turned_away = not getattr(target, "turned_away", False)
+    if target.turned_away:
+        await turns_away_with_room(target, request, writer)
+    else:
+        await answers(target, request, writer)
+
+
+async def turns_away_full(target, request, writer):
+    headers = "Mothshunt-Ran: no\r\nMothshunt-Load: 4,8,4\r\n"
+    writer.write(echo(request, b"", "503 Busy", headers))
+
+
 async def fails_with_503(target, request, writer):
     writer.write(echo(request, b"", "503 Busy"))
 
 
+async def fails_with_500(target, request, writer):
+    writer.write(echo(request, b"", "500 Broken"))
+
+
 async def never(target, request, writer):
     await asyncio.sleep(3600)
 
@@ -76,7 +98,11 @@
     "answers": answers,
     "closes after reading": closes,
     "turns away": turns_away,
+    "turns away with room": turns_away_with_room,
+    "turns away every other request with room": turns_away_every_other,
+    "turns away without room": turns_away_full,
     "answers 503 after running": fails_with_503,
+    "answers 500": fails_with_500,
     "never answers": never,
     "answers after 300 ms": late,
     "answers twice, the second time late": twice,
@@ -248,8 +274,23 @@
 
 @then("one request reached all targets together")
 def one_request(context):
+    requests_reached(context, 1)
+
+
+@then("{count:d} requests reached all targets together")
+def requests_reached(context, count):
     counts = [len(t.requests) for t in context.target_by_name.values()]
-    assert sum(counts) == 1, counts
+    assert sum(counts) == count, counts
+
+
+@then("each object reached one target only")
+def one_target_each(context):
+    names_by_object = {}
+    for name, target in context.target_by_name.items():
+        for request in target.requests:
+            names = names_by_object.setdefault(request.header_by_name["cookie"], set())
+            names.add(name)
+    assert all(len(names) == 1 for names in names_by_object.values()), names_by_object
 
 
 @then('"{name}" loses its connection within {limit_ms:d} ms')
--- a/tests/steps/registry_pulses.py
+++ b/tests/steps/registry_pulses.py
@@ -14,8 +14,10 @@
 )
 from mothshunt.membership.roster import RosterPulse
 from mothshunt.registry import const
+from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.messages import RegistryRows, Renewal, RenewalState
 from mothshunt.registry.state import TargetRegistry
+from tests.support.recording_network import ManualClock, RecordingNetwork
 
 INTERVAL_S = 1.5
 CONTROL_INSTANCES = 5
@@ -151,6 +153,45 @@
     assert abs(found - until) < 0.002, found
 
 
+@given("a registry publisher that starts at {now:g} s")
+def publisher_starts(context, now):
+    context.clock = ManualClock(now)
+    network = RecordingNetwork()
+    context.publisher = RegistryPublisher(
+        network=network,
+        clock=context.clock,
+        follower=RegistryFollower(network, context.clock, INTERVAL_S),
+        entries=lambda: (),
+        primary_entries=lambda: (),
+        control_peers=lambda: (),
+    )
+
+
+@when("a settled control instance tells it of its targets at {now:g} s")
+def told_by_settled(context, now):
+    context.clock.now = now
+    sender = Sender(3)
+    for name in sender.names:
+        sender.renew(name, now)
+    context.publisher._on_rows("c1", sender.registry.whole(now))
+
+
+@then("its pulses are settled at {now:g} s")
+def pulses_settled(context, now):
+    assert is_settled(context, now)
+
+
+@then("its pulses are not settled at {now:g} s")
+def pulses_not_settled(context, now):
+    assert not is_settled(context, now)
+
+
+def is_settled(context, now):
+    context.clock.now = now
+    context.publisher._settle(now)
+    return context.publisher._pulse().is_settled
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["renew", "row", "pulse", "whole", "wait"]),
--- a/tests/support/routed_deployment.py
+++ b/tests/support/routed_deployment.py
@@ -12,8 +12,9 @@
 
 from mothshunt.core.const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
 from testkit.deployment import BOOTSTRAP_TOKEN, Deployment
+from testkit.plain_http import http_get
 from testkit.ports import HOST
-from testkit.process import REPOSITORY
+from testkit.process import REPOSITORY, wait_until
 from testkit.shape import InstancePlan
 
 CLI_MODULE = "mothshunt.cli.main"
@@ -85,6 +86,10 @@
             instance.process.start()
         controls = self.deployment.control_instances
         self.urls = [instance.admin_url for instance in controls]
+        wait_until(self._all_listen, START_TIMEOUT_S, "control instances listen")
+
+    def _all_listen(self) -> bool:
+        return all(http_get(f"{url}/healthz")[0] == 200 for url in self.urls)
 
     def run(self, coroutine):
         return self.runner.run(coroutine)
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -10,10 +10,12 @@
 from mothshunt.admin.catalog import repeated_codes
 from tools.code_pages import result_codes_page
 from tools.key_pages import configuration_page
+from tools.log_pages import log_lines_page
 
 PAGE_BY_NAME = {
     "RESULT_CODES.md": result_codes_page,
     "CONFIGURATION.md": configuration_page,
+    "LOG_LINES.md": log_lines_page,
 }
 
 
--- /dev/null
+++ b/tools/log_pages.py
@@ -0,0 +1,56 @@
+"""Page of the log lines of a deployment that routes by hosts."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from mothshunt.admin.field_texts import field_texts, summary_text
+from mothshunt.helpers import log_events
+from mothshunt.helpers.log import KIND_BY_CLASS, EventKind, FailureMet
+from tools.markdown import table_row
+
+HEAD = """\
+# Log lines
+
+Made from the code by `script/generate_docs`; don't edit it by hand.
+
+Each process of a deployment that routes by hosts and path prefixes writes these JSON
+lines to standard output. Common to all are `time` (the process's time of day, in UTC),
+`level`, `instance`, `slice` and `text`. A field that has no value is left out.
+`mothshunt explain ID FILE...` puts the lines on one request in order.
+
+Other lines tell of a failure: their `text` says what was being done, and they have the
+fields of the last table here.
+"""
+
+
+def log_lines_page() -> str:
+    """Return the text of the page."""
+    return "\n".join(_lines()) + "\n"
+
+
+def _lines() -> Iterator[str]:
+    yield HEAD
+    for cls, kind in KIND_BY_CLASS.items():
+        if cls.__module__ == log_events.__name__:
+            yield from _event(cls, kind)
+    yield "## Failures"
+    yield ""
+    yield from _fields(FailureMet)
+
+
+def _event(cls: type[Any], kind: EventKind) -> Iterator[str]:
+    yield f"## `{kind.text}`"
+    yield ""
+    level = kind.level.name.lower()
+    yield f"{summary_text(cls)} Slice `{kind.slice_name}`, level `{level}`."
+    yield ""
+    if field_texts(cls):
+        yield from _fields(cls)
+
+
+def _fields(cls: type[Any]) -> Iterator[str]:
+    yield "| Field | Meaning |"
+    yield "| --- | --- |"
+    for name, text in field_texts(cls).items():
+        yield table_row((f"`{name}`", text))
+    yield ""
