--- a/mothshunt/cli/parsing.py
+++ b/mothshunt/cli/parsing.py
@@ -46,9 +46,7 @@
     :param command: Carries it out.
     :return: Parser of its options.
     """
-    parser = subparsers.add_parser(
-        name, help=help_text, description=_sentence(help_text)
-    )
+    parser = _add_parser(subparsers, name, help_text)
     parser.set_defaults(command=command)
     add_connection_options(parser, default=argparse.SUPPRESS)
     return parser
@@ -65,14 +63,18 @@
     :param command: Carries it out.
     :return: Parser of its options.
     """
-    parser = subparsers.add_parser(
-        name, help=help_text, description=_sentence(help_text)
-    )
+    parser = _add_parser(subparsers, name, help_text)
     parser.set_defaults(local_command=command)
     _add_output_option(parser, argparse.SUPPRESS)
     return parser
 
 
+def _add_parser(
+    subparsers: Subparsers, name: str, help_text: str
+) -> argparse.ArgumentParser:
+    return subparsers.add_parser(name, help=help_text, description=_sentence(help_text))
+
+
 def add_connection_options(parser: argparse.ArgumentParser, default: object) -> None:
     """Add the options that all commands share.
 
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -81,7 +81,6 @@
     is_ready: bool = False
     fatal: Failure | None = None
     _fatal_listeners: list[Callable[[], None]] = field(default_factory=list)
-    _told_primaries: frozenset[InstanceId] = frozenset()
     _reporting: asyncio.Task[None] | None = None
 
     @classmethod
@@ -193,7 +192,7 @@
         if self.follower is not None:
             await self.follower.async_start()
             self.attachments.on_attach(self._subscribe)
-            self.attachments.on_primaries(self._follow_primaries)
+            self.attachments.on_primary_change(self._subscribe)
         if self.control is not None:
             self.control.log.on_fatal(self._on_fatal)
             await self.control.async_start()
@@ -221,11 +220,6 @@
             is_primary = control in self.attachments.primaries
             self.follower.subscribe(control, wants_changes=is_primary)
 
-    def _follow_primaries(self, primaries: frozenset[InstanceId]) -> None:
-        before, self._told_primaries = self._told_primaries, primaries
-        for control in before ^ primaries:
-            self._subscribe(control)
-
     async def _async_wait_until_current(self) -> None:
         if self.entry is None:
             return
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -39,9 +39,7 @@
     place: Place
     primaries: frozenset[InstanceId] = frozenset()
     _place_by_id: dict[InstanceId, Place] = field(default_factory=dict)
-    _primaries_listeners: list[Callable[[frozenset[InstanceId]], None]] = field(
-        default_factory=list
-    )
+    _primary_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
     _peer_by_id: dict[InstanceId, ControlPeer] = field(default_factory=dict)
     _named_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
@@ -86,12 +84,12 @@
         """
         self._listeners.append(listener)
 
-    def on_primaries(self, listener: Callable[[frozenset[InstanceId]], None]) -> None:
-        """Call a listener when other control instances are to tell of each change.
+    def on_primary_change(self, listener: Callable[[InstanceId], None]) -> None:
+        """Call a listener when a control instance becomes a primary or ceases to be.
 
-        :param listener: Called in the event loop with the names of the primaries.
+        :param listener: Called in the event loop with the control instance's name.
         """
-        self._primaries_listeners.append(listener)
+        self._primary_listeners.append(listener)
 
     def note_place(self, control: InstanceId, place: Place) -> None:
         """Take where a control instance runs.
@@ -106,11 +104,11 @@
         own_id = self.network.own_id
         others = (control for control in self.attached() if control != own_id)
         chosen = choose_primaries(others, self._place_by_id, own_id, self.place)
-        if chosen == self.primaries:
-            return
+        changed = chosen ^ self.primaries
         self.primaries = chosen
-        for listener in self._primaries_listeners:
-            listener(chosen)
+        for control in changed:
+            for listener in self._primary_listeners:
+                listener(control)
 
     def attached(self) -> list[InstanceId]:
         """Return the control instances that a stream leads to, this one first."""
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -177,7 +177,6 @@
     revision: Callable[[], int]
     in_flight: Callable[[], int]
     local: RosterHub | None = None
-    _told_primaries: frozenset[InstanceId] = frozenset()
     _demand: Mapping[ServiceName, float] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
@@ -187,7 +186,7 @@
         self.network.on_message(RosterPulse, self._on_pulse)
         self.network.on_message(ControlList, self._on_control_list)
         self.attachments.on_attach(self._report_to)
-        self.attachments.on_primaries(self._follow_primaries)
+        self.attachments.on_primary_change(self._report_to)
         self._task = start_background("entry-report", self._async_run)
 
     async def async_stop(self) -> None:
@@ -234,11 +233,6 @@
         is_primary = control in self.attachments.primaries
         self.network.post(control, replace(self.view.own, is_primary=is_primary))
 
-    def _follow_primaries(self, primaries: frozenset[InstanceId]) -> None:
-        before, self._told_primaries = self._told_primaries, primaries
-        for control in before ^ primaries:
-            self._report_to(control)
-
     async def _async_run(self) -> None:
         report_at = 0.0
         while True:
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -13,6 +13,8 @@
 import aiohttp
 from aiohttp import web
 
+from tests.support.web_target import WebTarget
+
 REPOSITORY = Path(__file__).parents[2]
 START_TIMEOUT_S = 20.0
 REQUEST_ID = "Mothshunt-Attempt-Id"
@@ -56,7 +58,7 @@
 
 
 @dataclass
-class Target:
+class Target(WebTarget):
     """A target that speaks the platform's protocol."""
 
     number: int
@@ -67,7 +69,6 @@
     requests: list = field(default_factory=list)
     running: int = 0
     sequence: int = 0
-    runner: web.AppRunner | None = None
     beats: asyncio.Task | None = None
 
     @property
@@ -75,11 +76,7 @@
         return f"z-{self.number % 3}"
 
     async def start(self) -> None:
-        app = web.Application()
-        app.router.add_route("*", "/{tail:.*}", self.handle)
-        self.runner = web.AppRunner(app, access_log=None)
-        await self.runner.setup()
-        await web.TCPSite(self.runner, self.ip, 8080).start()
+        await self.listen(self.ip, 8080)
 
     async def handle(self, request: web.Request) -> web.Response:
         if request.headers.get("Mothshunt-Expect-Instance") != f"i-{self.number}":
--- a/tests/support/routed_deployment.py
+++ b/tests/support/routed_deployment.py
@@ -16,6 +16,7 @@
 from testkit.ports import HOST
 from testkit.process import REPOSITORY, wait_until
 from testkit.shape import InstancePlan
+from tests.support.web_target import WebTarget
 
 CLI_MODULE = "mothshunt.cli.main"
 CLI_TIMEOUT_S = 60.0
@@ -27,7 +28,7 @@
 
 
 @dataclass
-class Target:
+class Target(WebTarget):
     """A target that renews itself at the control instances."""
 
     number: int
@@ -35,7 +36,6 @@
     port: int = 0
     sequence: int = 0
     requests: list = field(default_factory=list)
-    runner: web.AppRunner | None = None
     renewals: asyncio.Task | None = None
     delay_s: float = 0.0
     slots: int = 4
@@ -49,13 +49,7 @@
         return f"target-{self.number}"
 
     async def start(self) -> None:
-        app = web.Application()
-        app.router.add_route("*", "/{tail:.*}", self.handle)
-        self.runner = web.AppRunner(app, access_log=None)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, HOST, 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
+        self.port = await self.listen(HOST, 0)
 
     async def handle(self, request: web.Request) -> web.Response:
         request_id = request.headers.get(HEADER_REQUEST_ID, "")
