Add an emulator of load for routed deployments: script/bench load FILE

Targets with slots, queues and a memory for objects, entries that decide by the product's own placement and retry budget, callers in zones with deadlines who come back once; bursts, shifts of callers, targets that shed or slow down, entries or targets that start again.

--- /dev/null
+++ b/bench/load/scenario.py
@@ -0,0 +1,247 @@
+"""Scenarios of load, read from a TOML file."""
+
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from pathlib import Path
+from typing import Annotated
+
+from expression import Result
+from pydantic import ConfigDict, Field
+
+from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName
+from mothshunt.util import schema
+
+_STRICT = ConfigDict(extra="forbid")
+
+Positive = Annotated[float, Field(gt=0)]
+Part = Annotated[float, Field(ge=0, le=1)]
+
+
+class BadScenarioError(ValueError):
+    """Tell every fault of a scenario file with its place."""
+
+
+class EventKind(Enum):
+    """What may happen in a scenario."""
+
+    #: ``x`` times the callers of a zone, or of all.
+    BURST = "burst"
+    #: A part of the callers of a zone moves to another.
+    SHIFT = "shift"
+    #: Targets turn away a part ``x`` of what they get, at random.
+    SHED = "shed"
+    #: Targets take ``x`` times as long.
+    SLOW = "slow"
+    #: Targets are gone, and come back without any memory.
+    RESTART_TARGETS = "restart_targets"
+    #: Entry instances are gone, and come back knowing nothing.
+    RESTART_ENTRIES = "restart_entries"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServicePlan:
+    """Describe the targets of one service.
+
+    :param name: Its name.
+    :param targets: Number of targets, spread over the zones in turn.
+    :param slots: Requests that a target runs at a time.
+    :param queue: Requests that wait at most; further ones are turned away.
+    :param known_ms: Time of a request whose object the target handled lately.
+    :param unknown_ms: Time of any other request.
+    :param memory: Objects that a target remembers.
+    :param speed_spread: Part by which targets are faster or slower than usual.
+    :param renewal_interval_s: Time between two renewals of a target.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: ServiceName
+    targets: Annotated[int, Field(ge=1)]
+    slots: Annotated[int, Field(ge=1)]
+    queue: Annotated[int, Field(ge=0)] = 8
+    known_ms: Positive
+    unknown_ms: Positive
+    memory: Annotated[int, Field(ge=1)] = 64
+    speed_spread: Part = 0.2
+    renewal_interval_s: Positive = 1.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KindPlan:
+    """Describe one kind of request.
+
+    :param name: Its name.
+    :param service: Service that it asks for.
+    :param per_s: Requests a second, over all zones.
+    :param objects: Objects that the requests concern.
+    :param skew: Exponent by which some objects are asked for more often; 0 for none.
+    :param idempotent: Whether it may run more than once.
+    :param target_latency_ms: Time within which an answer is worth most.
+    :param deadline_ms: Time for which callers wait.
+    :param worth: What an answer in that time is worth.
+    :param late_worth: What a later answer is worth.
+    :param retries: Times that callers come back.
+    :param max_attempts: Targets that one request may be sent to.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: str
+    service: ServiceName
+    per_s: Positive
+    objects: Annotated[int, Field(ge=1)] = 300
+    skew: Annotated[float, Field(ge=0)] = 0.6
+    idempotent: bool = True
+    target_latency_ms: Positive
+    deadline_ms: Positive
+    worth: Positive = 1.0
+    late_worth: Annotated[float, Field(ge=0)] = 0.2
+    retries: Annotated[int, Field(ge=0)] = 1
+    max_attempts: Annotated[int, Field(ge=1)] = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EventPlan:
+    """Say what happens at some time.
+
+    :param kind: What happens.
+    :param at: Second at which it begins.
+    :param for_s: How long it lasts.
+    :param x: How strong it is.
+    :param share: Part of the targets, entries or callers that it meets.
+    :param zone: Availability zone that it meets; all where there is none.
+    :param to_zone: Availability zone that callers move to.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    kind: EventKind
+    at: Annotated[float, Field(ge=0)]
+    for_s: Positive = 2.0
+    x: Positive = 1.0
+    share: Part = 1.0
+    zone: AvailabilityZoneId | None = None
+    to_zone: AvailabilityZoneId | None = None
+
+    def holds(self, now: float) -> bool:
+        """Tell whether it lasts at some time.
+
+        :param now: The time, in seconds.
+        """
+        return self.at <= now < self.at + self.for_s
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Scenario:
+    """Describe a deployment, its callers and what happens.
+
+    :param name: Its name.
+    :param pattern: The load that it stands for, in one sentence.
+    :param seconds: Length.
+    :param seed: Seed of all that is drawn.
+    :param regions: Availability zones of each region.
+    :param callers: Weight of the callers of each zone; alike where it is empty.
+    :param entries_per_zone: Entry instances of each zone.
+    :param zone_ms: Time one way between zones.
+    :param region_ms: Time one way between regions.
+    :param caller_ms: Time one way from callers to entries.
+    :param max_region_shift: Part of a region's requests that may change region from
+        one window of 2 s to the next.
+    :param retry_ratio: Attempts beyond the first, as a part of the requests.
+    :param retry_slack: Attempts beyond the first in 10 s that are allowed besides.
+    :param services: The services.
+    :param kinds: The kinds of request.
+    :param events: What happens.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    name: str
+    pattern: str
+    seconds: Positive = 30.0
+    seed: int = 1
+    regions: Mapping[RegionId, tuple[AvailabilityZoneId, ...]]
+    callers: Mapping[AvailabilityZoneId, float] = field(default_factory=dict)
+    entries_per_zone: Annotated[int, Field(ge=1)] = 1
+    zone_ms: float = 0.9
+    region_ms: float = 35.0
+    caller_ms: float = 1.0
+    max_region_shift: Part = 0.15
+    retry_ratio: float = 0.2
+    retry_slack: float = 56.0
+    services: tuple[ServicePlan, ...]
+    kinds: tuple[KindPlan, ...]
+    events: tuple[EventPlan, ...] = ()
+
+    @property
+    def region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
+        """Regions of the availability zones, in the order of the file."""
+        return {z: region for region, zones in self.regions.items() for z in zones}
+
+    def service(self, name: ServiceName) -> ServicePlan:
+        """Return a service.
+
+        :param name: Its name.
+        """
+        return next(plan for plan in self.services if plan.name == name)
+
+    def first_part(self, part: float) -> "Scenario":
+        """Return the scenario cut short.
+
+        :param part: Part of its length that is left.
+        """
+        return replace(self, seconds=self.seconds * part)
+
+    def delay_s(self, one: AvailabilityZoneId, other: AvailabilityZoneId) -> float:
+        """Return the time one way between two zones, in seconds.
+
+        :param one: One zone.
+        :param other: The other one.
+        """
+        if one == other:
+            return 0.0
+        region_by_zone = self.region_by_zone
+        is_near = region_by_zone[one] == region_by_zone[other]
+        return (self.zone_ms if is_near else self.region_ms) / 1000
+
+
+def read_scenario(path: Path) -> Scenario:
+    """Read a scenario file.
+
+    :param path: The TOML file.
+    :raises BadScenarioError: When it is not what the format asks for.
+    """
+    try:
+        document = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise BadScenarioError(f"{path}: {error}") from error
+    match schema.from_plain(Scenario, document):
+        case Result(tag="ok", ok=scenario):
+            faults = list(_contradictions(scenario))
+        case Result(error=found):
+            faults = [f"{fault.path}: {fault.problem}" for fault in found]
+    if faults:
+        raise BadScenarioError("\n".join(f"{path}: {fault}" for fault in faults))
+    return scenario
+
+
+def _contradictions(scenario: Scenario) -> list[str]:
+    services = {plan.name for plan in scenario.services}
+    zones = set(scenario.region_by_zone)
+    faults = [
+        f"/kinds/{kind.name}: no service {kind.service}"
+        for kind in scenario.kinds
+        if kind.service not in services
+    ]
+    faults += [
+        f"/callers/{z}: no such zone" for z in scenario.callers if z not in zones
+    ]
+    faults += [
+        f"/events/{index}: no zone {zone}"
+        for index, event in enumerate(scenario.events)
+        for zone in (event.zone, event.to_zone)
+        if zone is not None and zone not in zones
+    ]
+    return faults
