Give each object one target in the whole deployment while the way there is short

Change: rendezvous hashing over the targets of all regions, as long as the way to other regions takes at most half of the time within which answers are wanted, by least times of known objects; else as before, and between the two in the steps that the allowed shift leaves. Requests without an object stay in their region.

--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -306,7 +306,9 @@
     :param refused: Requests that got none for want of room.
     :param known: Chosen ones whose target handled the object before.
     :param by_ring: Chosen ones by distance and rank of the target.
-    :param region_part: Part of the requests that is to leave the region.
+    :param spread_part: Part of the objects that has one target in the whole
+        deployment.
+    :param region_part: Part of the others that is to leave the region.
     :param known_ms: Usual time for objects that the target handled before.
     :param unknown_ms: Usual time for other objects.
     :param mean_ms: Usual time of all.
@@ -318,6 +320,7 @@
     refused: int
     known: int
     by_ring: Mapping[str, int]
+    spread_part: float
     region_part: float
     known_ms: int
     unknown_ms: int
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -63,6 +63,14 @@
 #: Part by which the times to come back are spread, so that callers don't return
 #: together.
 RETRY_AFTER_SPREAD = 0.5
+#: Objects are spread over all regions while the way to other regions takes no more than
+#: this part of the time within which answers are worth most, ...
+FAR_LEAVE_PART = 0.5
+#: ... and again once it takes no more than this part.
+FAR_ENTER_PART = 0.4
+#: Factor by which the least times grow in each adjustment interval, until a lower one
+#: is measured: by a tenth in a minute.
+LEAST_TIME_GROWTH = 1.0008
 #: Time between two adjustments of the part that leaves its region, in seconds.
 ADJUST_INTERVAL_S = 0.5
 #: Load of a place, as a part of what its targets can run, up to which its requests
--- a/mothshunt/placement/service_targets.py
+++ b/mothshunt/placement/service_targets.py
@@ -9,6 +9,7 @@
 from mothshunt.placement.model import Choice
 from mothshunt.placement.service_time import ServiceTime
 from mothshunt.placement.spill import PlaceLoad, Spill
+from mothshunt.placement.spread import Spread
 from mothshunt.placement.target_load import TargetLoad
 
 RegionByZone = Mapping[AvailabilityZoneId, RegionId]
@@ -19,6 +20,8 @@
 
     REGION = "region"
     BEYOND = "beyond"
+    #: The whole deployment.
+    ALL = "all"
 
 
 @dataclass(slots=True, eq=False)
@@ -86,11 +89,13 @@
 
     :param in_region: In the region of this instance.
     :param beyond: In other regions.
-    :param spill: Part that leaves the region.
+    :param spread: Objects that have one target in the whole deployment.
+    :param spill: Part of the others that leaves the region.
     :param times: How long the targets take.
     :param tally: What was chosen since the last report.
     """
 
+    spread: Spread
     spill: Spill
     times: ServiceTime
     tally: Tally
@@ -107,6 +112,7 @@
         return {
             Ring.REGION: self.in_region,
             Ring.BEYOND: self.beyond,
+            Ring.ALL: [*self.in_region, *self.beyond],
         }
 
 
--- a/mothshunt/placement/spill.py
+++ b/mothshunt/placement/spill.py
@@ -6,11 +6,13 @@
 alike.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from mothshunt.core.types import RegionId
 from mothshunt.placement import const
+from mothshunt.util.hashing import HASH_RANGE, hash_text
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,6 +68,29 @@
     )
 
 
+def choose_region(
+    key: str, weight_by_region: Mapping[RegionId, float]
+) -> RegionId | None:
+    """Return the region of an object by weighted rendezvous hashing.
+
+    An object stays where it is while the weights change little.
+
+    :param key: The object.
+    :param weight_by_region: Weights of the regions; ``None`` is returned where all
+        are 0.
+    """
+    best: RegionId | None = None
+    best_score = float("-inf")
+    for region, weight in weight_by_region.items():
+        if weight <= 0:
+            continue
+        chance = (hash_text(f"{region}/{key}") + 1) / (HASH_RANGE + 1)
+        score = math.log(chance) / weight
+        if best is None or score > best_score:
+            best, best_score = region, score
+    return best
+
+
 @dataclass(slots=True)
 class Spill:
     """Move the part towards what is planned, in steps that are allowed.
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -2,12 +2,12 @@
 
 Requests for the same object go to the same target, from every entry instance, as long
 as the target has room: it answers sooner for what it handled before. Rendezvous hashing
-ranks the targets of a region for an object, so a target that comes or goes moves only
-its own objects. All availability zones of a region share its targets: what one zone's
-callers ask for, those of the others ask for as well.
+ranks the targets for an object, so a target that comes or goes moves only its own
+objects. All regions share the targets where the way between them is short, else all
+availability zones of a region do: what the callers of one place ask for, those of the
+others ask for as well.
 """
 
-import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -34,7 +34,8 @@
     load_by_region,
 )
 from mothshunt.placement.service_time import ServiceTime
-from mothshunt.placement.spill import Spill, plan_flow
+from mothshunt.placement.spill import Spill, choose_region, plan_flow
+from mothshunt.placement.spread import Spread
 from mothshunt.placement.target_load import TargetLoad
 from mothshunt.util.hashing import HASH_RANGE, hash_text
 
@@ -83,6 +84,7 @@
             if targets is None:
                 held = before.get(service)
                 targets = ServiceTargets(
+                    held.spread if held else Spread(self.max_region_shift),
                     held.spill if held else Spill(self.max_region_shift),
                     held.times if held else ServiceTime(),
                     held.tally if held else Tally(),
@@ -114,6 +116,8 @@
         targets = self._targets_by_service.get(request.service)
         if targets is None:
             return Error(self._refusal(codes.NO_TARGETS, const.MAX_RETRY_AFTER_S))
+        if not request.excluded:
+            targets.spread.ask(request.target_latency_s)
         usable_by_ring = self._usable_by_ring(targets, request, now)
         best: Estimate | None = None
         for ring in self._rings(targets, usable_by_ring, request):
@@ -154,8 +158,8 @@
             ring: [load for load in loads if not load.is_failing(now)]
             for ring, loads in usable.items()
         }
-        count = sum(len(loads) for loads in usable.values())
-        sound_count = sum(len(loads) for loads in sound.values())
+        count = len(usable[Ring.ALL])
+        sound_count = len(sound[Ring.ALL])
         return sound if sound_count >= count * const.SOUND_PART else usable
 
     def _estimate(
@@ -201,39 +205,37 @@
         """Return the distances to try, in order.
 
         An object is always in the same part, so that it stays with its target while
-        the part changes little. Other regions are tried by objects of that part only,
-        and by all when the own region has no target that may be used.
+        the part changes little. Objects that are not spread go to other regions only
+        in the part that is to leave, and all do when the own region has no target that
+        may be used.
         """
+        position = self._position(request)
+        spread_part = targets.spread.part
+        if request.affinity_key is not None and position < spread_part:
+            return (Ring.ALL,)
         if not usable_by_ring[Ring.REGION]:
             return (Ring.BEYOND,)
-        if self._position(request) < targets.spill.region_part:
+        if request.affinity_key is not None:
+            position = (position - spread_part) / max(1e-9, 1.0 - spread_part)
+        if position < targets.spill.region_part:
             return (Ring.BEYOND, Ring.REGION)
         return (Ring.REGION,)
 
     def _in_chosen_region(
-        self, spill: Spill, usable: list[TargetLoad], request: PlacementRequest
+        self,
+        spill: Spill,
+        usable: list[TargetLoad],
+        request: PlacementRequest,
     ) -> list[TargetLoad]:
-        """Return the targets of one other region, chosen by the room that each has.
-
-        Weighted rendezvous hashing keeps an object in its region while the rooms
-        change little.
-        """
-        room_by_region = {
+        """Return the targets of one other region, chosen by the room that each has."""
+        weight_by_region = {
             load.target.region: spill.room_by_region.get(load.target.region, 0.0)
             for load in usable
         }
-        if not any(room_by_region.values()):
-            return usable
         key = request.affinity_key or str(self.random.random())
-
-        def score(region: RegionId) -> float:
-            room = room_by_region[region]
-            if room <= 0:
-                return float("-inf")
-            chance = (hash_text(f"{region}/{key}") + 1) / (HASH_RANGE + 1)
-            return math.log(chance) / room
-
-        chosen = max(room_by_region, key=score)
+        chosen = choose_region(key, weight_by_region)
+        if chosen is None:
+            return usable
         return [load for load in usable if load.target.region == chosen]
 
     def _position(self, request: PlacementRequest) -> float:
@@ -301,8 +303,16 @@
         :param now: The present time, in seconds.
         """
         load = self.load_by_target.get(choice.target.id)
-        if load is not None:
-            load.ended(choice, outcome, reported, now)
+        if load is None:
+            return
+        load.ended(choice, outcome, reported, now)
+        targets = self._targets_by_service.get(choice.target.service)
+        is_far = choice.target.region != self.region
+        has_waited = choice.load > choice.target.slots
+        if outcome is not AttemptOutcome.ANSWERED or targets is None or has_waited:
+            return
+        if choice.is_known:
+            targets.spread.learn(now - choice.sent_at, is_far=is_far)
 
     def changed_beliefs(self, now: float) -> Iterator[TargetBelieved]:
         """Return the targets that are taken for something else than last time.
@@ -337,6 +347,7 @@
                 refused=tally.refused,
                 known=tally.known,
                 by_ring=tally.count_by_reason,
+                spread_part=round(targets.spread.part, 3),
                 region_part=round(spill.region_part, 3),
                 known_ms=round(times.known_s * 1000),
                 unknown_ms=round(times.unknown_s * 1000),
@@ -353,6 +364,7 @@
         for service, targets in self._targets_by_service.items():
             demand_by_zone = demand.get(service, {})
             has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
+            targets.spread.follow(has_traffic=has_traffic)
             by_region = load_by_region(targets, demand_by_zone, region_by_zone)
             targets.spill.follow(
                 plan_flow(by_region, self.region), has_traffic=has_traffic
