Take a refusal of routing items as final after a lost answer

Had the first copy been accepted, the second would change nothing and be acknowledged, so the refusal is final.

--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -20,9 +20,20 @@
     ROUND_PAUSE_S,
 )
 from mothshunt.cli.model import CommandFailure, ExitCode
-
-#: Refusals that the replicated state gave; no earlier copy can be accepted after.
-_FINAL_CODES = frozenset({codes.CHANGE_CONFLICT.number, codes.CHANGE_REFUSED.number})
+from mothshunt.routing import codes as routing_codes
+
+#: Refusals that the replicated state gave; no earlier copy can be accepted after. Had a
+#: copy of a call on routing items been accepted, another one would change nothing.
+_FINAL_CODES = frozenset(
+    code.number
+    for code in (
+        codes.CHANGE_CONFLICT,
+        codes.CHANGE_REFUSED,
+        routing_codes.INVALID_ITEM,
+        routing_codes.UNKNOWN_SERVICE,
+        routing_codes.SAME_PLACE,
+    )
+)
 
 
 class AttemptEnd(Enum):
