Show what each control instance holds of the targets, side by side

Cause: an engineer who doubts that two control instances agree had to list the targets of each and compare them by eye; a read goes to the first address that answers.

Entries hold no list for operators; what they believe is in their logs, which mothshunt explain reads.

--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -177,6 +177,21 @@
             await asyncio.sleep(ROUND_PAUSE_S)
         return Error(_given_up(last, lost))
 
+    async def async_read_from_each(
+        self, path: str
+    ) -> dict[str, Result[Any, CommandFailure]]:
+        """Read a document from each address, once, at the same time.
+
+        :param path: Path.
+        :return: Answer of each address, or why there is none.
+        """
+        request = ApiRequest(method="GET", path=path, is_read=True)
+        urls = list(self._urls)
+        attempts = await asyncio.gather(
+            *(self._async_attempt(url, request) for url in urls)
+        )
+        return dict(zip(urls, map(_result_of_read, attempts), strict=True))
+
     async def async_get_from(
         self, url: str, query: Mapping[str, str]
     ) -> Result[Any, CommandFailure]:
@@ -186,12 +201,7 @@
         :param query: Parameters.
         """
         request = ApiRequest(method="GET", path="", query=query, is_read=True)
-        attempt = await self._async_exchange(url, request, {})
-        if attempt.end is AttemptEnd.ANSWERED:
-            return Ok(attempt.document)
-        if attempt.end is AttemptEnd.REFUSED:
-            return Error(_refused(attempt, None))
-        return Error(_given_up(attempt, None))
+        return _result_of_read(await self._async_exchange(url, request, {}))
 
     async def _async_attempt(self, url: str, request: ApiRequest) -> Attempt:
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
@@ -259,6 +269,14 @@
     return Attempt(end=AttemptEnd.REFUSED, document=document, text=text)
 
 
+def _result_of_read(attempt: Attempt) -> Result[Any, CommandFailure]:
+    if attempt.end is AttemptEnd.ANSWERED:
+        return Ok(attempt.document)
+    if attempt.end is AttemptEnd.REFUSED:
+        return Error(_refused(attempt, None))
+    return Error(_given_up(attempt, None))
+
+
 def _refused(attempt: Attempt, lost: Attempt | None) -> CommandFailure:
     number = attempt.document["code"]
     exit_code = ExitCode.REFUSED
--- a/mothshunt/cli/commands/routing.py
+++ b/mothshunt/cli/commands/routing.py
@@ -4,14 +4,16 @@
 import json
 from typing import Any
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
+from mothshunt.cli.beliefs import side_by_side
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.files import read_text
 from mothshunt.cli.model import CommandFailure, CommandOutput
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
 
 PATH_ROUTING = "/v1/routing"
+PATH_TARGETS = "/v1/targets"
 
 
 def add_commands(subparsers: Subparsers) -> None:
@@ -23,6 +25,12 @@
     _add_zones(subparsers)
     targets = add_group(subparsers, "targets", "show the targets that renew themselves")
     add_command(targets, "list", "list the targets and their state", _async_targets)
+    add_command(
+        targets,
+        "compare",
+        "show what each instance of --admin holds of the targets, side by side",
+        _async_compare,
+    )
     entries = add_command(
         subparsers,
         "entries",
@@ -127,7 +135,17 @@
 async def _async_targets(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
-    return _output(await client.async_read("/v1/targets"))
+    return _output(await client.async_read(PATH_TARGETS))
+
+
+async def _async_compare(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    answers = await client.async_read_from_each(PATH_TARGETS)
+    failures = [answer.error for answer in answers.values() if answer.is_error()]
+    if len(failures) == len(answers):
+        return Error(failures[0])
+    return Ok(CommandOutput(document=side_by_side(answers)))
 
 
 async def _async_entries(
--- a/tests/daemon/routed.feature
+++ b/tests/daemon/routed.feature
@@ -7,6 +7,7 @@
     Then a caller is told of 3 entries, and each serves "shop.example" "/stock/a"
     And "mothshunt routing show" shows route "reads" at version 1
     And "mothshunt targets list" shows 3 targets that serve
+    And "mothshunt targets compare" shows 3 targets, the same on 3 instances
     And "mothshunt status" shows the instances "centre-1, north-1, south-1"
     When the routing items at version 0 are applied
     Then "mothshunt routing show" shows route "reads" at version 1
--- a/tests/steps/daemon_routed.py
+++ b/tests/steps/daemon_routed.py
@@ -257,6 +257,20 @@
     context.routed.run(context.routed.async_until(all_shown))
 
 
+@then(
+    '"mothshunt targets compare" shows {count:d} targets, '
+    "the same on {instances:d} instances"
+)
+def compares_targets(context, count, instances):
+    async def all_same():
+        shown = document(context, "targets compare")
+        known = [instance["known_targets"] for instance in shown["instances"]]
+        same = [target["is_same"] for target in shown["targets"]]
+        return known == [count] * instances and same == [True] * count
+
+    context.routed.run(context.routed.async_until(all_same))
+
+
 @then('"mothshunt status" shows the instances "{names}"')
 def shows_instances(context, names):
     async def all_shown():
