--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -17,8 +17,8 @@
 from mothshunt.core.composite import CompositeStateMachine
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership.attachments import Attachments
-from mothshunt.membership.roster import ControlAddress
 from mothshunt.membership.roster_coordinator import RosterHub
+from mothshunt.membership.roster_messages import ControlAddress
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -16,8 +16,9 @@
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership.attachments import Attachments
-from mothshunt.membership.roster import EntryReport, RosterView
 from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
+from mothshunt.membership.roster_messages import EntryReport
+from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
--- a/mothshunt/lookup/nearest.py
+++ b/mothshunt/lookup/nearest.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from mothshunt.core.types import AvailabilityZoneId, RegionId
-from mothshunt.membership.roster import EntryReport
+from mothshunt.membership.roster_messages import EntryReport
 
 #: Entry instances that a caller is told of at least, where there are as many: one that
 #: is lost must not leave the caller without any until it asks again.
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -13,7 +13,8 @@
 from mothshunt.membership import const
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.primaries import Place
-from mothshunt.membership.roster import (
+from mothshunt.membership.roster import RosterTable
+from mothshunt.membership.roster_messages import (
     ControlAddress,
     ControlList,
     EntryLoad,
@@ -21,10 +22,9 @@
     RosterPulse,
     RosterRequest,
     RosterRows,
-    RosterTable,
-    RosterView,
     roster_digest,
 )
+from mothshunt.membership.roster_view import RosterView
 from mothshunt.settings.config import ControlPeer
 
 
--- /dev/null
+++ b/mothshunt/membership/roster_view.py
@@ -0,0 +1,187 @@
+"""Which entry instances may be sending requests, as one instance sees it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId,
+    ServiceName,
+)
+from mothshunt.membership import const
+from mothshunt.membership.roster_messages import (
+    DEMAND_UNITS,
+    DemandByZone,
+    DemandRow,
+    EntryReport,
+    EntryRow,
+    RosterPulse,
+    RosterRows,
+    roster_digest,
+)
+
+
+@dataclass(slots=True, eq=False)
+class ControlRoster:
+    """Hold what one control instance tells of the entry instances.
+
+    :param row_by_id: Those attached to it.
+    :param demand: What callers ask them for.
+    :param digest: Digest of the rows.
+    :param heard_at: Time at which the rows were last confirmed, in seconds.
+    :param differs_since: Time since which its digest has been another one, in seconds;
+        ``None`` while it is the same.
+    """
+
+    row_by_id: dict[InstanceId, EntryRow] = field(default_factory=dict)
+    demand: tuple[DemandRow, ...] = ()
+    digest: int = 0
+    heard_at: float = float("-inf")
+    differs_since: float | None = None
+
+
+@dataclass(slots=True)
+class RosterView:
+    """Follow at one instance which entry instances may be sending requests.
+
+    What several control instances tell is united, and an instance that none names any
+    more counts on for a while: limits that are divided among all must not be exceeded
+    by those who are cut off.
+
+    :param own: This instance's own report; counted in any case.
+    """
+
+    own: EntryReport
+    _roster_by_control: dict[InstanceId, ControlRoster] = field(default_factory=dict)
+    _row_by_id: dict[InstanceId, EntryRow] = field(default_factory=dict)
+    _seen_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
+    _named_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
+    _own_named_at: float = float("-inf")
+    _own_named_since: float = float("-inf")
+
+    def take_rows(self, control: InstanceId, rows: RosterRows, now: float) -> None:
+        """Take what a control instance tells of entry instances.
+
+        :param control: Name of the control instance.
+        :param rows: What it tells.
+        :param now: The present time, in seconds.
+        """
+        roster = self._roster_by_control.setdefault(control, ControlRoster())
+        if rows.is_whole:
+            roster.row_by_id.clear()
+        for instance in rows.gone:
+            roster.row_by_id.pop(instance, None)
+        for row in rows.rows:
+            roster.row_by_id[row[0]] = row
+        roster.digest = roster_digest(roster.row_by_id.values())
+        if rows.is_whole:
+            roster.differs_since = None
+        self._see(roster, now)
+
+    def take_pulse(self, control: InstanceId, pulse: RosterPulse, now: float) -> bool:
+        """Take it that the entry instances of a control instance are the same.
+
+        :param control: Name of the control instance.
+        :param pulse: What it tells.
+        :param now: The present time, in seconds.
+        :return: Whether all rows are to be asked for, as they have differed for long.
+        """
+        roster = self._roster_by_control.setdefault(control, ControlRoster())
+        if pulse.demand:
+            roster.demand = pulse.demand
+        if roster.digest == pulse.digest:
+            roster.differs_since = None
+            self._see(roster, now)
+            return False
+        if roster.differs_since is None:
+            roster.differs_since = now
+        if now - roster.differs_since < const.DIFFERS_FOR_S:
+            return False
+        roster.differs_since = now
+        return True
+
+    def _see(self, roster: ControlRoster, now: float) -> None:
+        roster.heard_at = now
+        for instance, row in roster.row_by_id.items():
+            self._seen_at_by_id[instance] = now
+            self._row_by_id[instance] = row
+            self._named_at_by_id[instance] = now
+        if self.own.instance in roster.row_by_id:
+            self.note_named(now)
+        for instance, seen_at in list(self._seen_at_by_id.items()):
+            if now - seen_at >= const.ENTRY_COUNTS_FOR_S:
+                del self._seen_at_by_id[instance]
+                del self._row_by_id[instance]
+        for instance, named_at in list(self._named_at_by_id.items()):
+            if now - named_at >= const.PART_KEPT_S:
+                del self._named_at_by_id[instance]
+        for control, other in list(self._roster_by_control.items()):
+            if now - other.heard_at >= const.ENTRY_COUNTS_FOR_S and other is not roster:
+                del self._roster_by_control[control]
+
+    def note_named(self, now: float) -> None:
+        """Take it that a control instance names this instance to the others.
+
+        :param now: The present time, in seconds.
+        """
+        if now - self._own_named_at > const.NAMED_WITHIN_S:
+            self._own_named_since = now
+        self._own_named_at = now
+        self._named_at_by_id[self.own.instance] = now
+
+    def part_of_limit(self, window_s: float, now: float) -> float:
+        """Return the part of a limit over a window that this instance may use.
+
+        The parts of all instances add up to the whole at most. One that is cut off from
+        here may go on using its part, so it counts for a while after it was last named.
+        One that is new, or was frozen or cut off itself, has no part until what the
+        others used while they did not count it is out of the window.
+
+        :param window_s: Window of the limit, in seconds.
+        :param now: The present time, in seconds.
+        """
+        if now - self._own_named_at > const.NAMED_WITHIN_S:
+            return 0.0
+        if now - self._own_named_since < window_s + const.TOLD_WITHIN_S:
+            return 0.0
+        named_at_by_id = self._named_at_by_id
+        return 1 / sum(now - at < const.PART_KEPT_S for at in named_at_by_id.values())
+
+    def rows(self) -> list[EntryRow]:
+        """Return all entry instances that may be sending, this one included."""
+        others = (r for i, r in self._row_by_id.items() if i != self.own.instance)
+        return [self.own.row, *others]
+
+    def count(self) -> int:
+        """Return the number of entry instances that may be sending."""
+        return len(self._row_by_id) + (self.own.instance not in self._row_by_id)
+
+    def count_in_zone(self, zone: AvailabilityZoneId) -> int:
+        """Return how many of them run in an availability zone.
+
+        :param zone: The zone.
+        """
+        return sum(1 for row in self.rows() if row[2] == zone)
+
+    def region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
+        """Return the regions of the availability zones that they run in."""
+        return {zone: region for _, region, zone in self.rows()}
+
+    def demand(self, own: Mapping[ServiceName, float]) -> DemandByZone:
+        """Return what callers ask for, by service and availability zone.
+
+        A control instance that some entry instances can't reach tells less; the most
+        that any of them tells is nearest to the whole.
+
+        :param own: What callers ask this instance for.
+        """
+        own_zone = self.own.availability_zone
+        demand: DemandByZone = {s: {own_zone: per_s} for s, per_s in own.items()}
+        for roster in self._roster_by_control.values():
+            for service, row in roster.demand:
+                by_zone = demand.setdefault(service, {})
+                for zone, units in row:
+                    held = by_zone.get(zone, 0.0)
+                    by_zone[zone] = max(held, units / DEMAND_UNITS)
+        return demand
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -17,7 +17,7 @@
 )
 from mothshunt.helpers import log
 from mothshunt.helpers.tasks import async_cancel, start_background
-from mothshunt.membership.roster import RosterView
+from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
 from mothshunt.placement.demand import DemandMeter
--- a/tests/steps/membership_roster.py
+++ b/tests/steps/membership_roster.py
@@ -12,15 +12,15 @@
 from mothshunt.helpers.peer import frame
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.membership.primaries import Place, choose_primaries
-from mothshunt.membership.roster import (
+from mothshunt.membership.roster import RosterTable
+from mothshunt.membership.roster_messages import (
     EntryLoad,
     EntryReport,
     RosterPulse,
     RosterRows,
-    RosterTable,
-    RosterView,
     roster_digest,
 )
+from mothshunt.membership.roster_view import RosterView
 
 SERVICE = "inventory-1"
 
--- a/tests/steps/registry_pulses.py
+++ b/tests/steps/registry_pulses.py
@@ -12,7 +12,7 @@
     PRIMARIES,
     ROSTER_INTERVAL_S,
 )
-from mothshunt.membership.roster import RosterPulse
+from mothshunt.membership.roster_messages import RosterPulse
 from mothshunt.registry import const
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.messages import RegistryRows, Renewal, RenewalState
--- a/tests/support/routed_entry.py
+++ b/tests/support/routed_entry.py
@@ -14,7 +14,8 @@
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
-from mothshunt.membership.roster import EntryReport, RosterView
+from mothshunt.membership.roster_messages import EntryReport
+from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
