Send a request without a body on without one

Cause: a request with neither a length nor a transfer encoding has no body (RFC 9112, 6.3), but was taken for one of unknown length: it went on with Transfer-Encoding: chunked and an empty chunk, by a path that reads the caller's connection.

Ruled out: lost retries.

Change: async_read_body asks whether there is a body, for contracts and routes alike.

Figures: forwarding/attempts, 'A request without a body reaches the target without one', failed before and passes; forwarding and dispatch pass.

--- a/mothshunt/dispatch/body.py
+++ b/mothshunt/dispatch/body.py
@@ -74,6 +74,9 @@
     :param keyed: Whether the whole body is needed for its hash.
     :param timeout_s: Seconds to wait for the body.
     """
+    if not request.body_exists:
+        # RFC 9112, 6.3: neither a length nor a transfer encoding.
+        return RequestBody(b"", request)
     limit = KEYED_BODY_BYTES if keyed else REPEATABLE_BODY_BYTES
     length = request.content_length
     if length is not None and length > (limit if keyed else MAX_BODY_BYTES):
--- a/tests/support/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -1,4 +1,4 @@
-"""A routed entry in the process of the test, with raw targets behind it."""
+"""A routed entry in the present process, for raw targets behind it."""
 
 import asyncio
 import contextlib
--- a/tests/forwarding/attempts.feature
+++ b/tests/forwarding/attempts.feature
@@ -9,6 +9,12 @@
     And "t1" got header "mothshunt-expected-target" "t1"
     And "t1" got the time that is left, at most 2000 ms
 
+  Scenario: A request without a body reaches the target without one
+    Given a routed entry
+    And a routed target "t1" that answers
+    When a routed caller sends GET "/reads/a"
+    Then "t1" got no header "transfer-encoding"
+
   Scenario: An order whose connection breaks is not sent again
     Given a routed entry
     And a routed target "t1" that closes after reading
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -10,8 +10,8 @@
 from behave import given, then, when
 
 from mothshunt.forwarding.retry import RetryBudget
+from testkit.routed_entry import RoutedWorld, request_bytes
 from tests.support.raw_target import RawTarget
-from tests.support.routed_entry import RoutedWorld, request_bytes
 
 ID = "mothshunt-request-id"
 
@@ -265,6 +265,12 @@
     assert request.header_by_name.get(header) == value, request.header_by_name
 
 
+@then('"{name}" got no header "{header}"')
+def target_got_no_header(context, name, header):
+    request = context.target_by_name[name].requests[-1]
+    assert header not in request.header_by_name, request.header_by_name
+
+
 @then('"{name}" got the time that is left, at most {most:d} ms')
 def target_got_time(context, name, most):
     request = context.target_by_name[name].requests[-1]
