--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -5,9 +5,9 @@
 
 import asyncio
 import cProfile
-import pstats
 import time
-from collections import Counter
+from collections import defaultdict
+from types import CodeType
 from typing import Any
 
 from mothshunt.core.const import HEADER_REQUEST_ID
@@ -48,31 +48,37 @@
         entry.call(profile.enable)
         near.run(_async_load(port, requests))
         entry.call(profile.disable)
+        entry.run(world.stop())
         for server in servers:
             near.call(server.close)
-        entry.run(world.stop())
     finally:
         near.close()
         entry.close()
-    result = {
+    shares = _shares(profile)
+    for part, share in shares.items():
+        print(f"{part:28} {share:.3f}")
+    return {
         "requests": requests,
         "us_per_request": round(spent_s / requests * MICROSECONDS, 1),
-        "shares": _shares(profile),
+        "shares": shares,
     }
-    for part, share in result["shares"].items():
-        print(f"{part:28} {share:.3f}")
-    return result
 
 
 def _shares(profile: cProfile.Profile) -> dict[str, float]:
     """Return the share of each slice or library in the time without its callees."""
-    times: Counter[str] = Counter()
-    for (file, _, name), figures in pstats.Stats(profile).stats.items():
-        if "select" in name or "poll" in name:
-            continue
-        times[_part(file)] += figures[2]
+    times: defaultdict[str, float] = defaultdict(float)
+    for entry in profile.getstats():
+        file = "~" if isinstance(entry.code, str) else entry.code.co_filename
+        if not _is_wait(entry.code):
+            times[_part(file)] += entry.inlinetime
     whole = sum(times.values())
-    return {part: round(spent / whole, 3) for part, spent in times.most_common()}
+    descending = sorted(times.items(), key=lambda pair: -pair[1])
+    return {part: round(spent / whole, 3) for part, spent in descending}
+
+
+def _is_wait(code: CodeType | str) -> bool:
+    """Tell whether a function waits for events, in which no processor time is spent."""
+    return isinstance(code, str) and "epoll" in code
 
 
 def _part(file: str) -> str:
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -7,7 +7,17 @@
 
 from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import SystemClock
-from mothshunt.core.types import InstanceState
+from mothshunt.core.types import (
+    AvailabilityZoneId,
+    HostName,
+    Incarnation,
+    InstanceId,
+    InstanceState,
+    RegionId,
+    RouteName,
+    ServiceName,
+    TargetId,
+)
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.model import EntryInterface
@@ -31,7 +41,8 @@
 )
 from mothshunt.settings.config import RoutingSettings
 
-HOST = "shop.example"
+HOST = HostName("shop.example")
+SERVICE = ServiceName("s")
 
 
 @dataclass
@@ -41,10 +52,26 @@
     configuration: Configuration = field(default_factory=Configuration)
 
     def current(self) -> Configuration:
+        """Return it."""
         return self.configuration
 
 
-def route(name, prefix, kind, *, attempts=2, timeout_s=2.0) -> Route:
+def route(
+    name: RouteName,
+    prefix: str,
+    kind: RequestKind,
+    *,
+    attempts: int = 2,
+    timeout_s: float = 2.0,
+) -> Route:
+    """Return a route to the service ``s``.
+
+    :param name: Name of the route.
+    :param prefix: Beginning of the paths that follow it.
+    :param kind: Whether its requests may run more than once.
+    :param attempts: Targets that one request may be sent to.
+    :param timeout_s: Time limit of a request, in seconds.
+    """
     return Route(
         name=name,
         host=HOST,
@@ -53,7 +80,7 @@
         timeout_s=timeout_s,
         target_latency_s=0.5,
         priority=1,
-        services=(WeightedService(service="s", weight=1.0),),
+        services=(WeightedService(service=SERVICE, weight=1.0),),
         max_attempts=attempts,
         has_affinity=True,
         home_regions=(),
@@ -61,13 +88,19 @@
     )
 
 
-def table(timeout_s=2.0) -> RoutingTable:
-    reads = route("reads", "/reads/", RequestKind.IDEMPOTENT, timeout_s=timeout_s)
+def table(timeout_s: float = 2.0) -> RoutingTable:
+    """Return routes for reads and for orders, both to the service ``s``.
+
+    :param timeout_s: Time limit of a request, in seconds.
+    """
+    reads = route(
+        RouteName("reads"), "/reads/", RequestKind.IDEMPOTENT, timeout_s=timeout_s
+    )
     orders = route(
-        "orders", "/orders/", RequestKind.NON_IDEMPOTENT, timeout_s=timeout_s
+        RouteName("orders"), "/orders/", RequestKind.NON_IDEMPOTENT, timeout_s=timeout_s
     )
     service = Service(
-        name="s",
+        name=SERVICE,
         health_path="/healthz",
         max_connections=100,
         cold_start_s=3.0,
@@ -83,24 +116,31 @@
     )
     return RoutingTable(
         routes_by_host={HOST: (reads, orders)},
-        service_by_name={"s": service},
+        service_by_name={SERVICE: service},
         limits=limits,
         has_items=True,
     )
 
 
 class RoutedWorld:
-    """Hold one routed entry and what is behind it."""
+    """Hold one routed entry and what is behind it.
 
-    def __init__(self, timeout_s=2.0, ratio=1.0, slack=100.0) -> None:
+    :param timeout_s: Time limit of a request, in seconds.
+    :param ratio: Attempts beyond the first, as a part of the requests.
+    :param slack: Attempts beyond the first that are allowed besides.
+    """
+
+    def __init__(
+        self, timeout_s: float = 2.0, ratio: float = 1.0, slack: float = 100.0
+    ) -> None:
         clock, self.metrics = SystemClock(), Metrics()
         self.holder = Holder(Configuration(routing=table(timeout_s)))
         self.registry = TargetRegistry()
         roster = RosterView(
             EntryReport(
-                instance="e",
-                region="north",
-                availability_zone="north-a",
+                instance=InstanceId("e"),
+                region=RegionId("north"),
+                availability_zone=AvailabilityZoneId("north-a"),
                 host="127.0.0.1",
                 port=1,
                 state=InstanceState.READY,
@@ -108,8 +148,8 @@
         )
         self.placement = PlacementCoordinator(
             placement=Placement(
-                zone="north-a",
-                region="north",
+                zone=AvailabilityZoneId("north-a"),
+                region=RegionId("north"),
                 max_region_shift=0.15,
                 renewal_interval_s=1.5,
                 random=Random(1),
@@ -146,30 +186,44 @@
         )
 
     async def start(self) -> None:
+        """Listen on a free port."""
         await self.pool.async_start()
         await self.server.async_start()
 
     async def stop(self) -> None:
+        """Stop listening and close the connections to targets."""
         await self.server.async_stop()
         await self.pool.async_stop()
 
-    def add_target(self, name, port) -> None:
+    def add_target(self, name: str, port: int) -> None:
+        """Have the entry know a target of the service ``s``.
+
+        :param name: Name of the target.
+        :param port: Its port on the loopback address.
+        """
         renewal = Renewal(
-            target=name,
-            incarnation=1,
+            target=TargetId(name),
+            incarnation=Incarnation(1),
             sequence=1,
-            service="s",
+            service=SERVICE,
             host="127.0.0.1",
             port=port,
-            region="north",
-            availability_zone="north-a",
+            region=RegionId("north"),
+            availability_zone=AvailabilityZoneId("north-a"),
             slots=4,
         )
         self.registry.take(renewal, SystemClock().monotonic())
         self.placement.refresh()
 
-    async def exchange(self, data: bytes, *, close_after_s=None) -> bytes:
-        """Send raw bytes on a new connection and return all that comes back."""
+    async def exchange(
+        self, data: bytes, *, close_after_s: float | None = None
+    ) -> bytes:
+        """Send raw bytes on a new connection and return all that comes back.
+
+        :param data: The bytes.
+        :param close_after_s: Seconds after which the caller leaves; ``None`` to wait
+            for the answer.
+        """
         host, port = "127.0.0.1", self.server.port
         reader, writer = await asyncio.open_connection(host, port)
         writer.write(data)
@@ -186,7 +240,22 @@
         return answer
 
 
-def request_bytes(method, path, *, headers="", body=b"", request_id="id-1") -> bytes:
+def request_bytes(
+    method: str,
+    path: str,
+    *,
+    headers: str = "",
+    body: bytes = b"",
+    request_id: str = "id-1",
+) -> bytes:
+    """Return a request that closes its connection.
+
+    :param method: HTTP method.
+    :param path: Path.
+    :param headers: Further header lines, each with its line end.
+    :param body: Body; sent with a length unless it is empty.
+    :param request_id: Name of the request.
+    """
     head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
     head += f"Mothshunt-Request-Id: {request_id}\r\n{headers}"
     if body:
