--- a/tests/steps/daemon_routed.py
+++ b/tests/steps/daemon_routed.py
@@ -17,9 +17,9 @@
     context.routed = RoutedDeployment(context.stack, small())
 
 
-@given("a routed deployment of three control instances and two entries")
-def separate_deployment(context):
-    plans = [
+def separate_roles():
+    """Return the plans of three control instances and two entries."""
+    return tuple(
         InstancePlan(
             id=f"{region}-{role}",
             region=region,
@@ -28,8 +28,12 @@
         )
         for role, regions in (("control", REGIONS), ("entry", REGIONS[:2]))
         for region in regions
-    ]
-    context.routed = RoutedDeployment(context.stack, tuple(plans))
+    )
+
+
+@given("a routed deployment of three control instances and two entries")
+def separate_deployment(context):
+    context.routed = RoutedDeployment(context.stack, separate_roles())
 
 
 @given('{count:d} routed targets of service "{service}"')
--- a/tests/support/routed_deployment.py
+++ b/tests/support/routed_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -76,16 +77,37 @@
 
 
 class RoutedDeployment:
-    """Run the product's own program, and call it as operators and callers do."""
-
-    def __init__(self, stack, plans: tuple[InstancePlan, ...]) -> None:
-        self.deployment = stack.enter_context(Deployment(plans, routing=ROUTING))
+    """Run the product's own program, and call it as operators and callers do.
+
+    :param stack: Ends what was started.
+    :param plans: Instances to run.
+    :param with_proxies: Whether streams between instances can be cut.
+    :param full_disk_of: Name of an instance that can't write a byte from its start.
+    """
+
+    def __init__(
+        self,
+        stack,
+        plans: tuple[InstancePlan, ...],
+        *,
+        with_proxies: bool = False,
+        full_disk_of: str | None = None,
+    ) -> None:
+        deployment = Deployment(plans, routing=ROUTING, with_proxies=with_proxies)
+        self.deployment = stack.enter_context(deployment)
         self.targets: list[Target] = []
         self.runner = stack.enter_context(asyncio.Runner())
         stack.callback(self.stop_targets)
         for instance in self.deployment.instances:
             instance.process.start()
-        controls = self.deployment.control_instances
+            if instance.id == full_disk_of:
+                pid = instance.process.pid
+                resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, 0))
+        controls = [
+            instance
+            for instance in self.deployment.control_instances
+            if instance.id != full_disk_of
+        ]
         self.urls = [instance.admin_url for instance in controls]
         wait_until(self._all_listen, START_TIMEOUT_S, "control instances listen")
 
