--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -132,7 +132,10 @@
         folder.mkdir()
         return Process(f"{self.net}.{number + 1}", number, is_control, folder)
 
-    def start(self, process: Process, *, bootstrap: bool) -> None:
+    def write_settings(
+        self, process: Process, *, bootstrap: bool = False, seeds=None
+    ) -> Path:
+        """Write the settings of a process as the platform does."""
         listen = {"control": f"{process.ip}:8649", "directory": f"{process.ip}:8644"}
         if not process.is_control:
             listen = {
@@ -148,7 +151,7 @@
             "zones": ZONES,
             "listen": listen,
             "internal_ports": [7620, 7635],
-            "seeds": [f"{c.ip}:8649" for c in self.controls[:3]],
+            "seeds": seeds or [f"{c.ip}:8649" for c in self.controls[:3]],
             "bootstrap": bootstrap,
             "data_dir": str(process.folder / "data") if process.is_control else None,
             "heartbeat": "500ms",
@@ -157,6 +160,10 @@
         }
         settings = process.folder / "settings.json"
         settings.write_text(json.dumps(document))
+        return settings
+
+    def start(self, process: Process, *, bootstrap: bool, seeds=None) -> None:
+        settings = self.write_settings(process, bootstrap=bootstrap, seeds=seeds)
         log = (process.folder / "log").open("ab")
         process.popen = subprocess.Popen(
             [sys.executable, "-m", "mothshunt.platform.main"],
