--- a/tests/membership/roster.feature
+++ b/tests/membership/roster.feature
@@ -71,6 +71,12 @@
     When its control instances confirm their entries each second until 42 s
     Then its part of a limit over 10 s is 1/2 at 42 s
 
+  Scenario: A machine that was suspended has no part of a limit when it wakes
+    Given a roster view of entry "e1"
+    And it was told of entries "e1, e2" for 12 s of the system's clock
+    When the machine is suspended for 6 s, while its monotonic clock stands still
+    Then its part of a limit over 10 s is 0 by the system's clock
+
   Scenario: An entry that others can't see any more keeps its part of a limit
     Given a roster view of entry "e1"
     When control "c1" tells it of entries "e1, e2, e3" at 0 s
--- a/tests/steps/membership_roster.py
+++ b/tests/steps/membership_roster.py
@@ -1,12 +1,15 @@
 """Steps for the roster of entry instances."""
 
+import time
 from fractions import Fraction
+from unittest.mock import patch
 
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from mothshunt.core.clock import SystemClock
 from mothshunt.core.types import InstanceState
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.helpers.peer import frame
@@ -101,6 +104,37 @@
     assert abs(found - float(Fraction(part))) < 1e-9, found
 
 
+@given('it was told of entries "{names}" for {seconds:d} s of the system\'s clock')
+def told_by_clock(context, names, seconds):
+    context.now_by_clock = {time.CLOCK_BOOTTIME: 100.0, time.CLOCK_MONOTONIC: 100.0}
+    patched = patch.object(time, "clock_gettime", context.now_by_clock.get)
+    context.stack.enter_context(patched)
+    monotonic = patch.object(
+        time, "monotonic", lambda: context.now_by_clock[time.CLOCK_MONOTONIC]
+    )
+    context.stack.enter_context(monotonic)
+    clock = SystemClock()
+    told(context, "c1", names, clock.monotonic())
+    for _ in range(seconds):
+        for kind in context.now_by_clock:
+            context.now_by_clock[kind] += 1.0
+        confirms(context, "c1", clock.monotonic())
+    assert context.view.part_of_limit(10.0, clock.monotonic()) > 0
+
+
+@when(
+    "the machine is suspended for {seconds:d} s, while its monotonic clock stands still"
+)
+def suspended(context, seconds):
+    context.now_by_clock[time.CLOCK_BOOTTIME] += seconds
+
+
+@then("its part of a limit over {window_s:g} s is {part:g} by the system's clock")
+def part_by_clock(context, window_s, part):
+    found = context.view.part_of_limit(window_s, SystemClock().monotonic())
+    assert found == part, found
+
+
 @then('{count:d} of them run in zone "{zone}"')
 def counts_in_zone(context, count, zone):
     assert context.view.count_in_zone(zone) == count, context.view.rows()
