--- a/tests/daemon/routed_faults.feature
+++ b/tests/daemon/routed_faults.feature
@@ -33,7 +33,14 @@
     Then each entry soon answers "shop.example" "/orders/a" with 404
     And "mothshunt targets compare" shows 3 targets, the same on 3 instances
 
-  Scenario: The disk of one control instance is full before the log is founded
+  Scenario: The others found the log while the disk of one control instance is full
+    Given a routed deployment of three instances with both roles, the disk of "south-1" full
+    And 3 routed targets of service "stock"
+    When the routing items at version 1 are applied
+    Then a caller is told of 2 entries, and each serves "shop.example" "/stock/a"
+    And the routed process of "south-1" ended with exit code 3
+
+  Scenario: A control instance whose disk was full at the founding comes back
     Given a routed deployment of three instances with both roles, the disk of "south-1" full
     And 3 routed targets of service "stock"
     Then the routed process of "south-1" ended with exit code 3
