Mend two checks that took an allowed outcome for a fault

Cause, consensus/fatal 'The leader's disk fails': the check asked for an unknown outcome whatever happened before the command. All instances share one event loop; when it stands still for longer than an election timeout, another instance leads before the command comes, the failed one never takes it, and answers 4001 with "not run", which is true.

Cause, the tour's booking: the first answer is recorded after its caller has it, so a repeat that comes 6 ms later through another entry may be told 2402 in_progress with a time to come back, as docs/design/ledger.md says. The tour and promises/at_most_once asked for the first answer at once. Ruled out: a claim that was lost or doubled; 2402 is only told for a claim that is open.

--- a/testkit/tour.py
+++ b/testkit/tour.py
@@ -8,6 +8,7 @@
 from testkit.environment import IN_FORCE_TARGET_S, Environment
 from testkit.load import LoadPlan, LoadReport, RequestKind
 from testkit.profiles import PROFILES_BY_CUSTOMER, thin_targets
+from testkit.repeats import send_until_kept
 from testkit.request import Outcome, Request
 from testkit.running_load import RunningLoad
 from testkit.shape import REGIONS
@@ -137,7 +138,8 @@
         )
         first = environment.send(environment.caller(tour.customer, "north"), request)
         assert first.outcome is Outcome.WHOLE, first
-        again = environment.send(environment.caller(tour.customer, "south"), request)
+        other = environment.caller(tour.customer, "south")
+        again = send_until_kept(lambda: environment.send(other, request))
         assert again.outcome is Outcome.WHOLE, again
         assert again.answer == first.answer, (first, again)
         runs = environment.fleet.run_count_by_id()[request.request_id]
--- a/tests/steps/consensus_fatal.py
+++ b/tests/steps/consensus_fatal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import time
 
 from behave import given, then, when
 
@@ -35,6 +36,13 @@
         raise OSError(errno.ENOSPC, "no space left on device")
 
     context.log.coordinator_by_id[name]._writer._storage.write = write
+    context.failing_since = context.log.loop.time()
+
+
+@when("all instances of the log stand still for {seconds:g} s")
+def stand_still(context, seconds):
+    # Blocks the event loop that all instances share.
+    time.sleep(seconds)
 
 
 @when("the state of a follower of the log refuses commands")
@@ -48,11 +56,24 @@
     context.log.commands_by_id[name].apply = apply
 
 
-@then('proposing "{text}" on the failed control instance fails with an unknown outcome')
-def proposing_unknown(context, text):
-    coordinator = context.log.coordinator_by_id[context.failed_id]
-    result = context.log.run(coordinator.async_propose(text.encode(), TIMEOUT_S))
+@then('proposing "{text}" on the failed control instance fails, its outcome told truly')
+def proposing_fails(context, text):
+    """Demand an unknown outcome, unless another leader may have been elected before.
+
+    In that case the failed instance may not have taken the command; ``not run`` is
+    checked against what the others apply.
+    """
+    log = context.log
+    coordinator = log.coordinator_by_id[context.failed_id]
+    may_have_lost_lead = (
+        log.loop.time() - context.failing_since >= log.config.election_min_s / 2
+    )
+    result = log.run(coordinator.async_propose(text.encode(), TIMEOUT_S))
     assert result.is_error(), result
+    context.never_run = set()
+    if may_have_lost_lead and result.error.ran is Ran.NO:
+        context.never_run.add(text.encode())
+        return
     assert result.error.ran is Ran.UNKNOWN, result.error
 
 
@@ -82,7 +103,10 @@
 @then('the working control instances have applied "{first}", perhaps "{text}" between')
 def working_applied_perhaps(context, first, text):
     before, after = split(first)
-    working_have_applied(context, [[before, after], [before, text.encode(), after]])
+    allowed = [[before, after]]
+    if text.encode() not in context.never_run:
+        allowed.append([before, text.encode(), after])
+    working_have_applied(context, allowed)
 
 
 @then('the working control instances have all applied "{texts}"')
--- a/tests/steps/promise_requests.py
+++ b/tests/steps/promise_requests.py
@@ -9,6 +9,7 @@
 from testkit.ports import HOST
 from testkit.process import wait_until
 from testkit.proxy import Direction
+from testkit.repeats import send_until_kept
 from testkit.request import Outcome, Request
 from testkit.shape import REGIONS
 from testkit.target.config import Endpoint
@@ -133,7 +134,9 @@
 def first_answer(context, name):
     answers = set()
     for entry in context.env.deployment.entry_instances:
-        result = send(context, entry.id, booking(name, service_ms=300))
+        result = send_until_kept(
+            lambda entry=entry: send(context, entry.id, booking(name, service_ms=300))
+        )
         assert result.outcome is Outcome.WHOLE, result
         answers.add(result.answer)
     assert len(answers) == 1, answers
