Found the log by a majority of the first control instances

Cause: the first membership was made only when each of the seeds said that it knew of none, so one seed that was down (a full disk, a process that ends at its start) kept the whole deployment from serving.

Change: single-decree Paxos among those that the first settings name, with a record that is synced before each answer. It rests on the settings telling a first start from any other, so deployments by contracts keep the founding by all. The record also says that this folder may found, so a seed that is killed before the founding still takes part.

Not covered: the log begins with two voters when two of three seeds are up, and losing the folder of one before a third has caught up ends it (design/consensus.md).

--- a/mothshunt/consensus/bootstrap.py
+++ b/mothshunt/consensus/bootstrap.py
@@ -6,13 +6,15 @@
 the leader has taken it in as a learner, it has caught up, and it is a voter again.
 
 The first membership is made when every initial member says that it knows of none. As
-all of them have to answer, none that holds state can be passed over.
+all of them have to answer, none that holds state can be passed over. Where the settings
+exclude that a lost folder founds, a majority agrees on it instead (``founding``).
 """
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
+from mothshunt.consensus import founding
 from mothshunt.consensus.messages import HelloAnswer
 from mothshunt.consensus.voters import Member, Membership
 from mothshunt.core.types import InstanceId
@@ -26,6 +28,8 @@
     FOUND = "found"
     #: Ask the leader to be admitted as a learner.
     REJOIN = "rejoin"
+    #: Propose the first membership to the other initial members.
+    PROPOSE = "propose"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +53,7 @@
     initial: Sequence[InstanceId],
     answer_by_instance: Mapping[InstanceId, HelloAnswer],
     may_join: bool = False,
+    waited_s: float | None = None,
 ) -> Decision:
     """Decide from what the other control instances say.
 
@@ -58,6 +63,8 @@
         before this instance was there.
     :param answer_by_instance: What others answered just now.
     :param may_join: Whether an instance that no membership names asks for admission.
+    :param waited_s: Time since this instance began to ask, in seconds, where a majority
+        may found the log; ``None`` where all initial members have to answer.
     """
     answers = list(answer_by_instance.values())
     memberships = [a.membership for a in answers if a.membership is not None]
@@ -67,6 +74,14 @@
     if memberships or known is not None:
         return _decide_rejoin(own, answers, may_join=may_join)
     others = [instance for instance in initial if instance != own.id]
+    if waited_s is not None:
+        is_due = founding.is_due(
+            own=own.id,
+            initial=initial,
+            reachable={own.id, *(i for i in others if i in answer_by_instance)},
+            waited_s=waited_s,
+        )
+        return Decision(step=Step.PROPOSE if is_due else Step.WAIT)
     has_all = all(instance in answer_by_instance for instance in others)
     if own.id not in initial or not has_all:
         return Decision(step=Step.WAIT)
--- a/mothshunt/consensus/config.py
+++ b/mothshunt/consensus/config.py
@@ -20,6 +20,9 @@
     :param snapshot_chunk_bytes: Largest part of a snapshot in one message.
     :param segment_bytes: Size after which a new file of the log is begun.
     :param max_voters: Voters up to which learners are promoted.
+    :param is_founded_by_majority: Whether a majority of the initial control instances
+        founds the log, not only all of them; allowed where none that lost its data
+        folder is started as one of them.
     :param is_self_managed: Whether the leader admits control instances that ask, and
         replaces voters that are lost.
     """
@@ -34,4 +37,5 @@
     snapshot_chunk_bytes: int = const.SNAPSHOT_CHUNK_BYTES
     segment_bytes: int = const.SEGMENT_BYTES
     max_voters: int = const.MAX_MEMBERS
+    is_founded_by_majority: bool = False
     is_self_managed: bool = False
--- a/mothshunt/consensus/const.py
+++ b/mothshunt/consensus/const.py
@@ -41,6 +41,12 @@
 
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 1.0
+#: Each of the instances that may found the log proposes this much later than the one
+#: before it, so that two rarely do so at once: some round trips of a slow link.
+FOUNDING_TURN_S = 1.0
+#: A majority founds the log without the others after this long; instances of a
+#: deployment that start together are up within about a second of each other.
+FOUNDING_PATIENCE_S = 2.0
 #: Time after which a caller may try again while there is no leader.
 RETRY_AFTER_S = 1.0
 #: Pause before a proposal or read that was surely not taken is tried again.
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -14,12 +14,17 @@
 from mothshunt.consensus.config import ConsensusConfig
 from mothshunt.consensus.disk import DiskWriter
 from mothshunt.consensus.driver import NodeDriver
+from mothshunt.consensus.founder import Founder
 from mothshunt.consensus.introduction import Introduction
 from mothshunt.consensus.leader_service import LeaderService
 from mothshunt.consensus.messages import (
     AddVoter,
     Append,
     AppendAnswer,
+    Founded,
+    FoundingAccept,
+    FoundingAnswer,
+    FoundingPrepare,
     Heartbeat,
     HeartbeatAnswer,
     Hello,
@@ -111,6 +116,7 @@
         self._driver: NodeDriver | None = None
         self._client: LogClient | None = None
         self._introduction: Introduction | None = None
+        self._founder: Founder | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._writer_task: asyncio.Task[None] | None = None
         self._stopping: asyncio.Task[None] | None = None
@@ -203,10 +209,13 @@
             clock=self._clock,
             metrics=self._metrics,
         )
+        if self._config.is_founded_by_majority:
+            self._founder = await self._async_make_founder(own)
         self._introduction = Introduction(
             own=own,
             driver=driver,
             network=self._network,
+            founder=self._founder,
             initial=[voter.id for voter in self._initial],
             contacts=[voter.id for voter in self._contacts],
             may_join=self._config.is_self_managed,
@@ -223,11 +232,24 @@
         if self._config.is_self_managed:
             self._tasks.append(asyncio.create_task(service.async_keep_members()))
 
+    async def _async_make_founder(self, own: Member) -> Founder:
+        founder = Founder(
+            own=own,
+            record=await self._writer.async_read_founding(),
+            writer=self._writer,
+            network=self._network,
+        )
+        await founder.async_begin([voter.id for voter in self._initial])
+        return founder
+
     def _register(self, driver: NodeDriver, service: LeaderService) -> None:
         network = self._network
         for cls in NODE_MESSAGES:
             network.on_message(cls, driver.receive)
         network.on_request(Hello, self._async_on_hello)
+        network.on_request(FoundingPrepare, self._async_on_founding)
+        network.on_request(FoundingAccept, self._async_on_founding)
+        network.on_message(Founded, self._on_founded)
         network.on_request(Propose, lambda _, request: service.async_propose(request))
         network.on_request(Read, lambda _, request: service.async_read(request))
         network.on_request(Rejoin, lambda _, request: service.async_rejoin(request))
@@ -243,6 +265,17 @@
             raise AssertionError("asked before the start")
         return self._introduction.answer()
 
+    async def _async_on_founding(
+        self, peer: InstanceId, request: FoundingPrepare | FoundingAccept
+    ) -> FoundingAnswer:
+        if self._founder is None or self._stopping is not None:
+            raise AssertionError("asked to found a log while taking no part")
+        return await self._founder.async_answer(request)
+
+    def _on_founded(self, peer: InstanceId, founded: Founded) -> None:
+        if self._introduction is not None and self._stopping is None:
+            self._introduction.found(founded.membership)
+
     async def _async_write(self, driver: NodeDriver) -> None:
         try:
             await self._writer.async_run(driver.synced)
--- a/mothshunt/consensus/disk.py
+++ b/mothshunt/consensus/disk.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
+from mothshunt.consensus.founding import FoundingRecord
 from mothshunt.consensus.storage import Storage
 from mothshunt.consensus.types import DurableState, Write, WriteNumber
 from mothshunt.core.clock import Clock
@@ -34,6 +35,20 @@
         loop = asyncio.get_running_loop()
         return await loop.run_in_executor(self._executor, self._storage.open)
 
+    async def async_read_founding(self) -> FoundingRecord | None:
+        """Return what the data folder holds of the founding."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, self._storage.read_founding)
+
+    async def async_keep_founding(self, record: FoundingRecord) -> None:
+        """Keep a record of the founding, synced.
+
+        :param record: The record.
+        :raises OSError: When it can't be kept.
+        """
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._executor, self._storage.keep_founding, record)
+
     def submit(self, writes: Sequence[Write], number: WriteNumber) -> None:
         """Queue writes.
 
--- a/mothshunt/consensus/introduction.py
+++ b/mothshunt/consensus/introduction.py
@@ -9,6 +9,7 @@
 from mothshunt.consensus import bootstrap, const
 from mothshunt.consensus.bootstrap import Decision, Step
 from mothshunt.consensus.driver import NodeDriver
+from mothshunt.consensus.founder import Founder
 from mothshunt.consensus.messages import Answer, Hello, HelloAnswer, Rejoin
 from mothshunt.consensus.types import NodeRole
 from mothshunt.consensus.voters import Member, Membership
@@ -25,6 +26,8 @@
     :param own: This instance.
     :param driver: Its node.
     :param network: Streams to the other instances.
+    :param founder: Takes part in a founding by a majority; ``None`` where all initial
+        members have to answer.
     :param initial: Initial members, by the settings.
     :param contacts: Control instances to ask while no membership is known.
     :param may_join: Whether to ask for admission where no membership names this
@@ -39,6 +42,7 @@
         own: Member,
         driver: NodeDriver,
         network: PeerNetwork,
+        founder: Founder | None,
         initial: Sequence[InstanceId],
         contacts: Sequence[InstanceId],
         may_join: bool,
@@ -48,11 +52,13 @@
         self._own = own
         self._driver = driver
         self._network = network
-        self._initial = tuple(initial)
+        self._founder = founder
+        self._initial = founder.initial if founder is not None else tuple(initial)
         self._contacts = tuple(contacts)
         self._may_join = may_join
         self._on_membership = on_membership
         self._random = random
+        self._began_at = driver.now()
 
     def known_membership(self) -> Membership | None:
         """Return the newest membership in the own log, where there is one."""
@@ -69,6 +75,7 @@
 
     async def async_run(self) -> None:
         """Ask the others whenever this node is no member or knows no leader."""
+        self._began_at = self._driver.now()
         while True:
             if self._is_outside():
                 await self._async_step()
@@ -100,9 +107,15 @@
             initial=self._initial,
             answer_by_instance=answer_by_instance,
             may_join=self._may_join,
+            waited_s=self._waited_s(),
         )
         await self._async_follow(decision)
 
+    def _waited_s(self) -> float | None:
+        if self._founder is None:
+            return None
+        return self._driver.now() - self._began_at
+
     async def _async_ask(
         self, peers: Sequence[InstanceId]
     ) -> dict[InstanceId, HelloAnswer]:
@@ -121,13 +134,26 @@
         return answer_by_instance
 
     async def _async_follow(self, decision: Decision) -> None:
-        driver = self._driver
         if decision.step is Step.FOUND and decision.membership is not None:
-            voters = [member.id for member in decision.membership.voters]
-            _LOGGER.info("first membership", voters=voters)
-            driver.perform(driver.node.found(decision.membership, driver.now()))
+            self.found(decision.membership)
         elif decision.step is Step.REJOIN:
             await self._async_rejoin(decision.leaders)
+        elif decision.step is Step.PROPOSE and self._founder is not None:
+            membership = await self._founder.async_propose()
+            if membership is not None:
+                self.found(membership)
+
+    def found(self, membership: Membership) -> None:
+        """Start with the first membership, unless one is known or it names others.
+
+        :param membership: The membership.
+        """
+        driver = self._driver
+        if self.known_membership() is not None or not membership.has(self._own.replica):
+            return
+        voters = [member.id for member in membership.voters]
+        _LOGGER.info("first membership", voters=voters)
+        driver.perform(driver.node.found(membership, driver.now()))
 
     async def _async_rejoin(self, leaders: Sequence[InstanceId]) -> None:
         for leader in leaders:
--- a/mothshunt/consensus/messages.py
+++ b/mothshunt/consensus/messages.py
@@ -173,6 +173,82 @@
     leader: InstanceId | None
 
 
+NO_PROPOSER = InstanceId("")
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class Ballot:
+    """Order the proposals of founding memberships.
+
+    :param round: Number that rises; 0 for no proposal.
+    :param proposer: Instance that proposes; sets equal rounds apart.
+    """
+
+    round: int = 0
+    proposer: InstanceId = NO_PROPOSER
+
+
+NO_BALLOT = Ballot()
+
+
+@message("consensus.founding_prepare")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FoundingPrepare:
+    """Ask for a promise to take part in no lower ballot of the founding.
+
+    :param initial: Instances that may found the log, sorted.
+    :param ballot: Ballot of the proposal.
+    """
+
+    initial: tuple[InstanceId, ...]
+    ballot: Ballot
+
+
+@message("consensus.founding_accept")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FoundingAccept:
+    """Ask for a founding membership to be accepted.
+
+    :param initial: Instances that may found the log, sorted.
+    :param ballot: Ballot of the proposal.
+    :param membership: The membership.
+    """
+
+    initial: tuple[InstanceId, ...]
+    ballot: Ballot
+    membership: Membership
+
+
+@message("consensus.founding_answer")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FoundingAnswer:
+    """Grant or refuse one step of a proposal.
+
+    :param sender: The instance that answers, with the number of its data folder.
+    :param is_granted: Whether it promised, or accepted.
+    :param promised: Highest ballot that it has promised to.
+    :param accepted: Ballot of the membership that it accepted last.
+    :param membership: That membership; ``None`` where it accepted none.
+    """
+
+    sender: Member
+    is_granted: bool
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    membership: Membership | None = None
+
+
+@message("consensus.founded")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Founded:
+    """Tell the founding membership that a majority has accepted.
+
+    :param membership: The membership.
+    """
+
+    membership: Membership
+
+
 @message("consensus.rejoin")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Rejoin:
--- a/mothshunt/consensus/storage.py
+++ b/mothshunt/consensus/storage.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from mothshunt.consensus import codes, files, voters
+from mothshunt.consensus.founding import FoundingRecord
 from mothshunt.consensus.segments import Item, Reset, SegmentedLog
 from mothshunt.consensus.types import (
     DurableState,
@@ -23,10 +24,12 @@
 from mothshunt.consensus.voters import ReplicaId
 from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import InstanceId, LogIndex, Term
+from mothshunt.util import wire
 
 LOCK_NAME = "lock"
 IDENTITY_NAME = "identity"
 VOTE_NAME = "vote"
+FOUNDING_NAME = "founding"
 SNAPSHOT_PREFIX = "snapshot-"
 REPLICA_BITS = 62
 
@@ -104,6 +107,28 @@
     def _segmented_log(self, replica: ReplicaId) -> SegmentedLog:
         return SegmentedLog(self._folder, replica, self._segment_bytes)
 
+    def read_founding(self) -> FoundingRecord | None:
+        """Return what the folder holds of the founding, where it takes part in one.
+
+        :raises MothshuntError: With code 4021 when it is damaged.
+        """
+        path = self._folder / FOUNDING_NAME
+        content = files.read(path)
+        if content is None:
+            return None
+        result = wire.unpack(content)
+        if result.is_error() or not isinstance(result.ok, FoundingRecord):
+            raise files.damaged(path, "it does not hold a record of the founding")
+        return result.ok
+
+    def keep_founding(self, record: FoundingRecord) -> None:
+        """Keep a record of the founding, synced.
+
+        :param record: The record.
+        :raises OSError: When it can't be kept.
+        """
+        files.replace(self._folder / FOUNDING_NAME, wire.pack(record))
+
     def _read_vote(self) -> HardState:
         content = files.read(self._folder / VOTE_NAME)
         if content is None:
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -82,7 +82,11 @@
             state_machine=CompositeStateMachine([state]),
             clock=clock,
             metrics=metrics,
-            config=ConsensusConfig(max_voters=routing.voters, is_self_managed=True),
+            config=ConsensusConfig(
+                max_voters=routing.voters,
+                is_founded_by_majority=True,
+                is_self_managed=True,
+            ),
             may_found=routing.may_found,
         )
 
--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -172,6 +172,24 @@
     left: int
 
 
+@log_event("founding proposed", slice_name="consensus")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FoundingProposed:
+    """A first membership of the replicated log was proposed.
+
+    :param round: Number of the proposal's ballot.
+    :param granted_by: Instances that granted the last step that was reached.
+    :param voters: Voters of the membership that they were asked to accept; none where
+        no majority promised.
+    :param is_chosen: Whether a majority has accepted it.
+    """
+
+    round: int
+    granted_by: tuple[InstanceId, ...]
+    voters: tuple[InstanceId, ...]
+    is_chosen: bool
+
+
 @log_event("role changed", slice_name="consensus")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoleChanged:
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -95,7 +95,8 @@
     The limits hold for all entry instances together.
 
     :param may_found: Whether the control instances of the settings found a new log;
-        only at the first start of a deployment.
+        only at the first start of a deployment, and never for an instance that lost
+        its data folder, as a majority of them founds.
     :param voters: Control instances that vote, at most.
     :param renewal_interval_s: Time between two renewals of a target, in seconds.
     :param retry_ratio: Attempts beyond the first, as a part of a service's requests.
--- a/tests/consensus/self_managed.feature
+++ b/tests/consensus/self_managed.feature
@@ -37,3 +37,25 @@
     Then the voters are "a, b, c, d, e" within 8 s
     When all end at once and start again
     Then there is a leader within 0.6 s
+
+  Scenario: Two of three seeds found the log, and the third joins it when it comes up
+    Given a self-managed log whose seeds are "a, b, c"
+    When "b, c, d, e" of it start
+    Then the voters are "b, c, d, e" within 12 s
+    When "a" of it starts
+    Then the voters are "a, b, c, d, e" within 8 s
+
+  Scenario: A seed that has lost its folder since never founds a log with one that was down
+    Given a self-managed log whose seeds are "a, b, c"
+    When "a, b" of it start
+    Then the voters are "a, b" within 12 s
+    When "a" ends and "b" loses its disk and starts again without founding
+    And "c" of it starts
+    Then nothing is founded by "b, c" within 6 s
+
+  Scenario: A seed that is started again before the founding still takes part in it
+    Given a self-managed log whose seeds are "a, b, c"
+    When "a" of it starts
+    And "a" ends and starts again, not at its first start any more
+    And "b" of it starts
+    Then the voters are "a, b" within 12 s
--- a/tests/consensus/storage.feature
+++ b/tests/consensus/storage.feature
@@ -38,6 +38,14 @@
       | identity | removed | 4021 |
       | log-000000000001 | removed | 4020 |
 
+  Scenario: The record of a founding is read back, and a damaged one stops the instance
+    Given a data folder with entries 1 to 5 in one file
+    Then it holds no record of a founding
+    When a record of a founding is kept in it
+    Then the same record of a founding is read back
+    When the file "founding" is damaged
+    Then reading the record of a founding fails with code 4021
+
   Scenario: A folder in use, and one of another instance, are refused
     Given a data folder with entries 1 to 5 in one file
     Then reading it twice at a time fails with code 4022
--- a/tests/steps/consensus_self_managed.py
+++ b/tests/steps/consensus_self_managed.py
@@ -1,5 +1,6 @@
 """Steps for control instances that manage their membership by themselves."""
 
+import asyncio
 import shutil
 from dataclasses import replace
 
@@ -8,7 +9,9 @@
 from tests.steps.consensus_coordinator import names_of
 from tests.support.consensus_net import CONFIG, Deployment
 
-SELF_MANAGED = replace(CONFIG, max_voters=5, is_self_managed=True)
+SELF_MANAGED = replace(
+    CONFIG, max_voters=5, is_founded_by_majority=True, is_self_managed=True
+)
 
 
 @given('a self-managed log founded by "{seeds}" and joined by "{others}"')
@@ -20,6 +23,42 @@
         context.log.run(context.log.async_start(name, context.seeds))
 
 
+@given('a self-managed log whose seeds are "{seeds}"')
+def seeds_are(context, seeds):
+    context.seeds = names_of(seeds)
+    context.log = Deployment(context.stack, list(context.seeds), SELF_MANAGED)
+
+
+@when('"{names}" of it start')
+@when('"{names}" of it starts')
+def of_it_start(context, names):
+    for name in names_of(names):
+        context.log.run(context.log.async_start(name, context.seeds))
+
+
+@when('"{name}" ends and starts again, not at its first start any more')
+def starts_again(context, name):
+    log = context.log
+    log.run(log.async_kill(name))
+    log.run(log.async_start(name, context.seeds, may_found=False))
+
+
+@when('"{gone}" ends and "{name}" loses its disk and starts again without founding')
+def ends_and_loses_disk(context, gone, name):
+    context.log.run(context.log.async_kill(gone))
+    loses_disk(context, name)
+
+
+@then('nothing is founded by "{names}" within {seconds:g} s')
+def nothing_founded(context, names, seconds):
+    log = context.log
+    log.run(asyncio.sleep(seconds))
+    for name in names_of(names):
+        now = log.coordinator_by_id[name].status()
+        assert now.leader is None, now
+        assert not now.voters, now
+
+
 def status(context):
     log = context.log
     leaders = log.leaders()
--- a/tests/steps/consensus_storage.py
+++ b/tests/steps/consensus_storage.py
@@ -9,6 +9,8 @@
 
 from mothshunt.consensus import files, records
 from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.founding import FoundingRecord
+from mothshunt.consensus.messages import Ballot
 from mothshunt.consensus.segments import SegmentedLog
 from mothshunt.consensus.state import NodeState
 from mothshunt.consensus.storage import Storage
@@ -21,12 +23,20 @@
     WriteHardState,
     WriteSnapshot,
 )
-from mothshunt.consensus.voters import Membership
+from mothshunt.consensus.voters import Member, Membership
 from mothshunt.core.codes import MothshuntError
 
 SMALL_BYTES = 200
 LARGE_BYTES = 1 << 20
 FIRST_LOG = "log-000000000001"
+RECORD = FoundingRecord(
+    initial=("a", "b", "c"),
+    promised=Ballot(3, "b"),
+    accepted=Ballot(2, "a"),
+    membership=Membership(
+        voters=(Member(id="a", host="127.0.0.1", port=1, replica=7),)
+    ),
+)
 
 
 def entry(index, term=1, data=None):
@@ -208,6 +218,31 @@
     assert code_of_reading(context.folder) == number, code_of_reading(context.folder)
 
 
+@then("it holds no record of a founding")
+def holds_no_record(context):
+    assert storage(context.folder).read_founding() is None
+
+
+@when("a record of a founding is kept in it")
+def keep_record(context):
+    storage(context.folder).keep_founding(RECORD)
+
+
+@then("the same record of a founding is read back")
+def read_record(context):
+    assert storage(context.folder).read_founding() == RECORD
+
+
+@then("reading the record of a founding fails with code {number:d}")
+def reading_record_fails(context, number):
+    try:
+        record = storage(context.folder).read_founding()
+    except MothshuntError as error:
+        assert error.failure.code.number == number, error
+        return
+    raise AssertionError(f"a damaged record was read: {record}")
+
+
 @then("reading it twice at a time fails with code {number:d}")
 def read_twice(context, number):
     first = storage(context.folder)
