Tell the look-ups that were left out of a line when an entry is there again

Cause: the line of look-ups that find no entry instance comes once a second at most, and what came after the last one was never told.

Ruled out: a control instance that names no entries while entries serve, other than one that has just started.

Change: the remainder is told with the first look-up that finds an entry.

--- a/mothshunt/lookup/directory.py
+++ b/mothshunt/lookup/directory.py
@@ -46,22 +46,20 @@
         """
         entries = nearest_entries(self.roster.ready(), region, zone)
         if entries:
+            if self._unanswered > 0:
+                self._tell_unanswered(region, zone, now)
             self.metrics.count(METRIC_LOOKUPS, outcome="answered")
             return Ok(entries)
         self.metrics.count(METRIC_LOOKUPS, outcome="none")
         self._unanswered += 1
-        self._tell_unanswered(region, zone, now)
+        if self._told_at is None or now - self._told_at >= UNANSWERED_LOG_INTERVAL_S:
+            self._tell_unanswered(region, zone, now)
         return Error(Failure(code=codes.NO_ENTRY, retry_after_s=RETRY_AFTER_S))
 
     def _tell_unanswered(
         self, region: RegionId, zone: AvailabilityZoneId, now: float
     ) -> None:
-        """Log what found none since the last line, unless that one is recent."""
-        if (
-            self._told_at is not None
-            and now - self._told_at < UNANSWERED_LOG_INTERVAL_S
-        ):
-            return
+        """Log the look-ups that found none since the last line."""
         log.write(
             LookupsUnanswered(
                 region=region,
--- a/tests/lookup/directory.feature
+++ b/tests/lookup/directory.feature
@@ -10,6 +10,13 @@
     When 1 caller asks it 0.2 s later
     Then 2 lines told that no entry instance was found, the last of 50 look-ups, 1 known
 
+  Scenario: What was not told yet is told when an entry instance is there again
+    Given a directory that knows the entry "north-1" as starting
+    When 50 callers ask it within 0.4 s
+    And the entry "north-1" is ready
+    And 1 caller asks it 0.2 s later
+    Then 2 lines told that no entry instance was found, the last of 49 look-ups, 1 known
+
   Scenario: An entry instance that is ready is told at once
     Given a directory that knows the entry "north-1" as starting
     When the entry "north-1" is ready
