Keep a connection ready to targets of other regions where it is soon used

Cause: the first request on a new connection to a target of another region waits for a round trip more.

Ruled out: requests that wait at the entry; entry processor time (0.05 cores).

Change: placement names the targets of other regions to which this entry sends within 5 s on average, where the way there takes 0.15 of the target latency or is not known yet, and where all entries together take a quarter of a target's connections at most; the pool opens a connection to those that none leads to, 16 at a time, in the background.

--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -88,6 +88,7 @@
             )
         )
         random = Random()
+        pool = ConnectionPool(clock, metrics)
         placement = PlacementCoordinator(
             placement=Placement(
                 zone=own.availability_zone,
@@ -102,12 +103,12 @@
             clock=clock,
             metrics=metrics,
             on_demand=lambda demand: reporter.set_demand(demand),
+            on_frequent=pool.keep_ready,
         )
         holder.on_change(placement.on_configuration)
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
         metrics.gauge("mothshunt_entries_counted", roster.count)
-        pool = ConnectionPool(clock, metrics)
         budget = RetryBudget(
             ratio=routing.retry_ratio,
             slack=routing.retry_slack,
--- a/mothshunt/forwarding/connections.py
+++ b/mothshunt/forwarding/connections.py
@@ -1,6 +1,7 @@
 """Connections to targets, kept open for further requests."""
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from aiohttp import ClientPayloadError
@@ -11,11 +12,13 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import TargetId
 from mothshunt.forwarding import const
+from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.model import PlacedTarget
 
 _TIMEOUT_PREFIX = "timeout="
+_LOGGER = get_logger("forwarding")
 
 
 class NotConnectedError(Exception):
@@ -109,6 +112,9 @@
     _idle_by_target: dict[TargetId, list[TargetConnection]] = field(
         default_factory=dict
     )
+    #: All connections that are open, idle or not; closed ones are dropped each sweep.
+    _open_by_target: dict[TargetId, set[TargetConnection]] = field(default_factory=dict)
+    _opening_by_target: dict[TargetId, asyncio.Task[None]] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -118,6 +124,8 @@
     async def async_stop(self) -> None:
         """Close all idle connections."""
         await async_cancel(self._task)
+        for opening in list(self._opening_by_target.values()):
+            await async_cancel(opening)
         for target in list(self._idle_by_target):
             self.drop(target)
 
@@ -146,8 +154,47 @@
                 )
         except (OSError, TimeoutError) as error:
             raise NotConnectedError(type(error).__name__) from error
+        self._open_by_target.setdefault(target.id, set()).add(connection)
         return connection
 
+    def keep_ready(self, targets: Iterable[PlacedTarget]) -> None:
+        """Open a connection to each of these targets that none leads to.
+
+        :param targets: The targets.
+        """
+        now = self.clock.monotonic()
+        for target in targets:
+            if len(self._opening_by_target) >= const.MAX_OPENING_AHEAD:
+                return
+            if target.id in self._opening_by_target or self._has_open(target.id, now):
+                continue
+            self.metrics.count(const.METRIC_CONNECTIONS_AHEAD, service=target.service)
+            opening = asyncio.create_task(self._async_open_ahead(target))
+            self._opening_by_target[target.id] = opening
+
+    def _has_open(self, target: TargetId, now: float) -> bool:
+        """Tell whether a connection is in use, or idle and good for another request."""
+        idle = self._idle_by_target.get(target, ())
+        return any(
+            connection.is_reusable(now)
+            if connection in idle
+            else connection.is_connected()
+            for connection in self._open_by_target.get(target, ())
+        )
+
+    async def _async_open_ahead(self, target: PlacedTarget) -> None:
+        try:
+            self.give_back(target, await self._async_open(target))
+        except NotConnectedError as error:
+            # The next request finds out by itself, with a line of its own.
+            _LOGGER.warning(
+                "a connection could not be opened ahead",
+                target=target.id,
+                error=str(error),
+            )
+        finally:
+            del self._opening_by_target[target.id]
+
     def give_back(self, target: PlacedTarget, connection: TargetConnection) -> None:
         """Keep a connection whose answer was read to its end.
 
@@ -172,6 +219,7 @@
         while True:
             await asyncio.sleep(const.SWEEP_INTERVAL_S)
             now = self.clock.monotonic()
+            self._forget_closed()
             for target, idle in list(self._idle_by_target.items()):
                 kept = [c for c in idle if c.is_reusable(now)]
                 for connection in set(idle) - set(kept):
@@ -180,3 +228,11 @@
                     self._idle_by_target[target] = kept
                 else:
                     del self._idle_by_target[target]
+
+    def _forget_closed(self) -> None:
+        for target, connections in list(self._open_by_target.items()):
+            kept = {c for c in connections if c.is_connected()}
+            if kept:
+                self._open_by_target[target] = kept
+            else:
+                del self._open_by_target[target]
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -17,6 +17,9 @@
 DEFAULT_IDLE_S = 3.0
 #: Time between two looks for idle connections that have lasted long, in seconds.
 SWEEP_INTERVAL_S = 1.0
+#: Connections that are opened ahead of requests at a time; more would delay those that
+#: requests wait for.
+MAX_OPENING_AHEAD = 16
 #: Answers to earlier requests that are passed over on one connection.
 MAX_STALE_ANSWERS = 2
 #: Part of the retry budget that is used; the rest covers requests that are on their
@@ -54,5 +57,6 @@
 METRIC_RETRIES = "mothshunt_forwarding_retries_total"
 METRIC_LATENCY = "mothshunt_forwarding_seconds"
 METRIC_CONNECTIONS = "mothshunt_forwarding_connections_total"
+METRIC_CONNECTIONS_AHEAD = "mothshunt_forwarding_connections_ahead_total"
 METRIC_LINES_DROPPED = "mothshunt_log_lines_dropped_total"
 METRIC_IN_FLIGHT = "mothshunt_forwarding_in_flight"
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -71,6 +71,17 @@
 #: Factor by which the least times grow in each adjustment interval, until a lower one
 #: is measured: by a tenth in a minute.
 LEAST_TIME_GROWTH = 1.0008
+#: A connection to a target of another region is kept ready where a request is expected
+#: to use it within this time, in seconds; targets close idle connections after a few
+#: seconds more.
+CONNECTION_USED_WITHIN_S = 5.0
+#: Part of the time within which answers are worth most that a round trip to another
+#: region must take for such connections; a caller hardly notices less, and targets pay
+#: for each connection.
+FELT_WAY_PART = 0.15
+#: Part of the connections that a target takes which may be kept ready by all entry
+#: instances together.
+READY_CONNECTIONS_PART = 0.25
 #: Time between two adjustments of the part that leaves its region, in seconds.
 ADJUST_INTERVAL_S = 0.5
 #: Load of a place, as a part of what its targets can run, up to which its requests
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -1,7 +1,7 @@
 """Targets of an entry instance, kept in step with registry and configuration."""
 
 import asyncio
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from expression import Result
@@ -51,6 +51,7 @@
     :param clock: Source of the present time.
     :param metrics: Counters of the process.
     :param on_demand: Called with what callers ask this instance for.
+    :param on_frequent: Called with the targets to which a connection should be ready.
     """
 
     placement: Placement
@@ -60,6 +61,7 @@
     clock: Clock
     metrics: Metrics
     on_demand: Callable[[Mapping[ServiceName, float]], None]
+    on_frequent: Callable[[Iterable[PlacedTarget]], None]
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated: frozenset[AvailabilityZoneId] = frozenset()
@@ -195,8 +197,20 @@
                 log.write(changed)
             own = self._demand.measure(const.ADJUST_INTERVAL_S)
             self.on_demand(own)
+            self.on_frequent(self._frequent_far_targets(own, now))
             self.placement.adjust(self.roster.demand(own), self._region_by_zone())
 
+    def _frequent_far_targets(
+        self, own: Mapping[ServiceName, float], now: float
+    ) -> Iterator[PlacedTarget]:
+        services = self._table.service_by_name.values()
+        return self.placement.frequent_far_targets(
+            own,
+            {service.name: service.max_connections for service in services},
+            self.roster.count(),
+            now,
+        )
+
     def _region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
         region_by_zone = {
             load.target.availability_zone: load.target.region
--- a/mothshunt/placement/spread.py
+++ b/mothshunt/placement/spread.py
@@ -27,6 +27,7 @@
     far_s: float = 0.0
     near_s: float = 0.0
     _latency_s: float = float("inf")
+    _way_part: float | None = None
     _is_worthwhile: bool = True
 
     def learn(self, took_s: float, *, is_far: bool) -> None:
@@ -57,6 +58,8 @@
                 const.FAR_LEAVE_PART if self._is_worthwhile else const.FAR_ENTER_PART
             )
             self._is_worthwhile = self._way_s() <= self._latency_s * limit
+            if self.far_s and self.near_s:
+                self._way_part = self._way_s() / self._latency_s
             self._latency_s = float("inf")
         # So that a way that has become longer is found out within some minutes.
         self.far_s *= const.LEAST_TIME_GROWTH
@@ -68,6 +71,10 @@
             step = self.max_region_shift * const.SHIFT_SAFETY / steps
         self.part += max(-step, min(step, wanted - self.part))
 
+    def is_way_felt(self) -> bool:
+        """Tell whether callers feel a round trip to other regions; unknown ones too."""
+        return self._way_part is None or self._way_part >= const.FELT_WAY_PART
+
     def _way_s(self) -> float:
         """Return how much longer answers from other regions take, in seconds."""
         if not self.far_s or not self.near_s:
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -20,8 +20,10 @@
 from mothshunt.placement import codes, const
 from mothshunt.placement.model import (
     AttemptOutcome,
+    Belief,
     Choice,
     ColdLimit,
+    PlacedTarget,
     PlacementRequest,
     ReportedLoad,
 )
@@ -314,6 +316,38 @@
         if choice.is_known:
             targets.spread.learn(now - choice.sent_at, is_far=is_far)
 
+    def frequent_far_targets(
+        self,
+        demand: Mapping[ServiceName, float],
+        max_connections: Mapping[ServiceName, int],
+        entries: int,
+        now: float,
+    ) -> Iterator[PlacedTarget]:
+        """Return the targets of other regions to which a connection should be ready.
+
+        Opening one takes a round trip between regions, which the first request would
+        have to wait for.
+
+        :param demand: Requests a second by service, at this instance.
+        :param max_connections: Connections that a target takes, by service.
+        :param entries: Entry instances that may be sending.
+        :param now: The present time, in seconds.
+        """
+        for service, targets in self._targets_by_service.items():
+            if targets.spread.part == 0.0 and targets.spill.region_part == 0.0:
+                continue
+            count = len(targets.in_region) + len(targets.beyond)
+            uses = demand.get(service, 0.0) * const.CONNECTION_USED_WITHIN_S / count
+            most = max_connections.get(service, 0) * const.READY_CONNECTIONS_PART
+            if uses < 1.0 or entries > most or not targets.spread.is_way_felt():
+                continue
+            for load in targets.beyond:
+                if (
+                    load.present_belief(now, is_late=self._is_late(load))
+                    is Belief.SOUND
+                ):
+                    yield load.target
+
     def changed_beliefs(self, now: float) -> Iterator[TargetBelieved]:
         """Return the targets that are taken for something else than last time.
 
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -160,6 +160,7 @@
             clock=clock,
             metrics=self.metrics,
             on_demand=lambda demand: None,
+            on_frequent=lambda targets: None,
         )
         self.placement.on_configuration(self.holder.configuration)
         self.pool = ConnectionPool(clock, self.metrics)
--- /dev/null
+++ b/tests/steps/forwarding_connections.py
@@ -0,0 +1,43 @@
+"""Steps for connections that are opened ahead of requests."""
+
+import asyncio
+
+from behave import then, when
+
+BOUND_S = 5.0
+
+
+def keep_ready(context, name):
+    world = context.world
+    target = world.placement.placement.load_by_target[name].target
+
+    async def run():
+        world.pool.keep_ready([target])
+        async with asyncio.timeout(BOUND_S):
+            while world.pool._opening_by_target:
+                await asyncio.sleep(0.01)
+
+    context.runner.run(run())
+
+
+@when('a connection to "{name}" is kept ready')
+def kept_ready(context, name):
+    keep_ready(context, name)
+
+
+@when('a connection to "{name}" is kept ready {count:d} times')
+def kept_ready_often(context, name, count):
+    for _ in range(count):
+        keep_ready(context, name)
+
+
+@when("the idle connections of the routed entry are {seconds:g} s old")
+def are_old(context, seconds):
+    for idle in context.world.pool._idle_by_target.values():
+        for connection in idle:
+            connection.idle_since -= seconds
+
+
+@then('"{name}" saw {count:d} connections')
+def saw_connections(context, name, count):
+    assert context.target_by_name[name].connections == count
