Let targets of the routed test deployment renew themselves while a step blocks

While a command line blocks for over a second no target renews itself; when the loop goes on, the third one's renewal is heard first, and the entry, which is right, takes the other two for late. The lines of the entry show it: its last word of targets 1 and 2 was 1.4 s old, 3.5 renewal intervals are 1.05 s.

Change: the loop has a thread of its own.

The supervisor of the soak forgot, when it ended all faults, that it had already judged the end of a process that was down.

--- a/testkit/routed_deployment.py
+++ b/testkit/routed_deployment.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
+from concurrent.futures import Future
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -16,6 +17,7 @@
 
 from mothshunt.core.const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
 from testkit.deployment import BOOTSTRAP_TOKEN, Deployment, Instance
+from testkit.loop_thread import CALL_TIMEOUT_S, LoopThread
 from testkit.plain_http import http_get
 from testkit.ports import HOST
 from testkit.process import REPOSITORY, wait_until
@@ -42,7 +44,7 @@
     port: int = 0
     sequence: int = 0
     requests: list = field(default_factory=list)
-    renewals: asyncio.Task | None = None
+    renewals: "Future[None] | None" = None
     delay_s: float = 0.0
     slots: int = 4
 
@@ -109,7 +111,9 @@
         deployment = Deployment(plans, routing=ROUTING, with_proxies=with_proxies)
         self.deployment = stack.enter_context(deployment)
         self.targets: list[Target] = []
-        self.runner = stack.enter_context(asyncio.Runner())
+        # In a thread, so that targets go on while a command or a test step blocks.
+        self._loop = LoopThread()
+        stack.callback(self._loop.close)
         stack.callback(self.stop_targets)
         for instance in self.deployment.instances:
             instance.process.start()
@@ -127,12 +131,13 @@
     def _all_listen(self) -> bool:
         return all(http_get(f"{url}/healthz")[0] == 200 for url in self.urls)
 
-    def run(self, work: Coroutine[Any, Any, T]) -> T:
-        """Run a coroutine and return its result.
+    def run(self, work: Coroutine[Any, Any, T], timeout_s: float = CALL_TIMEOUT_S) -> T:
+        """Run a coroutine in the loop of the targets and return its result.
 
         :param work: The coroutine.
+        :param timeout_s: Seconds to wait.
         """
-        return self.runner.run(work)
+        return self._loop.run(work, timeout_s)
 
     def command(self, *words: str) -> subprocess.CompletedProcess[str]:
         """Run the command line of operators.
@@ -184,7 +189,7 @@
         """Start a target, and let it renew itself from now on."""
         self.run(target.start())
         self.targets.append(target)
-        target.renewals = self.runner.get_loop().create_task(self._renew(target))
+        target.renewals = self._loop.submit(self._renew(target))
 
     async def _renew(self, target: Target) -> None:
         while True:
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -25,8 +25,10 @@
 #: on a recovery, and a start of all processes.
 RECOVERY_BOUND_S = 20.0
 STOP_BOUND_S = 15.0
+#: Longest time that a run takes beside its faults, in seconds: its start, the last
+#: changes and stops, and the recovery.
+RUN_LIMIT_S = 180.0
 LAG_INTERVAL_S = 0.05
-CONTROL_PER_REGION = 1
 
 
 @dataclass(kw_only=True, slots=True)
@@ -71,7 +73,6 @@
     history: History = field(default_factory=History)
     _counts: Counter[str] = field(default_factory=Counter)
     _started_at: float = field(default_factory=time.monotonic)
-    _is_looked_after: bool = True
 
     def run(self) -> Report:
         """Make the run; return its outcome."""
@@ -83,7 +84,8 @@
             self.history.control = frozenset(instance.id for instance in control)
             for number in range(TARGETS_PER_SERVICE * len(SERVICES)):
                 routed.run_target(self._target(number))
-            problems = routed.run(self._async_run(routed))
+            limit_s = self.seconds + RUN_LIMIT_S
+            problems = routed.run(self._async_run(routed), limit_s)
             violations = [*self.history.violations(), *problems]
             if violations and self.keep is not None:
                 folder = self.keep / f"seed-{self.seed}"
--- a/testkit/soak/supervisor.py
+++ b/testkit/soak/supervisor.py
@@ -158,4 +158,5 @@
         self.deployment.proxies.heal()
         for instance in self.deployment.instances:
             instance.process.thaw()
-            self._down_until.pop(instance.id, None)
+        # What is down is started at once; its end was judged already.
+        self._down_until = dict.fromkeys(self._down_until, 0.0)
