--- a/testkit/environment.py
+++ b/testkit/environment.py
@@ -1,8 +1,6 @@
 """A whole environment: deployment, stand-in targets, contracts, callers and load."""
 
-import os
 import subprocess
-import sys
 from collections.abc import Coroutine, Iterable, Sequence
 from concurrent.futures import Future
 from types import TracebackType
@@ -12,13 +10,14 @@
 
 from testkit.admin_client import Operator, Reply, new_change_id
 from testkit.caller import Caller, make_session
+from testkit.command_line import run_command
 from testkit.contracts import contract_document, contract_path
-from testkit.deployment import BOOTSTRAP_TOKEN, Deployment, Instance
+from testkit.deployment import Deployment, Instance
 from testkit.fleet import TargetFleet
 from testkit.load import LoadDriver, LoadPlan, LoadReport
 from testkit.loop_thread import LoopThread
 from testkit.ports import HOST
-from testkit.process import REPOSITORY, wait_until
+from testkit.process import wait_until
 from testkit.request import Request, Result
 from testkit.running_load import RunningLoad
 from testkit.shape import InstancePlan
@@ -26,8 +25,6 @@
 
 T = TypeVar("T")
 
-CLI_MODULE = "mothshunt.cli.main"
-CLI_TIMEOUT_S = 60.0
 #: Stated target for a change to be in force on every reachable instance.
 IN_FORCE_TARGET_S = 5.0
 IN_FORCE_TIMEOUT_S = 20.0
@@ -112,20 +109,7 @@
         :param words: The command with its options.
         """
         urls = [item.admin_url for item in self.deployment.control_instances]
-        environment = {
-            **os.environ,
-            "PYTHONPATH": str(REPOSITORY),
-            "MOTHSHUNT_ADMIN": ",".join(urls),
-            "MOTHSHUNT_TOKEN": BOOTSTRAP_TOKEN,
-        }
-        return subprocess.run(
-            [sys.executable, "-m", CLI_MODULE, *words],
-            capture_output=True,
-            text=True,
-            check=False,
-            timeout=CLI_TIMEOUT_S,
-            env=environment,
-        )
+        return run_command(urls, words)
 
     def apply_contract(self, customer: str) -> None:
         """Apply a customer's contract through the command line.
--- a/testkit/routed_deployment.py
+++ b/testkit/routed_deployment.py
@@ -3,10 +3,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import resource
 import subprocess
-import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import Future
 from dataclasses import dataclass, field
@@ -16,23 +14,21 @@
 from aiohttp import web
 
 from mothshunt.core.const import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
-from testkit.deployment import BOOTSTRAP_TOKEN, Deployment, Instance
+from testkit.command_line import run_command
+from testkit.deployment import Deployment, Instance
 from testkit.loop_thread import CALL_TIMEOUT_S, LoopThread
 from testkit.plain_http import http_get
 from testkit.ports import HOST
-from testkit.process import REPOSITORY, wait_until
-from testkit.shape import InstancePlan
+from testkit.process import wait_until
+from testkit.shape import REGIONS, InstancePlan
 from testkit.web_target import WebTarget
 
 T = TypeVar("T")
 
-CLI_MODULE = "mothshunt.cli.main"
-CLI_TIMEOUT_S = 60.0
 START_TIMEOUT_S = 20.0
 RENEW_INTERVAL_S = 0.3
 EXPECTED_TARGET = "Mothshunt-Expected-Target"
 ROUTING = {"may_found": True, "voters": 3, "renewal_interval_s": RENEW_INTERVAL_S}
-REGIONS = ("north", "centre", "south")
 
 
 @dataclass
@@ -144,20 +140,7 @@
 
         :param words: The command and its arguments.
         """
-        environment = {
-            **os.environ,
-            "PYTHONPATH": str(REPOSITORY),
-            "MOTHSHUNT_ADMIN": ",".join(self.urls),
-            "MOTHSHUNT_TOKEN": BOOTSTRAP_TOKEN,
-        }
-        return subprocess.run(
-            [sys.executable, "-m", CLI_MODULE, *words],
-            capture_output=True,
-            text=True,
-            check=False,
-            timeout=CLI_TIMEOUT_S,
-            env=environment,
-        )
+        return run_command(self.urls, words)
 
     @staticmethod
     def address(instance: Instance) -> str:
--- a/testkit/run.py
+++ b/testkit/run.py
@@ -5,9 +5,10 @@
 import sys
 import threading
 
+from testkit.command_line import CLI_MODULE
 from testkit.contracts import CUSTOMERS
 from testkit.deployment import BOOTSTRAP_TOKEN
-from testkit.environment import CLI_MODULE, Environment
+from testkit.environment import Environment
 from testkit.profiles import PROFILES_BY_CUSTOMER, thin_targets
 from testkit.shape import today
 from testkit.tour import Tour
--- a/testkit/shape.py
+++ b/testkit/shape.py
@@ -1,5 +1,6 @@
 """Shapes of deployments: which instances there are, and with which roles."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 REGIONS = ("north", "centre", "south")
@@ -71,6 +72,23 @@
     return (*small(), entry)
 
 
+def separate_roles(entry_regions: Sequence[str]) -> tuple[InstancePlan, ...]:
+    """Return a control instance in each region, and an entry instance in some.
+
+    :param entry_regions: Regions that have an entry instance.
+    """
+    return tuple(
+        InstancePlan(
+            id=f"{region}-{role}",
+            region=region,
+            availability_zone=f"{region}-a",
+            roles=(role,),
+        )
+        for role, regions in (("control", REGIONS), ("entry", entry_regions))
+        for region in regions
+    )
+
+
 def single() -> tuple[InstancePlan, ...]:
     """Return one instance with both roles."""
     return small()[:1]
--- a/testkit/soak/operator.py
+++ b/testkit/soak/operator.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from testkit.routed_deployment import REGIONS, RoutedDeployment
+from testkit.routed_deployment import RoutedDeployment
+from testkit.shape import REGIONS
 from testkit.soak.callers import HOST_NAME
 from testkit.soak.history import LEAVE_BOUND_S, History, Move, Span
 from testkit.soak.plan import Change, ChangeKind
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from random import Random
 
-from testkit.routed_deployment import REGIONS, RoutedDeployment
-from testkit.shape import InstancePlan
+from testkit.routed_deployment import RoutedDeployment
+from testkit.shape import REGIONS, separate_roles
 from testkit.soak.callers import Caller
 from testkit.soak.history import History
 from testkit.soak.operator import SERVICES, Operator
@@ -77,7 +77,7 @@
     def run(self) -> Report:
         """Make the run; return its outcome."""
         with contextlib.ExitStack() as stack:
-            routed = RoutedDeployment(stack, _instances(), with_proxies=True)
+            routed = RoutedDeployment(stack, separate_roles(REGIONS), with_proxies=True)
             # A folder that is lost later must not found another log.
             routed.deployment.change_routing(may_found=False)
             control = routed.deployment.control_instances
@@ -226,16 +226,3 @@
             await asyncio.sleep(LAG_INTERVAL_S)
             lag_s = self._now() - before - LAG_INTERVAL_S
             self.history.lag_s = max(self.history.lag_s, lag_s)
-
-
-def _instances() -> tuple[InstancePlan, ...]:
-    return tuple(
-        InstancePlan(
-            id=f"{region}-{role}",
-            region=region,
-            availability_zone=f"{region}-a",
-            roles=(role,),
-        )
-        for role in ("control", "entry")
-        for region in REGIONS
-    )
--- a/tests/steps/daemon_routed.py
+++ b/tests/steps/daemon_routed.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 
 from testkit.ports import HOST as HOST_IP
-from testkit.routed_deployment import REGIONS, RoutedDeployment
-from testkit.shape import InstancePlan, small
+from testkit.routed_deployment import RoutedDeployment
+from testkit.shape import REGIONS, separate_roles, small
 
 HOST = "shop.example"
 
@@ -17,23 +17,9 @@
     context.routed = RoutedDeployment(context.stack, small())
 
 
-def separate_roles():
-    """Return the plans of three control instances and two entries."""
-    return tuple(
-        InstancePlan(
-            id=f"{region}-{role}",
-            region=region,
-            availability_zone=f"{region}-a",
-            roles=(role,),
-        )
-        for role, regions in (("control", REGIONS), ("entry", REGIONS[:2]))
-        for region in regions
-    )
-
-
 @given("a routed deployment of three control instances and two entries")
 def separate_deployment(context):
-    context.routed = RoutedDeployment(context.stack, separate_roles())
+    context.routed = RoutedDeployment(context.stack, separate_roles(REGIONS[:2]))
 
 
 @given('{count:d} routed targets of service "{service}"')
--- a/tests/steps/daemon_routed_faults.py
+++ b/tests/steps/daemon_routed_faults.py
@@ -5,8 +5,7 @@
 from testkit.ports import HOST as HOST_IP
 from testkit.proxy import BOTH, Direction
 from testkit.routed_deployment import RoutedDeployment
-from testkit.shape import small
-from tests.steps.daemon_routed import separate_roles
+from testkit.shape import REGIONS, separate_roles, small
 
 #: Entries dial control instances, so the proxies' servers are these.
 DIRECTIONS = {
@@ -20,7 +19,7 @@
 @given("a routed deployment of three control instances and two entries, with proxies")
 def with_proxies(context):
     context.routed = RoutedDeployment(
-        context.stack, separate_roles(), with_proxies=True
+        context.stack, separate_roles(REGIONS[:2]), with_proxies=True
     )
 
 
