End the tasks of accepted streams before the event loop at a stop

Cause: each stop of a control instance wrote a line of level error for each stream that others had dialled ('Exception in callback StreamReaderProtocol.connection_made'): their tasks were still there when the loop ended, which cancelled them, and asyncio tells of a cancelled server task as of an error. Seen in the logs of the soak; whoever reads them after a failure is led astray.

Change: the stop waits for them after it has closed the streams, 0.2 s at most.

--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -8,6 +8,9 @@
 WATCH_INTERVAL_S = 0.2
 #: Callers move on after a second without an answer; a redial must not last longer.
 CONNECT_TIMEOUT_S = 1.0
+#: Longest wait for closed streams to end when an instance stops, in seconds; they end
+#: at once unless their task is being kept busy.
+CLOSE_TIMEOUT_S = 0.2
 MIN_REDIAL_DELAY_S = 0.05
 #: An instance that was cut off must be attached again well within the 3 s after which
 #: it counts as in touch.
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -57,6 +57,8 @@
     _connect_listeners: list[Listener] = field(default_factory=list)
     _disconnect_listeners: list[Listener] = field(default_factory=list)
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    #: Tasks that the server made, one for each stream that was dialled from elsewhere.
+    _accepting: set[asyncio.Task[Any]] = field(default_factory=set)
     _admission: HandshakeAdmission = field(default_factory=HandshakeAdmission)
     _server: asyncio.Server | None = None
     _watcher: asyncio.Task[None] | None = None
@@ -98,6 +100,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for link in [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]:
             link.close()
+        # A task of the server that is cancelled at the end of the loop would be told as
+        # an error.
+        if self._accepting:
+            await asyncio.wait(self._accepting, timeout=const.CLOSE_TIMEOUT_S)
 
     def dial(self, peer: InstanceId, host: str, port: int) -> None:
         """Keep a stream to a peer open, until ``hang_up``.
@@ -202,6 +208,10 @@
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._accepting.add(task)
+            task.add_done_callback(self._accepting.discard)
         if not self._admission.admit(self.clock.monotonic()):
             self._count(codes.HANDSHAKE_RATE.name)
             writer.transport.abort()
--- a/testkit/soak/supervisor.py
+++ b/testkit/soak/supervisor.py
@@ -19,6 +19,9 @@
 DELAY_S = 0.15
 KILLED = -9
 STOPPED = 0
+#: A process that is told to stop before it listens for signals ends by that signal; it
+#: serves nobody yet.
+STOPPED_BEFORE_HANDLERS = -15
 #: Exit codes of an instance that can't write its disk, at its start and later.
 DISK_CODES = frozenset({3, 4})
 DIRECTIONS = {
@@ -43,6 +46,7 @@
     _down_until: dict[str, float] = field(default_factory=dict)
     _full_until: dict[str, float] = field(default_factory=dict)
     _allowed_codes: dict[str, set[int]] = field(default_factory=dict)
+    _started_at: dict[str, float] = field(default_factory=dict)
     _stop_asked_at: dict[str, float] = field(default_factory=dict)
 
     async def async_watch(self) -> None:
@@ -68,6 +72,7 @@
         if now >= self._down_until.get(name, 0.0):
             self._down_until.pop(name, None)
             instance.process.start()
+            self._started_at[name] = now
             self._note(name, now, START_S)
 
     def _note_stop(self, name: str, since: float, until: float) -> None:
@@ -111,6 +116,8 @@
         self._stop_asked_at[name] = now
         self.history.stops_by_instance[name].append(Span(since=now, until=float("inf")))
         self._allow(name, {STOPPED})
+        if now - self._started_at.get(name, 0.0) < START_S:
+            self._allow(name, {STOPPED_BEFORE_HANDLERS})
         instance.process.terminate()
 
     def _kill(self, instance: Instance, until: float) -> None:
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -33,6 +33,13 @@
     And "b1" stops while a request from "a1" waits
     Then the request fails with code 1106
 
+  Scenario: A stop with open streams is no error in the logs
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    Then a request from "a1" to "b1" is answered
+    When "b1" stops and its event loop ends
+    Then the event loop told of no error
+
   Scenario: Handshakes are admitted by rate after a common loss
     Given an admission of handshakes
     When 1000 handshakes begin and end at one moment
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -79,6 +79,25 @@
         context.stack.callback(run, context, network.async_stop())
 
 
+@when('"{name}" stops and its event loop ends')
+def stops_with_loop(context, name):
+    context.errors = []
+    context.loop.set_exception_handler(
+        lambda loop, details: context.errors.append(details["message"])
+    )
+    run(context, context.network_by_id[name].async_stop())
+    # As asyncio.run does at its end.
+    left = asyncio.all_tasks(context.loop)
+    for task in left:
+        task.cancel()
+    run(context, asyncio.wait(left) if left else asyncio.sleep(0))
+
+
+@then("the event loop told of no error")
+def no_error(context):
+    assert context.errors == [], context.errors
+
+
 @when('"{a}" dials "{b}"')
 def dials(context, a, b):
     async def dial():
