Have control instances that start together ask each other for targets at once

What they heard before the streams between them were open (33.7 to 33.8 s) was passed on only at 35.1 s: the pulse of an instance that isn't settled was answered by a request 0.9 s later only, which is meant for changes on their way. Entry instances served from 34.4 s with 20 to 37 of 49 targets, so objects went to targets that didn't know them.

Ruled out: targets that renew themselves late (no control instance heard of any target between 34.0 and 35.0 s), settling too soon (waiting longer would have refused more).

Change: until it is settled, a control instance asks each other one whose pulse differs, once in 0.3 s. Entry instances are told by their primaries as before.

The test registry/common_start (five control instances, 50 targets, a way of 40 ms): 39 and 40 of 50 targets known at 0.6 s before, all 50 now.

--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -103,7 +103,12 @@
         own = settings.instance
         place = Place(region=own.region, availability_zone=own.availability_zone)
         attachments = Attachments(network, clock, settings.control, place)
-        registry = RegistryFollower(network, clock, routing.renewal_interval_s)
+        registry = RegistryFollower(
+            network,
+            clock,
+            routing.renewal_interval_s,
+            gathers=settings.has_role(Role.CONTROL),
+        )
         control = entry = follower = None
         if settings.has_role(Role.CONTROL):
             # A role that the instance doesn't have is not loaded: its start is sooner.
--- a/mothshunt/registry/coordinator.py
+++ b/mothshunt/registry/coordinator.py
@@ -27,6 +27,8 @@
     :param network: Streams of this instance.
     :param clock: Source of the present time.
     :param renewal_interval_s: Time between two renewals of a target, in seconds.
+    :param gathers: Whether those that have only just started are asked as well: after
+        a common start each control instance has heard of a part of the targets.
     :param registry: What is known here.
     :param is_settled: Whether this instance goes by what it knows: it has been told
         of targets for long enough, or by one that has.
@@ -35,9 +37,10 @@
     network: PeerNetwork
     clock: Clock
     renewal_interval_s: float
+    gathers: bool = False
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     is_settled: bool = False
-    _asked_at: float = float("-inf")
+    _asked_at_by_peer: dict[InstanceId, float] = field(default_factory=dict)
     _differs_since_by_peer: dict[InstanceId, float] = field(default_factory=dict)
     _listeners: list[Callable[[], None]] = field(default_factory=list)
     _task: asyncio.Task[None] | None = None
@@ -70,16 +73,21 @@
             self.is_settled = self.is_settled or pulse.is_settled
             self._differs_since_by_peer.pop(peer, None)
             return
-        if pulse.is_settled and not self.is_settled:
-            if now - self._asked_at >= const.FIRST_REQUEST_INTERVAL_S:
-                self._ask(peer, now)
-            return
         differs_since = self._differs_since_by_peer.setdefault(peer, now)
-        if now - differs_since >= const.DIFFERS_FOR_S:
+        if self.is_settled:
+            is_due = now - differs_since >= const.DIFFERS_FOR_S
+        elif pulse.is_settled:
+            # One that is settled knows all there is to know.
+            asked_at = max(self._asked_at_by_peer.values(), default=float("-inf"))
+            is_due = now - asked_at >= const.FIRST_REQUEST_INTERVAL_S
+        else:
+            asked_at = self._asked_at_by_peer.get(peer, float("-inf"))
+            is_due = self.gathers and now - asked_at >= const.FIRST_REQUEST_INTERVAL_S
+        if is_due:
             self._ask(peer, now)
 
     def _ask(self, peer: InstanceId, now: float) -> None:
-        self._asked_at = now
+        self._asked_at_by_peer[peer] = now
         self._differs_since_by_peer[peer] = now
         self.network.post(peer, RegistryRequest())
 
