Elect a leader in one round after a common start

Ruled out: slow disks (5 ms a sync), late streams (all were open at 33.8 s).

Change: a node that grants a pre-vote gives way; of two that have begun the one with the lower replica number goes on. Each gives way to each other one once until it stands or somebody leads. The range of the waits is limited, not the wait.

--- a/mothshunt/consensus/election.py
+++ b/mothshunt/consensus/election.py
@@ -68,6 +68,7 @@
     :param transfer: Whether the leader itself asked for it.
     """
     state.lost_rounds += 1
+    state.given_way_to.clear()
     _retry_soon(state, now)
     state.role = NodeRole.CANDIDATE
     state.leader = None
@@ -86,9 +87,13 @@
     Candidates that stood at the same time split the votes. Where disks or links are too
     slow for a round, later rounds give them the time.
     """
-    wait_s = state.random.uniform(const.LOST_MIN_S, const.LOST_MAX_S)
-    wait_s *= 2**state.lost_rounds
-    state.election_due = now + min(wait_s, state.config.election_max_s)
+    # The range is limited, not the time: candidates that all wait for the longest time
+    # would stand together again and again.
+    longest_s = min(
+        const.LOST_MAX_S * 2**state.lost_rounds, state.config.election_max_s
+    )
+    shortest_s = longest_s * const.LOST_MIN_S / const.LOST_MAX_S
+    state.election_due = now + state.random.uniform(shortest_s, longest_s)
 
 
 def _ask_for_votes(
@@ -162,6 +167,8 @@
         return
     if request.pre_vote:
         granted = request.term > state.term and _is_up_to_date(state, request)
+        if granted:
+            _give_way(state, request, now)
         _answer(state, peer, request, granted)
         return
     if request.term > state.term:
@@ -179,6 +186,29 @@
     _answer(state, peer, request, granted)
 
 
+def _give_way(state: NodeState, request: VoteRequest, now: float) -> None:
+    """Put the own round off for one that has begun; of two begun together, the higher.
+
+    Rounds at the same time split the votes. A node gives way to each other one once,
+    until it stands for election itself or somebody leads: one that can't win holds
+    nobody up for long.
+
+    :param state: The node.
+    :param request: The pre-vote that is granted.
+    :param now: Monotonic time, in seconds.
+    """
+    if request.source in state.given_way_to or state.role is NodeRole.CANDIDATE:
+        return
+    if state.role is NodeRole.PRE_CANDIDATE:
+        if request.source > state.replica:
+            return
+        state.role = NodeRole.FOLLOWER
+        state.votes.clear()
+    state.given_way_to.add(request.source)
+    wait_s = state.random.uniform(const.LOST_MIN_S, const.LOST_MAX_S)
+    state.election_due = max(state.election_due, now + wait_s)
+
+
 def _is_up_to_date(state: NodeState, request: VoteRequest) -> bool:
     own = (state.log.last_term, state.log.last_index)
     return (request.last_term, request.last_index) >= own
--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -143,6 +143,7 @@
         state.role = NodeRole.FOLLOWER
         state.leader_heard_at = now
         state.lost_rounds = 0
+        state.given_way_to.clear()
         state.reset_election(now)
         if isinstance(message, Append):
             replication.on_append(state, peer, message, now)
--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -191,6 +191,7 @@
     :param election_due: Monotonic time at which an election starts, in seconds.
     :param leader_heard_at: Monotonic time at which a leader was last heard.
     :param lost_rounds: Elections of this node since then that it has not won.
+    :param given_way_to: Nodes for whose rounds this one has put off its own since.
     :param write_number: Number of the last write asked for.
     :param hard_state_write: Number of the last write of term and vote.
     :param synced_write: Number up to which all writes are synced.
@@ -212,6 +213,7 @@
     election_due: float = 0.0
     leader_heard_at: float = 0.0
     lost_rounds: int = 0
+    given_way_to: set[ReplicaId] = field(default_factory=set)
     write_number: WriteNumber = NO_WRITE
     hard_state_write: WriteNumber = NO_WRITE
     synced_write: WriteNumber = NO_WRITE
