--- a/tests/steps/consensus_common_start.py
+++ b/tests/steps/consensus_common_start.py
@@ -29,10 +29,13 @@
 def elected_in_one_round(context, count, voters, way, down=""):
     way_s = way / 1000
     bound_s = START_SPREAD_S + round_s(way_s)
+    worst_s = 0.0
     for seed in range(count):
         nodes = TimedNodes(seed, names(voters), way_s, SYNC_S, names(down))
         took_s = nodes.run_until_led(MOST_S)
         assert took_s <= bound_s, (seed, took_s, bound_s)
+        worst_s = max(worst_s, took_s)
+    print(f"worst: {worst_s:.2f} of {bound_s:.2f} s")
 
 
 @then(
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -324,6 +324,7 @@
 
 @then("{count:d} random walks of 1 to 8 entry instances keep the retry budget")
 def budget_walks(context, count):
+    worst = 0.0
     for seed in range(count):
         random = Random(seed)
         entries = random.randint(1, 8)
@@ -343,3 +344,5 @@
             extra = sum(1 for at in further if end - window_s < at <= end)
             asked = sum(1 for at in first if end - window_s < at <= end)
             assert extra <= ratio * asked + slack, (extra, asked, slack)
+            worst = max(worst, extra / (ratio * asked + slack))
+    print(f"worst: {worst:.2f} of the budget")
--- a/tests/steps/lookup_directory.py
+++ b/tests/steps/lookup_directory.py
@@ -139,3 +139,4 @@
     sent = Counter(name for at, name in context.sent if first <= at < last)
     mean = sum(sent.values()) / 20
     assert max(sent.values()) <= times * mean, (mean, sent.most_common(3))
+    print(f"worst: {max(sent.values()) / mean:.1f} of {times:g} times the mean")
--- a/tests/steps/membership_cold.py
+++ b/tests/steps/membership_cold.py
@@ -116,7 +116,8 @@
             for _ in range(steps):
                 world.step()
         assert world.most_taken() <= LIMIT, (disturbances, world.most_taken())
-        context.most_taken = max(getattr(context, "most_taken", 0), world.most_taken())
+        most.append(world.most_taken())
 
+    most = []
     check()
-    print(f"worst: {context.most_taken} of {LIMIT} in a second")
+    print(f"worst: {max(most)} of {LIMIT} in {const.COLD_WINDOW_S:g} s")
--- a/tests/steps/membership_slack.py
+++ b/tests/steps/membership_slack.py
@@ -133,5 +133,8 @@
             for _ in range(steps):
                 world.step()
         assert world.most_taken() <= SLACK, (disturbances, world.most_taken())
+        most.append(world.most_taken())
 
+    most = []
     check()
+    print(f"worst: {max(most)} of {SLACK:g} in {WINDOW_S:g} s")
--- a/tests/steps/placement_choice.py
+++ b/tests/steps/placement_choice.py
@@ -240,12 +240,13 @@
 
 @then("{count:d} random walks of entry instances keep the limit of a cold target")
 def cold_walks(context, count):
-    for seed in range(count):
-        walk_cold(Random(seed))
+    worst = max(walk_cold(Random(seed)) for seed in range(count))
+    print(f"worst: {worst:.2f} of the limit")
 
 
-def walk_cold(random: Random) -> None:
-    """Send as fast as can be from entries that may come, go and freeze."""
+def walk_cold(random: Random) -> float:
+    """Send as fast as can be from entries that freeze; return the most of the limit."""
+    worst = 0.0
     per_s = random.uniform(10, 40)
     entries = random.randint(1, 8)
     cold = world.target(0, 50)
@@ -274,3 +275,5 @@
     for start in sent:
         in_window = sum(1 for at in sent if start <= at < start + 1.0)
         assert in_window <= per_s, (in_window, per_s, entries)
+        worst = max(worst, in_window / per_s)
+    return worst
--- a/tests/steps/placement_spill.py
+++ b/tests/steps/placement_spill.py
@@ -35,6 +35,7 @@
 )
 def shift_is_bounded(context, count, limit):
     steps = round(const.SHIFT_WINDOW_S / const.ADJUST_INTERVAL_S)
+    worst = 0.0
     for seed in range(count):
         random = Random(seed)
         spill = Spill(limit)
@@ -49,6 +50,8 @@
             first = sum(parts[start : start + steps]) / steps
             second = sum(parts[start + steps : start + 2 * steps]) / steps
             assert abs(second - first) <= limit, (first, second)
+            worst = max(worst, abs(second - first))
+    print(f"worst: {worst:.3f} of {limit}")
 
 
 @given("a spill without traffic")
