Have the checks of divided limits meet more starts; write down the figures of common starts

With the earlier sequences a new entry that takes its part at once was not noticed in the cold target's check (150 sequences, nobody starts while others are cut off), nor a cut-off entry that keeps its part for 100 s in either.

--- a/tests/steps/membership_cold.py
+++ b/tests/steps/membership_cold.py
@@ -59,7 +59,7 @@
 def cold_limit_kept(context):
     """Use as much as the parts allow; a new entry starts while nobody is cut off."""
 
-    @settings(max_examples=150, deadline=None, derandomize=True)
+    @settings(max_examples=400, deadline=None, derandomize=True)
     @property_given(st.integers(1, MOST_ENTRIES), DISTURBANCES)
     def check(size, disturbances):
         world = ColdWorld(size)
--- a/tests/support/roster_world.py
+++ b/tests/support/roster_world.py
@@ -13,7 +13,8 @@
 LONGEST_LOSS_S = 55.0
 DISTURBANCES = st.lists(
     st.tuples(
-        st.sampled_from(["start", "end", "freeze", "cut", "region", "join"]),
+        # Nobody starts while others are cut off, so that few starts would count.
+        st.sampled_from(["start", "join", "start", "end", "freeze", "cut", "region"]),
         st.integers(0, MOST_ENTRIES - 1),
         st.integers(0, CONTROL - 1),
         st.integers(1, 40),
