Give no answer of an earlier request to the next caller in deployments by contracts

Cause: a target that sends an answer again once the next request waits on the same connection: `dispatch` didn't compare the id that targets repeat, so the next caller got the earlier answer (dispatch/whole_answers, three of three kinds failed before). 20 ms of rest between requests helps only against copies that come sooner.

Ruled out: a longer rest. However long it is, a copy may come later.

Change: an answer must repeat the id of its request, or come on a connection of its own; a connection is used again only after answers that repeated their ids. A target that repeats none gets a connection for each request. The stand-ins repeat ids now, as routed ones did.

--- a/mothshunt/dispatch/client.py
+++ b/mothshunt/dispatch/client.py
@@ -16,6 +16,7 @@
 from yarl import URL
 
 from mothshunt.core.clock import Clock
+from mothshunt.core.const import HEADER_REQUEST_ID
 from mothshunt.dispatch.const import MAX_LINE_BYTES
 from mothshunt.dispatch.pool import ConnectionPools, OpenConnection
 from mothshunt.dispatch.watch import Handover
@@ -119,6 +120,7 @@
                 handover.silent_at = self._clock.monotonic() + outgoing.silence_limit_s
             response = await _async_exchange(request, opened)
             handover.silent_at = None
+            is_named = _names_request(response, outgoing, opened)
         except (aiohttp.ClientError, OSError) as error:
             opened.connection.close()
             raise BrokenError(str(error)) from error
@@ -127,6 +129,8 @@
             raise
         if outgoing.reuse:
             self._pools.note_answer(opened.protocol)
+        if not is_named:
+            opened.protocol.force_close()
         return response
 
     def retire(self, authority: str) -> None:
@@ -141,6 +145,26 @@
         await self._pools.async_close()
 
 
+def _names_request(
+    response: ClientResponse, outgoing: Outgoing, opened: OpenConnection
+) -> bool:
+    """Tell whether an answer repeats the id of its request.
+
+    A target may send an answer a second time, when the next request waits on the same
+    connection. So only connections are used again whose answers repeat the ids.
+
+    :raises BrokenError: The answer belongs to another request, or may do so.
+    """
+    request_id = outgoing.headers.get(HEADER_REQUEST_ID)
+    echoed = response.headers.get(HEADER_REQUEST_ID)
+    if echoed == request_id:
+        return True
+    if echoed is not None or opened.reused:
+        response.close()
+        raise BrokenError("the answer belongs to another request")
+    return False
+
+
 async def _async_exchange(
     request: TargetRequest, opened: OpenConnection
 ) -> ClientResponse:
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -55,9 +55,6 @@
 LISTEN_PART = 0.55
 #: What is in flight has up to this part of that time.
 FINISH_PART = 0.93
-#: Wait for requests that came in while the last connections were being closed, in
-#: seconds: some turns of a busy event loop.
-CLOSING_S = 0.05
 #: Lines in one second about requests that failed, at most; more are counted only. A
 #: line takes some 30 microseconds, so this is about 0.1% of a core.
 MAX_FAILURE_LINES_PER_S = 40
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -98,12 +98,6 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._idle.wait()
-                # Idle connections are closed; a request that came in meanwhile is not
-                # in flight before its handler runs.
-                if self._protocols is not None:
-                    self._protocols.pre_shutdown()
-                await asyncio.sleep(const.CLOSING_S)
-                await self._idle.wait()
         log.write(Left(unfinished=self._in_flight))
 
     async def async_stop(self) -> None:
--- a/testkit/target/server.py
+++ b/testkit/target/server.py
@@ -83,6 +83,7 @@
         app.router.add_post("/_testkit/silence", self._handle_silence)
         app.router.add_get("/_testkit/health", self._handle_health)
         app.router.add_route("*", "/{path:.*}", self._handle)
+        app.on_response_prepare.append(_async_echo_id)
         self._runner = web.AppRunner(
             app, handler_cancellation=True, access_log=None, shutdown_timeout=5
         )
@@ -232,6 +233,14 @@
     return response
 
 
+async def _async_echo_id(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    request_id = request.headers.get(HEADER_REQUEST_ID)
+    if request_id is not None:
+        response.headers[HEADER_REQUEST_ID] = request_id
+
+
 async def _send_truncated(
     request: web.Request, data: bytes, truncation: Truncation
 ) -> web.StreamResponse:
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -62,6 +62,37 @@
     When a dispatch caller sends GET "/third"
     Then the dispatch caller got status 200 and "t1 /third"
 
+  Scenario Outline: A second answer that waits for the next request reaches nobody
+
+    Pattern: a target in trouble sends its answer again, late, on a connection that
+    carries the next caller's request by then.
+
+    Given a dispatch entry
+    And a raw target "t1" that <sends>
+    And a raw target "t2" that answers
+    When a dispatch caller sends GET "/first"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/second"
+    Then the dispatch caller got its own answer to "/second"
+    When 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/third"
+    Then the dispatch caller got its own answer to "/third"
+
+    Examples: with ids, without, and without any more
+      | sends                                                |
+      | sends an earlier answer before its own               |
+      | sends an earlier answer before its own, without ids  |
+      | sends an earlier answer without an id before its own |
+
+  Scenario: A target that repeats no ids gets a connection for each request
+    Given a dispatch entry
+    And a raw target "t1" that answers without the id of the request
+    When a dispatch caller sends GET "/first"
+    And 60 ms pass at the dispatch entry
+    And a dispatch caller sends GET "/second"
+    Then the dispatch caller got status 200 and "t1 /second"
+    And target "t1" saw 2 connections
+
   Scenario: An answer that comes after the time-out reaches nobody
     Given a dispatch entry with a request timeout of 200 ms
     And a raw target "t1" that answers the first request late
--- a/tests/steps/dispatch_forward.py
+++ b/tests/steps/dispatch_forward.py
@@ -111,6 +111,13 @@
     assert context.answers[-1][2].decode() == text, context.answers[-1]
 
 
+@then('the dispatch caller got its own answer to "{path}"')
+def got_own(context, path):
+    status, _, text = context.answers[-1]
+    assert status == 200, context.answers[-1]
+    assert text.decode() in (f"t1 {path}", f"t2 {path}"), context.answers[-1]
+
+
 @then("the dispatch caller got code {number:d} with ran {ran}")
 def got_code(context, number, ran):
     _, headers, body = context.answers[-1]
--- /dev/null
+++ b/tests/steps/forwarding_stop.py
@@ -0,0 +1,133 @@
+"""Steps for planned stops of a routed entry under load."""
+
+import asyncio
+import contextlib
+from random import Random
+
+from behave import then
+
+from mothshunt.forwarding import const
+from testkit.routed_entry import HOST, RoutedWorld
+from tests.support.raw_target import RawTarget
+from tests.support.target_behaviours import ID, answers
+
+CONNECTIONS = 150
+LEAVE_S = 0.6
+#: Orders are sent this long around the end of a stop, in seconds.
+AROUND_S = 0.012
+
+
+async def answers_soon(target, request, writer):
+    await asyncio.sleep(0.004)
+    await answers(target, request, writer)
+
+
+@then(
+    "of orders around the end of {count:d} planned stops none that a target got "
+    "is cut off"
+)
+def stops(context, count):
+    answered = 0
+    for seed in range(count):
+        cut_off, whole = asyncio.run(stop_under_load(Random(seed)))
+        assert not cut_off, (seed, cut_off)
+        answered += whole
+    # Stops at which nothing was taken would show nothing.
+    assert answered > count * CONNECTIONS / 10, answered
+    print(f"answered around the stops: {answered}")
+
+
+async def stop_under_load(random: Random) -> tuple[set[str], int]:
+    """Stop an entry; return the orders that were cut off, and how many were not."""
+    world = RoutedWorld()
+    target = RawTarget("t1", answers_soon)
+    await target.start()
+    await world.start()
+    world.add_target("t1", target.port)
+    loop = asyncio.get_running_loop()
+    connections = [
+        await asyncio.open_connection("127.0.0.1", world.server.port)
+        for _ in range(CONNECTIONS)
+    ]
+    end = loop.time() + LEAVE_S * const.LISTEN_PART
+    orders = [
+        asyncio.create_task(
+            order(*connection, f"id-{number}", end + random.gauss(0, AROUND_S))
+        )
+        for number, connection in enumerate(connections)
+    ]
+    await world.server.async_leave(LEAVE_S, loop.time)
+    await world.server.async_stop()
+    whole = {name for name in await asyncio.gather(*orders) if name is not None}
+    reached = {request.header_by_name[ID] for request in target.requests}
+    await target.stop()
+    await world.pool.async_stop()
+    return reached - whole, len(whole)
+
+
+async def order(reader, writer, request_id: str, at: float) -> str | None:
+    """Send an order at a time; return its id if it got its whole answer."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(max(0.0, at - loop.time()))
+    head = f"POST /orders/a HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+    answer = b""
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        writer.write(f"{head}Mothshunt-Request-Id: {request_id}\r\n\r\n".encode())
+        async with asyncio.timeout(3.0):
+            while not answer.endswith(request_id.encode()):
+                part = await reader.read(65536)
+                if not part:
+                    break
+                answer += part
+                if b" 503 " in answer.partition(b"\r\n")[0]:
+                    return request_id
+    writer.close()
+    is_whole = answer.startswith(b"HTTP/1.1 200") and answer.endswith(
+        request_id.encode()
+    )
+    return request_id if is_whole else None
+
+
+class LastMoment(asyncio.Event):
+    """Let an order come in after nothing was in flight, before that is acted upon."""
+
+    def __init__(self, send_order):
+        super().__init__()
+        self._send_order = send_order
+        self.set()
+
+    async def wait(self):
+        found = await super().wait()
+        send_order, self._send_order = self._send_order, None
+        if send_order is not None:
+            send_order()
+            # The event loop reads the order and starts its handler.
+            await asyncio.sleep(0.002)
+        return found
+
+
+@then("an order that comes in between the last look and the end of a stop is answered")
+def last_moment(context):
+    assert asyncio.run(order_at_last_moment()) == "id-last"
+
+
+async def order_at_last_moment() -> str | None:
+    world = RoutedWorld()
+    target = RawTarget("t1", answers_soon)
+    await target.start()
+    await world.start()
+    world.add_target("t1", target.port)
+    loop = asyncio.get_running_loop()
+    connection = await asyncio.open_connection("127.0.0.1", world.server.port)
+    sent = []
+
+    def send_order():
+        sent.append(asyncio.create_task(order(*connection, "id-last", loop.time())))
+
+    world.server._idle = LastMoment(send_order)
+    await world.server.async_leave(LEAVE_S, loop.time)
+    await world.server.async_stop()
+    answered = await sent[0]
+    await target.stop()
+    await world.pool.async_stop()
+    return answered
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from mothshunt.core.const import HEADER_REQUEST_ID
+
 Behaviour = Callable[["RawTarget", "RawRequest", asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -113,9 +115,44 @@
     return head.encode() + body
 
 
+def own_answer(target, request, *, echoes: bool = True) -> bytes:
+    """Return the name of the target and the path, with the id of the request."""
+    request_id = request.header_by_name.get(HEADER_REQUEST_ID.lower(), "")
+    headers = f"{HEADER_REQUEST_ID}: {request_id}\r\n" if echoes else ""
+    return answer(f"{target.name} {request.path}".encode(), headers=headers)
+
+
 async def ok(target, request, writer) -> None:
     """Answer with the name of the target and the path."""
-    writer.write(answer(f"{target.name} {request.path}".encode()))
+    writer.write(own_answer(target, request))
+
+
+async def ok_without_id(target, request, writer) -> None:
+    """Answer without the id of the request."""
+    writer.write(own_answer(target, request, echoes=False))
+
+
+async def earlier_first(target, request, writer, *, echoes: bool = True) -> None:
+    """Send the answer to the request before once more, then the own one."""
+    earlier = [r for r in target.requests if r.connection == request.connection][:-1]
+    if earlier:
+        writer.write(own_answer(target, earlier[-1], echoes=echoes))
+        await asyncio.sleep(0.005)
+    writer.write(own_answer(target, request, echoes=echoes))
+
+
+async def earlier_first_without_id(target, request, writer) -> None:
+    """Send the answer to the request before once more; no answer has an id."""
+    await earlier_first(target, request, writer, echoes=False)
+
+
+async def id_lost_later(target, request, writer) -> None:
+    """Echo ids at first; then send an earlier answer without one."""
+    earlier = [r for r in target.requests if r.connection == request.connection][:-1]
+    if earlier:
+        writer.write(own_answer(target, earlier[-1], echoes=False))
+        await asyncio.sleep(0.005)
+    writer.write(own_answer(target, request))
 
 
 async def close_unanswered(target, request, writer) -> None:
@@ -169,18 +206,16 @@
 
 async def doubled(target, request, writer) -> None:
     """Send the same answer twice, the second a little later."""
-    body = f"{target.name} {request.path}".encode()
-    writer.write(answer(body))
+    writer.write(own_answer(target, request))
     await asyncio.sleep(0.02)
-    writer.write(answer(body))
+    writer.write(own_answer(target, request))
 
 
 async def doubled_soon(target, request, writer) -> None:
     """Send the same answer twice, the second when another request may be waiting."""
-    body = f"{target.name} {request.path}".encode()
-    writer.write(answer(body))
+    writer.write(own_answer(target, request))
     await asyncio.sleep(0.005)
-    writer.write(answer(body))
+    writer.write(own_answer(target, request))
 
 
 async def late_once(target, request, writer) -> None:
@@ -248,6 +283,10 @@
 
 
 BEHAVIOURS = {
+    "answers without the id of the request": ok_without_id,
+    "sends an earlier answer before its own": earlier_first,
+    "sends an earlier answer before its own, without ids": earlier_first_without_id,
+    "sends an earlier answer without an id before its own": id_lost_later,
     "is slow after its first request": slow_later,
     "answers in 60 ms once and in 1500 ms later": usually_quick,
     "answers twice, the second time soon": doubled_soon,
