Have no failing handler or listener take a stream between instances down

Cause: an error in the handler of one message ended the stream without a line, and each repeat of the message ended the next one; an error in a listener for new streams ended the task that dials the peer for good.

Ruled out: that such an error ends a process. It did not; it cut an instance off.

Change: handlers and listeners are called with their errors logged and counted (`handler_failed`, `listener_failed`), dialling goes on, an unforeseen error of a decoder closes the stream as malformed. 300 seeded malformed frames of a proven peer leave both instances answering.

--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -168,6 +168,9 @@
             return None
         except MothshuntError as error:
             return error.failure
+        except Exception as error:
+            # Closed with a reason, and dialled anew.
+            return Failure(code=codes.FRAME_MALFORMED, detail=repr(error)[:120])
 
     def _take(self, item: Frame) -> None:
         self._heard_at = self.clock.monotonic()
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -234,7 +234,12 @@
         delay_s = const.MIN_REDIAL_DELAY_S
         while True:
             began_at = self.clock.monotonic()
-            await self._async_dial_once(peer, host, port)
+            try:
+                await self._async_dial_once(peer, host, port)
+            except Exception as error:
+                # Without another attempt the peer would be cut off for good.
+                _LOGGER.error("dialling failed", peer=peer, error=repr(error))
+                self._count("dial_failed")
             if self.clock.monotonic() - began_at > const.SILENCE_TIMEOUT_S:
                 delay_s = const.MIN_REDIAL_DELAY_S
             # Full jitter spreads the return of many peers after a common loss.
@@ -294,7 +299,17 @@
         if handler is None:
             self._count("no_handler")
             return
-        handler(peer, message)
+        try:
+            handler(peer, message)
+        except Exception as error:
+            # The stream carries others' messages as well, and would break again.
+            _LOGGER.error(
+                "a message handler failed",
+                peer=peer,
+                message=type(message).__name__,
+                error=repr(error),
+            )
+            self._count("handler_failed")
 
     async def _async_answer(self, link: PeerLink, item: Frame) -> None:
         handler = self._on_request_by_class.get(type(item.message))
@@ -332,7 +347,14 @@
 
     def _tell(self, listeners: list[Listener], peer: InstanceId) -> None:
         for listener in listeners:
-            listener(peer)
+            try:
+                listener(peer)
+            except Exception as error:
+                # The others are to hear of it, and the stream goes on.
+                _LOGGER.error(
+                    "a listener for streams failed", peer=peer, error=repr(error)
+                )
+                self._count("listener_failed")
 
     def _refused(self, failure: Failure) -> None:
         _LOGGER.failure("a stream was closed", failure)
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -210,11 +210,14 @@
         self._port_by_name[name] = port
         self.renew(name)
 
-    def renew(self, name: str, *, starts_again: bool = False) -> None:
+    def renew(
+        self, name: str, *, starts_again: bool = False, after_s: float = 0.0
+    ) -> None:
         """Have the entry hear of a target again.
 
         :param name: Name of the target.
         :param starts_again: Whether it has a new incarnation from now on.
+        :param after_s: Time after which it is heard of, in seconds.
         """
         held = self.registry.known_by_target.get(TargetId(name))
         incarnation = held.renewal.incarnation if held is not None else Incarnation(0)
@@ -232,7 +235,7 @@
             availability_zone=AvailabilityZoneId("north-a"),
             slots=4,
         )
-        self.registry.take(renewal, SystemClock().monotonic())
+        self.registry.take(renewal, SystemClock().monotonic() + after_s)
         self.placement.refresh()
 
     async def exchange(
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -45,3 +45,25 @@
     When 1000 handshakes begin and end at one moment
     Then 200 of them are admitted
     And all that begin 1 s later up to 200 are admitted
+
+  Scenario: A message whose handler fails takes no stream down
+    Given instances "a1" and "b1" that share a key
+    And the handler of messages at "b1" fails
+    When "a1" dials "b1"
+    And "a1" posts 3 messages to "b1"
+    Then a request from "a1" to "b1" is answered
+    And "a1" and "b1" have had one stream
+    And "b1" counts 3 times "handler_failed"
+
+  Scenario: A listener that fails when a stream opens keeps no instance from dialling
+    Given instances "a1" and "b1" that share a key
+    And the listener for new streams at "a1" fails
+    When "a1" dials "b1"
+    Then a request from "a1" to "b1" is answered
+    When all streams of "b1" are closed
+    Then a request from "a1" to "b1" is answered
+
+  Scenario: Frames of a proven peer that nobody foresaw take no instance down
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    Then after each of 300 seeded malformed frames "a1" gets an answer from "b1"
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -112,6 +112,11 @@
     context.world.renew(name, starts_again=True)
 
 
+@when('"{name}" starts again {seconds:g} s later')
+def starts_again_later(context, name, seconds):
+    context.world.renew(name, starts_again=True, after_s=seconds)
+
+
 @when("{seconds:g} s pass at the routed entry")
 def pass_at_entry(context, seconds):
     context.runner.run(asyncio.sleep(seconds))
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -4,12 +4,15 @@
 import contextlib
 import socket
 from dataclasses import dataclass
+from random import Random
 
 from behave import given, then, when
 
 from mothshunt.core.clock import SystemClock
 from mothshunt.core.types import InstanceId
+from mothshunt.helpers.peer import frame
 from mothshunt.helpers.peer.admission import HandshakeAdmission
+from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address
@@ -79,6 +82,82 @@
         context.stack.callback(run, context, network.async_stop())
 
 
+def failing(*_):
+    raise ValueError("a fault of the test")
+
+
+@given('the handler of messages at "{name}" fails')
+def failing_handler(context, name):
+    context.network_by_id[name].on_message(Ping, failing)
+
+
+@given('the listener for new streams at "{name}" fails')
+def failing_listener(context, name):
+    context.network_by_id[name].on_connect(failing)
+
+
+@when('"{a}" posts {count:d} messages to "{b}"')
+def posts(context, a, count, b):
+    context.link = context.network_by_id[a]._dialled_by_peer[b]
+
+    async def post():
+        for number in range(count):
+            assert context.network_by_id[a].post(b, Ping(number=number))
+            await asyncio.sleep(0.01)
+
+    run(context, post())
+
+
+@then('"{a}" and "{b}" have had one stream')
+def one_stream(context, a, b):
+    assert context.network_by_id[a]._dialled_by_peer[b] is context.link
+
+
+@then('"{name}" counts {count:d} times "{reason}"')
+def counts_times(context, name, count, reason):
+    metrics = context.network_by_id[name].metrics
+    found = metrics.value("mothshunt_peer_closed_total", reason=reason)
+    assert found == count, found
+
+
+@when('all streams of "{name}" are closed')
+def all_closed(context, name):
+    async def close():
+        network = context.network_by_id[name]
+        for link in [*network._accepted_by_peer.values()]:
+            link.close()
+        await asyncio.sleep(0.05)
+
+    run(context, close())
+
+
+@then('after each of {count:d} seeded malformed frames "{a}" gets an answer from "{b}"')
+def survives_frames(context, count, a, b):
+    for seed in range(count):
+        link = context.network_by_id[a]._dialled_by_peer.get(b)
+        if link is not None:
+            content = malformed_frame(Random(seed))
+            data = len(content).to_bytes(4, "big") + content
+            with contextlib.suppress(ConnectionError):
+                send_raw(context, a, b, data)
+        is_answered(context, a, b)
+
+
+def malformed_frame(random: Random) -> bytes:
+    """Return random bytes, or a valid frame of which a part was changed."""
+    if random.random() < 0.2:
+        return random.randbytes(random.randint(1, 300))
+    kind = random.choice([FrameKind.MESSAGE, FrameKind.REQUEST, FrameKind.ANSWER])
+    whole = frame.encode(Frame(kind, random.getrandbits(31), Ping(number=7)))[4:]
+    if random.random() < 0.3:
+        # Lists in lists: deeper than any message, and than a decoder may follow.
+        return b"\x91" * random.choice([50, 600, 5000]) + b"\x01"
+    changed = bytearray(whole)
+    for _ in range(random.randint(1, 3)):
+        changed[random.randrange(len(changed))] = random.getrandbits(8)
+    return bytes(changed)[: random.randint(1, len(changed))]
+
+
 @when('"{name}" stops and its event loop ends')
 def stops_with_loop(context, name):
     context.errors = []
