Have the soak's targets tell that they leave in answers, and ask for pauses

Cause: the soak knew leaves by their confirmation only. What is promised of answers was held by features without faults from outside.

--- a/testkit/soak/history.py
+++ b/testkit/soak/history.py
@@ -217,6 +217,14 @@
         stretch_s = CONTROL_FAULT_STRETCH_S if has_fault else 0.0
         return bound_s + stretch_s + self.lag_s
 
+    def had_fault(self, instance: str, since: float, until: float) -> bool:
+        """Tell whether an instance had a fault, or was stopped, between two times."""
+        spans = (
+            *self.faults_by_instance.get(instance, ()),
+            *self.stops_by_instance.get(instance, ()),
+        )
+        return any(span.overlaps(since, until) for span in spans)
+
     def _is_calm(self, instance: str, at: float) -> bool:
         return not any(
             span.overlaps(at - CALM_AFTER_S, at)
--- a/testkit/soak/operator.py
+++ b/testkit/soak/operator.py
@@ -29,6 +29,9 @@
 HELD_FOR_S = IN_FORCE_BOUND_S + CONTROL_FAULT_STRETCH_S + WATCHED_FOR_S
 AWAY_FOR_S = LEAVE_BOUND_S + CONTROL_FAULT_STRETCH_S + WATCHED_FOR_S
 RETRY_PAUSE_S = 0.3
+#: Time for which a target says that it leaves in answers only, in seconds: over the
+#: bound that then holds.
+TOLD_BEFORE_S = LEAVE_BOUND_S + 2.0
 
 
 @dataclass(slots=True, eq=False)
@@ -58,7 +61,9 @@
             case ChangeKind.MOVE_ROUTES:
                 await self.async_move()
             case ChangeKind.RETIRE_TARGET:
-                targets = self.routed.targets
+                # One that callers don't reach would tell nobody that it leaves.
+                service = SERVICES[self.version % len(SERVICES)]
+                targets = [t for t in self.routed.targets if t.service == service]
                 await self._async_retire(targets[change.number % len(targets)])
             case ChangeKind.EVACUATE:
                 await self._async_evacuate(REGIONS[change.number % len(REGIONS)])
@@ -80,8 +85,11 @@
             )
 
     async def _async_retire(self, target: SoakTarget) -> None:
-        if target.state != "serving":
+        if target.tells_leaving:
             return
+        # Its answers tell of it sooner than its renewals do.
+        target.tells_leaving = True
+        await asyncio.sleep(TOLD_BEFORE_S)
         target.state = "leaving"
         key = (target.name, target.incarnation)
         give_up_at = self.now() + CONFIRM_WITHIN_S
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -14,6 +14,7 @@
 from testkit.shape import REGIONS, separate_roles
 from testkit.soak.callers import Caller
 from testkit.soak.history import History
+from testkit.soak.notices import Notices
 from testkit.soak.operator import HELD_FOR_S, SERVICES, Operator
 from testkit.soak.plan import Plan
 from testkit.soak.supervisor import Supervisor
@@ -72,6 +73,7 @@
     seconds: float
     keep: Path | None = None
     history: History = field(default_factory=History)
+    notices: Notices = field(default_factory=Notices)
     _counts: Counter[str] = field(default_factory=Counter)
     _started_at: float = field(default_factory=time.monotonic)
 
@@ -87,7 +89,13 @@
                 routed.run_target(self._target(number))
             limit_s = self.seconds + RUN_LIMIT_S
             problems = routed.run(self._async_run(routed), limit_s)
-            violations = [*self.history.violations(), *problems]
+            violations = [
+                *self.history.violations(),
+                *self.notices.violations(
+                    self.history.sent_by_id, self.history.had_fault, self.history.lag_s
+                ),
+                *problems,
+            ]
             if violations and self.keep is not None:
                 folder = self.keep / f"seed-{self.seed}"
                 shutil.copytree(routed.deployment.folder, folder, dirs_exist_ok=True)
@@ -95,6 +103,9 @@
             self._counts[f"status {sent.status}"] += 1
         for promise, count in self.history.judged().items():
             self._counts[f"judged {promise}"] = count
+        for notice in self.notices.given:
+            kind = "pause" if notice.pause_s else "leaving"
+            self._counts[f"noticed {kind}"] += 1
         return Report(
             seed=self.seed,
             violations=violations,
@@ -110,6 +121,7 @@
             number + 1,
             SERVICES[number % len(SERVICES)],
             history=self.history,
+            notices=self.notices,
             now=self._now,
             random=Random(f"{self.seed}/target/{number}"),
         )
--- a/testkit/soak/targets.py
+++ b/testkit/soak/targets.py
@@ -11,11 +11,16 @@
 from mothshunt.core.const import HEADER_REQUEST_ID
 from testkit.routed_deployment import EXPECTED_TARGET, Target
 from testkit.soak.history import History, Run
+from testkit.soak.notices import Notice, Notices
 
 #: Parts of the requests that are turned away, are run and lose their answer, and are
 #: answered late.
 TURNED_AWAY_PART = 0.02
 ANSWER_LOST_PART = 0.02
+#: Part of the requests that are turned away with a pause; among the first.
+PAUSE_PART = 0.01
+#: Length of such a pause, in seconds.
+PAUSE_S = (0.8, 2.5)
 LATE_PART = 0.02
 #: Time that a request takes, and a late one, in seconds.
 WORK_S = 0.02
@@ -27,14 +32,18 @@
     """Run requests and note each.
 
     :param history: Where they are noted.
+    :param notices: Where it is noted what was asked for with answers.
     :param now: Returns the time of the soak, in seconds.
     """
 
     history: History = field(kw_only=True)
+    notices: Notices = field(kw_only=True)
     now: Callable[[], float] = field(kw_only=True)
     random: Random = field(kw_only=True)
     incarnation: int = 1
     state: str = "serving"
+    #: Whether answers say that it leaves.
+    tells_leaving: bool = False
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Run a request and note it, or misbehave.
@@ -43,11 +52,29 @@
         """
         request_id = request.headers.get(HEADER_REQUEST_ID, "")
         headers = {HEADER_REQUEST_ID: request_id}
+        life = (self.name, self.incarnation)
         if request.headers.get(EXPECTED_TARGET) != self.name:
             return web.Response(status=421, headers=headers)
+        self.notices.came_by_life[life].append((self.now(), request_id))
+        if self.tells_leaving:
+            headers["Mothshunt-Leaving"] = "1"
+            self.notices.given.append(
+                Notice(request_id=request_id, life=life, at=self.now())
+            )
         chance = self.random.random()
         if chance < TURNED_AWAY_PART:
             not_run = {**headers, "Mothshunt-Ran": "no"}
+            if chance < PAUSE_PART:
+                pause_s = round(self.random.uniform(*PAUSE_S), 2)
+                not_run["Retry-After"] = str(pause_s)
+                self.notices.given.append(
+                    Notice(
+                        request_id=request_id,
+                        life=life,
+                        at=self.now(),
+                        pause_s=pause_s,
+                    )
+                )
             return web.Response(status=503, headers=not_run)
         run = Run(
             target=self.name,
@@ -78,3 +105,4 @@
         self.incarnation += 1
         self.sequence = 0
         self.state = "serving"
+        self.tells_leaving = False
--- a/tests/steps/soak_run.py
+++ b/tests/steps/soak_run.py
@@ -63,6 +63,8 @@
     report = context.report
     for promise in ("left", "evacuated", "moved"):
         assert report.counts[f"judged {promise}"] > 0, report.counts
+    for notice in ("leaving", "pause"):
+        assert report.counts[f"noticed {notice}"] > 0, report.counts
     assert report.violations == [], report.violations
     asked = sum(n for name, n in report.counts.items() if name.startswith("status"))
     assert report.counts["status 200"] >= MOST * asked, report.counts
