Hold the retry budget in every window, whenever targets begin to fail

The budget followed the 10 s before each attempt. What the burst had earned was spent after its end, in a window that holds neither the burst nor, half a window or a window before, all of it. Entries that lose their callers to others make it worse.

Change: an attempt is held against all windows that it may be in. In each, the attempts follow the requests of the window for three fourths and those of the window before for one. That adds up over the entries, whichever of them had the requests. At the onset of failures a fourth of what a calm window earned is left at once, not all of it.

--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -36,6 +36,13 @@
 #: Part of the retry budget that is used; the rest covers requests that are on their
 #: way when a window ends, and entry instances that don't know of each other yet.
 BUDGET_SAFETY = 0.9
+#: Steps of time in a window of the retry budget; a window may begin at any moment, so
+#: what it allows is rounded down by one.
+BUDGET_STEPS = 20
+#: Part of the retry budget that follows the requests of the same window; the rest
+#: follows those of the window before. So a fourth of what a calm window earned is left
+#: at once when targets begin to fail.
+BUDGET_PRESENT_PART = 0.75
 #: Time to come back while this instance is not ready, in seconds.
 NOT_READY_RETRY_S = 0.3
 #: Time to come back after a request that no target ran, in seconds.
--- a/mothshunt/forwarding/retry.py
+++ b/mothshunt/forwarding/retry.py
@@ -1,6 +1,6 @@
 """Decide whether a failed attempt is followed by another."""
 
-from collections import deque
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -20,25 +20,50 @@
 
 
 @dataclass(slots=True)
-class _Window:
-    """Hold the times of what was sent for a service within the window."""
+class _Counts:
+    """Count what was sent for a service, by steps of time."""
 
-    first: deque[float] = field(default_factory=deque)
-    further: deque[float] = field(default_factory=deque)
+    first_by_step: dict[int, int] = field(default_factory=dict)
+    further_by_step: dict[int, int] = field(default_factory=dict)
 
-    def forget(self, before: float) -> None:
-        """Drop what is older than a time."""
-        for times in (self.first, self.further):
-            while times and times[0] < before:
-                times.popleft()
+    def forget(self, before: int) -> None:
+        """Drop the steps before one."""
+        for count_by_step in (self.first_by_step, self.further_by_step):
+            for step in [step for step in count_by_step if step < before]:
+                del count_by_step[step]
+
+    def may_add(self, step: int, ratio: float, slack: float) -> bool:
+        """Tell whether one more attempt stays within every window that holds it.
+
+        A window that begins within a step is held against all attempts from that step
+        on, but only against the requests of whole steps.
+
+        :param step: The present step.
+        :param ratio: Attempts beyond the first, as a part of the requests.
+        :param slack: Attempts beyond the first that are allowed besides.
+        """
+        first, further = self.first_by_step.get, self.further_by_step.get
+        attempts, since = 1, 0
+        before = sum(first(step - n, 0) for n in range(1, const.BUDGET_STEPS))
+        for begin in range(step, step - const.BUDGET_STEPS - 1, -1):
+            attempts += further(begin, 0)
+            requests = const.BUDGET_PRESENT_PART * since
+            requests += (1.0 - const.BUDGET_PRESENT_PART) * before
+            if attempts > ratio * requests + slack:
+                return False
+            since += first(begin, 0)
+            before -= first(begin - 1, 0)
+            before += first(begin - const.BUDGET_STEPS, 0)
+        return True
 
 
 @dataclass(slots=True)
 class RetryBudget:
     """Bound the attempts beyond the first of this instance's requests.
 
-    What follows the requests adds up over all entry instances by itself; the slack is
-    divided among them.
+    In any window they follow the requests of that window and, for a part, those of the
+    window before, so that some attempts are left when targets begin to fail. Both add
+    up over all entry instances by themselves; the slack is divided among them.
 
     :param ratio: Attempts beyond the first, as a part of the requests.
     :param slack: Attempts beyond the first that all instances may make besides.
@@ -48,7 +73,7 @@
     ratio: float
     slack: float
     window_s: float
-    _window_by_service: dict[ServiceName, _Window] = field(default_factory=dict)
+    _counts_by_service: dict[ServiceName, _Counts] = field(default_factory=dict)
 
     def count_request(self, service: ServiceName, now: float) -> None:
         """Note a request for a service.
@@ -56,9 +81,11 @@
         :param service: The service.
         :param now: The present time, in seconds.
         """
-        window = self._window_by_service.setdefault(service, _Window())
-        window.first.append(now)
-        window.forget(now - self.window_s)
+        counts = self._counts_by_service.setdefault(service, _Counts())
+        step = self._step(now)
+        if step not in counts.first_by_step:
+            counts.forget(step - 2 * const.BUDGET_STEPS)
+        counts.first_by_step[step] = counts.first_by_step.get(step, 0) + 1
 
     def take(self, service: ServiceName, slack_part: float, now: float) -> bool:
         """Take one attempt beyond the first, if the budget allows it.
@@ -67,14 +94,18 @@
         :param slack_part: Part of the slack that this instance may use, 0 to 1.
         :param now: The present time, in seconds.
         """
-        window = self._window_by_service.setdefault(service, _Window())
-        window.forget(now - self.window_s)
-        allowed = self.ratio * len(window.first) + self.slack * slack_part
-        if len(window.further) + 1 > allowed * const.BUDGET_SAFETY:
+        counts = self._counts_by_service.setdefault(service, _Counts())
+        step = self._step(now)
+        ratio = self.ratio * const.BUDGET_SAFETY
+        slack = self.slack * slack_part * const.BUDGET_SAFETY
+        if not counts.may_add(step, ratio, slack):
             return False
-        window.further.append(now)
+        counts.further_by_step[step] = counts.further_by_step.get(step, 0) + 1
         return True
 
+    def _step(self, now: float) -> int:
+        return math.floor(now * const.BUDGET_STEPS / self.window_s)
+
 
 @dataclass(kw_only=True, slots=True)
 class Progress:
--- /dev/null
+++ b/tests/steps/forwarding_retry_budget.py
@@ -0,0 +1,124 @@
+"""Steps for the retry budget under loads that change."""
+
+from bisect import bisect_left
+from random import Random
+
+from behave import then
+
+from mothshunt.forwarding.retry import RetryBudget
+
+RATIO, WINDOW_S, STEP_S = 0.2, 10.0, 0.05
+LENGTH_S = 45.0
+
+
+def play(random: Random, rates, slack: float):
+    """Ask for a second attempt at most requests; return the times of both kinds.
+
+    :param rates: Requests a second of each entry instance at a time.
+    """
+    entries = len(rates(0.0))
+    budgets = [RetryBudget(RATIO, slack, WINDOW_S) for _ in range(entries)]
+    first, further = [], []
+    eagerness = random.choice((0.3, 0.7, 1.0))
+    # Targets may begin to turn requests away at any moment.
+    tried_again_from = random.choice((0.0, random.uniform(8.0, 36.0)))
+    for number in range(round(LENGTH_S / STEP_S)):
+        now = number * STEP_S
+        for budget, rate in zip(budgets, rates(now), strict=True):
+            for _ in range(arrivals(random, rate * STEP_S)):
+                budget.count_request("s", now)
+                first.append(now)
+                is_tried = now >= tried_again_from and random.random() < eagerness
+                while is_tried and budget.take("s", 1 / entries, now):
+                    further.append(now)
+    return first, further
+
+
+def arrivals(random: Random, mean: float) -> int:
+    return int(mean) + (random.random() < mean % 1.0)
+
+
+def worst_excess(first, further, slack: float) -> float:
+    """Return the most of the budget that was used in any window."""
+
+    def count(times, since, until):
+        return bisect_left(times, until) - bisect_left(times, since)
+
+    worst = 0.0
+    for start in sorted(set(further)):
+        used = count(further, start, start + WINDOW_S)
+        asked = max(
+            count(first, start - back, start - back + WINDOW_S)
+            for back in (0.0, WINDOW_S / 2, WINDOW_S)
+        )
+        worst = max(worst, used / (RATIO * asked + slack))
+    return worst
+
+
+def bursts(random: Random):
+    base = random.uniform(2, 30)
+    entries = random.randint(1, 12)
+    begin, length = random.uniform(8, 22), random.uniform(3, 14)
+    factor = random.uniform(2, 12)
+
+    def rates(now):
+        is_burst = begin <= now < begin + length
+        return [base * (factor if is_burst else 1.0)] * entries
+
+    return rates
+
+
+def moves(random: Random):
+    base = random.uniform(5, 60)
+    entries = random.randint(2, 12)
+    at = random.uniform(12, 25)
+    gone = random.randint(1, entries - 1)
+
+    def rates(now):
+        if now < at:
+            return [base] * gone + [0.0] * (entries - gone)
+        return [0.0] * gone + [base * gone / (entries - gone)] * (entries - gone)
+
+    return rates
+
+
+def keep_budget(count, make_rates):
+    worst = 0.0
+    for seed in range(count):
+        random = Random(seed)
+        slack = random.uniform(0, 60)
+        first, further = play(random, make_rates(random), slack)
+        used = worst_excess(first, further, slack)
+        assert used <= 1.0, (seed, used)
+        worst = max(worst, used)
+    print(f"worst: {worst:.2f} of the budget")
+    # A budget that is hardly used would be kept by anything.
+    assert worst > 0.7, worst
+
+
+@then(
+    "{count:d} random bursts of 1 to 12 entry instances keep the budget in every window"
+)
+def bursts_keep(context, count):
+    keep_budget(count, bursts)
+
+
+@then(
+    "{count:d} random moves among 2 to 12 entry instances keep the budget "
+    "in every window"
+)
+def moves_keep(context, count):
+    keep_budget(count, moves)
+
+
+@then(
+    "of {rate:d} requests a second each eighth gets its second attempt "
+    "for {seconds:d} s"
+)
+def steady(context, rate, seconds):
+    budget = RetryBudget(RATIO, 10.0, WINDOW_S)
+    for number in range(rate * seconds):
+        now = number / rate
+        budget.count_request("s", now)
+        if number % 8 == 7:
+            assert budget.take("s", 1.0, now), now
