--- a/mothshunt/admin/api.py
+++ b/mothshunt/admin/api.py
@@ -3,6 +3,7 @@
 from mothshunt.admin.changes import ChangeHandlers
 from mothshunt.admin.contracts import ContractHandlers
 from mothshunt.admin.drains import DrainHandlers
+from mothshunt.admin.entries import EntryHandlers
 from mothshunt.admin.history import HistoryHandlers
 from mothshunt.admin.instances import InstanceHandlers
 from mothshunt.admin.messages import Route
@@ -77,6 +78,7 @@
     log: ReplicatedLog,
     routing: RoutingCoordinator,
     targets: TargetHandlers,
+    entries: EntryHandlers,
 ) -> tuple[Route, ...]:
     """Return all operations of a deployment that routes by hosts and path prefixes.
 
@@ -86,7 +88,8 @@
     :param source: Configuration in force here.
     :param log: Replicated log.
     :param routing: Changes and confirmed reads of the routing items.
-    :param targets: Operations on targets and entry instances.
+    :param targets: Operations on targets.
+    :param entries: Operation that tells callers of entry instances.
     """
     changes = ChangeHandlers(configuration)
     instances = InstanceHandlers(
@@ -99,6 +102,7 @@
     routes = (
         *RoutingHandlers(routing).routes(),
         *targets.routes(),
+        *entries.routes(),
         *changes.routes(),
         *HistoryHandlers(configuration, changes).audit_routes(),
         *OperatorHandlers(configuration, changes).routes(),
--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -59,6 +59,8 @@
     :param settings: Settings of this instance.
     :param operations: What operators may ask for; ``None`` where that is nothing, as
         without the role ``control``.
+    :param open_routes: Returns what anyone may ask an instance without operations for;
+        called with the first such question, so that a start takes no longer for it.
     :param source: Configuration in force here.
     :param metrics: Metrics of the process.
     :param is_ready: Tells whether this instance takes requests.
@@ -70,6 +72,7 @@
         *,
         settings: Settings,
         operations: Operations | None,
+        open_routes: Callable[[], tuple[Route, ...]] | None = None,
         source: ConfigurationSource,
         metrics: Metrics,
         is_ready: Callable[[], bool],
@@ -81,6 +84,7 @@
         self._clock = clock
         self._gate: Gate | None = None
         self._routes: tuple[Route, ...] = ()
+        self._open_routes = open_routes
         if operations is not None:
             self._routes = operations.routes
             self._gate = Gate(
@@ -153,10 +157,12 @@
         return reply_response(Reply(body=document, status=200 if ready else 503))
 
     async def _async_result(self, request: web.Request) -> Result[Reply, Refusal]:
-        if self._gate is None:
-            return self._not_control(request)
+        if self._open_routes is not None:
+            self._routes, self._open_routes = self._open_routes(), None
         found = find_route(self._routes, request.method, request.rel_url.raw_path)
         if found.is_error():
+            if self._gate is None:
+                return self._not_control(request)
             return Error(found.error)
         started_at = self._clock.monotonic()
         result = await self._async_answer(self._gate, found.ok, request)
@@ -165,7 +171,7 @@
         return result
 
     async def _async_answer(
-        self, gate: Gate, match: RouteMatch, request: web.Request
+        self, gate: Gate | None, match: RouteMatch, request: web.Request
     ) -> Result[Reply, Refusal]:
         admitted = await _async_admitted(gate, match, _token(request))
         if admitted.is_error():
@@ -198,11 +204,13 @@
 
 
 async def _async_admitted(
-    gate: Gate, match: RouteMatch, token: str | None
+    gate: Gate | None, match: RouteMatch, token: str | None
 ) -> Result[Operator, Failure]:
     route = match.route
     if route.scope is Scope.OPEN:
         return Ok(ANONYMOUS)
+    if gate is None:
+        return Error(Failure(code=codes.NOT_CONTROL))
     customer = None
     if route.scope is Scope.CUSTOMER:
         customer = CustomerId(match.path_values[ATTR_CUSTOMER])
--- a/mothshunt/admin/targets.py
+++ b/mothshunt/admin/targets.py
@@ -1,9 +1,6 @@
-"""Operations on targets that renew themselves, and on the entry instances."""
-
-from dataclasses import dataclass
+"""Operations on targets that renew themselves."""
 
 from expression import Error, Ok, Result
-from pydantic import ConfigDict
 
 from mothshunt.access.model import AccessRole
 from mothshunt.admin.const import ATTR_TARGET, MS_PER_S
@@ -11,8 +8,6 @@
 from mothshunt.admin.messages import Call, Refusal, Reply, Route, Scope
 from mothshunt.admin.parameters import ReadQuery
 from mothshunt.admin.routing_model import (
-    EntryDocument,
-    EntryList,
     LeaveBody,
     LeaveDocument,
     RegisteredTargetDocument,
@@ -20,33 +15,17 @@
     RenewalDocument,
 )
 from mothshunt.core.clock import Clock
-from mothshunt.core.types import AvailabilityZoneId, RegionId, TargetId
-from mothshunt.lookup.directory import DirectoryAnswer, EntryDirectory
+from mothshunt.core.types import TargetId
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.messages import Renewal
 from mothshunt.registry.state import KnownTarget
 from mothshunt.settings.config import RoutingSettings
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlaceQuery(ReadQuery):
-    """Say where a caller is.
-
-    :param region: Region of the caller.
-    :param availability_zone: Availability zone of the caller.
-    """
-
-    __pydantic_config__ = ConfigDict(extra="forbid")
-
-    region: str = ""
-    availability_zone: str = ""
-
-
 class TargetHandlers:
-    """Take what targets say of themselves, and tell callers of entry instances.
+    """Take what targets say of themselves.
 
     :param intake: Takes renewals and leaves.
-    :param directory: Finds entry instances for callers.
     :param settings: How the deployment routes.
     :param clock: Source of the present time.
     """
@@ -55,12 +34,10 @@
         self,
         *,
         intake: TargetIntake,
-        directory: EntryDirectory,
         settings: RoutingSettings,
         clock: Clock,
     ) -> None:
         self._intake = intake
-        self._directory = directory
         self._settings = settings
         self._clock = clock
 
@@ -96,16 +73,6 @@
                 body=LeaveBody,
                 answer=LeaveDocument,
             ),
-            Route(
-                method="GET",
-                path="/v1/entries",
-                summary="Name the entry instances that a caller should use.",
-                role=AccessRole.READ,
-                scope=Scope.OPEN,
-                handler=self._async_entries,
-                query=PlaceQuery,
-                answer=EntryList,
-            ),
         )
 
     async def _async_list(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
@@ -137,28 +104,6 @@
             return Error(Refusal(failure=left.error))
         return Ok(Reply(body=LeaveDocument()))
 
-    async def _async_entries(self, call: Call[PlaceQuery]) -> Result[Reply, Refusal]:
-        found = self._directory.find(
-            RegionId(call.query.region),
-            AvailabilityZoneId(call.query.availability_zone),
-            self._clock.monotonic(),
-        )
-        longest_s = self._settings.lookup_lifetime_s
-        answer = found.default_value(DirectoryAnswer((), longest_s))
-        document = EntryList(
-            entries=tuple(
-                EntryDocument(
-                    id=entry.instance,
-                    region=entry.region,
-                    availability_zone=entry.availability_zone,
-                    address=address_text(entry.host, entry.port),
-                )
-                for entry in answer.entries
-            ),
-            lifetime_ms=int(answer.lifetime_s * MS_PER_S),
-        )
-        return Ok(Reply(body=document))
-
 
 def _target_document(known: KnownTarget, now: float) -> RegisteredTargetDocument:
     renewal = known.renewal
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -29,6 +29,7 @@
 )
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
+from mothshunt.lookup.directory import EntryDirectory
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.primaries import Place
 from mothshunt.metrics.registry import Metrics
@@ -41,6 +42,9 @@
 
 #: Longest wait for a majority to confirm what a control instance holds, in seconds.
 CONFIRM_TIMEOUT_S = 2.0
+#: Longest time for answers to those who were held by an instance that stops before it
+#: served, in seconds: some round trips.
+REFUSE_TIMEOUT_S = 0.2
 #: Time between two lines on what was sent to other instances, in seconds.
 TRAFFIC_REPORT_INTERVAL_S = 10.0
 #: Wait between two looks at whether an entry instance may serve, in seconds.
@@ -136,7 +140,6 @@
                 attachments=attachments,
                 holder=holder,
                 registry=registry,
-                is_ready=lambda: daemon.is_ready,
                 interface=interface or EntryInterface(),
                 local=control.roster if control is not None else None,
                 clock=clock,
@@ -148,6 +151,7 @@
         admin = AdminServer(
             settings=settings,
             operations=operations,
+            open_routes=None if entry is None or control is not None else entry.routes,
             source=holder,
             metrics=metrics,
             is_ready=lambda: daemon.is_ready,
@@ -182,6 +186,17 @@
         metrics.gauge("mothshunt_ready", lambda: float(daemon.is_ready))
         return daemon
 
+    @property
+    def directory(self) -> EntryDirectory:
+        """What callers are told of the entry instances, as this instance knows it.
+
+        :raises ValueError: The instance has no role.
+        """
+        parts = self.control or self.entry
+        if parts is None:
+            raise ValueError("an instance without a role knows no entry instances")
+        return parts.directory
+
     def on_fatal(self, listener: Callable[[], None]) -> None:
         """Call a listener when the instance can't go on, such as without its disk.
 
@@ -213,7 +228,7 @@
         await self._async_wait_until_current()
         self.is_ready = True
         if self.entry is not None:
-            self.entry.reporter.set_state(InstanceState.READY)
+            self.entry.open()
         # What was made so far lives as long as the process: no collection of
         # garbage need look at it again.
         gc.collect()
@@ -278,7 +293,7 @@
         log.write(SettingsReloaded(seeds=tuple(p.id for p in settings.control)))
 
     async def _async_leave(self) -> None:
-        """Take no more requests, and finish what is in flight."""
+        """Be named to callers no more, and finish what they send meanwhile."""
         in_flight = self.entry.server.in_flight() if self.entry is not None else 0
         log.write(Leaving(in_flight=in_flight))
         self.is_ready = self.is_ready and self.entry is None
@@ -293,6 +308,9 @@
         if self.is_ready and self.fatal is None:
             await self._async_leave()
         if self.entry is not None:
+            # Whoever was held by an instance that never served is told so.
+            self.entry.opening.abandon()
+            await self.entry.server.async_finish(REFUSE_TIMEOUT_S)
             await self.entry.async_stop()
         if self.control is not None:
             await self.control.async_stop()
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -4,6 +4,7 @@
 
 from mothshunt.admin.api import routed_api_routes
 from mothshunt.admin.coordinator import Operations
+from mothshunt.admin.entries import EntryHandlers
 from mothshunt.admin.targets import TargetHandlers
 from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.holder import ConfigurationHolder
@@ -151,12 +152,7 @@
             revision=lambda: source.current().revision,
             clock=clock,
         )
-        targets = TargetHandlers(
-            intake=self.intake,
-            directory=self.directory,
-            settings=routing,
-            clock=clock,
-        )
+        targets = TargetHandlers(intake=self.intake, settings=routing, clock=clock)
         routes = routed_api_routes(
             instance=settings.instance.id,
             configuration=configuration,
@@ -165,6 +161,7 @@
             log=self.log,
             routing=self.routing,
             targets=targets,
+            entries=EntryHandlers(self.directory, clock),
         )
         return Operations(configuration=configuration, routes=routes)
 
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -1,9 +1,9 @@
 """What an entry instance of a routed deployment runs."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from random import Random
+from typing import TYPE_CHECKING
 
 from mothshunt.configuration.holder import ConfigurationHolder
 from mothshunt.core.clock import Clock
@@ -11,10 +11,12 @@
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.model import EntryInterface
+from mothshunt.forwarding.opening import Opening
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.lookup.directory import EntryDirectory
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
 from mothshunt.membership.roster_messages import EntryReport
@@ -26,6 +28,9 @@
 from mothshunt.registry.messages import LeavingSeen
 from mothshunt.settings.config import RoutingSettings, Settings
 
+if TYPE_CHECKING:
+    from mothshunt.admin.messages import Route
+
 
 @dataclass(slots=True, eq=False)
 class RoutedEntry:
@@ -36,6 +41,9 @@
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
+    :param directory: Finds entry instances for callers.
+    :param opening: Holds requests until the instance serves.
+    :param clock: Source of the present time.
     """
 
     server: RoutedServer
@@ -43,6 +51,9 @@
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
+    directory: EntryDirectory
+    opening: Opening
+    clock: Clock
 
     @classmethod
     def from_parts(
@@ -54,7 +65,6 @@
         attachments: Attachments,
         holder: ConfigurationHolder,
         registry: RegistryFollower,
-        is_ready: Callable[[], bool],
         interface: EntryInterface,
         local: RosterHub | None,
         clock: Clock,
@@ -68,7 +78,6 @@
         :param attachments: Streams to the control instances.
         :param holder: Configuration in force.
         :param registry: Targets that are known.
-        :param is_ready: Tells whether the configuration is current.
         :param interface: How callers and targets are spoken to.
         :param local: Gathers reports here, where this is a control instance as well.
         :param clock: Source of the present time.
@@ -123,6 +132,7 @@
         metrics.gauge(
             "mothshunt_retry_slack_part", lambda: slack_part(clock.monotonic())
         )
+        opening = Opening()
         refuser = Refuser(interface.names, interface.format_retry_after)
         forwarder = RoutedForwarder(
             configuration=holder,
@@ -131,7 +141,7 @@
             budget=budget,
             slack_part=slack_part,
             refuser=refuser,
-            is_ready=is_ready,
+            opening=opening,
             metrics=metrics,
             clock=clock,
         )
@@ -158,15 +168,29 @@
             pool=pool,
             budget=budget,
             reporter=reporter,
+            directory=EntryDirectory(roster, routing.lookup_lifetime_s, metrics),
+            opening=opening,
+            clock=clock,
         )
 
     async def async_start(self) -> None:
-        """Begin to serve callers; they are refused until the instance is ready."""
+        """Begin to take requests; they are held until the instance is ready."""
         await self.pool.async_start()
         await self.placement.async_start()
         await self.reporter.async_start()
         await self.server.async_start()
 
+    def routes(self) -> "tuple[Route, ...]":
+        """Return what callers may ask at the administration port."""
+        from mothshunt.admin.entries import EntryHandlers
+
+        return EntryHandlers(self.directory, self.clock).routes()
+
+    def open(self) -> None:
+        """Serve callers, and tell the others so."""
+        self.opening.open()
+        self.reporter.set_state(InstanceState.READY)
+
     def reload(self, routing: RoutingSettings) -> None:
         """Take changed limits.
 
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -43,6 +43,14 @@
 #: follows those of the window before. So a fourth of what a calm window earned is left
 #: at once when targets begin to fail.
 BUDGET_PRESENT_PART = 0.75
+#: Requests that are held until this instance serves; each takes some kilobytes.
+MAX_HELD_REQUESTS = 1000
+#: Part of the time to the end of a request for which it is held: after it the caller
+#: can still come back.
+HELD_PART = 1 / 3
+#: Longest time for which a request is held, in seconds: an instance that starts with
+#: all others serves within about a second.
+MAX_HELD_S = 1.0
 #: Time to come back while this instance is not ready, in seconds.
 NOT_READY_RETRY_S = 0.3
 #: Time to come back after a request that no target ran, in seconds.
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -28,8 +28,9 @@
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.decisions import DecisionLog
 from mothshunt.forwarding.model import RoutedRequest
+from mothshunt.forwarding.opening import Opening
 from mothshunt.forwarding.refusal import Refuser
-from mothshunt.forwarding.request import read_request, target_headers
+from mothshunt.forwarding.request import read_request, target_headers, time_left_s
 from mothshunt.forwarding.retry import GiveUp, Progress, RetryBudget
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
@@ -64,7 +65,7 @@
     :param slack_part: Returns the part of the budget's slack that this instance may use
         at a time.
     :param refuser: Makes answers of this instance's own.
-    :param is_ready: Tells whether the configuration is current.
+    :param opening: Holds requests until the configuration is current.
     :param metrics: Metrics of the process.
     :param clock: Source of the present time.
     """
@@ -78,7 +79,7 @@
         budget: RetryBudget,
         slack_part: Callable[[float], float],
         refuser: Refuser,
-        is_ready: Callable[[], bool],
+        opening: Opening,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -87,7 +88,7 @@
         self._budget = budget
         self._slack_part = slack_part
         self._refuser = refuser
-        self._is_ready = is_ready
+        self._opening = opening
         self._metrics = metrics
         self._clock = clock
         self._split = WeightedSplit()
@@ -102,10 +103,12 @@
 
         :param request: The request.
         """
-        table = self._configuration.current().routing
         names = self._refuser.names
         now = self._clock.monotonic()
-        if not self._is_ready() or not table.has_items:
+        left_s = time_left_s(request.headers, names)
+        is_open = await self._opening.async_wait(left_s)
+        table = self._configuration.current().routing
+        if not is_open or not table.has_items:
             failure = Failure(
                 code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S
             )
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -1,5 +1,6 @@
 """Reading of a caller's request, and the head that a target gets."""
 
+import math
 import re
 from collections.abc import Callable, Mapping
 
@@ -69,12 +70,30 @@
     )
 
 
+def time_left_s(headers: Mapping[str, str], names: HeaderNames) -> float:
+    """Return the time that a caller will wait, in seconds, before its route is known.
+
+    :param headers: Header fields of the request.
+    :param names: Names of the header fields.
+    :return: The time; endless where the caller names none that can be read.
+    """
+    value = headers.get(names.deadline_ms)
+    told_s = None if value is None else _told_time_s(value)
+    return math.inf if told_s is None else told_s
+
+
+def _told_time_s(value: str) -> float | None:
+    """Return the time of a header field, in seconds; ``None`` if it can't be read."""
+    if not value.isascii() or not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+        return None
+    return int(value) / MILLISECONDS_PER_SECOND
+
+
 def _time_left_s(value: str | None, route: Route) -> float | None:
     if value is None:
         return route.timeout_s
-    if not value.isascii() or not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
-        return None
-    return min(int(value) / MILLISECONDS_PER_SECOND, route.timeout_s)
+    told_s = _told_time_s(value)
+    return None if told_s is None else min(told_s, route.timeout_s)
 
 
 def _affinity_key(request: web.Request, route: Route, names: HeaderNames) -> str | None:
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -94,11 +94,17 @@
         await asyncio.sleep(leave_s * const.LISTEN_PART)
         if self._server is not None:
             self._server.close()
-        left_s = leave_s * const.FINISH_PART - (now() - began_at)
+        await self.async_finish(leave_s * const.FINISH_PART - (now() - began_at))
+        log.write(Left(unfinished=self._in_flight))
+
+    async def async_finish(self, longest_s: float) -> None:
+        """Wait until nothing is in flight.
+
+        :param longest_s: Longest wait, in seconds.
+        """
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout(max(0.0, longest_s)):
                 await self._idle.wait()
-        log.write(Left(unfinished=self._in_flight))
 
     async def async_stop(self) -> None:
         """Close all connections; may be called twice."""
--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -183,15 +183,13 @@
     :param region: Region of the last such caller.
     :param availability_zone: Its availability zone.
     :param unanswered: Such look-ups since the last such line.
-    :param known: Entry instances that this control instance knows of.
-    :param attached: Those of them that a stream leads to.
+    :param known: Entry instances that this instance knows of.
     """
 
     region: RegionId
     availability_zone: AvailabilityZoneId
     unanswered: int
     known: int
-    attached: int
 
 
 @log_event("founding proposed", slice_name="consensus")
--- a/mothshunt/lookup/directory.py
+++ b/mothshunt/lookup/directory.py
@@ -1,6 +1,8 @@
 """Look-ups of entry instances by the caller's own place, in routed deployments."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from expression import Error, Ok, Result
 
@@ -15,11 +17,25 @@
     UNANSWERED_LOG_INTERVAL_S,
 )
 from mothshunt.lookup.nearest import answer_lifetime_s, nearest_entries
-from mothshunt.membership.roster import RosterTable
-from mothshunt.membership.roster_messages import EntryReport
+from mothshunt.membership.roster_messages import EntryRow, ReadyEntry
 from mothshunt.metrics.registry import Metrics
 
 
+class EntrySource(Protocol):
+    """Know which entry instances take requests."""
+
+    def ready_entries(self, now: float) -> Sequence[ReadyEntry]:
+        """Return the entry instances that take requests, sorted by name.
+
+        :param now: Monotonic time, in seconds.
+        """
+        ...
+
+    def known_entries(self) -> int:
+        """Return the number of entry instances that are known, ready or not."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class DirectoryAnswer:
     """Tell a caller which entry instances to use.
@@ -28,7 +44,7 @@
     :param lifetime_s: Time for which the answer may be kept, in seconds.
     """
 
-    entries: tuple[EntryReport, ...]
+    entries: tuple[EntryRow, ...]
     lifetime_s: float
 
 
@@ -36,12 +52,12 @@
 class EntryDirectory:
     """Tell callers which entry instances to use.
 
-    :param roster: Entry instances that are attached here.
+    :param source: Knows which entry instances take requests.
     :param longest_s: Longest time for which an answer may be kept, in seconds.
     :param metrics: Counts the look-ups by outcome.
     """
 
-    roster: RosterTable
+    source: EntrySource
     longest_s: float
     metrics: Metrics
     _unanswered: int = 0
@@ -57,14 +73,14 @@
         :param now: Monotonic time, in seconds.
         :return: The answer; a failure where no entry instance takes requests.
         """
-        entries = nearest_entries(self.roster.ready(), region, zone)
+        entries = nearest_entries(self.source.ready_entries(now), region, zone)
         if entries:
             if self._unanswered > 0:
                 self._tell_unanswered(region, zone, now)
             self.metrics.count(METRIC_LOOKUPS, outcome="answered")
             lifetime_s = answer_lifetime_s(entries, self.longest_s, now)
-            reports = tuple(standing.report for standing in entries)
-            return Ok(DirectoryAnswer(reports, lifetime_s))
+            rows = tuple(entry.row for entry in entries)
+            return Ok(DirectoryAnswer(rows, lifetime_s))
         self.metrics.count(METRIC_LOOKUPS, outcome="none")
         self._unanswered += 1
         if self._told_at is None or now - self._told_at >= UNANSWERED_LOG_INTERVAL_S:
@@ -80,8 +96,7 @@
                 region=region,
                 availability_zone=zone,
                 unanswered=self._unanswered,
-                known=len(self.roster.standing_by_id),
-                attached=len(self.roster.attached()),
+                known=self.source.known_entries(),
             )
         )
         self._told_at = now
--- a/mothshunt/lookup/nearest.py
+++ b/mothshunt/lookup/nearest.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 
 from mothshunt.core.types import AvailabilityZoneId, RegionId
-from mothshunt.membership.roster import EntryStanding
+from mothshunt.membership.roster_messages import ReadyEntry
 
 #: Entry instances that a caller is told of at least, where there are as many: one that
 #: is lost must not leave the caller without any until it asks again.
@@ -17,8 +17,8 @@
 
 
 def nearest_entries(
-    ready: Iterable[EntryStanding], region: RegionId, zone: AvailabilityZoneId
-) -> Sequence[EntryStanding]:
+    ready: Iterable[ReadyEntry], region: RegionId, zone: AvailabilityZoneId
+) -> Sequence[ReadyEntry]:
     """Return the entry instances of the nearest distance that has enough of them.
 
     :param ready: Entry instances that take requests.
@@ -26,17 +26,17 @@
     :param zone: Availability zone of the caller.
     """
     entries = list(ready)
-    in_zone = [e for e in entries if e.report.availability_zone == zone]
+    in_zone = [e for e in entries if e.row.availability_zone == zone]
     if len(in_zone) >= MIN_ENTRIES:
         return in_zone[:MAX_ENTRIES]
-    in_region = [e for e in entries if e.report.region == region]
+    in_region = [e for e in entries if e.row.region == region]
     if in_region:
         return in_region[:MAX_ENTRIES]
     return entries[:MAX_ENTRIES]
 
 
 def answer_lifetime_s(
-    entries: Iterable[EntryStanding], longest_s: float, now: float
+    entries: Iterable[ReadyEntry], longest_s: float, now: float
 ) -> float:
     """Return for how long a caller may keep an answer, in seconds.
 
@@ -48,6 +48,5 @@
     :param longest_s: Longest time for which an answer may be kept, in seconds.
     :param now: The present time, in seconds.
     """
-    ready_since = [e.ready_since for e in entries if e.ready_since is not None]
-    newest_s = now - max(ready_since, default=now)
+    newest_s = now - max((e.ready_since for e in entries), default=now)
     return min(longest_s, max(MIN_LIFETIME_S, newest_s))
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -28,6 +28,9 @@
 ROSTER_INTERVAL_S = 1.0
 #: Time between two pulses to all others, in seconds; well below ENTRY_COUNTS_FOR_S.
 FULL_ROSTER_INTERVAL_S = 4.0
+#: What a control instance told of the entry instances holds for this time, in seconds,
+#: unless it is told again: a little above FULL_ROSTER_INTERVAL_S.
+ROSTER_HOLDS_FOR_S = 5.0
 #: A roster that differs from what its control instance holds is asked for after this
 #: time, in seconds: changes that are on their way arrive sooner.
 DIFFERS_FOR_S = 0.9
--- a/mothshunt/membership/roster.py
+++ b/mothshunt/membership/roster.py
@@ -1,5 +1,6 @@
 """Entry instances that are attached to a control instance."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from mothshunt.core.types import InstanceId, InstanceState
@@ -11,6 +12,7 @@
     EntryLoad,
     EntryReport,
     EntryRow,
+    ReadyEntry,
 )
 
 
@@ -139,9 +141,17 @@
             for service, by_zone in demand.items()
         )
 
-    def ready(self) -> list[EntryStanding]:
-        """Return the entry instances that take requests, sorted by name."""
+    def ready_entries(self, now: float) -> Sequence[ReadyEntry]:
+        """Return the entry instances that take requests, sorted by name.
+
+        :param now: The present time, in seconds.
+        """
         return sorted(
-            (s for s in self.standing_by_id.values() if s.ready_since is not None),
-            key=lambda standing: standing.report.instance,
+            ReadyEntry(standing.report.row, standing.ready_since)
+            for standing in self.standing_by_id.values()
+            if standing.ready_since is not None
         )
+
+    def known_entries(self) -> int:
+        """Return the number of entry instances that are known here."""
+        return len(self.standing_by_id)
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -198,7 +198,7 @@
 
         :param state: The new state.
         """
-        self.view.own = replace(self.view.own, state=state)
+        self.view.set_own_state(state, self.clock.monotonic())
         self.report()
 
     def set_demand(self, demand: Mapping[ServiceName, float]) -> None:
--- a/mothshunt/membership/roster_messages.py
+++ b/mothshunt/membership/roster_messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from mothshunt.core.types import (
     AvailabilityZoneId,
@@ -13,8 +14,6 @@
 from mothshunt.util.hashing import hash_text
 from mothshunt.util.wire import message
 
-#: Name, region and availability zone of an entry instance.
-EntryRow = tuple[InstanceId, RegionId, AvailabilityZoneId]
 #: Service, and what callers ask for in each availability zone, in tenths of a request
 #: a second.
 DemandRow = tuple[ServiceName, tuple[tuple[AvailabilityZoneId, int], ...]]
@@ -23,6 +22,36 @@
 DemandByZone = dict[ServiceName, dict[AvailabilityZoneId, float]]
 
 
+class EntryRow(NamedTuple):
+    """Hold what is told of an entry instance; a tuple takes few bytes in messages.
+
+    :param instance: Name of the entry instance.
+    :param region: Region that it runs in.
+    :param availability_zone: Availability zone that it runs in.
+    :param host: IP number for callers.
+    :param port: TCP port for callers.
+    :param is_ready: Whether it takes requests.
+    """
+
+    instance: InstanceId
+    region: RegionId
+    availability_zone: AvailabilityZoneId
+    host: str
+    port: int
+    is_ready: bool
+
+
+class ReadyEntry(NamedTuple):
+    """Hold an entry instance that takes requests; sorted by its name.
+
+    :param row: The entry instance.
+    :param ready_since: Time from which it is known to take requests, in seconds.
+    """
+
+    row: EntryRow
+    ready_since: float
+
+
 @message("membership.entry_report")
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntryReport:
@@ -49,7 +78,14 @@
     @property
     def row(self) -> EntryRow:
         """What other entry instances are told of this one."""
-        return (self.instance, self.region, self.availability_zone)
+        return EntryRow(
+            instance=self.instance,
+            region=self.region,
+            availability_zone=self.availability_zone,
+            host=self.host,
+            port=self.port,
+            is_ready=self.state is InstanceState.READY,
+        )
 
 
 @message("membership.entry_load")
@@ -138,6 +174,6 @@
     :param rows: The instances.
     """
     digest = 0
-    for instance, _, zone in rows:
-        digest ^= hash_text(f"{instance} {zone}")
+    for row in rows:
+        digest ^= hash_text(f"{row.instance} {row.availability_zone} {row.is_ready}")
     return digest
--- a/mothshunt/membership/roster_view.py
+++ b/mothshunt/membership/roster_view.py
@@ -1,11 +1,13 @@
 """Which entry instances may be sending requests, as one instance sees it."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from mothshunt.core.types import (
     AvailabilityZoneId,
     InstanceId,
+    InstanceState,
     RegionId,
     ServiceName,
 )
@@ -16,6 +18,7 @@
     DemandRow,
     EntryReport,
     EntryRow,
+    ReadyEntry,
     RosterPulse,
     RosterRows,
     roster_digest,
@@ -27,6 +30,8 @@
     """Hold what one control instance tells of the entry instances.
 
     :param row_by_id: Those attached to it.
+    :param ready_since_by_id: Time from which it has named each of them as ready, in
+        seconds.
     :param demand: What callers ask them for.
     :param digest: Digest of the rows.
     :param heard_at: Time at which the rows were last confirmed, in seconds.
@@ -35,11 +40,33 @@
     """
 
     row_by_id: dict[InstanceId, EntryRow] = field(default_factory=dict)
+    ready_since_by_id: dict[InstanceId, float] = field(default_factory=dict)
     demand: tuple[DemandRow, ...] = ()
     digest: int = 0
     heard_at: float = float("-inf")
     differs_since: float | None = None
 
+    def take(self, rows: RosterRows, now: float) -> None:
+        """Take what the control instance tells.
+
+        :param rows: What it tells.
+        :param now: The present time, in seconds.
+        """
+        if rows.is_whole:
+            self.row_by_id.clear()
+            self.differs_since = None
+        for instance in rows.gone:
+            self.row_by_id.pop(instance, None)
+        for row in rows.rows:
+            self.row_by_id[row.instance] = row
+        self.digest = roster_digest(self.row_by_id.values())
+        held = self.ready_since_by_id
+        self.ready_since_by_id = {
+            instance: held.get(instance, now)
+            for instance, row in self.row_by_id.items()
+            if row.is_ready
+        }
+
 
 @dataclass(slots=True)
 class RosterView:
@@ -50,9 +77,12 @@
     by those who are cut off.
 
     :param own: This instance's own report; counted in any case.
+    :param own_ready_since: Time from which this instance takes requests, in seconds;
+        ``None`` while it doesn't.
     """
 
     own: EntryReport
+    own_ready_since: float | None = None
     _roster_by_control: dict[InstanceId, ControlRoster] = field(default_factory=dict)
     _row_by_id: dict[InstanceId, EntryRow] = field(default_factory=dict)
     _seen_at_by_id: dict[InstanceId, float] = field(default_factory=dict)
@@ -69,15 +99,7 @@
         :param now: The present time, in seconds.
         """
         roster = self._roster_by_control.setdefault(control, ControlRoster())
-        if rows.is_whole:
-            roster.row_by_id.clear()
-        for instance in rows.gone:
-            roster.row_by_id.pop(instance, None)
-        for row in rows.rows:
-            roster.row_by_id[row[0]] = row
-        roster.digest = roster_digest(roster.row_by_id.values())
-        if rows.is_whole:
-            roster.differs_since = None
+        roster.take(rows, now)
         self._see(roster, now)
 
     def take_pulse(self, control: InstanceId, pulse: RosterPulse, now: float) -> bool:
@@ -108,7 +130,7 @@
             self._seen_at_by_id[instance] = now
             self._row_by_id[instance] = row
             self._named_at_by_id[instance] = now
-            self._zone_by_id[instance] = row[2]
+            self._zone_by_id[instance] = row.availability_zone
         if self.own.instance in roster.row_by_id:
             self.note_named(now)
         for instance, seen_at in list(self._seen_at_by_id.items()):
@@ -192,9 +214,49 @@
         """Return the number of entry instances that may be sending."""
         return len(self._row_by_id) + (self.own.instance not in self._row_by_id)
 
+    def ready_entries(self, now: float) -> Sequence[ReadyEntry]:
+        """Return the entry instances that take requests, sorted by name.
+
+        They are those that most control instances name, of those that were heard of
+        lately: one that is lost itself goes on naming what was lost with it. This
+        instance knows of itself best. While it hears of no control instance, it is the
+        only one that it can vouch for.
+
+        :param now: The present time, in seconds.
+        """
+        rosters = [
+            roster
+            for roster in self._roster_by_control.values()
+            if now - roster.heard_at <= const.ROSTER_HOLDS_FOR_S
+        ]
+        votes = Counter(i for roster in rosters for i in roster.ready_since_by_id)
+        named = {i for i, count in votes.items() if 2 * count > len(rosters)}
+        found = []
+        for instance in named - {self.own.instance}:
+            naming = [r for r in rosters if instance in r.ready_since_by_id]
+            newest = max(naming, key=lambda roster: roster.heard_at)
+            since = min(roster.ready_since_by_id[instance] for roster in naming)
+            found.append(ReadyEntry(newest.row_by_id[instance], since))
+        if self.own_ready_since is not None:
+            found.append(ReadyEntry(self.own.row, self.own_ready_since))
+        return sorted(found)
+
+    def known_entries(self) -> int:
+        """Return the number of entry instances that are known, ready or not."""
+        return self.count()
+
+    def set_own_state(self, state: InstanceState, now: float) -> None:
+        """Change the state of this instance.
+
+        :param state: The new state.
+        :param now: The present time, in seconds.
+        """
+        self.own = replace(self.own, state=state)
+        self.own_ready_since = now if state is InstanceState.READY else None
+
     def region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
         """Return the regions of the availability zones that they run in."""
-        return {zone: region for _, region, zone in self.rows()}
+        return {row.availability_zone: row.region for row in self.rows()}
 
     def demand(self, own: Mapping[ServiceName, float]) -> DemandByZone:
         """Return what callers ask for, by service and availability zone.
--- a/mothshunt/platform/endpoints.py
+++ b/mothshunt/platform/endpoints.py
@@ -1,6 +1,5 @@
 """The platform's calls to an instance, handed to the product."""
 
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from urllib.parse import unquote
@@ -19,8 +18,6 @@
 
 _LOGGER = get_logger("platform")
 
-MILLISECONDS_PER_SECOND = 1000
-
 
 def _failed(failure: Failure) -> web.Response:
     return failure_response(failure)
@@ -118,33 +115,3 @@
 
 def _answer(result: Result[object, Failure]) -> web.Response:
     return _failed(result.error) if result.is_error() else _done()
-
-
-@dataclass(slots=True, eq=False)
-class DirectoryEndpoint:
-    """Tell callers which entry instances to use.
-
-    :param control: What the calls are handed to.
-    """
-
-    control: RoutedControl
-
-    async def async_handle(self, request: web.Request) -> web.StreamResponse:
-        """Answer one call.
-
-        :param request: The call.
-        """
-        if request.method != "GET" or request.path != names.PATH_RESOLVE:
-            return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=request.path[:80]))
-        found = self.control.directory.find(
-            RegionId(request.query.get("region", "")),
-            AvailabilityZoneId(request.query.get("zone", "")),
-            time.monotonic(),
-        )
-        if found.is_error():
-            return _failed(found.error)
-        document = {
-            "addresses": [f"{entry.host}:{entry.port}" for entry in found.ok.entries],
-            "ttl": f"{int(found.ok.lifetime_s * MILLISECONDS_PER_SECOND)}ms",
-        }
-        return web.json_response(document)
--- a/mothshunt/platform/main.py
+++ b/mothshunt/platform/main.py
@@ -19,6 +19,7 @@
 from mothshunt.helpers.log_events import SettingsUnreadable
 from mothshunt.metrics.registry import Metrics
 from mothshunt.platform import names
+from mothshunt.platform.directory import DirectoryEndpoint
 from mothshunt.platform.readiness import ReadinessEndpoint, refuse_malformed
 from mothshunt.platform.settings import PlatformSettings, read_settings
 from mothshunt.platform.values import BadValueError
@@ -74,12 +75,12 @@
         daemon = self.daemon
         if daemon.control is not None:
             # An entry instance loads nothing of what it doesn't answer.
-            from mothshunt.platform.endpoints import ControlEndpoints, DirectoryEndpoint
+            from mothshunt.platform.endpoints import ControlEndpoints
 
             control = ControlEndpoints(daemon.control, settings.region_by_zone)
-            directory = DirectoryEndpoint(daemon.control)
             self._add(settings.control, control.async_handle)
-            self._add(settings.directory, directory.async_handle)
+        directory = DirectoryEndpoint(daemon.directory)
+        self._add(settings.directory, directory.async_handle)
         readiness = ReadinessEndpoint(lambda: daemon.is_ready)
         self._add(settings.readiness, readiness.async_handle)
 
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -21,6 +21,7 @@
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.model import EntryInterface
+from mothshunt.forwarding.opening import Opening
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
@@ -129,10 +130,16 @@
     :param timeout_s: Time limit of a request, in seconds.
     :param ratio: Attempts beyond the first, as a part of the requests.
     :param slack: Attempts beyond the first that are allowed besides.
+    :param is_open: Whether it serves from its start on.
     """
 
     def __init__(
-        self, timeout_s: float = 2.0, ratio: float = 1.0, slack: float = 100.0
+        self,
+        timeout_s: float = 2.0,
+        ratio: float = 1.0,
+        slack: float = 100.0,
+        *,
+        is_open: bool = True,
     ) -> None:
         clock, self.metrics = SystemClock(), Metrics()
         self.holder = Holder(Configuration(routing=table(timeout_s)))
@@ -170,7 +177,9 @@
         self.placement.on_configuration(self.holder.configuration)
         self.pool = ConnectionPool(clock, self.metrics)
         refuser = Refuser(EntryInterface().names, lambda seconds: f"{seconds:.3f}")
-        self.is_ready = True
+        self.opening = Opening()
+        if is_open:
+            self.opening.open()
         forwarder = RoutedForwarder(
             configuration=self.holder,
             placement=self.placement,
@@ -178,7 +187,7 @@
             budget=RetryBudget(ratio=ratio, slack=slack, window_s=10.0),
             slack_part=lambda now: 1.0,
             refuser=refuser,
-            is_ready=lambda: self.is_ready,
+            opening=self.opening,
             metrics=self.metrics,
             clock=clock,
         )
--- a/tests/daemon/routed.feature
+++ b/tests/daemon/routed.feature
@@ -66,4 +66,6 @@
     And 3 routed targets of service "stock"
     When the routing items at version 1 are applied
     Then a caller is told of 2 entries, and each serves "shop.example" "/stock/a"
+    And each entry instance tells callers of the same 2 entries
+    And an entry instance answers an operator that it is no control instance
     And all processes of the routed deployment stop with exit code 0
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -5,6 +5,7 @@
     And 2 platform targets of service "stock"
     When the operator routes "shop.example" "/stock/" to "stock"
     Then a caller who asks the directory is told of 2 entries
+    And a caller who asks an entry where to connect is told of 2 entries
     And a caller's GET "/stock/a%2Fb?x=1" is answered by a target, with its proof
     And the targets got the path "/stock/a%2Fb?x=1" and the id of the request
     And a path without a route is answered 404
@@ -44,5 +45,6 @@
     And entry 1 is told to stop while a request is at its target
     Then that request is answered
     And entry 1 is not ready any more
+    And for 2 s entry 1 answers those who were told of it before
     And a caller who asks the directory is told of 1 entries
     And entry 1 ends with exit code 0 within 6 s
--- a/tests/steps/daemon_routed.py
+++ b/tests/steps/daemon_routed.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 
+import aiohttp
 from behave import given, then, when
 
+from mothshunt.admin import codes
 from testkit.ports import HOST as HOST_IP
 from testkit.routed_deployment import (
     CALLERS_HOST,
@@ -80,6 +82,35 @@
     routed.run(routed.async_until(all_serve))
 
 
+@then("each entry instance tells callers of the same {count:d} entries")
+def entries_tell(context, count):
+    routed = context.routed
+    instances = routed.deployment.instances
+    only_entries = [i for i in instances if i.admin_url not in routed.urls]
+    assert len(only_entries) == count, only_entries
+
+    async def all_tell():
+        told = [await admin_get(i.admin_url, "/v1/entries") for i in only_entries]
+        addresses = [[e["address"] for e in a.get("entries", ())] for _, a in told]
+        return all(sorted(found) == sorted(context.entries) for found in addresses)
+
+    routed.run(routed.async_until(all_tell))
+    context.only_entries = only_entries
+
+
+async def admin_get(url, path):
+    async with aiohttp.ClientSession() as session, session.get(url + path) as answer:
+        return answer.status, await answer.json()
+
+
+@then("an entry instance answers an operator that it is no control instance")
+def no_control_instance(context):
+    url = context.only_entries[0].admin_url
+    status, answer = context.routed.run(admin_get(url, "/v1/routing"))
+    assert status == codes.NOT_CONTROL.http_status, (status, answer)
+    assert answer["code"] == codes.NOT_CONTROL.number, answer
+
+
 @then('each entry soon answers "{host}" "{path}" with {status:d}')
 def entries_answer(context, host, path, status):
     routed = context.routed
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -45,8 +45,7 @@
 
 @given("a routed entry that is not ready")
 def not_ready(context):
-    set_up(context)
-    context.world.is_ready = False
+    set_up(context, is_open=False)
 
 
 @given('a routed target "{name}" that {behaviour}')
--- /dev/null
+++ b/tests/steps/forwarding_opening.py
@@ -0,0 +1,132 @@
+"""Steps for requests that come before an entry instance serves, or as it leaves."""
+
+import asyncio
+import time
+
+from behave import then, when
+
+from mothshunt.forwarding import const
+from mothshunt.forwarding.opening import Opening
+from testkit.routed_entry import request_bytes
+
+DEADLINE = "Mothshunt-Deadline-Ms"
+
+
+def read(left_ms, number=0):
+    headers = f"{DEADLINE}: {left_ms}\r\n" if left_ms is not None else ""
+    path = "/reads/a"
+    return request_bytes("GET", path, headers=headers, request_id=f"id-{number}")
+
+
+async def exchange_after(world, delay_s, data):
+    await asyncio.sleep(delay_s)
+    return await world.exchange(data)
+
+
+def send_timed(context, left_ms, *others):
+    """Send a request while others run; note its answer and the time that it took."""
+
+    async def timed():
+        began = time.monotonic()
+        answer = await context.world.exchange(read(left_ms))
+        context.took_ms = (time.monotonic() - began) * 1000
+        return answer
+
+    async def run():
+        return (await asyncio.gather(timed(), *others))[0]
+
+    context.answers = [context.runner.run(run())]
+
+
+@when(
+    "{count:d} routed callers with {left_ms:d} ms left come in the {before_ms:d} ms"
+    " before the entry is ready"
+)
+def callers_come(context, count, left_ms, before_ms):
+    context.left_ms, context.before_ms = left_ms, before_ms
+
+    async def run():
+        calls = [
+            exchange_after(
+                context.world, before_ms / 1000 * number / count, read(left_ms, number)
+            )
+            for number in range(count)
+        ]
+        waiting = asyncio.gather(*calls)
+        await asyncio.sleep(before_ms / 1000)
+        context.world.opening.open()
+        return await waiting
+
+    context.answers = context.runner.run(run())
+
+
+@then("no target was told of more time than was left")
+def told_time(context):
+    for target in context.target_by_name.values():
+        told = [int(r.header_by_name[DEADLINE.lower()]) for r in target.requests]
+        assert told, "no request reached the target"
+        # The first callers waited almost as long as the entry took.
+        assert min(told) <= context.left_ms - context.before_ms * 0.8, told
+        assert max(told) <= context.left_ms, told
+
+
+@when('a routed caller with {left_ms:d} ms left sends GET "/reads/a"')
+def sends_with_time(context, left_ms):
+    send_timed(context, left_ms)
+
+
+@when('a routed caller without a time sends GET "/reads/a"')
+def sends_without_time(context):
+    send_timed(context, None)
+
+
+@when("it stops {delay_ms:d} ms after a routed caller with {left_ms:d} ms left came")
+def stops(context, delay_ms, left_ms):
+    async def stop():
+        await asyncio.sleep(delay_ms / 1000)
+        context.world.opening.abandon()
+
+    send_timed(context, left_ms, stop())
+
+
+@when("{count:d} requests are held")
+def many_held(context, count):
+    assert count == const.MAX_HELD_REQUESTS
+    context.opening = Opening()
+
+
+@then("one more is refused at once")
+def one_more(context):
+    async def run():
+        held = [
+            asyncio.create_task(context.opening.async_wait(3.0))
+            for _ in range(const.MAX_HELD_REQUESTS)
+        ]
+        await asyncio.sleep(0)
+        async with asyncio.timeout(0.1):
+            is_open = await context.opening.async_wait(3.0)
+        context.opening.open()
+        return is_open, await asyncio.gather(*held)
+
+    is_open, held = asyncio.run(run())
+    assert not is_open
+    assert all(held)
+
+
+@when(
+    "it leaves within {leave_s:g} s while {count:d} routed callers come in the first"
+    " {first_ms:d} ms"
+)
+def leaves(context, leave_s, count, first_ms):
+    async def run():
+        loop = asyncio.get_running_loop()
+        calls = [
+            exchange_after(
+                context.world, first_ms / 1000 * number / count, read(1500, number)
+            )
+            for number in range(count)
+        ]
+        leaving = context.world.server.async_leave(leave_s, loop.time)
+        return (await asyncio.gather(asyncio.gather(*calls), leaving))[0]
+
+    context.answers = context.runner.run(run())
--- /dev/null
+++ b/tests/steps/lookup_lost_control.py
@@ -0,0 +1,177 @@
+"""Steps for look-ups at entry instances while control instances are lost."""
+
+from random import Random
+
+from behave import given, then, when
+
+from mothshunt.core.types import AvailabilityZoneId, InstanceId, InstanceState, RegionId
+from mothshunt.lookup import codes
+from mothshunt.lookup.directory import EntryDirectory
+from mothshunt.membership import const
+from mothshunt.membership.roster import RosterTable
+from mothshunt.membership.roster_messages import (
+    EntryReport,
+    RosterPulse,
+    RosterRows,
+    roster_digest,
+)
+from mothshunt.membership.roster_view import RosterView
+from mothshunt.metrics.registry import Metrics
+
+LONGEST_S = 2.0
+REGION_BY_LETTER = {"n": "north", "s": "south"}
+STEP_S = 0.1
+
+
+def report(name, state=InstanceState.READY):
+    region = REGION_BY_LETTER[name[0]]
+    return EntryReport(
+        instance=InstanceId(name),
+        region=RegionId(region),
+        availability_zone=AvailabilityZoneId(f"{region}-a"),
+        host="10.0.0.1",
+        port=8641,
+        state=state,
+    )
+
+
+def names(text):
+    return text.split(", ") if text else []
+
+
+class Entry:
+    """Hold the directory of one entry instance, and what control instances tell it."""
+
+    def __init__(self, name, controls, now):
+        self.now = now
+        self.tables = {f"c{n + 1}": RosterTable() for n in range(controls)}
+        self.view = RosterView(report(name, InstanceState.STARTING))
+        self.directory = EntryDirectory(self.view, LONGEST_S, Metrics())
+
+    def tell(self, control):
+        rows = RosterRows(rows=self.tables[control].rows(), is_whole=True)
+        self.view.take_rows(control, rows, self.now)
+
+    def pulse(self, lost=()):
+        for control, table in self.tables.items():
+            if control not in lost:
+                pulse = RosterPulse(digest=roster_digest(table.rows()))
+                self.view.take_pulse(control, pulse, self.now)
+
+    def pass_by(self, seconds, lost=()):
+        """Let time pass; each control instance that lives pulses each second."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 1.0)
+            self.pulse(lost)
+
+    def find(self):
+        return self.directory.find(RegionId("west"), AvailabilityZoneId("w"), self.now)
+
+    def named(self):
+        found = self.find()
+        return [entry.instance for entry in found.ok.entries] if found.is_ok() else []
+
+
+@given(
+    '{count:d} control instances that name the entries "{ready}" as ready to "{name}"'
+)
+@given('{count:d} control instances that name the entries "" as ready to "{name}"')
+def controls(context, count, name, ready=""):
+    context.lost = set()
+    context.entry = Entry(name, count, 100.0)
+    for control, table in context.entry.tables.items():
+        for other in names(ready):
+            table.report(report(other), context.entry.now)
+        context.entry.tell(control)
+    if name in names(ready):
+        context.entry.view.set_own_state(InstanceState.READY, context.entry.now)
+
+
+@when('control instances "{lost}" are lost for {seconds:g} s')
+def lose(context, lost, seconds):
+    context.lost |= set(names(lost))
+    context.entry.pass_by(seconds, context.lost)
+
+
+@when('the others tell "{name}" that "{other}" is gone')
+def tell_gone(context, name, other):
+    for control, table in context.entry.tables.items():
+        if control not in context.lost:
+            del table.standing_by_id[other]
+            context.entry.tell(control)
+
+
+@when('the others tell "{name}" that "{other}" takes no requests')
+def tell_not_ready(context, name, other):
+    for control, table in context.entry.tables.items():
+        table.report(report(other, InstanceState.LEAVING), context.entry.now)
+        context.entry.tell(control)
+
+
+@when('the entry instance "{name}" is {state} by itself')
+def own_state(context, name, state):
+    context.entry.view.set_own_state(InstanceState(state), context.entry.now)
+
+
+@then('"{name}" tells callers of "{wanted}"')
+def tells(context, name, wanted):
+    assert context.entry.named() == names(wanted), context.entry.named()
+
+
+@then('"{name}" refuses look-ups with a time to come back')
+def refuses(context, name):
+    found = context.entry.find()
+    assert found.error.code is codes.NO_ENTRY
+    assert found.error.retry_after_s > 0
+
+
+@then(
+    "in {count:d} random lives of entries and control instances none is named over"
+    " {limit:g} s after its end"
+)
+def random_lives(context, count, limit):
+    worst_s = 0.0
+    for seed in range(count):
+        worst_s = max(worst_s, longest_named(Random(seed)))
+        assert worst_s <= limit, (seed, worst_s)
+    print(f"worst: {worst_s:.1f} of {limit:g} s")
+
+
+def longest_named(random):
+    """Return how long after its end an entry was named at most, in seconds.
+
+    Entries end with a word or without one, in some lives with a control instance. The
+    other control instances find out within the time that they have for it.
+    """
+    controls = random.choice([1, 3, 5])
+    entry = Entry("n-0", controls, 0.0)
+    entry.view.set_own_state(InstanceState.READY, 0.0)
+    others = [f"n-{number}" for number in range(1, 6)]
+    for control, table in entry.tables.items():
+        for name in ["n-0", *others]:
+            table.report(report(name), 0.0)
+        entry.tell(control)
+    lost, ended_at, told_at = set(), {}, []
+    worst_s = 0.0
+    while entry.now < 20.0:
+        entry.now += STEP_S
+        if random.random() < 0.03 and len(ended_at) < len(others):
+            name = random.choice([name for name in others if name not in ended_at])
+            ended_at[name] = entry.now
+            if random.random() < 0.3 and len(lost) < controls:
+                lost.add(random.choice(sorted(set(entry.tables) - lost)))
+            for control in entry.tables:
+                late_s = const.ENTRY_GONE_AFTER_S + random.uniform(0.0, 0.3)
+                told_at.append((entry.now + late_s, control, name))
+        for at, control, name in list(told_at):
+            if at <= entry.now:
+                told_at.remove((at, control, name))
+                entry.tables[control].standing_by_id.pop(name, None)
+                if control not in lost:
+                    entry.tell(control)
+        if round(entry.now / STEP_S) % 10 == 0:
+            entry.pulse(lost)
+        for name in set(entry.named()) & set(ended_at):
+            worst_s = max(worst_s, entry.now - ended_at[name])
+    return worst_s
--- a/tests/steps/platform_whole_path.py
+++ b/tests/steps/platform_whole_path.py
@@ -73,11 +73,18 @@
 
 @then("a caller who asks the directory is told of {count:d} entries")
 def directory(context, count):
-    platform = context.platform
+    is_told(context.platform, context.platform.controls[0], count)
+
+
+@then("a caller who asks an entry where to connect is told of {count:d} entries")
+def directory_of_entry(context, count):
+    is_told(context.platform, context.platform.entries[0], count)
 
+
+def is_told(platform, process, count):
     async def told():
         path = "/-/resolve?name=shop.example&region=nowhere&zone=nowhere"
-        status, _, text = await platform.get(platform.controls[0].ip, 8644, path)
+        status, _, text = await platform.get(process.ip, 8644, path)
         return status == 200 and len(json.loads(text)["addresses"]) == count
 
     platform.run(platform.async_until(told, 10.0))
@@ -240,6 +247,25 @@
     assert answer[0] != 200, answer
 
 
+@then("for {seconds:d} s entry {number:d} answers those who were told of it before")
+def answers_on(context, seconds, number):
+    platform = context.platform
+    entry = platform.entries[number - 1]
+
+    async def ask():
+        asked = []
+        for _ in range(seconds * 5):
+            path = "/stock/late"
+            asked.append(
+                asyncio.ensure_future(platform.get(entry.ip, 8641, path, CALL))
+            )
+            await asyncio.sleep(0.2)
+        return [status for status, _, _ in await asyncio.gather(*asked)]
+
+    found = platform.run(ask())
+    assert set(found) == {200}, found
+
+
 @then("entry {number:d} ends with exit code {code:d} within {seconds:d} s")
 def ends(context, number, code, seconds):
     entry = context.platform.entries[number - 1]
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -7,6 +7,7 @@
 from mothshunt.access.token import token_sha256
 from mothshunt.admin.api import api_routes, routed_api_routes
 from mothshunt.admin.coordinator import AdminServer, Operations
+from mothshunt.admin.entries import EntryHandlers
 from mothshunt.admin.targets import TargetHandlers
 from mothshunt.configuration.coordinator import ConfigurationCoordinator
 from mothshunt.configuration.state import ReplicatedConfiguration
@@ -110,7 +111,6 @@
         )
         targets = TargetHandlers(
             intake=TargetIntake(publisher, routing),
-            directory=EntryDirectory(RosterTable(), 2.0, self.metrics),
             settings=RoutingSettings(),
             clock=self.clock,
         )
@@ -122,6 +122,9 @@
             log=self.log,
             routing=routing,
             targets=targets,
+            entries=EntryHandlers(
+                EntryDirectory(RosterTable(), 2.0, self.metrics), self.clock
+            ),
         )
         return Operations(configuration=configuration, routes=routes)
 
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -141,6 +141,7 @@
             listen = {
                 "frontend": f"{process.ip}:8641",
                 "readiness": f"{process.ip}:8640",
+                "directory": f"{process.ip}:8644",
             }
         zone = f"z-{process.number % 3}"
         document = {
