Send a read whose target is overdue to another one as well; refuse at once where a start takes long

Cause: an attempt at a target had the whole time of its request. Deployments by contracts hedged already; routed ones did not.

Change: an idempotent request whose target takes twice the time that it would take for an object that it doesn't know, with its wait, is sent to a second one, within max_attempts and the retry budget; the first answer counts. A target that is overtaken counts as failing only if nothing came from it meanwhile. An entry that has not served 2 s after its start refuses at once.

--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -132,7 +132,7 @@
         metrics.gauge(
             "mothshunt_retry_slack_part", lambda: slack_part(clock.monotonic())
         )
-        opening = Opening()
+        opening = Opening.from_start(clock)
         refuser = Refuser(interface.names, interface.format_retry_after)
         forwarder = RoutedForwarder(
             configuration=holder,
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -48,9 +48,14 @@
 #: Part of the time to the end of a request for which it is held: after it the caller
 #: can still come back.
 HELD_PART = 1 / 3
-#: Longest time for which a request is held, in seconds: an instance that starts with
-#: all others serves within about a second.
-MAX_HELD_S = 1.0
+#: Time after its start by which an instance is expected to serve, in seconds: a leader
+#: is elected and the targets have renewed themselves within about one, and links may be
+#: slow.
+OPENING_EXPECTED_S = 2.0
+#: A target is overdue when it takes this many times longer than expected, ...
+HEDGE_FACTOR = 2.0
+#: ... and this long at least, in seconds: some round trips between regions.
+HEDGE_MIN_S = 0.2
 #: Time to come back while this instance is not ready, in seconds.
 NOT_READY_RETRY_S = 0.3
 #: Time to come back after a request that no target ran, in seconds.
@@ -81,6 +86,7 @@
 METRIC_REQUESTS = "mothshunt_forwarding_requests_total"
 METRIC_ATTEMPTS = "mothshunt_forwarding_attempts_total"
 METRIC_RETRIES = "mothshunt_forwarding_retries_total"
+METRIC_HEDGES = "mothshunt_forwarding_hedges_total"
 METRIC_LATENCY = "mothshunt_forwarding_seconds"
 METRIC_CONNECTIONS = "mothshunt_forwarding_connections_total"
 METRIC_CONNECTIONS_AHEAD = "mothshunt_forwarding_connections_ahead_total"
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -96,7 +96,8 @@
         :param choice: The target, and what it was chosen for.
         :param reported: What the target said of its load.
         :param failure: How the attempt ended.
-        :param next_step: ``retried``, or why no other attempt is made.
+        :param next_step: ``retried``, ``other_attempt`` while one goes on elsewhere, or
+            why no other attempt is made.
         :param revision: Revision of the configuration in force.
         :param now: The present time, in seconds.
         """
--- a/mothshunt/forwarding/opening.py
+++ b/mothshunt/forwarding/opening.py
@@ -3,25 +3,38 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from mothshunt.core.clock import Clock
 from mothshunt.forwarding import const
 
 
 @dataclass(slots=True, eq=False)
 class Opening:
-    """Hold requests until the instance serves, for a part of the time that they have.
+    """Hold requests until the instance serves, while that is expected soon.
 
     After a common start all callers meet instances that are not ready yet. One that is
     refused comes back soon and is often refused again, though it could have been served
-    in time. Once open, it stays so: an instance that leaves serves those who were told
-    of it before.
+    in time. An instance that takes longer than usual refuses at once. Once open, it
+    stays so: an instance that leaves serves those who were told of it before.
 
+    :param clock: Source of the present time.
+    :param expected_at: Time by which the instance is expected to serve, in seconds.
     :param is_open: Whether the instance serves.
     """
 
+    clock: Clock
+    expected_at: float
     is_open: bool = False
     _is_decided: asyncio.Event = field(default_factory=asyncio.Event)
     _held: int = 0
 
+    @classmethod
+    def from_start(cls, clock: Clock) -> "Opening":
+        """Return that of an instance that starts now.
+
+        :param clock: Source of the present time.
+        """
+        return cls(clock, clock.monotonic() + const.OPENING_EXPECTED_S)
+
     def open(self) -> None:
         """Serve from now on, those first who were held."""
         self.is_open = True
@@ -36,11 +49,13 @@
 
         :param left_s: Time left to the end of the request, in seconds.
         """
-        if self._is_decided.is_set() or self._held >= const.MAX_HELD_REQUESTS:
+        expected_s = self.expected_at - self.clock.monotonic()
+        is_decided = self._is_decided.is_set() or expected_s <= 0
+        if is_decided or self._held >= const.MAX_HELD_REQUESTS:
             return self.is_open
         self._held += 1
         try:
-            async with asyncio.timeout(min(const.MAX_HELD_S, left_s * const.HELD_PART)):
+            async with asyncio.timeout(min(expected_s, left_s * const.HELD_PART)):
                 await self._is_decided.wait()
         except TimeoutError:
             return False
--- a/mothshunt/forwarding/retry.py
+++ b/mothshunt/forwarding/retry.py
@@ -9,6 +9,19 @@
 from mothshunt.placement.model import AttemptOutcome
 
 
+def hedge_delay_s(usual_s: float, time_s: float) -> float:
+    """Return the time after which another target is asked for an answer as well.
+
+    Half of the time is left for the other one at least.
+
+    :param usual_s: Time within which the first target is expected to answer, also when
+        it does not know the object, in seconds.
+    :param time_s: Time from the send to the end of the request, in seconds.
+    """
+    delay_s = max(const.HEDGE_MIN_S, usual_s * const.HEDGE_FACTOR)
+    return min(delay_s, time_s / 2)
+
+
 class GiveUp(Enum):
     """Why no further attempt is made."""
 
--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -472,7 +472,8 @@
     :param known: Whether the target handled the object before.
     :param renewal_age_ms: Age of the target's newest renewal when it was chosen.
     :param reported: What the target reported: running and waiting requests of slots.
-    :param next_step: ``retried``, or why no other attempt is made.
+    :param next_step: ``retried``, ``other_attempt`` while one goes on elsewhere, or
+        why no other attempt is made.
     """
 
     request_id: RequestId
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -68,6 +68,8 @@
     :param affinity_key: Object that the request concerns.
     :param is_known: Whether the target handled the object before.
     :param expected_s: Time that a usual target takes for it, in seconds.
+    :param usual_s: Time to its answer where it doesn't know the object, with its wait
+        behind others, in seconds.
     :param renewal_age_s: Age of the target's newest renewal, in seconds.
     """
 
@@ -78,6 +80,7 @@
     affinity_key: str | None = None
     is_known: bool = False
     expected_s: float = 0.0
+    usual_s: float = 0.0
     renewal_age_s: float = 0.0
 
 
@@ -96,6 +99,8 @@
     #: The connection broke, or what came was no answer.
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
+    #: A later attempt at another target answered before.
+    OVERTAKEN = "overtaken"
     #: The caller left, or another attempt answered first.
     CANCELLED = "cancelled"
 
--- a/mothshunt/placement/service_targets.py
+++ b/mothshunt/placement/service_targets.py
@@ -33,6 +33,7 @@
     :param is_known: Whether the target handled the object before.
     :param expected_s: Time that a usual target takes for the request, in seconds.
     :param total_s: Time to the answer, in seconds.
+    :param usual_s: The same of a target that doesn't know the object.
     :param reason: Distance and rank of the target.
     """
 
@@ -41,6 +42,7 @@
     is_known: bool
     expected_s: float
     total_s: float
+    usual_s: float
     reason: str = ""
 
     def is_better_than(self, higher: "Estimate") -> bool:
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -156,7 +156,9 @@
             wait_s = best.total_s - request.target_latency_s
             targets.tally.refused += 1
             return Error(self._refusal(codes.NO_ROOM, wait_s))
-        choice = best.load.take(now, best.reason, request.affinity_key, best.expected_s)
+        choice = best.load.take(
+            now, best.reason, request.affinity_key, best.expected_s, best.usual_s
+        )
         targets.tally.count(choice)
         return Ok(choice)
 
@@ -192,6 +194,7 @@
         times = targets.times
         is_known = request.affinity_key is None or load.knows(request.affinity_key)
         expected_s = times.expected_s(is_known=is_known, target_latency_s=latency_s)
+        unknown_s = times.expected_s(is_known=False, target_latency_s=latency_s)
         slots = load.target.slots
         queued = max(0.0, load.load(now) + 1 - slots)
         wait_s = queued / slots * times.usual_s(latency_s) * load.slowness
@@ -201,6 +204,7 @@
             is_known=is_known,
             expected_s=expected_s,
             total_s=wait_s + expected_s * load.slowness,
+            usual_s=wait_s + max(expected_s, unknown_s) * load.slowness,
         )
 
     def _is_worthwhile(self, best: Estimate, request: PlacementRequest) -> bool:
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -172,6 +172,7 @@
         reason: str,
         affinity_key: str | None = None,
         expected_s: float = 0.0,
+        usual_s: float = 0.0,
     ) -> Choice:
         """Take room for one request.
 
@@ -179,6 +180,8 @@
         :param reason: Distance and rank of the target, for the logs.
         :param affinity_key: Object that the request concerns.
         :param expected_s: Time that a usual target takes for it, in seconds.
+        :param usual_s: Time to the answer of a target that doesn't know the object, in
+            seconds.
         """
         choice = Choice(
             target=self.target,
@@ -188,6 +191,7 @@
             affinity_key=affinity_key,
             is_known=self.knows(affinity_key),
             expected_s=expected_s,
+            usual_s=usual_s,
             renewal_age_s=now - self.heard_at,
         )
         self._open.add(choice)
@@ -226,6 +230,12 @@
         if outcome is AttemptOutcome.ANSWERED or outcome in _FAILURES:
             failed = 1.0 if outcome in _FAILURES else 0.0
             self._note_failure(failed)
+        if (
+            outcome is AttemptOutcome.OVERTAKEN
+            and self._last_answer_at < choice.sent_at
+        ):
+            # Nothing came meanwhile: it may be silent. One that answers others is not.
+            self._note_failure(1.0)
         if outcome is AttemptOutcome.SHED and reported is not None:
             # One that sheds with slots free is as good as failing.
             self._note_failure(1.0 if reported.running < reported.slots else 0.0)
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -177,7 +177,7 @@
         self.placement.on_configuration(self.holder.configuration)
         self.pool = ConnectionPool(clock, self.metrics)
         refuser = Refuser(EntryInterface().names, lambda seconds: f"{seconds:.3f}")
-        self.opening = Opening()
+        self.opening = Opening.from_start(clock)
         if is_open:
             self.opening.open()
         forwarder = RoutedForwarder(
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -63,6 +63,11 @@
     writer.write(echo(request, b"late"))
 
 
+async def overdue(target, request, writer):
+    await asyncio.sleep(1.4)
+    writer.write(echo(request, b"overdue"))
+
+
 async def twice(target, request, writer):
     writer.write(echo(request, request.header_by_name[ID].encode()))
     await asyncio.sleep(0.005)
@@ -198,6 +203,7 @@
     "answers 500": fails_with_500,
     "never answers": never,
     "answers after 300 ms": late,
+    "answers after 1.4 s": overdue,
     "answers twice, the second time late": twice,
     "is reset in an answer without a length": reset_unframed,
     "ends an answer with its connection": unframed,
