Close the long answer that nobody gets; keep what entries tell look-ups ready; say how many late lines were left out

- Of two attempts that end in the same turn one answer is passed on; a long one that is not kept its connection open, as it was left to be streamed.
Seen by reading; forwarding/hedges.
- An entry worked out from all rosters who is ready for each look-up.
It keeps that for 0.1 s.
- Late answers that had no line were counted with those in time.

--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -91,6 +91,11 @@
     unwanted: StreamReader | None = None
     is_reused: bool = False
 
+    def drop(self) -> None:
+        """Close the connection of an answer that is not passed on after all."""
+        if self.answer is not None and self.answer.whole is None:
+            self.answer.connection.abort()
+
     @property
     def is_shed_with_room(self) -> bool:
         """Whether the target turned the request away although it has room.
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -58,8 +58,10 @@
         asked = call.request
         took_s = now - asked.received_at
         is_late = took_s > asked.route.target_latency_s
-        per_s = const.MAX_LATE_LINES_PER_S if is_late else const.MAX_TIMELY_LINES_PER_S
-        if not self._may_write("answered", per_s, now):
+        text, per_s = "answered", const.MAX_TIMELY_LINES_PER_S
+        if is_late:
+            text, per_s = "answered late", const.MAX_LATE_LINES_PER_S
+        if not self._may_write(text, per_s, now):
             return
         log.write(
             Answered(
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -101,9 +101,10 @@
             attempt.is_overtaken = attempt.choice.sent_at < choice.sent_at
 
     def cancel(self) -> None:
-        """End the attempts that are being made."""
+        """End the attempts that are being made, and drop answers that nobody gets."""
         for task in self.running:
-            task.cancel()
+            if not task.cancel() and task.exception() is None:
+                task.result().drop()
 
 
 class Trier:
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -31,6 +31,9 @@
 #: What a control instance told of the entry instances holds for this time, in seconds,
 #: unless it is told again: a little above FULL_ROSTER_INTERVAL_S.
 ROSTER_HOLDS_FOR_S = 5.0
+#: Entry instances that take requests are worked out anew after this time, in seconds,
+#: though nothing was told: callers look them up hundreds of times a second.
+READY_KEPT_S = 0.1
 #: A roster that differs from what its control instance holds is asked for after this
 #: time, in seconds: changes that are on their way arrive sooner.
 DIFFERS_FOR_S = 0.9
--- a/mothshunt/membership/roster_view.py
+++ b/mothshunt/membership/roster_view.py
@@ -90,6 +90,8 @@
     _zone_by_id: dict[InstanceId, AvailabilityZoneId] = field(default_factory=dict)
     _own_named_at: float = float("-inf")
     _own_named_since: float = float("-inf")
+    _ready: Sequence[ReadyEntry] = ()
+    _ready_worked_out_at: float = float("-inf")
 
     def take_rows(self, control: InstanceId, rows: RosterRows, now: float) -> None:
         """Take what a control instance tells of entry instances.
@@ -100,6 +102,7 @@
         """
         roster = self._roster_by_control.setdefault(control, ControlRoster())
         roster.take(rows, now)
+        self._ready_worked_out_at = float("-inf")
         self._see(roster, now)
 
     def take_pulse(self, control: InstanceId, pulse: RosterPulse, now: float) -> bool:
@@ -224,6 +227,12 @@
 
         :param now: The present time, in seconds.
         """
+        if now - self._ready_worked_out_at >= const.READY_KEPT_S:
+            self._ready = self._work_out_ready(now)
+            self._ready_worked_out_at = now
+        return self._ready
+
+    def _work_out_ready(self, now: float) -> Sequence[ReadyEntry]:
         rosters = [
             roster
             for roster in self._roster_by_control.values()
@@ -253,6 +262,7 @@
         """
         self.own = replace(self.own, state=state)
         self.own_ready_since = now if state is InstanceState.READY else None
+        self._ready_worked_out_at = float("-inf")
 
     def region_by_zone(self) -> dict[AvailabilityZoneId, RegionId]:
         """Return the regions of the availability zones that they run in."""
--- a/tests/forwarding/hedges.feature
+++ b/tests/forwarding/hedges.feature
@@ -51,6 +51,9 @@
     Then "t1" has no open connection within 500 ms
     And "t2" has no open connection within 500 ms
 
+  Scenario: Of two answers that come at once, the long one that nobody gets is closed
+    Then of two attempts that end at once with long answers one connection is closed
+
   Scenario Outline: When another target is asked
     Then a target that is expected within <usual> ms is overdue after <delay> ms of <time> ms
 
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -90,6 +90,19 @@
     When 8 requests for "o" fail at its target
     Then at most 2 of 20 requests in a second go there
 
+  Scenario: A target that others overtake gets only trial requests if nothing comes from it
+    Given 1 entry instances and 2 targets of 4 slots in their zone
+    When 8 requests for "o" are overtaken at its target
+    Then at most 2 of 20 requests in a second go there
+
+  Scenario: A target that others overtake stays in use while it answers
+
+    Pattern: a target loses a part of its answers; its other callers get theirs.
+
+    Given 1 entry instances and 2 targets of 4 slots in their zone
+    When 8 requests for "o" are overtaken at its target, which answers others meanwhile
+    Then the next request for "o" goes to the same target
+
   Scenario: When all targets fail often, none is passed over for it
     Given 1 entry instances and 4 targets of 4 slots in their zone
     When all targets shed half of 400 requests with slots free
--- a/tests/steps/forwarding_hedges.py
+++ b/tests/steps/forwarding_hedges.py
@@ -1,13 +1,21 @@
 """Steps for reads whose target is overdue."""
 
+import asyncio
 from collections import Counter
 
 from behave import given, then
 
-from mothshunt.forwarding.retry import hedge_delay_s
+from mothshunt.core.types import Ran
+from mothshunt.forwarding.attempt import AttemptResult, TargetAnswer
+from mothshunt.forwarding.retry import Progress, hedge_delay_s
+from mothshunt.forwarding.trier import Attempt, Tries
+from mothshunt.placement.model import AttemptOutcome, Choice
 from tests.steps.forwarding_attempts import set_up
+from tests.support import placement_world
 from tests.support.target_behaviours import ID
 
+TARGET = placement_world.target(1, 4)
+
 
 @given("a routed entry whose retry budget is empty")
 def empty_budget(context):
@@ -21,6 +29,42 @@
         assert all(count == 1 for count in counts.values()), counts
 
 
+class Connection:
+    """Note whether it was closed."""
+
+    is_closed = False
+
+    def abort(self):
+        self.is_closed = True
+
+
+@then("of two attempts that end at once with long answers one connection is closed")
+def long_answers(context):
+    async def run():
+        tries = Tries(call=None, progress=Progress(is_idempotent=True, max_attempts=2))
+        connections = [Connection(), Connection()]
+        for connection in connections:
+            answer = TargetAnswer(
+                message=None, payload=None, whole=None, connection=connection
+            )
+            task = asyncio.create_task(ended_with(answer))
+            tries.running[task] = Attempt(
+                Choice(target=TARGET, sent_at=0.0, load=1.0, reason="test")
+            )
+        await asyncio.wait(tries.running)
+        tries.end(next(iter(tries.running)))
+        tries.cancel()
+        return [connection.is_closed for connection in connections]
+
+    assert asyncio.run(run()) == [False, True]
+
+
+async def ended_with(answer):
+    return AttemptResult(
+        outcome=AttemptOutcome.ANSWERED, ran=Ran.UNKNOWN, answer=answer
+    )
+
+
 @then(
     "a target that is expected within {usual:d} ms is overdue after {delay:d} ms of"
     " {time:d} ms"
--- a/tests/steps/placement_choice.py
+++ b/tests/steps/placement_choice.py
@@ -210,6 +210,34 @@
         context.placement.finish(choice, AttemptOutcome.ERROR_ANSWER, None, now)
 
 
+@when('{count:d} requests for "{key}" are overtaken at its target')
+def overtaken(context, count, key):
+    overtake(context, count, key, answers_others=False)
+
+
+@when(
+    '{count:d} requests for "{key}" are overtaken at its target, which answers others'
+    " meanwhile"
+)
+def overtaken_meanwhile(context, count, key):
+    overtake(context, count, key, answers_others=True)
+
+
+def overtake(context, count, key, *, answers_others):
+    context.home = world.serve(context.placement, key, 0.0, 0.05).id
+    for number in range(count):
+        now = 0.1 + number * 0.01
+        choice = context.placement.choose(world.request(key), now).ok
+        if choice.target.id != context.home:
+            context.placement.finish(choice, AttemptOutcome.ANSWERED, None, now)
+            continue
+        if answers_others:
+            other = context.placement.choose(world.request(key), now).ok
+            context.placement.finish(other, AttemptOutcome.ANSWERED, None, now + 0.005)
+        context.placement.finish(choice, AttemptOutcome.OVERTAKEN, None, now + 0.01)
+    context.now = now + 0.1
+
+
 @when("all targets shed half of {count:d} requests with slots free")
 def all_shed(context, count):
     for number in range(count):
