Reset the connections of requests that are given up, so that they can't arrive later

The attempt had been closed in order, so the machine went on sending what it had taken. Ruled out: a late send of the entry (its caller had the answer at 11.36 s).

Change: an attempt that is given up lingers for no time and resets. Test: forwarding/hedges, 'closed' before and 'reset' after. The kit's raw targets see resets as losses too.

--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -179,7 +179,8 @@
             return self._broken(call, error)
         finally:
             if result is None:
-                connection.abort()
+                # The request was given up, so it must not arrive later either.
+                connection.reset()
             else:
                 self._release(choice, connection, result)
         result.is_reused = is_reused
--- a/mothshunt/forwarding/connections.py
+++ b/mothshunt/forwarding/connections.py
@@ -1,6 +1,9 @@
 """Connections to targets, kept open for further requests."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -21,6 +24,8 @@
 #: What a connection that breaks, or that carries no valid answer, raises.
 BROKEN_ERRORS = (ClientError, OSError, HttpProcessingError, EOFError)
 _TIMEOUT_PREFIX = "timeout="
+#: Lingering for no time: a close discards what was not sent, and resets the connection.
+LINGER_NONE = struct.pack("ii", 1, 0)
 _LOGGER = get_logger("forwarding")
 
 
@@ -108,6 +113,19 @@
         """Wait until the connection takes more bytes."""
         await self._drain_helper()
 
+    def reset(self) -> None:
+        """Close the connection, so that nothing of a request arrives any more.
+
+        Bytes that the target's machine has not taken yet would else be sent again and
+        again, also after a close, and might arrive seconds later.
+        """
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                # The connection may have ended by itself meanwhile.
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Note the end of the connection.
 
--- a/tests/forwarding/hedges.feature
+++ b/tests/forwarding/hedges.feature
@@ -51,6 +51,20 @@
     Then "t1" has no open connection within 500 ms
     And "t2" has no open connection within 500 ms
 
+  Scenario: What was given up is reset, so that it can't arrive later
+
+    Pattern: links that lose packets or are cut for seconds; the machine goes on sending
+    what was handed to it, also after an orderly close.
+
+    Given a routed entry with a timeout of 400 ms
+    And a routed target that notes how its connections end
+    When a routed caller sends GET "/reads/a"
+    Then the routed caller got status 504
+    And the connection to that target was reset
+    When a routed caller sends POST "/orders/a"
+    Then the routed caller got status 504
+    And the connection to that target was reset
+
   Scenario: Of two answers that come at once, the long one that nobody gets is closed
     Then of two attempts that end at once with long answers one connection is closed
 
--- a/tests/steps/forwarding_hedges.py
+++ b/tests/steps/forwarding_hedges.py
@@ -29,6 +29,44 @@
         assert all(count == 1 for count in counts.values()), counts
 
 
+class EndNotingTarget:
+    """Read requests, answer nothing, and note whether connections are reset."""
+
+    def __init__(self):
+        self.ends = asyncio.Queue()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while await reader.read(65536):
+                continue
+            self.ends.put_nowait("closed")
+        except ConnectionResetError:
+            self.ends.put_nowait("reset")
+        writer.close()
+
+
+@given("a routed target that notes how its connections end")
+def end_noting_target(context):
+    target = EndNotingTarget()
+    context.runner.run(target.start())
+    context.target_by_name["t1"] = target
+    context.world.add_target("t1", target.port)
+
+
+@then("the connection to that target was reset")
+def was_reset(context):
+    ends = context.target_by_name["t1"].ends
+    end = context.runner.run(asyncio.wait_for(ends.get(), 2.0))
+    assert end == "reset", end
+
+
 class Connection:
     """Note whether it was closed."""
 
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -70,7 +70,9 @@
         """Wait for the behaviour, and note when the connection is lost meanwhile."""
         while not work.done():
             await asyncio.wait([work], timeout=0.01)
-            if reader.at_eof() and not work.done():
+            # A reset is told as an exception, not as an end.
+            is_lost = reader.at_eof() or reader.exception() is not None
+            if is_lost and not work.done():
                 self.lost.set()
                 work.cancel()
                 await asyncio.gather(work, return_exceptions=True)
