Let a leaving entry take only what it can finish; part the state of attempts from their maker

Seen by reading the diff: since a leaving entry serves what comes until it ends, so a request with more time left than the stop has could be cut off, orders too.

forwarding/tries.py holds what came of the attempts, trier.py makes them.

--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -28,12 +28,15 @@
 from mothshunt.forwarding.refusal import Refuser
 from mothshunt.forwarding.request import read_request, target_headers, time_left_s
 from mothshunt.forwarding.retry import Progress, RetryBudget
-from mothshunt.forwarding.trier import ChosenAnswer, Trier
+from mothshunt.forwarding.trier import Trier
+from mothshunt.forwarding.tries import ChosenAnswer
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
 
+_NOT_READY = Failure(code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S)
+
 
 class RoutedForwarder:
     """Forward callers' requests by routes.
@@ -95,15 +98,15 @@
         is_open = await self._opening.async_wait(left_s)
         table = self._configuration.current().routing
         if not is_open or not table.has_items:
-            failure = Failure(
-                code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S
-            )
-            return self._refuse(failure, RequestId(""))
+            return self._refuse(_NOT_READY, RequestId(""))
         call = read_request(request, table, names, self._split.next_service, now)
         if isinstance(call, Failure):
             return self._refuse(
                 call, RequestId(request.headers.get(names.request_id, ""))
             )
+        if not self._opening.may_take(call.deadline):
+            # It may be cut off here; another instance has time for it.
+            return self._refuse(_NOT_READY, call.request_id)
         serving = self._async_serve(request, call, table)
         if call.route.is_idempotent:
             return await serving
@@ -114,6 +117,13 @@
         task.add_done_callback(self._forget_order)
         return await asyncio.shield(task)
 
+    def end_at(self, ends_at: float) -> None:
+        """Take only what is certainly answered by then, as the instance leaves.
+
+        :param ends_at: Time at which what is in flight is cut off, in seconds.
+        """
+        self._opening.end_at(ends_at)
+
     def _forget_order(self, task: "asyncio.Task[web.StreamResponse]") -> None:
         self._orders.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/mothshunt/forwarding/opening.py
+++ b/mothshunt/forwarding/opening.py
@@ -1,6 +1,7 @@
 """Requests that reach an entry instance before it serves."""
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 from mothshunt.core.clock import Clock
@@ -13,17 +14,21 @@
 
     After a common start all callers meet instances that are not ready yet. One that is
     refused comes back soon and is often refused again, though it could have been served
-    in time. An instance that takes longer than usual refuses at once. Once open, it
-    stays so: an instance that leaves serves those who were told of it before.
+    in time. An instance that takes longer than usual refuses at once.
+
+    Once open, it stays so: an instance that leaves serves those who were told of it
+    before, as far as it can finish what they ask for.
 
     :param clock: Source of the present time.
     :param expected_at: Time by which the instance is expected to serve, in seconds.
     :param is_open: Whether the instance serves.
+    :param ends_at: Time at which what is still in flight is cut off, in seconds.
     """
 
     clock: Clock
     expected_at: float
     is_open: bool = False
+    ends_at: float = math.inf
     _is_decided: asyncio.Event = field(default_factory=asyncio.Event)
     _held: int = 0
 
@@ -44,6 +49,20 @@
         """Hold nobody any more, as the instance ends before it served."""
         self._is_decided.set()
 
+    def end_at(self, ends_at: float) -> None:
+        """Take nothing any more that may last beyond the end of the instance.
+
+        :param ends_at: Time at which what is in flight is cut off, in seconds.
+        """
+        self.ends_at = ends_at
+
+    def may_take(self, deadline: float) -> bool:
+        """Tell whether a request is certainly answered before the instance ends.
+
+        :param deadline: Time at which the request must be answered, in seconds.
+        """
+        return deadline + const.TIMEOUT_GRACE_S < self.ends_at
+
     async def async_wait(self, left_s: float) -> bool:
         """Wait for the opening; return whether the instance serves.
 
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -83,14 +83,16 @@
     async def async_leave(self, leave_s: float, now: Callable[[], float]) -> None:
         """Serve on for a while, then finish what is in flight.
 
-        Callers learn with the next answer that the connection ends. New connections
-        are taken for a while, as callers were told of this instance shortly before.
+        What could last longer than that is refused, so that nothing is cut off. Callers
+        learn with the next answer that the connection ends. New connections are taken
+        for a while, as callers were told of this instance shortly before.
 
         :param leave_s: Time that the instance has to leave, in seconds.
         :param now: Returns the present time, in seconds.
         """
         self._is_leaving = True
         began_at = now()
+        self._forwarder.end_at(began_at + leave_s * const.FINISH_PART)
         await asyncio.sleep(leave_s * const.LISTEN_PART)
         if self._server is not None:
             self._server.close()
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -205,6 +205,13 @@
         await self.pool.async_start()
         await self.server.async_start()
 
+    async def leave(self, leave_s: float) -> None:
+        """Leave as the daemon does.
+
+        :param leave_s: Time that the instance has to leave, in seconds.
+        """
+        await self.server.async_leave(leave_s, SystemClock().monotonic)
+
     async def stop(self) -> None:
         """Stop listening and close the connections to targets."""
         await self.server.async_stop()
--- a/tests/steps/forwarding_hedges.py
+++ b/tests/steps/forwarding_hedges.py
@@ -8,7 +8,7 @@
 from mothshunt.core.types import Ran
 from mothshunt.forwarding.attempt import AttemptResult, TargetAnswer
 from mothshunt.forwarding.retry import Progress, hedge_delay_s
-from mothshunt.forwarding.trier import Attempt, Tries
+from mothshunt.forwarding.tries import Attempt, Tries
 from mothshunt.placement.model import AttemptOutcome, Choice
 from tests.steps.forwarding_attempts import set_up
 from tests.support import placement_world
