Record the rate limits that targets name, and what is sent to limited targets

Callers saw nothing of it; for who looks into an incident, neither a log line nor a metric told that a target had named a limit, to which instance, or how many requests that one sent there afterwards.

An entry instance now reads the header (a name of the product's own, the platform's in its adapter), keeps the newest statement for each incarnation, and writes a line when a limit begins, changes by more than a tenth, or ends (rate limit), and each two seconds how many requests it sent to limited targets (rate limited). Metrics: rate_limited_targets and rate_limited_sends_total. A value that can't be parsed is logged with code 2807 and leaves the last limit in force. Nothing is decided by a limit yet.

--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -24,6 +24,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
+from mothshunt.rate_limit.coordinator import RateLimiter
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.registry.messages import LeavingSeen
 from mothshunt.settings.config import RoutingSettings, Settings
@@ -38,6 +39,7 @@
 
     :param server: HTTP for callers.
     :param placement: Choice of targets.
+    :param rate_limiter: Rate limits that targets name.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
@@ -48,6 +50,7 @@
 
     server: RoutedServer
     placement: PlacementCoordinator
+    rate_limiter: RateLimiter
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
@@ -123,6 +126,7 @@
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
         metrics.gauge("mothshunt_entries_counted", roster.count)
+        rate_limiter = RateLimiter(clock, metrics)
         budget = RetryBudget(
             ratio=routing.retry_ratio,
             slack=routing.retry_slack,
@@ -139,6 +143,7 @@
         forwarder = RoutedForwarder(
             configuration=holder,
             placement=placement,
+            rate_limiter=rate_limiter,
             pool=pool,
             budget=budget,
             slack_part=slack_part,
@@ -167,6 +172,7 @@
         return cls(
             server=server,
             placement=placement,
+            rate_limiter=rate_limiter,
             pool=pool,
             budget=budget,
             reporter=reporter,
@@ -179,6 +185,7 @@
         """Begin to take requests; they are held until the instance is ready."""
         await self.pool.async_start()
         await self.placement.async_start()
+        await self.rate_limiter.async_start()
         await self.reporter.async_start()
         await self.server.async_start()
 
@@ -208,5 +215,6 @@
         """Stop to serve."""
         await self.server.async_stop()
         await self.reporter.async_stop()
+        await self.rate_limiter.async_stop()
         await self.placement.async_stop()
         await self.pool.async_stop()
--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -27,6 +27,7 @@
 from mothshunt.forwarding.request import (
     STATUS_MISDIRECTED,
     read_notice,
+    read_rate_limit,
     read_reported_load,
     request_head,
 )
@@ -38,6 +39,8 @@
     ReportedLoad,
     TargetNotice,
 )
+from mothshunt.rate_limit.coordinator import RateLimiter
+from mothshunt.rate_limit.model import RateLimitStatement
 
 FIRST_ERROR_STATUS = 500
 #: HTTP statuses from which a caller concludes that the request was not run.
@@ -77,7 +80,9 @@
     :param failure: Reason for which there is no response for the caller.
     :param reported_load: Load that the target reported with its response.
     :param notice: Notice of the target that it leaves, or wants a pause.
-    :param notice_failure: Reason for which the notice can't be parsed.
+    :param rate_limit: Statement of the target on its rate limit; ``None`` if the
+        response has none that can be parsed.
+    :param notice_failures: Reasons for which a part of these can't be parsed.
     :param unread_body: Unread body of a response that is not sent to the caller.
     :param is_reused: Whether the connection had been used by an earlier request.
     """
@@ -88,7 +93,8 @@
     failure: Failure | None = None
     reported_load: ReportedLoad | None = None
     notice: TargetNotice = NO_NOTICE
-    notice_failure: Failure | None = None
+    rate_limit: RateLimitStatement | None = None
+    notice_failures: tuple[Failure, ...] = ()
     unread_body: StreamReader | None = None
     is_reused: bool = False
 
@@ -134,6 +140,7 @@
 
     :param pool: Connections to targets.
     :param placement: Decides whether a chosen target may still get the request.
+    :param rate_limiter: Counts what is sent to targets that name a rate limit.
     :param names: Names of the header fields.
     :param clock: Source of the present time.
     """
@@ -143,11 +150,13 @@
         *,
         pool: ConnectionPool,
         placement: PlacementCoordinator,
+        rate_limiter: RateLimiter,
         names: HeaderNames,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._placement = placement
+        self._rate_limiter = rate_limiter
         self._names = names
         self._clock = clock
 
@@ -183,6 +192,7 @@
             return _failed_result(
                 AttemptOutcome.CANCELLED, Ran.NO, dispatch_codes.TARGET_UNREACHABLE
             )
+        self._rate_limiter.record_send(choice.target)
         is_reused = connection.request_count > 0
         result: AttemptResult | None = None
         try:
@@ -251,11 +261,16 @@
             message, payload = await self._async_read_head(routed, connection)
             is_sent = sending is None or sending.done()
             notice = read_notice(message.code, message.headers, self._names)
+            rate_limit = read_rate_limit(message.code, message.headers, self._names)
             result = await self._async_result(routed, connection, message, payload)
             if isinstance(notice, Failure):
-                result.notice_failure = notice
+                result.notice_failures += (notice,)
             else:
                 result.notice = notice
+            if isinstance(rate_limit, Failure):
+                result.notice_failures += (rate_limit,)
+            else:
+                result.rate_limit = rate_limit
             if not is_sent:
                 # The target would parse the rest of the body as another request.
                 connection.force_close()
--- a/mothshunt/forwarding/codes.py
+++ b/mothshunt/forwarding/codes.py
@@ -44,3 +44,10 @@
     summary="A target sent a `Retry-After` header that can't be parsed.",
     action="Have the target send a number of seconds; it was not paused.",
 )
+RATE_LIMIT_UNREADABLE = ResultCode(
+    number=2807,
+    name="target_rate_limit_unreadable",
+    http_status=502,
+    summary="A target sent a rate limit that can't be parsed.",
+    action="Have the target send a decimal number; its last limit remains in force.",
+)
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -36,6 +36,8 @@
 #: Maximum number of digits before, and after, the point of the pause in a target's
 #: ``Retry-After``.
 MAX_RETRY_AFTER_DIGITS = 9
+#: Digits before and after the point in a target's rate limit.
+MAX_RATE_DIGITS = 9
 #: Fraction of the retry budget that is used; the rest covers requests in transit when a
 #: window ends, and entry instances that have not discovered each other yet.
 BUDGET_USED_FRACTION = 0.9
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -36,6 +36,7 @@
 from mothshunt.forwarding.tries import ChosenResponse
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
+from mothshunt.rate_limit.coordinator import RateLimiter
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
 
@@ -47,6 +48,7 @@
 
     :param configuration: Source of the routes in force.
     :param placement: Chooses targets.
+    :param rate_limiter: Rate limits that targets name.
     :param pool: Connections to targets.
     :param budget: Budget for retries and hedged attempts.
     :param slack_part: Returns this instance's fraction of the budget's slack at a given
@@ -62,6 +64,7 @@
         *,
         configuration: ConfigurationSource,
         placement: PlacementCoordinator,
+        rate_limiter: RateLimiter,
         pool: ConnectionPool,
         budget: RetryBudget,
         slack_part: Callable[[float], float],
@@ -80,8 +83,13 @@
         self._attempts = AttemptCoordinator(
             configuration=configuration,
             placement=placement,
+            rate_limiter=rate_limiter,
             target_client=TargetClient(
-                pool=pool, placement=placement, names=refusal_builder.names, clock=clock
+                pool=pool,
+                placement=placement,
+                rate_limiter=rate_limiter,
+                names=refusal_builder.names,
+                clock=clock,
             ),
             budget=budget,
             slack_part=slack_part,
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -34,6 +34,8 @@
         status 503 to get no requests from this instance for that time.
     :param leaving: Header that a leaving target sets on all its responses.
     :param leaving_value: Value of ``leaving`` that says so.
+    :param rate_limit: Header with the requests a second that a target accepts from all
+        entry instances together; set on all its responses as long as the limit holds.
     """
 
     request_id: str = HEADER_REQUEST_ID
@@ -47,6 +49,7 @@
     retry_after: str = HEADER_RETRY_AFTER
     leaving: str = "Mothshunt-Leaving"
     leaving_value: str = "1"
+    rate_limit: str = "Mothshunt-Rate-Limit"
 
 
 def whole_seconds(seconds: float) -> str:
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -19,6 +19,7 @@
     RoutableTarget,
     TargetNotice,
 )
+from mothshunt.rate_limit.model import NO_RATE_LIMIT, RateLimitStatement
 from mothshunt.routing.model import Route, RoutingTable
 
 STATUS_MISDIRECTED = 421
@@ -30,6 +31,10 @@
 _SECONDS = re.compile(
     rf"[0-9]{{1,{const.MAX_RETRY_AFTER_DIGITS}}}(\.[0-9]{{1,{const.MAX_RETRY_AFTER_DIGITS}}})?"
 )
+#: Number of requests a second in a target's rate limit, with or without a fraction.
+_RATE = re.compile(
+    rf"[0-9]{{1,{const.MAX_RATE_DIGITS}}}(\.[0-9]{{1,{const.MAX_RATE_DIGITS}}})?"
+)
 
 
 def read_request(
@@ -192,5 +197,26 @@
     return TargetNotice(is_leaving=is_leaving, pause_s=pause_s)
 
 
+def read_rate_limit(
+    status: int, headers: Mapping[str, str], names: HeaderNames
+) -> RateLimitStatement | Failure | None:
+    """Return what a target's response states about its rate limit.
+
+    :param status: HTTP status of the response.
+    :param headers: Header fields of the response.
+    :param names: Names of the header fields.
+    :return: The statement; ``None`` if another target responded; or a failure with
+        code 2807 if the limit can't be parsed.
+    """
+    if status == STATUS_MISDIRECTED:
+        return None
+    value = headers.get(names.rate_limit)
+    if value is None:
+        return NO_RATE_LIMIT
+    if not _RATE.fullmatch(value.strip()):
+        return Failure(code=codes.RATE_LIMIT_UNREADABLE, detail=value[:40])
+    return RateLimitStatement(per_s=float(value))
+
+
 def _is_count(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= 6
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -25,6 +25,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.model import AttemptOutcome, Choice, PlacementRequest
+from mothshunt.rate_limit.coordinator import RateLimiter
 
 
 class AttemptCoordinator:
@@ -37,6 +38,7 @@
 
     :param configuration: Source of the configuration in force.
     :param placement: Chooses targets.
+    :param rate_limiter: Rate limits that targets name.
     :param target_client: Makes a single attempt.
     :param budget: Budget for retries and hedged attempts.
     :param slack_part: Returns this instance's fraction of the budget's slack at a given
@@ -51,6 +53,7 @@
         *,
         configuration: ConfigurationSource,
         placement: PlacementCoordinator,
+        rate_limiter: RateLimiter,
         target_client: TargetClient,
         budget: RetryBudget,
         slack_part: Callable[[float], float],
@@ -60,6 +63,7 @@
     ) -> None:
         self._configuration = configuration
         self._placement = placement
+        self._rate_limiter = rate_limiter
         self._target_client = target_client
         self._budget = budget
         self._slack_part = slack_part
@@ -279,10 +283,13 @@
             self._placement.finish(choice, outcome, reported_load)
             if result is not None:
                 self._placement.record_notice(choice.target, result.notice)
-                if result.notice_failure is not None:
-                    now = self._clock.monotonic()
+                if result.rate_limit is not None:
+                    self._rate_limiter.record_statement(
+                        choice.target, result.rate_limit
+                    )
+                for failure in result.notice_failures:
                     self._request_log.log_unreadable_notice(
-                        outgoing, choice, result.notice_failure, now
+                        outgoing, choice, failure, self._clock.monotonic()
                     )
             self._metrics.count(
                 const.METRIC_ATTEMPTS,
--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -351,6 +351,39 @@
     service: ServiceName
 
 
+@log_event("rate limit", slice_name="rate_limit")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateLimitChanged:
+    """Rate limit of a target that has begun, changed or ended.
+
+    :param target: The target.
+    :param incarnation: Incarnation of the target.
+    :param per_s: Requests a second that it accepts from all entry instances together;
+        none if the limit has ended.
+    :param before_per_s: The limit before; none if there was none.
+    """
+
+    target: TargetId
+    incarnation: Incarnation
+    per_s: float | None = None
+    before_per_s: float | None = None
+
+
+@log_event("rate limited", slice_name="rate_limit")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateLimitReport:
+    """Use of a target that names a rate limit, by this instance since the last line.
+
+    :param target: The target.
+    :param per_s: Requests a second that it accepts from all entry instances together.
+    :param sent: Requests that this instance sent to it.
+    """
+
+    target: TargetId
+    per_s: float | None
+    sent: int
+
+
 @log_event("notice unreadable", slice_name="forwarding", level=Level.WARNING)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NoticeUnreadable:
--- a/mothshunt/platform/names.py
+++ b/mothshunt/platform/names.py
@@ -35,6 +35,7 @@
     retry_after="Retry-After",
     leaving="Server-Leaving",
     leaving_value="1",
+    rate_limit="Server-Limit",
 )
 
 
--- /dev/null
+++ b/mothshunt/rate_limit/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that targets name in their responses."""
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -31,6 +31,7 @@
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.model import RoutableTarget
 from mothshunt.placement.state import Placement
+from mothshunt.rate_limit.coordinator import RateLimiter
 from mothshunt.registry.messages import Renewal
 from mothshunt.registry.state import TargetRegistry
 from mothshunt.routing.model import (
@@ -175,6 +176,7 @@
             on_leaving=self.seen_leaving.append,
         )
         self.placement.on_configuration(self.holder.configuration)
+        self.rate_limiter = RateLimiter(clock, self.metrics)
         self.pool = ConnectionPool(clock, self.metrics)
         refusal_builder = RefusalBuilder(
             HeaderConventions().names, lambda seconds: f"{seconds:.3f}"
@@ -185,6 +187,7 @@
         forwarder = RoutedForwarder(
             configuration=self.holder,
             placement=self.placement,
+            rate_limiter=self.rate_limiter,
             pool=self.pool,
             budget=RetryBudget(ratio=ratio, slack=slack, window_s=10.0),
             slack_part=lambda now: 1.0,
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -181,7 +181,25 @@
     return pause
 
 
+def names_limit(value: str, status="200 OK"):
+    async def name_limit(target, request, writer):
+        own = request.header_by_name[ID].encode()
+        headers = f"Mothshunt-Rate-Limit: {value}\r\n"
+        writer.write(echo(request, own, status, headers))
+
+    return name_limit
+
+
 BEHAVIOURS = {
+    "names a rate limit of 5.7": names_limit("5.7"),
+    "names a rate limit of 0": names_limit("0"),
+    "fails and names a rate limit of 5.7": names_limit("5.7", "500 Broken"),
+    "is another one that names a rate limit": names_limit("5.7", "421 Not me"),
+    "names an empty rate limit": names_limit(""),
+    "names a rate limit in words": names_limit("few"),
+    "names a negative rate limit": names_limit("-5"),
+    "names a rate limit of nan": names_limit("nan"),
+    "names a rate limit with an exponent": names_limit("1e400"),
     "answers that it leaves": answers_leaving,
     "fails and says that it leaves": fails_leaving,
     "turns away with room and says that it leaves": turns_away_leaving,
