--- a/testkit/shape.py
+++ b/testkit/shape.py
@@ -72,19 +72,24 @@
     return (*small(), entry)
 
 
-def separate_roles(entry_regions: Sequence[str]) -> tuple[InstancePlan, ...]:
-    """Return a control instance in each region, and an entry instance in some.
+def separate_roles(
+    entry_regions: Sequence[str], *, entries_per_region: int = 1
+) -> tuple[InstancePlan, ...]:
+    """Return a control instance in each region, and entry instances in some.
 
-    :param entry_regions: Regions that have an entry instance.
+    :param entry_regions: Regions that have entry instances.
+    :param entries_per_region: Number of entry instances in each of them.
     """
+    counted = (("control", REGIONS, 1), ("entry", entry_regions, entries_per_region))
     return tuple(
         InstancePlan(
-            id=f"{region}-{role}",
+            id=f"{region}-{role}" + (f"-{number + 1}" if number else ""),
             region=region,
             availability_zone=f"{region}-a",
             roles=(role,),
         )
-        for role, regions in (("control", REGIONS), ("entry", entry_regions))
+        for role, regions, count in counted
+        for number in range(count)
         for region in regions
     )
 
