Send targets no more than the rate limits that they name, in all

What callers and targets saw: a target that had named 5.7 requests a second got 54 in 4 s from instances that had passed its responses on; allowed 39.

Cause: no instance read the limit. The class of the fault: a wish of a target that binds the sum over all entry instances, which no instance can follow by itself and nobody followed.

Now a request to a target that names a limit needs a token. Each control instance issues an equal, fixed share of the limit as tokens, to whichever entry instance asks: nothing has to be agreed on, so one that is cut off, frozen or restarted can't make the sum exceed the limit. A token holds for 0.5 s, counted from before it was asked for, and is checked right before the request is written. An entry instance asks the nearest control instance that may have a token; without one it passes the target over, and if no target is left it refuses at once (2904) with the time of the next token. What a response says goes to all control instances, and by them to all entry instances, so that those stop too that haven't heard it themselves. The newest response counts; one without the header ends the limit. Hedged attempts never go to limited targets. The spillover counts a limited target as what it accepts.

tests/rate_limit/tokens walks through cuts, freezes, restarts, lost and late messages and changed limits.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -23,6 +23,7 @@
 from mothshunt.membership.roster_messages import ControlAddress
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
+from mothshunt.rate_limit.coordinator import TokenService
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.witnesses import LeaveReportCoordinator
@@ -42,6 +43,7 @@
     :param registry: Targets that renew themselves here.
     :param intake: Takes what targets say of themselves.
     :param witnessing: Takes what targets say to entry instances of leaving.
+    :param tokens: Issues tokens for targets that name a rate limit.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -54,6 +56,7 @@
     registry: RegistryPublisher
     intake: TargetIntake
     witnessing: LeaveReportCoordinator
+    tokens: TokenService
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -125,6 +128,13 @@
             registry=publisher,
             intake=TargetIntake(publisher, coordinator),
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
+            tokens=TokenService(
+                network=network,
+                control_count=lambda: len(control()),
+                entries=roster.primary_entries,
+                clock=clock,
+                metrics=metrics,
+            ),
             attachments=attachments,
             network=network,
             _state=state,
@@ -172,6 +182,7 @@
         await self.roster.async_start()
         await self.registry.async_start()
         await self.witnessing.async_start()
+        await self.tokens.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -126,7 +126,13 @@
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
         metrics.gauge("mothshunt_entries_counted", roster.count)
-        rate_limiter = RateLimiter(clock, metrics)
+        rate_limiter = RateLimiter(
+            network=network,
+            controls=attachments.nearest,
+            clock=clock,
+            metrics=metrics,
+        )
+        placement.state.rate_limits = rate_limiter
         budget = RetryBudget(
             ratio=routing.retry_ratio,
             slack=routing.retry_slack,
--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -140,7 +140,7 @@
 
     :param pool: Connections to targets.
     :param placement: Decides whether a chosen target may still get the request.
-    :param rate_limiter: Counts what is sent to targets that name a rate limit.
+    :param rate_limiter: Decides the same by the rate limits that targets name.
     :param names: Names of the header fields.
     :param clock: Source of the present time.
     """
@@ -181,9 +181,11 @@
                 dispatch_codes.TARGET_UNREACHABLE,
                 str(error),
             )
-        # While the connection was opened, the target may have left, or this process
-        # may have been suspended.
-        if not self._placement.may_send(choice):
+        # While the connection was opened, the target may have left or named a rate
+        # limit, or this process may have been suspended.
+        if not self._placement.may_send(choice) or not self._rate_limiter.may_send(
+            choice, self._clock.monotonic()
+        ):
             self._pool.release(choice.target, connection)
             return _failed_result(
                 AttemptOutcome.CANCELLED, Ran.NO, dispatch_codes.LEASE_ENDED
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -101,3 +101,5 @@
 METRIC_BODIES_DISCARDED = "mothshunt_forwarding_bodies_discarded_total"
 METRIC_LINES_DROPPED = "mothshunt_log_lines_dropped_total"
 METRIC_IN_FLIGHT = "mothshunt_forwarding_in_flight"
+#: Targets with a rate limit that tokens are requested for, for one attempt.
+MAX_TOKEN_REQUESTS = 4
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from expression import Result
+from expression import Error, Result
 
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.core.clock import Clock
@@ -90,7 +90,7 @@
         try:
             while True:
                 if not attempts.running:
-                    final = self._start_next(attempts, is_caller_connected)
+                    final = await self._async_start_next(attempts, is_caller_connected)
                     if final is not None:
                         return final
                 final = await self._async_wait(attempts)
@@ -100,20 +100,11 @@
             # The caller disconnected, or the response was chosen.
             attempts.cancel()
 
-    def _start_next(
+    async def _async_start_next(
         self, attempts: RequestAttempts, is_caller_connected: Callable[[], bool]
     ) -> ChosenResponse | Failure | None:
         """Start an attempt; return the result for the caller if none can be started."""
-        routed = attempts.outgoing.routed
-        now = self._clock.monotonic()
-        if routed.deadline - now < const.MIN_ATTEMPT_S:
-            failure = attempts.last_failure or Failure(
-                code=dispatch_codes.DEADLINE_PASSED
-            )
-            return attempts.best_response or self._final_failure(attempts, failure)
-        match self._placement.choose(
-            _placement_request(routed, attempts.excluded, now)
-        ):
+        match await self._async_choose(attempts):
             case Result(tag="ok", ok=choice):
                 pass
             case Result(error=failure):
@@ -129,6 +120,40 @@
         self._start_attempt(attempts, choice)
         return None
 
+    async def _async_choose(self, attempts: RequestAttempts) -> Result[Choice, Failure]:
+        """Choose a target, and get a token for it if it names a rate limit.
+
+        Targets that there is no token for are passed over. Before the request is given
+        up, the number of targets that tokens are requested for is limited, as the
+        caller waits for each of them.
+        """
+        routed = attempts.outgoing.routed
+        denied: frozenset[TargetId] = frozenset()
+        while True:
+            now = self._clock.monotonic()
+            if routed.deadline - now < const.MIN_ATTEMPT_S:
+                return Error(Failure(code=dispatch_codes.DEADLINE_PASSED))
+            placement_request = _placement_request(
+                routed,
+                attempts.excluded | denied,
+                now,
+                accepts_limited=len(denied) < const.MAX_TOKEN_REQUESTS,
+            )
+            result = self._placement.choose(placement_request)
+            if result.is_error():
+                return result
+            has_token = False
+            try:
+                has_token = await self._rate_limiter.async_take_token(
+                    result.ok, routed.deadline - now
+                )
+            finally:
+                if not has_token:
+                    self._placement.finish(result.ok, AttemptOutcome.CANCELLED, None)
+            if has_token:
+                return result
+            denied |= {result.ok.target.id}
+
     def _start_attempt(self, attempts: RequestAttempts, choice: Choice) -> None:
         attempt = RunningAttempt(choice)
         task = asyncio.create_task(self._async_attempt(attempts.outgoing, attempt))
@@ -182,7 +207,7 @@
             a.choice.target.id for a in attempts.running.values()
         )
         placement_request = _placement_request(
-            routed, attempts.excluded | running_targets, now
+            routed, attempts.excluded | running_targets, now, accepts_limited=False
         )
         match self._placement.choose(placement_request):
             case Result(tag="ok", ok=choice):
@@ -300,7 +325,11 @@
 
 
 def _placement_request(
-    routed: RoutedRequest, excluded: frozenset[TargetId], now: float
+    routed: RoutedRequest,
+    excluded: frozenset[TargetId],
+    now: float,
+    *,
+    accepts_limited: bool = True,
 ) -> PlacementRequest:
     route = routed.route
     spent_s = now - routed.received_at
@@ -311,6 +340,7 @@
         time_left_s=routed.deadline - now,
         home_regions=frozenset(route.home_regions),
         excluded=excluded,
+        accepts_limited=accepts_limited,
     )
 
 
--- a/mothshunt/helpers/log_events.py
+++ b/mothshunt/helpers/log_events.py
@@ -361,12 +361,15 @@
     :param per_s: Requests a second that it accepts from all entry instances together;
         none if the limit has ended.
     :param before_per_s: The limit before; none if there was none.
+    :param source: `response` if a response of the target said so; else the control
+        instance that did.
     """
 
     target: TargetId
     incarnation: Incarnation
     per_s: float | None = None
     before_per_s: float | None = None
+    source: str
 
 
 @log_event("rate limited", slice_name="rate_limit")
@@ -377,11 +380,13 @@
     :param target: The target.
     :param per_s: Requests a second that it accepts from all entry instances together.
     :param sent: Requests that this instance sent to it.
+    :param denied: Requests that it did not send there, as it got no token for them.
     """
 
     target: TargetId
     per_s: float | None
     sent: int
+    denied: int
 
 
 @log_event("notice unreadable", slice_name="forwarding", level=Level.WARNING)
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -15,7 +15,7 @@
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership import const
-from mothshunt.membership.primaries import Location, choose_primaries
+from mothshunt.membership.primaries import Location, choose_primaries, order_by_distance
 from mothshunt.settings.config import ControlPeer
 
 
@@ -38,6 +38,7 @@
     seeds: tuple[ControlPeer, ...]
     location: Location
     primaries: frozenset[InstanceId] = frozenset()
+    _nearest: tuple[InstanceId, ...] = ()
     _location_by_id: dict[InstanceId, Location] = field(default_factory=dict)
     _primary_listeners: list[Callable[[InstanceId], None]] = field(default_factory=list)
     _peer_by_id: dict[InstanceId, ControlPeer] = field(default_factory=dict)
@@ -103,13 +104,20 @@
     def _choose_primaries(self) -> None:
         own_id = self.network.own_id
         others = (control for control in self.attached() if control != own_id)
-        chosen = choose_primaries(others, self._location_by_id, own_id, self.location)
+        nearest = order_by_distance(others, self._location_by_id, own_id, self.location)
+        self._nearest = nearest
+        chosen = choose_primaries(nearest)
         changed = chosen ^ self.primaries
         self.primaries = chosen
         for control in changed:
             for listener in self._primary_listeners:
                 listener(control)
 
+    def nearest(self) -> tuple[InstanceId, ...]:
+        """Return the connected control instances, nearest first."""
+        own_id = self.network.own_id
+        return (own_id, *self._nearest) if own_id in self._peer_by_id else self._nearest
+
     def attached(self) -> list[InstanceId]:
         """Return the connected control instances, with this instance first."""
         own_id = self.network.own_id
--- a/mothshunt/membership/primaries.py
+++ b/mothshunt/membership/primaries.py
@@ -1,6 +1,6 @@
 """Choice of the control instances that send an instance each change at once."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from mothshunt.core.types import AvailabilityZoneId, InstanceId, RegionId
@@ -20,16 +20,15 @@
     availability_zone: AvailabilityZoneId
 
 
-def choose_primaries(
+def order_by_distance(
     attached: Iterable[InstanceId],
     location_by_id: Mapping[InstanceId, Location],
     own_id: InstanceId,
     own: Location,
-) -> frozenset[InstanceId]:
-    """Return the nearest control instances; ties are broken by a hash per instance.
+) -> tuple[InstanceId, ...]:
+    """Return the control instances in the order of their distance.
 
-    The other control instances send changes too, but later. Two primaries are enough
-    to tolerate the loss of one.
+    Ties are broken by a hash per instance.
 
     :param attached: Connected control instances.
     :param location_by_id: Regions and zones of those that have sent them.
@@ -45,4 +44,15 @@
         )
         return (is_far, is_other_zone, hash_text(f"{own_id} {control}"))
 
-    return frozenset(sorted(attached, key=distance)[: const.PRIMARY_COUNT])
+    return tuple(sorted(attached, key=distance))
+
+
+def choose_primaries(nearest: Sequence[InstanceId]) -> frozenset[InstanceId]:
+    """Return the control instances that send an instance each change at once.
+
+    The other control instances send changes too, but later. Two primaries are enough
+    to tolerate the loss of one.
+
+    :param nearest: Connected control instances, nearest first.
+    """
+    return frozenset(nearest[: const.PRIMARY_COUNT])
--- a/mothshunt/placement/codes.py
+++ b/mothshunt/placement/codes.py
@@ -16,6 +16,13 @@
     summary="All targets of the service have asked for a pause.",
     action="Retry after the given time; check the load of the service.",
 )
+TARGETS_AT_LIMIT = ResultCode(
+    number=2904,
+    name="targets_at_rate_limit",
+    http_status=503,
+    summary="The rate limits of the targets allow no more requests at present.",
+    action="Retry after the given time; check the load of the service.",
+)
 NO_CAPACITY = ResultCode(
     number=2902,
     name="targets_without_room",
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from mothshunt.core.types import (
     AvailabilityZoneId,
@@ -50,6 +51,7 @@
     :param home_regions: Regions that the request is restricted to; empty if it may go
         to all.
     :param excluded: Targets that must not be chosen.
+    :param accepts_limited: Whether targets that name a rate limit may be chosen.
     """
 
     service: ServiceName
@@ -58,6 +60,7 @@
     time_left_s: float
     home_regions: frozenset[RegionId] = frozenset()
     excluded: frozenset[TargetId] = frozenset()
+    accepts_limited: bool = True
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -65,7 +68,8 @@
     """Chosen target, with the capacity reserved at it until the attempt has ended.
 
     :param target: The target.
-    :param sent_at: Time of the reservation, in seconds.
+    :param sent_at: Time of the reservation, or of the token if one was needed, in
+        seconds.
     :param load: Estimated number of requests at the target, this one included.
     :param reason: Scope and rank that the target was chosen by, for the logs.
     :param affinity_key: Key of the object that the request is for.
@@ -75,6 +79,8 @@
     :param unknown_object_s: Expected time to the response if the target does not know
         the object, queueing included, in seconds.
     :param renewal_age_s: Age of the target's newest renewal, in seconds.
+    :param token_until: Time up to which the request may be sent to a target that names
+        a rate limit, in seconds.
     """
 
     target: RoutableTarget
@@ -86,6 +92,7 @@
     expected_s: float = 0.0
     unknown_object_s: float = 0.0
     renewal_age_s: float = 0.0
+    token_until: float = float("-inf")
 
 
 class AttemptOutcome(Enum):
@@ -166,3 +173,42 @@
     def text(self) -> str:
         """Return the load as "running+waiting/slots", for the logs."""
         return f"{self.running}+{self.waiting}/{self.slots}"
+
+
+class RateLimitView(Protocol):
+    """Rate limits of targets, as the choice of a target depends on them."""
+
+    def limit_per_s(self, target: RoutableTarget) -> float | None:
+        """Return the requests a second that a target accepts in all.
+
+        :param target: The target.
+        :return: Its limit; ``None`` if it names none.
+        """
+        ...
+
+    def next_token_at(self, target: RoutableTarget) -> float | None:
+        """Return when there may be a token for a target that names a limit, in seconds.
+
+        :param target: The target.
+        :return: The time, possibly past; ``None`` if no one can issue tokens at
+            present.
+        """
+        ...
+
+
+class NoRateLimits:
+    """Rate limits of targets that name none; a ``RateLimitView``."""
+
+    def limit_per_s(self, target: RoutableTarget) -> float | None:
+        """Return that a target names no limit.
+
+        :param target: The target.
+        """
+        return None
+
+    def next_token_at(self, target: RoutableTarget) -> float | None:
+        """Return that there are no tokens, which nothing needs.
+
+        :param target: The target.
+        """
+        return None
--- a/mothshunt/placement/service_targets.py
+++ b/mothshunt/placement/service_targets.py
@@ -6,7 +6,7 @@
 
 from mothshunt.core.types import AvailabilityZoneId, RegionId
 from mothshunt.placement import const
-from mothshunt.placement.model import Choice
+from mothshunt.placement.model import Choice, RateLimitView
 from mothshunt.placement.service_time import ServiceTime
 from mothshunt.placement.spill import RegionLoad, Spillover
 from mothshunt.placement.spread import GlobalAffinity
@@ -126,17 +126,22 @@
     targets: ServiceTargets,
     demand_by_zone: Mapping[AvailabilityZoneId, float],
     region_by_zone: RegionByZone,
+    rate_limits: RateLimitView,
 ) -> dict[RegionId, RegionLoad]:
     """Return the demand for a service and the capacity of its targets, by region.
 
     :param targets: Targets of the service.
     :param demand_by_zone: Requests a second, by availability zone.
     :param region_by_zone: Regions of the availability zones.
+    :param rate_limits: Rate limits that targets name.
     """
     mean_s = targets.service_time.mean_s or 1.0
     capacity_by_region: dict[RegionId, float] = {}
     for load in targets.all_targets():
         per_s = load.target.slots / (mean_s * load.slowness)
+        limit_per_s = rate_limits.limit_per_s(load.target)
+        if limit_per_s is not None:
+            per_s = min(per_s, limit_per_s)
         region = load.target.region
         capacity_by_region[region] = capacity_by_region.get(region, 0.0) + per_s
     if not any(demand_by_zone.values()):
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -22,7 +22,9 @@
 from mothshunt.placement.model import (
     AttemptOutcome,
     Choice,
+    NoRateLimits,
     PlacementRequest,
+    RateLimitView,
     ReportedLoad,
     RoutableTarget,
     TargetHealth,
@@ -66,6 +68,7 @@
         targets that this instance may use, given the zone and the present time.
     :param load_by_target: Load and health of each target that requests may be sent to.
     :param notices: Pauses and leaves that targets announced.
+    :param rate_limits: Rate limits that targets name.
     """
 
     zone: AvailabilityZoneId
@@ -76,6 +79,7 @@
     cold_share: Callable[[AvailabilityZoneId, float], float] = full_share
     load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
     notices: TargetNotices = field(default_factory=TargetNotices)
+    rate_limits: RateLimitView = field(default_factory=NoRateLimits)
     _targets_by_service: dict[ServiceName, ServiceTargets] = field(default_factory=dict)
     _cold_limit_by_target: Mapping[TargetId, float] = field(default_factory=dict)
     _newest_renewed_at: float = float("-inf")
@@ -129,7 +133,7 @@
 
         :param request: Properties of the request.
         :param now: The present time, in seconds.
-        :return: The choice; or a failure with code 2901 to 2903 and a retry time.
+        :return: The choice; or a failure with code 2901 to 2904 and a retry time.
         """
         targets = self._targets_by_service.get(request.service)
         if targets is None:
@@ -153,7 +157,10 @@
         if best is None:
             pause_s = self.remaining_pause_s(request, now)
             if pause_s is not None:
-                return Error(self._pause_refusal(pause_s))
+                return Error(self._refusal_until(codes.TARGETS_PAUSED, pause_s))
+            token_wait_s = self._remaining_token_wait_s(targets, request, now)
+            if token_wait_s is not None:
+                return Error(self._refusal_until(codes.TARGETS_AT_LIMIT, token_wait_s))
             return Error(self._refusal(codes.NO_TARGETS, const.MIN_CONNECT_BACKOFF_S))
         if not self._is_worthwhile(best, request):
             wait_s = best.total_s - request.target_latency_s
@@ -300,6 +307,8 @@
             return False
         if now < load.down_until or load.is_silent(now):
             return False
+        if not self._is_within_rate_limit(target, request, now):
+            return False
         if load.is_cold(now):
             limit = self._cold_limit_by_target.get(target.id, 0.0)
             share = self.cold_share(target.availability_zone, now)
@@ -307,6 +316,15 @@
                 return False
         return not self._is_renewal_overdue(load) or load.has_recent_response(now)
 
+    def _is_within_rate_limit(
+        self, target: RoutableTarget, request: PlacementRequest, now: float
+    ) -> bool:
+        """Whether a target names no rate limit, or may have a token for the request."""
+        if self.rate_limits.limit_per_s(target) is None:
+            return True
+        token_at = self.rate_limits.next_token_at(target)
+        return request.accepts_limited and token_at is not None and token_at <= now
+
     def _is_renewal_overdue(self, load: TargetLoad) -> bool:
         missed_s = self._newest_renewed_at - load.renewed_at
         return missed_s > const.MAX_MISSED_RENEWALS * self.renewal_interval_s
@@ -336,10 +354,28 @@
         wait_s = min(const.MAX_RETRY_AFTER_S, max(const.MIN_RETRY_AFTER_S, wait_s))
         return Failure(code=code, retry_after_s=wait_s * self._retry_spread())
 
-    def _pause_refusal(self, pause_s: float) -> Failure:
-        # There is no upper bound: no target takes requests before the pause ends.
-        wait_s = max(const.MIN_RETRY_AFTER_S, pause_s) * self._retry_spread()
-        return Failure(code=codes.TARGETS_PAUSED, retry_after_s=wait_s)
+    def _remaining_token_wait_s(
+        self, targets: ServiceTargets, request: PlacementRequest, now: float
+    ) -> float | None:
+        """Return the time until the next token for a target of the service, in seconds.
+
+        :return: The time; ``None`` if no target is passed over for its rate limit.
+        """
+        times = [
+            self.rate_limits.next_token_at(load.target)
+            for load in targets.all_targets()
+            if _is_in_home_regions(load.target, request)
+            and self.rate_limits.limit_per_s(load.target) is not None
+        ]
+        if not times:
+            return None
+        known = (at for at in times if at is not None)
+        return max(0.0, min(known, default=now + const.MAX_RETRY_AFTER_S) - now)
+
+    def _refusal_until(self, code: ResultCode, wait_s: float) -> Failure:
+        # There is no upper bound: no target takes requests before then.
+        wait_s = max(const.MIN_RETRY_AFTER_S, wait_s) * self._retry_spread()
+        return Failure(code=code, retry_after_s=wait_s)
 
     def _retry_spread(self) -> float:
         return 1.0 + self.random.random() * const.RETRY_AFTER_SPREAD
@@ -479,7 +515,9 @@
             demand_by_zone = demand.get(service, {})
             has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
             targets.global_affinity.adjust(has_traffic=has_traffic)
-            loads = load_by_region(targets, demand_by_zone, region_by_zone)
+            loads = load_by_region(
+                targets, demand_by_zone, region_by_zone, self.rate_limits
+            )
             targets.spillover.adjust(
                 plan_spillover(loads, self.region), has_traffic=has_traffic
             )
--- a/mothshunt/rate_limit/__init__.py
+++ b/mothshunt/rate_limit/__init__.py
@@ -1,1 +1,1 @@
-"""Rate limits that targets name in their responses."""
+"""Rate limits that targets name, shared by the entry instances by means of tokens."""
--- a/mothshunt/rate_limit/model.py
+++ b/mothshunt/rate_limit/model.py
@@ -1,6 +1,7 @@
 """Types of the rate_limit slice."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from mothshunt.core.types import Incarnation
 
@@ -33,3 +34,27 @@
     incarnation: Incarnation
     per_s: float | None
     observed_at: float
+
+
+class TokenResult(Enum):
+    """Result of a token request of an entry instance."""
+
+    GRANTED = "granted"
+    DENIED = "denied"
+    #: The control instance did not answer in time.
+    NO_ANSWER = "no_answer"
+    #: All control instances have denied a token or not answered recently, or too many
+    #: requests are in progress.
+    NOT_REQUESTED = "not_requested"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TokenDecision:
+    """Decision of a control instance on a token request.
+
+    :param is_granted: Whether the request may be sent.
+    :param retry_after_s: Time until the next token, in seconds; 0 if one was granted.
+    """
+
+    is_granted: bool
+    retry_after_s: float = 0.0
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -1,12 +1,12 @@
 """Deciding functions of the rate_limit slice, without any I/O."""
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
-from mothshunt.core.types import Incarnation, TargetId
+from mothshunt.core.types import Incarnation, InstanceId, TargetId
 from mothshunt.rate_limit import const
-from mothshunt.rate_limit.model import RateLimit
+from mothshunt.rate_limit.model import RateLimit, TokenDecision
 
 
 @dataclass(slots=True)
@@ -42,6 +42,14 @@
             self._limit_by_target.popitem(last=False)
         return True
 
+    def newest(self, target: TargetId) -> RateLimit | None:
+        """Return the limit that the newest known incarnation of a target has named.
+
+        :param target: Name of the target.
+        :return: The limit, which may have ended; ``None`` if it never named one.
+        """
+        return self._limit_by_target.get(target)
+
     def get(self, target: TargetId, incarnation: Incarnation) -> RateLimit | None:
         """Return what is known of the limit of an incarnation of a target.
 
@@ -76,4 +84,176 @@
     """
     if before is None or after is None:
         return before is not after
-    return abs(after - before) > const.MIN_LOGGED_CHANGE * max(before, after)
+    return abs(after - before) > const.MIN_ANNOUNCED_CHANGE * max(before, after)
+
+
+@dataclass(slots=True)
+class _TokenBucket:
+    """Tokens of one target at one control instance.
+
+    :param incarnation: Incarnation of the target.
+    :param updated_at: Time up to which tokens have been added, in seconds.
+    :param level: Number of tokens.
+    """
+
+    incarnation: Incarnation
+    updated_at: float
+    level: float = 0.0
+
+    def refill(self, rate_per_s: float, now: float) -> None:
+        """Add the tokens of the time since the last call.
+
+        :param rate_per_s: Tokens a second.
+        :param now: The present time, in seconds.
+        """
+        elapsed_s = max(0.0, now - self.updated_at)
+        self.updated_at = max(self.updated_at, now)
+        capacity = 1.0 + rate_per_s * const.MAX_BURST_S
+        self.level = min(capacity, self.level + elapsed_s * rate_per_s)
+
+
+@dataclass(slots=True)
+class TokenIssuer:
+    """Tokens that one control instance issues for the targets that name a rate limit.
+
+    Each control instance issues an equal share of a limit. The shares are fixed, so
+    that control instances that are cut off from each other or have just been restarted
+    can't exceed the limit together.
+
+    :param limits: Rate limits that are known.
+    """
+
+    limits: RateLimits = field(default_factory=RateLimits)
+    _bucket_by_target: OrderedDict[TargetId, _TokenBucket] = field(
+        default_factory=OrderedDict
+    )
+
+    def record(
+        self, target: TargetId, limit: RateLimit, share: float, now: float
+    ) -> bool:
+        """Record a limit unless a newer one is known.
+
+        :param target: Name of the target.
+        :param limit: The limit.
+        :param share: Share of each limit that this control instance issues.
+        :param now: The present time, in seconds.
+        :return: Whether it is the newest one known.
+        """
+        held, bucket = self.limits.newest(target), self._bucket_by_target.get(target)
+        if held is not None and bucket is not None:
+            bucket.refill(_token_rate(held, share), now)
+        if not self.limits.record(target, limit):
+            return False
+        if limit.per_s is None:
+            self._bucket_by_target.pop(target, None)
+        elif bucket is None or bucket.incarnation != limit.incarnation:
+            self._bucket_by_target[target] = _TokenBucket(
+                limit.incarnation, now + const.INITIAL_PAUSE_S
+            )
+            if len(self._bucket_by_target) > const.MAX_LIMITED_TARGETS:
+                self._bucket_by_target.popitem(last=False)
+        return True
+
+    def take(self, target: TargetId, share: float, now: float) -> TokenDecision:
+        """Take a token if there is one.
+
+        :param target: Name of the target.
+        :param share: Share of each limit that this control instance issues.
+        :param now: The present time, in seconds.
+        """
+        limit = self.limits.newest(target)
+        bucket = self._bucket_by_target.get(target)
+        if limit is None or limit.per_s is None or bucket is None:
+            return TokenDecision(is_granted=True)
+        rate_per_s = _token_rate(limit, share)
+        if rate_per_s <= 0:
+            return TokenDecision(
+                is_granted=False, retry_after_s=const.UNKNOWN_SHARE_RETRY_S
+            )
+        bucket.refill(rate_per_s, now)
+        if bucket.level >= 1.0:
+            bucket.level -= 1.0
+            return TokenDecision(is_granted=True)
+        pause_s = bucket.updated_at - now
+        return TokenDecision(
+            is_granted=False, retry_after_s=pause_s + (1.0 - bucket.level) / rate_per_s
+        )
+
+
+def _token_rate(limit: RateLimit, share: float) -> float:
+    """Return the tokens a second that one control instance issues for a target."""
+    return max(limit.per_s or 0.0, const.MIN_RATE_PER_S) * share
+
+
+@dataclass(slots=True)
+class TokenSources:
+    """Control instances that an entry instance may ask for tokens.
+
+    One that has denied a token for a target is not asked for that target until its next
+    token, and one that has not answered is not asked for a while.
+    """
+
+    _retry_at_by_control_by_target: OrderedDict[TargetId, dict[InstanceId, float]] = (
+        field(default_factory=OrderedDict)
+    )
+    _backoff_until_by_control: dict[InstanceId, float] = field(default_factory=dict)
+
+    def choose(
+        self, target: TargetId, controls: Sequence[InstanceId], now: float
+    ) -> InstanceId | None:
+        """Return the control instance to ask for a token; ``None`` if there is none.
+
+        :param target: Name of the target.
+        :param controls: Connected control instances, nearest first.
+        :param now: The present time, in seconds.
+        """
+        return next((c for c in controls if self._retry_at(target, c) <= now), None)
+
+    def next_token_at(
+        self, target: TargetId, controls: Sequence[InstanceId]
+    ) -> float | None:
+        """Return when the first control instance may have a token, in seconds.
+
+        :param target: Name of the target.
+        :param controls: Connected control instances.
+        :return: The time, possibly past; ``None`` without any control instance.
+        """
+        times = (self._retry_at(target, control) for control in controls)
+        return min(times, default=None)
+
+    def _retry_at(self, target: TargetId, control: InstanceId) -> float:
+        denied = self._retry_at_by_control_by_target.get(target, {})
+        return max(
+            denied.get(control, float("-inf")),
+            self._backoff_until_by_control.get(control, float("-inf")),
+        )
+
+    def record_denial(
+        self, target: TargetId, control: InstanceId, retry_at: float
+    ) -> None:
+        """Record that a control instance has no token for a target.
+
+        :param target: Name of the target.
+        :param control: Name of the control instance.
+        :param retry_at: Time of its next token, in seconds.
+        """
+        held = self._retry_at_by_control_by_target.setdefault(target, {})
+        held[control] = retry_at
+        self._retry_at_by_control_by_target.move_to_end(target)
+        if len(self._retry_at_by_control_by_target) > const.MAX_LIMITED_TARGETS:
+            self._retry_at_by_control_by_target.popitem(last=False)
+
+    def record_silence(self, control: InstanceId, now: float) -> None:
+        """Record that a control instance has not answered a token request.
+
+        :param control: Name of the control instance.
+        :param now: The present time, in seconds.
+        """
+        self._backoff_until_by_control[control] = now + const.CONTROL_BACKOFF_S
+
+    def forget(self, target: TargetId) -> None:
+        """Forget the denials for a target, as its limit has changed.
+
+        :param target: Name of the target.
+        """
+        self._retry_at_by_control_by_target.pop(target, None)
