--- a/mothshunt/admin/routing_model.py
+++ b/mothshunt/admin/routing_model.py
@@ -384,6 +384,8 @@
     :param state: Whether it serves or leaves.
     :param age_s: Seconds since it was last heard of.
     :param cold_s: Seconds for which it stays cold.
+    :param rate_limit_per_s: Requests a second that it accepts from all entry instances
+        together, as this instance knows it; ``None`` if it names no limit.
     """
 
     target: TargetId
@@ -397,6 +399,7 @@
     state: str
     age_s: float
     cold_s: float
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/mothshunt/admin/targets.py
+++ b/mothshunt/admin/targets.py
@@ -16,6 +16,7 @@
 )
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import TargetId
+from mothshunt.rate_limit.state import RateLimits
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.messages import Renewal
 from mothshunt.registry.state import KnownTarget
@@ -26,6 +27,7 @@
     """Take what targets say of themselves.
 
     :param intake: Takes renewals and leaves.
+    :param rate_limits: Rate limits that targets name.
     :param settings: How the deployment routes.
     :param clock: Source of the present time.
     """
@@ -34,10 +36,12 @@
         self,
         *,
         intake: TargetIntake,
+        rate_limits: RateLimits,
         settings: RoutingSettings,
         clock: Clock,
     ) -> None:
         self._intake = intake
+        self._rate_limits = rate_limits
         self._settings = settings
         self._clock = clock
 
@@ -79,7 +83,7 @@
         now = self._clock.monotonic()
         known = self._intake.publisher.follower.registry.known_by_target.values()
         documents = sorted(
-            (_target_document(target, now) for target in known),
+            (self._target_document(target, now) for target in known),
             key=lambda document: (document.service, document.target),
         )
         return Ok(Reply(body=RegisteredTargetList(targets=tuple(documents))))
@@ -104,19 +108,23 @@
             return Error(Refusal(failure=left.error))
         return Ok(Reply(body=LeaveDocument()))
 
-
-def _target_document(known: KnownTarget, now: float) -> RegisteredTargetDocument:
-    renewal = known.renewal
-    return RegisteredTargetDocument(
-        target=renewal.target,
-        incarnation=renewal.incarnation,
-        service=renewal.service,
-        address=address_text(renewal.host, renewal.port),
-        region=renewal.region,
-        availability_zone=renewal.availability_zone,
-        release=renewal.release,
-        slots=renewal.slots,
-        state=renewal.state.value,
-        age_s=max(0.0, now - known.renewed_at),
-        cold_s=max(0.0, known.cold_until - now),
-    )
+    def _target_document(
+        self, known: KnownTarget, now: float
+    ) -> RegisteredTargetDocument:
+        renewal = known.renewal
+        return RegisteredTargetDocument(
+            target=renewal.target,
+            incarnation=renewal.incarnation,
+            service=renewal.service,
+            address=address_text(renewal.host, renewal.port),
+            region=renewal.region,
+            availability_zone=renewal.availability_zone,
+            release=renewal.release,
+            slots=renewal.slots,
+            state=renewal.state.value,
+            age_s=max(0.0, now - known.renewed_at),
+            cold_s=max(0.0, known.cold_until - now),
+            rate_limit_per_s=self._rate_limits.per_s(
+                renewal.target, renewal.incarnation
+            ),
+        )
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -162,7 +162,12 @@
             revision=lambda: source.current().revision,
             clock=clock,
         )
-        targets = TargetHandlers(intake=self.intake, settings=routing, clock=clock)
+        targets = TargetHandlers(
+            intake=self.intake,
+            rate_limits=self.tokens.limits(),
+            settings=routing,
+            clock=clock,
+        )
         routes = routed_api_routes(
             instance=settings.instance.id,
             configuration=configuration,
--- a/tests/promises/rate_limits.feature
+++ b/tests/promises/rate_limits.feature
@@ -10,6 +10,7 @@
     When callers send 40 requests a second over all entries, for 2 s
     And target 3 names a limit of 5 a second and callers go on for 10 s
     Then no target got more than its limit allows
+    And "mothshunt targets list" shows the limit of target 3 and no other
     And target 3 got at least 2.5 requests a second in the last 6 s
     And the callers got status 200 each time, within 1000 ms
 
--- a/tests/steps/promise_rate_limits.py
+++ b/tests/steps/promise_rate_limits.py
@@ -1,5 +1,6 @@
 """Steps for rate limits that targets name to the real programs."""
 
+import json
 import time
 from random import Random
 
@@ -92,6 +93,22 @@
     assert found == [], found
 
 
+@then('"mothshunt targets list" shows the limit of target {number:d} and no other')
+def shows_limit(context, number):
+    routed = context.routed
+    wanted = routed.targets[number - 1]
+    for url in routed.urls:
+        words = ("--admin", url, "targets", "list", "--output", "json")
+        done = routed.command(*words)
+        assert done.returncode == 0, done
+        found = {
+            row["target"]: row["rate_limit_per_s"]
+            for row in json.loads(done.stdout)["targets"]
+            if row["rate_limit_per_s"] is not None
+        }
+        assert found == {wanted.name: context.limits.limit(wanted.life)}, found
+
+
 def rate(context, targets, seconds):
     end = max(s.sent_at for s in context.callers.sent_by_id.values())
     arrivals = [
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -16,6 +16,7 @@
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.roster import RosterTable
 from mothshunt.metrics.registry import Metrics
+from mothshunt.rate_limit.state import RateLimits
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.routing.coordinator import RoutingCoordinator
@@ -111,6 +112,7 @@
         )
         targets = TargetHandlers(
             intake=TargetIntake(publisher, routing),
+            rate_limits=RateLimits(),
             settings=RoutingSettings(),
             clock=self.clock,
         )
