Let targets of the soak name rate limits, change and withdraw them

Two targets of each service name limits of 7 to 15 requests a second in a series drawn from the seed beside the other draws, so that the plans of known seeds stay as they are; limits end when a target starts again. The check is that of promises/rate_limits, held against each window in which an entry instance that knows the limit had no fault.

--- a/testkit/rate_limits.py
+++ b/testkit/rate_limits.py
@@ -118,16 +118,30 @@
         for life in self.changes_by_life:
             told_at_by_entry = self._told_at_by_entry(life, sent_by_id)
             worst = max(
-                self._excesses(life, told_at_by_entry, sent_by_id, had_fault, lag_s),
+                self._windows(life, told_at_by_entry, sent_by_id, had_fault, lag_s),
                 default=None,
             )
-            if worst is not None:
+            if worst is not None and worst[0] > 0:
                 _, at, count, allowed = worst
                 yield (
                     f"LIMIT {life}: {count} requests in {WINDOW_S} s up to {at:.2f} s,"
                     f" {allowed:.1f} allowed"
                 )
 
+    def judged(self, sent_by_id: Mapping[str, Sent], had_fault: HadFault) -> int:
+        """Return the number of windows with requests that the bound was held against.
+
+        :param sent_by_id: Requests as their callers saw them.
+        :param had_fault: Tells of restarts, freezes and cuts, which excuse an instance.
+        """
+        return sum(
+            count > 0
+            for life in self.changes_by_life
+            for _, _, count, _ in self._windows(
+                life, self._told_at_by_entry(life, sent_by_id), sent_by_id, had_fault, 0
+            )
+        )
+
     def _told_at_by_entry(
         self, life: Life, sent_by_id: Mapping[str, Sent]
     ) -> dict[str, list[float]]:
@@ -139,7 +153,7 @@
                 told_at_by_entry[sent.entry].append(sent.ended_at)
         return told_at_by_entry
 
-    def _excesses(
+    def _windows(
         self,
         life: Life,
         told_at_by_entry: Mapping[str, Sequence[float]],
@@ -147,13 +161,14 @@
         had_fault: HadFault,
         lag_s: float,
     ) -> Iterator[tuple[float, float, int, float]]:
-        """Return the windows in which too much came: excess, end, count and bound."""
+        """Return each judged window: excess, end, number of requests and bound."""
         arrivals = self.arrivals_by_life.get(life, [])
         for last in arrivals:
             allowed = self._allowed(life, last.at)
             if allowed is None:
                 continue
             named_since = self._named_since(life, last.at)
+            told_before = last.at - TOLD_FOR_S - lag_s
             count_by_entry = Counter(
                 sent_by_id[arrival.request_id].entry
                 for arrival in arrivals
@@ -162,16 +177,19 @@
             )
             count = 0
             for entry, requests in count_by_entry.items():
-                was_told = any(
-                    named_since <= told_at <= last.at - TOLD_FOR_S - lag_s
-                    for told_at in told_at_by_entry.get(entry, ())
+                told_at = max(
+                    (
+                        at
+                        for at in told_at_by_entry.get(entry, ())
+                        if named_since <= at <= told_before
+                    ),
+                    default=None,
                 )
-                if was_told and not had_fault(
-                    entry, min(named_since, last.at - WINDOW_S), last.at
+                if told_at is not None and not had_fault(
+                    entry, min(told_at, last.at - WINDOW_S), last.at
                 ):
                     count += requests
-            if count > allowed:
-                yield (count - allowed, last.at, count, allowed)
+            yield (count - allowed, last.at, count, allowed)
 
     def _named_since(self, life: Life, at: float) -> float:
         """Return since when a target has named a limit without a break."""
--- a/testkit/soak/plan.py
+++ b/testkit/soak/plan.py
@@ -16,6 +16,18 @@
 FAULT_LENGTH_S = (0.2, 4.0)
 
 
+#: Targets of each service that name rate limits, and among how many.
+LIMITED_TARGETS = 2
+LIMITED_TARGETS_OF = 6
+#: Rate limits that they name, in requests a second; a target gets some twenty.
+LIMIT_PER_S = (7.0, 15.0)
+#: Part of the changes of a limit that name one; the others withdraw it.
+NAMED_PART = 0.75
+#: Time of the first limit of a target, and between two changes, in seconds; below and
+#: above the time from which a limit binds.
+LIMIT_BEGIN_S = (0.0, 2.0)
+LIMIT_LENGTH_S = (1.0, 9.0)
+
 #: Part of the soaks in which control instances have faults; in the others the shorter
 #: bounds hold, which apply while all of them are well.
 CONTROL_FAULTS_PART = 2 / 3
@@ -94,6 +106,20 @@
     number: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitStep:
+    """Say which targets name which rate limit.
+
+    :param at_s: Time since the start of the soak, in seconds.
+    :param number: Chooses the target of each service.
+    :param per_s: The limit, in requests a second; ``None`` for none.
+    """
+
+    at_s: float
+    number: int
+    per_s: float | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Plan:
     """Hold the steps of a soak, in order of their time.
@@ -102,10 +128,12 @@
         so that bounds in time are held against what it sends; those of one control
         instance and of another never overlap, so that a majority lives.
     :param changes: What operators and targets ask for.
+    :param limits: Rate limits that targets name.
     """
 
     faults: tuple[Fault, ...]
     changes: tuple[Change, ...]
+    limits: tuple[LimitStep, ...] = ()
 
     @classmethod
     def from_seed(
@@ -126,6 +154,7 @@
         return cls(
             faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
             changes=tuple(_changes(random, seconds)),
+            limits=tuple(_limit_steps(Random(f"{seed}/limits"), seconds)),
         )
 
 
@@ -168,3 +197,15 @@
         kind = first.pop() if first else random.choice(list(ChangeKind))
         changes.append(Change(at_s=at_s, kind=kind, number=random.randrange(1000)))
     return changes
+
+
+def _limit_steps(random: Random, seconds: float) -> list[LimitStep]:
+    steps = []
+    for number in random.sample(range(LIMITED_TARGETS_OF), LIMITED_TARGETS):
+        at_s = random.uniform(*LIMIT_BEGIN_S)
+        while at_s < seconds:
+            is_named = random.random() < NAMED_PART
+            per_s = round(random.uniform(*LIMIT_PER_S), 1) if is_named else None
+            steps.append(LimitStep(at_s=at_s, number=number, per_s=per_s))
+            at_s += random.uniform(*LIMIT_LENGTH_S)
+    return sorted(steps, key=lambda step: step.at_s)
--- a/testkit/soak/soak.py
+++ b/testkit/soak/soak.py
@@ -10,13 +10,14 @@
 from pathlib import Path
 from random import Random
 
+from testkit.rate_limits import RateLimitHistory
 from testkit.routed_deployment import RoutedDeployment
 from testkit.shape import REGIONS, separate_roles
 from testkit.soak.callers import Caller
 from testkit.soak.history import History
 from testkit.soak.notices import Notices
 from testkit.soak.operator import HELD_FOR_S, SERVICES, Operator
-from testkit.soak.plan import Plan
+from testkit.soak.plan import LimitStep, Plan
 from testkit.soak.supervisor import Supervisor
 from testkit.soak.targets import SoakTarget
 
@@ -74,6 +75,7 @@
     keep: Path | None = None
     history: History = field(default_factory=History)
     notices: Notices = field(default_factory=Notices)
+    limits: RateLimitHistory = field(default_factory=RateLimitHistory)
     _counts: Counter[str] = field(default_factory=Counter)
     _started_at: float = field(default_factory=time.monotonic)
 
@@ -94,6 +96,9 @@
                 *self.notices.violations(
                     self.history.sent_by_id, self.history.had_fault, self.history.lag_s
                 ),
+                *self.limits.violations(
+                    self.history.sent_by_id, self.history.had_fault, self.history.lag_s
+                ),
                 *problems,
             ]
             if violations and self.keep is not None:
@@ -103,6 +108,9 @@
             self._counts[f"status {sent.status}"] += 1
         for promise, count in self.history.judged().items():
             self._counts[f"judged {promise}"] = count
+        self._counts["judged limited"] = self.limits.judged(
+            self.history.sent_by_id, self.history.had_fault
+        )
         for notice in self.notices.given:
             kind = "pause" if notice.pause_s else "leaving"
             self._counts[f"noticed {kind}"] += 1
@@ -122,6 +130,7 @@
             SERVICES[number % len(SERVICES)],
             history=self.history,
             notices=self.notices,
+            limits=self.limits,
             now=self._now,
             random=Random(f"{self.seed}/target/{number}"),
         )
@@ -166,15 +175,27 @@
             sorted(self.history.control),
         )
         begun_at = self._now()
-        steps = sorted([*plan.faults, *plan.changes], key=lambda step: step.at_s)
+        steps = sorted(
+            [*plan.faults, *plan.changes, *plan.limits], key=lambda step: step.at_s
+        )
         running: list[asyncio.Task[None]] = []
         for step in steps:
             await asyncio.sleep(max(0.0, begun_at + step.at_s - self._now()))
+            if isinstance(step, LimitStep):
+                self._name_limit(routed, step)
+                continue
             maker = supervisor if step in plan.faults else operator
             running.append(asyncio.create_task(maker.async_make(step)))
             self._counts[step.kind.value] += 1
         await asyncio.gather(*running)
 
+    def _name_limit(self, routed: RoutedDeployment, step: LimitStep) -> None:
+        """Let one target of each service name another limit."""
+        self._counts["limit named" if step.per_s else "limit withdrawn"] += 1
+        first = step.number * len(SERVICES)
+        for target in routed.targets[first : first + len(SERVICES)]:
+            target.name_limit(step.per_s)
+
     def _caller(self, routed: RoutedDeployment, number: int) -> Caller:
         region = REGIONS[number % len(REGIONS)]
         path = f"/v1/entries?region={region}&availability_zone={region}-a"
--- a/testkit/soak/targets.py
+++ b/testkit/soak/targets.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mothshunt.core.const import HEADER_REQUEST_ID
+from testkit.rate_limits import RateLimitHistory
 from testkit.routed_deployment import EXPECTED_TARGET, Target
 from testkit.soak.history import History, Run
 from testkit.soak.notices import Notice, Notices
@@ -33,11 +34,13 @@
 
     :param history: Where they are noted.
     :param notices: Where it is noted what was asked for with answers.
+    :param limits: Where it is noted which limits were named and what came.
     :param now: Returns the time of the soak, in seconds.
     """
 
     history: History = field(kw_only=True)
     notices: Notices = field(kw_only=True)
+    limits: RateLimitHistory = field(kw_only=True)
     now: Callable[[], float] = field(kw_only=True)
     random: Random = field(kw_only=True)
     incarnation: int = 1
@@ -56,6 +59,7 @@
         if request.headers.get(EXPECTED_TARGET) != self.name:
             return web.Response(status=421, headers=headers)
         self.notices.came_by_life[life].append((self.now(), request_id))
+        self.limits.record_arrival(life, request_id, self.now())
         if self.tells_leaving:
             headers["Mothshunt-Leaving"] = "1"
             self.notices.given.append(
@@ -75,6 +79,7 @@
                         pause_s=pause_s,
                     )
                 )
+            not_run |= self.limits.response_headers(life, request_id)
             return web.Response(status=503, headers=not_run)
         run = Run(
             target=self.name,
@@ -89,6 +94,7 @@
             return web.Response()
         is_late = chance > 1.0 - ANSWER_LOST_PART - LATE_PART
         await asyncio.sleep(LATE_S if is_late else WORK_S)
+        headers |= self.limits.response_headers(life, request_id)
         text = f"{request_id} {self.name} {self.service}"
         return web.Response(text=text, headers=headers)
 
@@ -100,6 +106,13 @@
             "state": self.state,
         }
 
+    def name_limit(self, per_s: float | None) -> None:
+        """Name another rate limit from now on.
+
+        :param per_s: The limit, in requests a second; ``None`` for none.
+        """
+        self.limits.set_limit((self.name, self.incarnation), per_s, self.now())
+
     def begin_again(self) -> None:
         """Serve as the next incarnation."""
         self.incarnation += 1
--- a/tests/steps/soak_run.py
+++ b/tests/steps/soak_run.py
@@ -61,7 +61,7 @@
 @then("it broke no promise, each bound was judged, and most requests were answered")
 def broke_none(context):
     report = context.report
-    for promise in ("left", "evacuated", "moved"):
+    for promise in ("left", "evacuated", "moved", "limited"):
         assert report.counts[f"judged {promise}"] > 0, report.counts
     for notice in ("leaving", "pause"):
         assert report.counts[f"noticed {notice}"] > 0, report.counts
