Make the lowest rate of tokens a setting

An operator may prefer a target with a limit of 0 to be asked less often than each four seconds, or more. /routing/rate_limit_min_per_s, 0.25 by default, as before.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -24,6 +24,7 @@
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
 from mothshunt.rate_limit.coordinator import TokenService
+from mothshunt.rate_limit.state import TokenIssuer
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.witnesses import LeaveReportCoordinator
@@ -134,6 +135,7 @@
                 entries=roster.primary_entries,
                 clock=clock,
                 metrics=metrics,
+                issuer=TokenIssuer(routing.rate_limit_min_per_s),
             ),
             attachments=attachments,
             network=network,
--- a/mothshunt/rate_limit/const.py
+++ b/mothshunt/rate_limit/const.py
@@ -9,9 +9,6 @@
 #: Shortest time between two announcements of an entry instance about the same target,
 #: in seconds. Token requests carry the newest limit in any case.
 MIN_ANNOUNCE_INTERVAL_S = 0.5
-#: Lowest rate at which tokens are issued for a target, in requests a second. Without a
-#: request now and then, nobody would notice the end of a limit of 0.
-MIN_RATE_PER_S = 0.25
 #: Time after the first news of a limit in which no tokens are issued, in seconds: the
 #: target has just received more than its limit.
 INITIAL_PAUSE_S = 0.5
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -263,7 +263,7 @@
     entries: Callable[[], Iterable[InstanceId]]
     clock: Clock
     metrics: Metrics
-    issuer: TokenIssuer = field(default_factory=TokenIssuer)
+    issuer: TokenIssuer
 
     async def async_start(self) -> None:
         """Register the handlers for messages of entry instances."""
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -120,9 +120,12 @@
     that control instances that are cut off from each other or have just been restarted
     can't exceed the limit together.
 
+    :param min_per_s: Requests a second that a target gets tokens for even if it names a
+        lower limit, so that the end of the limit is noticed.
     :param limits: Rate limits that are known.
     """
 
+    min_per_s: float
     limits: RateLimits = field(default_factory=RateLimits)
     _bucket_by_target: OrderedDict[TargetId, _TokenBucket] = field(
         default_factory=OrderedDict
@@ -141,7 +144,7 @@
         """
         held, bucket = self.limits.newest(target), self._bucket_by_target.get(target)
         if held is not None and bucket is not None:
-            bucket.refill(_token_rate(held, share), now)
+            bucket.refill(self._rate_per_s(held, share), now)
         if not self.limits.record(target, limit):
             return False
         if limit.per_s is None:
@@ -165,7 +168,7 @@
         bucket = self._bucket_by_target.get(target)
         if limit is None or limit.per_s is None or bucket is None:
             return TokenDecision(is_granted=True)
-        rate_per_s = _token_rate(limit, share)
+        rate_per_s = self._rate_per_s(limit, share)
         if rate_per_s <= 0:
             return TokenDecision(
                 is_granted=False, retry_after_s=const.UNKNOWN_SHARE_RETRY_S
@@ -179,10 +182,9 @@
             is_granted=False, retry_after_s=pause_s + (1.0 - bucket.level) / rate_per_s
         )
 
-
-def _token_rate(limit: RateLimit, share: float) -> float:
-    """Return the tokens a second that one control instance issues for a target."""
-    return max(limit.per_s or 0.0, const.MIN_RATE_PER_S) * share
+    def _rate_per_s(self, limit: RateLimit, share: float) -> float:
+        """Return the tokens a second that this control instance issues for a target."""
+        return max(limit.per_s or 0.0, self.min_per_s) * share
 
 
 @dataclass(slots=True)
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -104,6 +104,8 @@
     :param retry_window_s: Window in which extra attempts are counted, in seconds.
     :param cold_factor: Factor on the service's request rate for a cold target.
     :param cold_slack: Requests a second that such a target may receive in addition.
+    :param rate_limit_min_per_s: Requests a second that a target may receive even if it
+        names a lower rate limit, so that the end of the limit is noticed.
     :param max_region_shift: Share of a region's requests that may move to another
         region from one window of 2 s to the next.
     :param lookup_lifetime_s: Time for which callers may cache a look-up, in seconds.
@@ -120,6 +122,7 @@
     retry_window_s: Annotated[float, Field(gt=0)] = 10.0
     cold_factor: Annotated[float, Field(ge=0)] = 1.0
     cold_slack: Annotated[float, Field(ge=0)] = 0.0
+    rate_limit_min_per_s: Annotated[float, Field(gt=0)] = 0.25
     max_region_shift: Annotated[float, Field(ge=0, le=1)] = 0.1
     lookup_lifetime_s: Annotated[float, Field(gt=0)] = 2.0
     leave_s: Annotated[float, Field(gt=0)] = 6.0
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -31,6 +31,7 @@
 from mothshunt.placement.model import RoutableTarget
 from mothshunt.placement.state import Placement
 from mothshunt.rate_limit.coordinator import RateLimiter, TokenService
+from mothshunt.rate_limit.state import TokenIssuer
 from mothshunt.registry.messages import Renewal
 from mothshunt.registry.state import TargetRegistry
 from mothshunt.routing.model import (
@@ -189,6 +190,7 @@
             entries=lambda: (OWN_ID,),
             clock=clock,
             metrics=self.metrics,
+            issuer=TokenIssuer(RoutingSettings().rate_limit_min_per_s),
         )
         self.placement.state.rate_limits = self.rate_limiter
         self.pool = ConnectionPool(clock, self.metrics)
--- a/tests/steps/rate_limit_tokens.py
+++ b/tests/steps/rate_limit_tokens.py
@@ -10,6 +10,7 @@
 from tests.support.token_world import (
     DISTURBANCES,
     LIMITS,
+    MIN_PER_S,
     STEP_S,
     TARGET,
     WINDOW_S,
@@ -59,7 +60,7 @@
 
 @given("a token issuer with a share of {share:g}")
 def issuer(context, share):
-    context.issuer, context.share = TokenIssuer(), share
+    context.issuer, context.share = TokenIssuer(MIN_PER_S), share
 
 
 def learn(context, at, per_s):
--- a/tests/support/token_world.py
+++ b/tests/support/token_world.py
@@ -21,6 +21,8 @@
 #: Requests that each entry instance wants to send in each step.
 DEMAND = 2
 WINDOW_S = 4.0
+#: Requests a second that the target gets tokens for even under a lower limit.
+MIN_PER_S = 0.25
 
 #: What may happen: faults and their ends, another limit, entry instances that keep
 #: their tokens to the last moment or use them at once, and that want none or many.
@@ -69,7 +71,9 @@
         self.random = Random(seed)
         self.limit_changes = [(0.0, per_s)]
         self.entries = [SimulatedEntry(n) for n in range(ENTRIES)]
-        self.issuer_by_control = {f"c{n}": TokenIssuer() for n in range(CONTROL)}
+        self.issuer_by_control = {
+            f"c{n}": TokenIssuer(MIN_PER_S) for n in range(CONTROL)
+        }
         self.cut, self.frozen = set(), set()
         self.holds_tokens, self.is_idle = False, False
         self.in_transit = []
@@ -85,7 +89,7 @@
 
     def disturb(self, verb, entry, control):
         if verb == "restart":
-            self.issuer_by_control[f"c{control}"] = TokenIssuer()
+            self.issuer_by_control[f"c{control}"] = TokenIssuer(MIN_PER_S)
         elif verb == "cut":
             self.cut.add((entry, f"c{control}"))
         elif verb == "freeze":
