Play targets that name rate limits in the emulator of load; write down how limits work

The feature holds the bound and the use of the limit against it, and that a choice that takes no notice of limits breaks it.

--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -7,6 +7,7 @@
 
 from expression import Error, Ok, Result
 
+from bench.load.limits import EntryLimits
 from bench.load.scenario import Scenario
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import (
@@ -35,6 +36,13 @@
 class Decider(Protocol):
     """Choose targets for the requests of one entry instance."""
 
+    def follow_limits(self, limits: EntryLimits) -> None:
+        """Use what is known of rate limits from now on.
+
+        :param limits: Rate limits of targets.
+        """
+        ...
+
     def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
         """Use these targets from now on.
 
@@ -87,6 +95,10 @@
 
     placement: Placement
 
+    def follow_limits(self, limits: EntryLimits) -> None:
+        """Use what is known of rate limits."""
+        self.placement.rate_limits = limits
+
     @classmethod
     def from_scenario(
         cls, scenario: Scenario, zone: AvailabilityZoneId, random: Random
@@ -153,6 +165,9 @@
     rank: Callable[[TargetLoad, float], float]
     load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
 
+    def follow_limits(self, limits: EntryLimits) -> None:
+        """Take no notice of rate limits."""
+
     def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
         """Use these targets from now on."""
         held = self.load_by_target
--- a/bench/load/scenario.py
+++ b/bench/load/scenario.py
@@ -34,6 +34,8 @@
     SHED = "shed"
     #: Targets take ``x`` times as long.
     SLOW = "slow"
+    #: Targets name a rate limit of ``x`` requests a second.
+    LIMIT = "limit"
     #: Targets are gone, and come back without any memory.
     RESTART_TARGETS = "restart_targets"
     #: Entry instances are gone, and come back knowing nothing.
--- a/bench/load/targets.py
+++ b/bench/load/targets.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from bench.load.limits import LimitedSpan
 from bench.load.scenario import ServicePlan
 from mothshunt.placement.model import ReportedLoad, RoutableTarget
 
@@ -37,6 +38,7 @@
     :param shed_part: Part of the requests that is turned away at random.
     :param slowness: Further multiple of its time.
     :param is_up: Whether it answers at all.
+    :param limited: Rate limit that it names; ``None`` for none.
     """
 
     placed: RoutableTarget
@@ -47,6 +49,7 @@
     shed_part: float = 0.0
     slowness: float = 1.0
     is_up: bool = True
+    limited: LimitedSpan | None = None
     runs: int = 0
     _running: int = 0
     _waiting: deque[Job] = field(default_factory=deque)
@@ -59,13 +62,16 @@
             running=self._running, waiting=len(self._waiting), slots=self.plan.slots
         )
 
-    def take(self, job: Job) -> bool:
+    def take(self, job: Job, now: float) -> bool:
         """Take a request; ``False`` where nothing answers.
 
         :param job: The request.
+        :param now: The present time, in seconds.
         """
         if not self.is_up:
             return False
+        if self.limited is not None:
+            self.limited.came_at.append(now)
         is_full = len(self._waiting) >= self.plan.queue
         if is_full or self.random.random() < self.shed_part:
             job.answer(False, self.load())
--- a/bench/load/world.py
+++ b/bench/load/world.py
@@ -9,7 +9,8 @@
 from expression import Result
 
 from bench.load.arrivals import Arrival, arrivals
-from bench.load.deciders import DECIDERS, Decider
+from bench.load.deciders import DECIDERS, Decider, ProductDecider
+from bench.load.limits import EmulatedControl, EntryLimits, LimitedSpan
 from bench.load.report import Ending, Figures, Outcome
 from bench.load.scenario import EventKind, EventPlan, Scenario
 from bench.load.targets import EmulatedTarget, Job
@@ -32,6 +33,7 @@
     ReportedLoad,
     RoutableTarget,
 )
+from mothshunt.rate_limit.model import RateLimit, TokenDecision
 
 #: Weight of a new measurement of the demand, each interval.
 DEMAND_WEIGHT = 0.25
@@ -47,12 +49,14 @@
     :param zone: Where it runs.
     :param decider: Chooses targets.
     :param budget: Attempts beyond the first.
+    :param limits: Rate limits that it knows.
     :param is_up: Whether it takes requests.
     """
 
     zone: AvailabilityZoneId
     decider: Decider
     budget: RetryBudget
+    limits: EntryLimits
     is_up: bool = True
 
 
@@ -67,6 +71,7 @@
     :param retry_state: Attempts at targets.
     :param excluded: Targets that are not to be tried again.
     :param sends: Attempts at each target.
+    :param denied: Targets that it got no token for.
     """
 
     arrival: Arrival
@@ -76,6 +81,7 @@
     retry_state: RetryState
     excluded: frozenset[TargetId] = frozenset()
     sends: dict[TargetId, int] = field(default_factory=dict)
+    denied: frozenset[TargetId] = frozenset()
 
 
 class World:
@@ -90,6 +96,8 @@
         self.figures = Figures()
         self.targets: dict[TargetId, EmulatedTarget] = {}
         self.entries: list[Entry] = []
+        self.limited_spans: list[LimitedSpan] = []
+        self._control = EmulatedControl(scenario)
         self._make_decider = DECIDERS[decider]
         self._random = Random(scenario.seed + 1)
         self._timeline = Timeline(0.0)
@@ -147,7 +155,9 @@
                 slack=self.scenario.retry_slack,
                 window_s=RETRY_WINDOW_S,
             ),
+            limits=EntryLimits(self._control.nearest(self.scenario, zone)),
         )
+        entry.decider.follow_limits(entry.limits)
         self._tell_targets(entry)
         return entry
 
@@ -190,6 +200,7 @@
         elif event.kind in (
             EventKind.SHED,
             EventKind.SLOW,
+            EventKind.LIMIT,
             EventKind.RESTART_TARGETS,
         ):
             self._meet_targets(event)
@@ -206,12 +217,19 @@
                 target.shed_part = event.x
             elif event.kind is EventKind.SLOW:
                 target.slowness = event.x
+            elif event.kind is EventKind.LIMIT:
+                now = self._timeline.now
+                target.limited = LimitedSpan(
+                    per_s=event.x, since=now, until=now + event.for_s
+                )
+                self.limited_spans.append(target.limited)
             else:
                 target.stop()
 
         def end() -> None:
             for target in met:
                 target.shed_part, target.slowness, target.is_up = 0.0, 1.0, True
+                target.limited = None
 
         self._timeline.after(event.for_s, end)
 
@@ -260,17 +278,72 @@
             affinity_key=asked.arrival.key,
             target_latency_s=max(0.0, latency_s),
             time_left_s=self._left_s(asked.arrival),
-            excluded=asked.excluded,
+            excluded=asked.excluded | asked.denied,
+            accepts_limited=len(asked.denied) < forwarding_const.MAX_TOKEN_REQUESTS,
         )
         match asked.entry.decider.choose(request, now):
             case Result(tag="ok", ok=choice):
-                self._send(asked, choice)
+                self._send_with_token(asked, choice)
             case Result(error=failure):
                 self._refuse(asked, failure)
 
     def _left_s(self, arrival: Arrival) -> float:
         return arrival.at + arrival.kind.deadline_ms / 1000 - self._timeline.now
 
+    def _send_with_token(self, asked: Try, choice: Choice) -> None:
+        """Send a request, to a limited target only with a token."""
+        entry, target, now = asked.entry, choice.target, self._timeline.now
+        is_limited = entry.limits.limit_per_s(target) is not None
+        if not is_limited or not isinstance(entry.decider, ProductDecider):
+            self._send(asked, choice)
+            return
+        sources, controls = entry.limits.sources, entry.limits.controls
+        control = sources.choose(target.id, controls, now)
+        if control is None:
+            self._pass_over(asked, choice)
+            return
+        way_s = self.scenario.delay_s(
+            entry.zone, self._control.zone_by_control[control]
+        )
+
+        def decide() -> None:
+            decision = self._control.take(control, target.id, self._timeline.now)
+            self._timeline.after(way_s, partial(come_back, decision))
+
+        def come_back(decision: TokenDecision) -> None:
+            if decision.is_granted:
+                choice.sent_at = self._timeline.now
+                self._send(asked, choice)
+                return
+            retry_at = self._timeline.now + decision.retry_after_s
+            sources.record_denial(target.id, control, retry_at)
+            self._pass_over(asked, choice)
+
+        self._timeline.after(way_s, decide)
+
+    def _pass_over(self, asked: Try, choice: Choice) -> None:
+        """Choose another target, as there is no token for the chosen one."""
+        outcome, now = AttemptOutcome.CANCELLED, self._timeline.now
+        asked.entry.decider.finish(choice, outcome, None, now)
+        asked.denied |= {choice.target.id}
+        self._attempt(asked)
+
+    def _learn_limit(self, entry: Entry, target: EmulatedTarget) -> None:
+        """Let an entry instance hear of a limit in a response, and tell the others."""
+        now, placed = self._timeline.now, target.placed
+        per_s = None if target.limited is None else target.limited.per_s
+        if entry.limits.limit_per_s(placed) == per_s:
+            return
+        limit = RateLimit(incarnation=placed.incarnation, per_s=per_s, observed_at=now)
+        entry.limits.limits.record(placed.id, limit)
+
+        def tell() -> None:
+            self._control.learn(placed.id, limit, self._timeline.now)
+            for other in self.entries:
+                other.limits.limits.record(placed.id, limit)
+
+        self._timeline.after(2 * self.scenario.region_ms / 1000, tell)
+
     def _send(self, asked: Try, choice: Choice) -> None:
         target = self.targets[choice.target.id]
         zone = choice.target.availability_zone
@@ -285,6 +358,7 @@
             if ended:
                 return
             ended = True
+            self._learn_limit(asked.entry, target)
             outcome = AttemptOutcome.ANSWERED if has_run else AttemptOutcome.SHED
             asked.entry.decider.finish(choice, outcome, load, self._timeline.now)
             if has_run:
@@ -294,7 +368,8 @@
 
         def arrive() -> None:
             nonlocal ended
-            if not target.take(Job(asked.arrival.key, answered)):
+            job = Job(asked.arrival.key, answered)
+            if not target.take(job, self._timeline.now):
                 ended = True
                 outcome = AttemptOutcome.CONNECT_FAILED
                 asked.entry.decider.finish(choice, outcome, None, self._timeline.now)
--- a/tests/bench/load.feature
+++ b/tests/bench/load.feature
@@ -29,6 +29,13 @@
       | shed         |
       | common-start |
       | many-entries |
+      | limit        |
+
+  Scenario: Targets that name a rate limit get no more than it allows, and get that
+    Given the first 18 s of the load scenario "limit"
+    Then with "mothshunt" no target gets more than its rate limit allows
+    And with "mothshunt" at least 0.7 of the rate limits are used
+    And with "least_loaded" some target gets more than its rate limit allows
 
   Scenario: Targets do no more than their slots allow
     Given the first 8 s of the load scenario "heavy"
--- a/tests/steps/bench_load.py
+++ b/tests/steps/bench_load.py
@@ -123,3 +123,24 @@
     assert "<svg" in plot
     document = json.loads((context.folder / "target" / "load-calm.json").read_text())
     assert document == context.document
+
+
+@then('with "{decider}" no target gets more than its rate limit allows')
+def within_limits(context, decider):
+    world, _ = play(context, decider)
+    assert world.limited_spans
+    excesses = [span.excess() for span in world.limited_spans]
+    assert max(excesses) == 0, excesses
+
+
+@then('with "{decider}" some target gets more than its rate limit allows')
+def over_limits(context, decider):
+    world, _ = play(context, decider)
+    assert max(span.excess() for span in world.limited_spans) > 0
+
+
+@then('with "{decider}" at least {share:g} of the rate limits are used')
+def limits_used(context, decider, share):
+    world, _ = play(context, decider)
+    shares = [span.used_share() for span in world.limited_spans]
+    assert sum(shares) / len(shares) >= share, shares
