--- a/bench/load/limits.py
+++ b/bench/load/limits.py
@@ -99,7 +99,7 @@
         :param now: The present time, in seconds.
         """
         issuer = self._issuer_by_control[control]
-        return issuer.take(target, 1 / CONTROL_INSTANCES, now)
+        return issuer.take_token(target, 1 / CONTROL_INSTANCES, now)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/bench/load/world.py
+++ b/bench/load/world.py
@@ -298,7 +298,7 @@
             self._send(asked, choice)
             return
         sources, controls = entry.limits.sources, entry.limits.controls
-        control = sources.choose(target.id, controls, now)
+        control = sources.choose_control(target.id, controls, now)
         if control is None:
             self._pass_over(asked, choice)
             return
--- a/mothshunt/admin/routing.py
+++ b/mothshunt/admin/routing.py
@@ -74,7 +74,7 @@
                 summary="Take an evacuated availability zone back.",
                 role=AccessRole.DRAIN,
                 scope=Scope.DEPLOYMENT,
-                handler=self._async_take_back,
+                handler=self._async_end_evacuation,
                 answer=EvacuationDocument,
             ),
         )
@@ -101,7 +101,9 @@
     async def _async_evacuate(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         return await self._async_set(call, is_evacuated=True)
 
-    async def _async_take_back(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
+    async def _async_end_evacuation(
+        self, call: Call[ReadQuery]
+    ) -> Result[Reply, Refusal]:
         return await self._async_set(call, is_evacuated=False)
 
     async def _async_set(
--- a/mothshunt/cli/commands/routing.py
+++ b/mothshunt/cli/commands/routing.py
@@ -71,7 +71,7 @@
     )
     evacuate.add_argument("zone", help="name of the availability zone")
     take_back = add_command(
-        group, "take-back", "end the evacuation of a zone", _async_take_back
+        group, "take-back", "end the evacuation of a zone", _async_end_evacuation
     )
     take_back.add_argument("zone", help="name of the availability zone")
 
@@ -119,7 +119,7 @@
     return await _async_set_zone(client, "PUT", arguments.zone)
 
 
-async def _async_take_back(
+async def _async_end_evacuation(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
     return await _async_set_zone(client, "DELETE", arguments.zone)
--- a/mothshunt/configuration/state.py
+++ b/mothshunt/configuration/state.py
@@ -143,7 +143,7 @@
                 change_id=change.change_id,
                 operator=change.operator,
             )
-        self._remember(change.change_id, outcome, fingerprint)
+        self._remember_change(change.change_id, outcome, fingerprint)
         return outcome
 
     def _has_current_base(self, change: Change, held: Revision) -> bool:
@@ -192,7 +192,7 @@
         self.audit.append(record)
         del self.audit[: -const.MAX_AUDIT_RECORDS]
 
-    def _remember(
+    def _remember_change(
         self, change_id: ChangeId, outcome: ChangeOutcome, fingerprint: int
     ) -> None:
         self.change_by_id[change_id] = RememberedChange(
--- a/mothshunt/consensus/disk.py
+++ b/mothshunt/consensus/disk.py
@@ -25,7 +25,7 @@
         self._metrics = metrics
         self._writes: list[Write] = []
         self._number = WriteNumber(0)
-        self._wake = asyncio.Event()
+        self._has_work = asyncio.Event()
         self._stopping = False
         # One thread, so that writes stay in order.
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
@@ -57,7 +57,7 @@
         """
         self._writes.extend(writes)
         self._number = number
-        self._wake.set()
+        self._has_work.set()
 
     async def async_run(self, on_synced: Callable[[WriteNumber], None]) -> None:
         """Write until told to stop and nothing is queued.
@@ -68,8 +68,8 @@
         loop = asyncio.get_running_loop()
         while self._writes or not self._stopping:
             if not self._writes:
-                self._wake.clear()
-                await self._wake.wait()
+                self._has_work.clear()
+                await self._has_work.wait()
                 continue
             writes, self._writes = self._writes, []
             number = self._number
@@ -82,7 +82,7 @@
     def finish(self) -> None:
         """Let ``async_run`` end once nothing is queued."""
         self._stopping = True
-        self._wake.set()
+        self._has_work.set()
 
     async def async_close(self) -> None:
         """Close the data folder."""
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -98,7 +98,7 @@
         for timer in (self._timer, self._watch):
             if timer is not None:
                 timer.cancel()
-        self._refuse(self._proposals, codes.STOPPED)
+        self._reject_proposals(self._proposals, codes.STOPPED)
         self._proposals.clear()
         self.applier.proposals.give_up("the instance stopped")
         for read in self._read_by_token.values():
@@ -155,24 +155,24 @@
         proposals = self._proposals
         self._proposals = []
         if self._is_stopped:
-            self._refuse(proposals, codes.STOPPED)
+            self._reject_proposals(proposals, codes.STOPPED)
             return
         leading = self.state.leading
         if leading and leading.uncommitted_bytes > const.MAX_UNCOMMITTED_BYTES:
-            self._refuse(proposals, codes.OVERLOADED)
+            self._reject_proposals(proposals, codes.OVERLOADED)
             return
         first = self.state.log.last_index + 1
         commands = [proposal.command for proposal in proposals]
         outputs = self.node.propose(commands, self.now())
         if outputs is None:
-            self._refuse(proposals, codes.NOT_LEADER)
+            self._reject_proposals(proposals, codes.NOT_LEADER)
             return
         for offset, proposal in enumerate(proposals):
             index = LogIndex(first + offset)
             self.applier.proposals.add(index, self.state.term, proposal.outcome)
         self.perform(outputs)
 
-    def _refuse(self, proposals: list[Proposal], code: ResultCode) -> None:
+    def _reject_proposals(self, proposals: list[Proposal], code: ResultCode) -> None:
         failure = Failure(code=code, retry_after_s=const.RETRY_AFTER_S)
         for proposal in proposals:
             settle(proposal.outcome, Error(failure))
--- a/mothshunt/consensus/replication.py
+++ b/mothshunt/consensus/replication.py
@@ -109,7 +109,7 @@
     held_term = state.log.term_at(append.previous_index)
     is_compacted = append.previous_index < state.log.base_index
     if not is_compacted and held_term != append.previous_term:
-        _refuse(state, peer, append)
+        _reject_append(state, peer, append)
         return
     _take(state, append.entries)
     match = LogIndex(append.previous_index + len(append.entries))
@@ -137,7 +137,7 @@
         return
 
 
-def _refuse(state: NodeState, peer: InstanceId, append: Append) -> None:
+def _reject_append(state: NodeState, peer: InstanceId, append: Append) -> None:
     conflict_index = LogIndex(state.log.last_index + 1)
     conflict_term = Term(0)
     held_term = state.log.term_at(append.previous_index)
--- a/mothshunt/discovery/coordinator.py
+++ b/mothshunt/discovery/coordinator.py
@@ -86,7 +86,7 @@
                 next_full_at = now + const.FULL_ROWS_INTERVAL_S
             self._flush(now)
             if now >= next_sweep_at:
-                self._sweep(now)
+                self._remove_unreachable_owners(now)
                 next_sweep_at = now + const.SWEEP_INTERVAL_S
 
     def _flush(self, now: float) -> None:
@@ -101,7 +101,7 @@
         ):
             self._pending_rows.clear()
 
-    def _sweep(self, now: float) -> None:
+    def _remove_unreachable_owners(self, now: float) -> None:
         # While disconnected from all control instances, this instance cannot tell which
         # owners are reachable.
         if self.hub() is None:
--- a/mothshunt/discovery/handlers.py
+++ b/mothshunt/discovery/handlers.py
@@ -46,7 +46,7 @@
             case Result(tag="ok", ok=announcement):
                 return self._announce(announcement)
             case Result(error=failure):
-                return self._refuse(failure)
+                return self._build_refusal(failure)
 
     async def async_leave(self, request: web.Request) -> web.Response:
         """Handle ``POST /v1/targets/leave``.
@@ -60,7 +60,7 @@
                     self.send_soon(row)
                 return web.json_response({"left": row is not None})
             case Result(error=failure):
-                return self._refuse(failure)
+                return self._build_refusal(failure)
 
     def _announce(self, announcement: Announcement) -> web.Response:
         contracts = self.source.current().contract_by_customer
@@ -68,7 +68,7 @@
         if contract is None or contract.service(announcement.service) is None:
             detail = f"{announcement.customer}/{announcement.service}"
             failure = Failure(code=codes.UNKNOWN_CUSTOMER, detail=detail)
-            return self._refuse(failure)
+            return self._build_refusal(failure)
         table = self.announcements.table
         known = table.known_by_target.get(announcement.target)
         match self.announcements.announce(announcement, self.clock.monotonic()):
@@ -82,9 +82,9 @@
                     }
                 )
             case Result(error=failure):
-                return self._refuse(failure)
+                return self._build_refusal(failure)
 
-    def _refuse(self, failure: Failure) -> web.Response:
+    def _build_refusal(self, failure: Failure) -> web.Response:
         self.metrics.count(
             "mothshunt_announcements_refused_total", reason=failure.code.name
         )
--- a/mothshunt/dispatch/forwarder.py
+++ b/mothshunt/dispatch/forwarder.py
@@ -104,7 +104,7 @@
         self._recorder(parsed)(self._clock.monotonic() - started_at)
         return response
 
-    def _refuse(self, parsed: ParsedRequest, failure: Failure) -> web.Response:
+    def _build_refusal(self, parsed: ParsedRequest, failure: Failure) -> web.Response:
         if failure.ran is Ran.UNKNOWN and not parsed.idempotent:
             _LOGGER.failure(
                 "the target may have run a request that can't be repeated",
@@ -131,7 +131,7 @@
                 request, keyed=parsed.key is not None, timeout_s=remaining_s
             )
             if isinstance(body, Failure):
-                return self._refuse(parsed, body)
+                return self._build_refusal(parsed, body)
         else:
             body = RequestBody(b"", request)
         if parsed.key is not None:
@@ -145,7 +145,7 @@
         assert self._retrier is not None
         result = await self._retrier.async_run(forwarded)
         if isinstance(result, Failure):
-            return self._refuse(parsed, result)
+            return self._build_refusal(parsed, result)
         return result
 
     async def _async_forward_keyed(
@@ -162,7 +162,7 @@
             case Result(tag="ok", ok=held):
                 pass
             case Result(error=failure):
-                return self._refuse(parsed, failure)
+                return self._build_refusal(parsed, failure)
         if isinstance(held, StoredResponse):
             self._metrics.count(METRIC_REPLAYS, customer=parsed.customer)
             return _replayed_response(held)
@@ -197,7 +197,7 @@
             return result
         if result.ran is Ran.NO:
             claim.release()
-        return self._refuse(parsed, result)
+        return self._build_refusal(parsed, result)
 
 
 def _headers_for_target(
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -110,16 +110,16 @@
         is_open = await self._admission.async_wait(left_s)
         table = self._configuration.current().routing
         if not is_open or not table.has_items:
-            return self._refuse(_NOT_READY, RequestId(""))
+            return self._build_refusal(_NOT_READY, RequestId(""))
         routed = read_request(request, table, names, self._split.next_service, now)
         if isinstance(routed, Failure):
-            return self._refuse(
+            return self._build_refusal(
                 routed, RequestId(request.headers.get(names.request_id, ""))
             )
         if not self._admission.may_admit(routed.deadline):
             # This instance is leaving and could cut the request off; another can finish
             # it.
-            return self._refuse(_NOT_READY, routed.request_id)
+            return self._build_refusal(_NOT_READY, routed.request_id)
         forwarding = self._async_forward(request, routed, table)
         if routed.route.is_idempotent:
             return await forwarding
@@ -150,10 +150,10 @@
         length = request.content_length
         if limits is not None and length is not None and length > limits.max_body_bytes:
             failure = Failure(code=dispatch_codes.BODY_TOO_LARGE)
-            return self._refuse(failure, routed.request_id)
+            return self._build_refusal(failure, routed.request_id)
         body = await async_read_body(request, keyed=False, timeout_s=left_s)
         if isinstance(body, Failure):
-            return self._refuse(body, routed.request_id)
+            return self._build_refusal(body, routed.request_id)
         outgoing = OutgoingRequest(
             routed=routed,
             headers=target_headers(request.headers, self._refusal_builder.names),
@@ -188,7 +188,7 @@
                 revision=revision,
                 now=now,
             )
-            return self._refuse(result, routed.request_id)
+            return self._build_refusal(result, routed.request_id)
         self._request_log.log_answered(
             outgoing,
             result.choice,
@@ -233,7 +233,7 @@
             target_response.connection.abort()
         return response
 
-    def _refuse(self, failure: Failure, request_id: RequestId) -> web.Response:
+    def _build_refusal(self, failure: Failure, request_id: RequestId) -> web.Response:
         self._metrics.count(const.METRIC_REQUESTS, outcome=failure.code.name)
         return self._refusal_builder.response(failure, request_id)
 
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -169,7 +169,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not done:
-            self._hedge(attempts)
+            self._make_hedged_attempt(attempts)
         for task in done:
             final = self._process_result(
                 attempts, attempts.running[task].choice, attempts.record_end(task)
@@ -198,7 +198,7 @@
             hedge_delay_s(attempt.choice.unknown_object_s, left_s + waited_s) - waited_s
         )
 
-    def _hedge(self, attempts: RequestAttempts) -> None:
+    def _make_hedged_attempt(self, attempts: RequestAttempts) -> None:
         """Make a hedged attempt at another target if placement and budget allow it."""
         attempts.is_hedged = True
         routed = attempts.outgoing.routed
--- a/mothshunt/lookup/coordinator.py
+++ b/mothshunt/lookup/coordinator.py
@@ -67,7 +67,7 @@
             client; the default client is the sender.
         """
         if not self._is_ready():
-            return self._refuse(
+            return self._build_refusal(
                 Failure(code=codes.NOT_READY, retry_after_s=RETRY_AFTER_S)
             )
         self._refresh()
@@ -82,7 +82,7 @@
                 client or request.remote or "",
             )
             if isinstance(answer, Failure):
-                return self._refuse(answer)
+                return self._build_refusal(answer)
             body = answer
             if client:
                 self._cache_body(path, body)
@@ -129,7 +129,7 @@
             self._body_by_path.clear()
         self._body_by_path[path] = body
 
-    def _refuse(self, failure: Failure) -> web.Response:
+    def _build_refusal(self, failure: Failure) -> web.Response:
         code = failure.code
         self._metrics.count("mothshunt_refusals_total", reason=code.name)
         headers = {HEADER_CODE: str(code.number), HEADER_RAN: failure.ran.value}
--- a/mothshunt/membership/roster_view.py
+++ b/mothshunt/membership/roster_view.py
@@ -105,7 +105,7 @@
         roster = self._roster_by_control.setdefault(control, ControlRoster())
         roster.apply_rows(rows, now)
         self._ready_computed_at = float("-inf")
-        self._confirm(roster, now)
+        self._confirm_rows(roster, now)
 
     def apply_pulse(self, control: InstanceId, pulse: RosterPulse, now: float) -> bool:
         """Apply a pulse, which confirms the rows of a control instance.
@@ -121,7 +121,7 @@
             roster.demand = pulse.demand
         if roster.digest == pulse.digest:
             roster.differs_since = None
-            self._confirm(roster, now)
+            self._confirm_rows(roster, now)
             return False
         if roster.differs_since is None:
             roster.differs_since = now
@@ -130,7 +130,7 @@
         roster.differs_since = now
         return True
 
-    def _confirm(self, roster: ControlRoster, now: float) -> None:
+    def _confirm_rows(self, roster: ControlRoster, now: float) -> None:
         roster.confirmed_at = now
         for instance, row in roster.row_by_id.items():
             self._row_listed_at_by_id[instance] = now
--- a/mothshunt/membership/state.py
+++ b/mothshunt/membership/state.py
@@ -134,7 +134,7 @@
 
         :param now: Monotonic time, in seconds.
         """
-        self._expire(now)
+        self._expire_members(now)
         changed = []
         for instance in sorted(self._unpublished):
             row = self._visible_row(instance, now)
@@ -150,7 +150,7 @@
     def _instances_of(self, hub: InstanceId) -> list[InstanceId]:
         return [i for i, held in self.hub_by_instance.items() if held == hub]
 
-    def _expire(self, now: float) -> None:
+    def _expire_members(self, now: float) -> None:
         for instance, attached in list(self.attached_by_id.items()):
             detached_at = attached.detached_at
             if detached_at is None or now - detached_at < const.REATTACH_GRACE_S:
--- a/mothshunt/placement/withheld.py
+++ b/mothshunt/placement/withheld.py
@@ -60,7 +60,7 @@
         :return: Whether the target was not known to leave before, and is now.
         """
         if notice.pause_s > 0:
-            self._pause(target, now + min(notice.pause_s, const.MAX_PAUSE_S))
+            self._record_pause(target, now + min(notice.pause_s, const.MAX_PAUSE_S))
         if not notice.is_leaving or self._is_known_to_leave(
             target.id, target.incarnation
         ):
@@ -69,7 +69,7 @@
         _evict_oldest(self._leave_by_target)
         return True
 
-    def _pause(self, target: RoutableTarget, until: float) -> None:
+    def _record_pause(self, target: RoutableTarget, until: float) -> None:
         held = self._pause_by_target.get(target.id)
         if held is not None and held.incarnation == target.incarnation:
             until = max(until, held.until)
--- a/mothshunt/platform/endpoints.py
+++ b/mothshunt/platform/endpoints.py
@@ -61,7 +61,7 @@
                 (names.PATH_BEAT, self._async_beat),
                 (names.PATH_LEAVE, self._async_leave),
                 (names.PATH_EVACUATE, self._async_evacuate),
-                (names.PATH_TAKE_BACK, self._async_take_back),
+                (names.PATH_TAKE_BACK, self._async_end_evacuation),
             ):
                 if path.startswith(prefix):
                     name = unquote(request.raw_path.partition("?")[0][len(prefix) :])
@@ -97,7 +97,7 @@
     async def _async_evacuate(self, zone: str, _: bytes) -> web.Response:
         return await self._async_set_evacuation(zone, is_evacuated=True)
 
-    async def _async_take_back(self, zone: str, _: bytes) -> web.Response:
+    async def _async_end_evacuation(self, zone: str, _: bytes) -> web.Response:
         return await self._async_set_evacuation(zone, is_evacuated=False)
 
     async def _async_set_evacuation(
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -133,7 +133,7 @@
         if not self.limits.record(target, limit):
             return False
         if is_material_change(before, limit.per_s):
-            self.sources.forget(target)
+            self.sources.forget_denials(target)
             log.write(
                 RateLimitChanged(
                     target=target,
@@ -167,7 +167,7 @@
         self, choice: Choice, limit: RateLimit, time_left_s: float
     ) -> TokenResult:
         target, now = choice.target.id, self.clock.monotonic()
-        control = self.sources.choose(target, self.controls(), now)
+        control = self.sources.choose_control(target, self.controls(), now)
         if (
             control is None
             or limit.per_s is None
@@ -300,7 +300,7 @@
     ) -> TokenReply:
         now = self.clock.monotonic()
         self._record(request, now)
-        decision = self.issuer.take(request.target, self._share(), now)
+        decision = self.issuer.take_token(request.target, self._share(), now)
         self.metrics.count(
             const.METRIC_TOKENS,
             decision="granted" if decision.is_granted else "denied",
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -157,7 +157,7 @@
                 self._bucket_by_target.popitem(last=False)
         return True
 
-    def take(self, target: TargetId, share: float, now: float) -> TokenDecision:
+    def take_token(self, target: TargetId, share: float, now: float) -> TokenDecision:
         """Take a token if there is one.
 
         :param target: Name of the target.
@@ -200,7 +200,7 @@
     )
     _backoff_until_by_control: dict[InstanceId, float] = field(default_factory=dict)
 
-    def choose(
+    def choose_control(
         self, target: TargetId, controls: Sequence[InstanceId], now: float
     ) -> InstanceId | None:
         """Return the control instance to ask for a token; ``None`` if there is none.
@@ -253,7 +253,7 @@
         """
         self._backoff_until_by_control[control] = now + const.CONTROL_BACKOFF_S
 
-    def forget(self, target: TargetId) -> None:
+    def forget_denials(self, target: TargetId) -> None:
         """Forget the denials for a target, as its limit has changed.
 
         :param target: Name of the target.
--- a/mothshunt/steering/coordinator.py
+++ b/mothshunt/steering/coordinator.py
@@ -230,17 +230,17 @@
     def _wake_next_request(self, customer: CustomerId, service: ServiceName) -> None:
         wakeup = self._waiting.pop_next(customer, service)
         if wakeup is not None:
-            _wake(wakeup)
+            _wake_waiter(wakeup)
 
     def _wake_all(self) -> None:
         for wakeup in list(self._waiting.pop_all()):
-            _wake(wakeup)
+            _wake_waiter(wakeup)
 
     def _count_refusal(self, failure: Failure) -> None:
         self._metrics.count("mothshunt_choices_refused_total", reason=failure.code.name)
 
 
-def _wake(wakeup: asyncio.Future[None]) -> None:
+def _wake_waiter(wakeup: asyncio.Future[None]) -> None:
     if not wakeup.done():
         wakeup.set_result(None)
 
--- a/tests/steps/rate_limit_tokens.py
+++ b/tests/steps/rate_limit_tokens.py
@@ -79,7 +79,7 @@
 
 
 def take(context, at):
-    return context.issuer.take(TARGET, context.share, at)
+    return context.issuer.take_token(TARGET, context.share, at)
 
 
 def issued(context, seconds):
@@ -132,11 +132,11 @@
 
 @then('it asks "{control}" at {at:g} s')
 def asks(context, control, at):
-    found = context.sources.choose(TARGET, context.controls, at)
+    found = context.sources.choose_control(TARGET, context.controls, at)
     assert found == control, found
 
 
 @then("it asks none at {at:g} s")
 def asks_none(context, at):
-    found = context.sources.choose(TARGET, context.controls, at)
+    found = context.sources.choose_control(TARGET, context.controls, at)
     assert found is None, found
--- a/tests/support/token_world.py
+++ b/tests/support/token_world.py
@@ -124,7 +124,7 @@
             self.in_transit.append((self.now + delay_s, deliver))
 
     def request_token(self, entry):
-        control = entry.sources.choose(TARGET, entry.controls(), self.now)
+        control = entry.sources.choose_control(TARGET, entry.controls(), self.now)
         if control is None:
             return
         # The entry instance waits for the answer before it asks again.
@@ -134,7 +134,7 @@
         def on_request():
             issuer = self.issuer_by_control[control]
             issuer.record(TARGET, limit, 1 / CONTROL, self.now)
-            decision = issuer.take(TARGET, 1 / CONTROL, self.now)
+            decision = issuer.take_token(TARGET, 1 / CONTROL, self.now)
             self.post(entry, control, lambda: on_reply(decision))
 
         def on_reply(decision):
