Tell entry instances that attach of the rate limits that are known

Callers see nothing of it; a target in need would: after its restart an entry instance sent to limited targets without tokens until it had a response of its own from each. Control instances told of changes only, so whoever came later had missed them. A control instance now sends all limits to an entry instance that attaches.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -118,6 +118,15 @@
             control_peers=attachments.peers,
         )
         roster.on_attached(publisher.send_pulse)
+        tokens = TokenService(
+            network=network,
+            control_count=lambda: len(control()),
+            entries=roster.primary_entries,
+            clock=clock,
+            metrics=metrics,
+            issuer=TokenIssuer(routing.rate_limit_min_per_s),
+        )
+        roster.on_attached(tokens.send_limits)
         attachments.on_attach(publisher.send_pulse)
         coordinator = RoutingCoordinator(state, log)
         return cls(
@@ -129,14 +138,7 @@
             registry=publisher,
             intake=TargetIntake(publisher, coordinator),
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
-            tokens=TokenService(
-                network=network,
-                control_count=lambda: len(control()),
-                entries=roster.primary_entries,
-                clock=clock,
-                metrics=metrics,
-                issuer=TokenIssuer(routing.rate_limit_min_per_s),
-            ),
+            tokens=tokens,
             attachments=attachments,
             network=network,
             _state=state,
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -274,6 +274,15 @@
         """Return the rate limits that are known here."""
         return self.issuer.limits
 
+    def send_limits(self, entry: InstanceId) -> None:
+        """Send all limits to an entry instance, such as one that has been restarted.
+
+        :param entry: Name of the entry instance.
+        """
+        now = self.clock.monotonic()
+        for target, limit in self.issuer.limits.limited():
+            self.network.post(entry, _news(target, limit, now))
+
     def _share(self) -> float:
         """Return the share of each limit that this control instance issues."""
         count = self.control_count()
