--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -19,6 +19,17 @@
     And target 1 says that it is draining
     Then after 2 s none of 30 requests reaches target 1
 
+  Scenario: A target that names a limit gets no more than that
+    Given a platform deployment of 3 control and 1 entry processes
+    And 2 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And target 1 names a limit of "0.5" a second
+    Then after 2 s some of 30 requests reach target 1
+    And after 2 s at most 3 of 30 requests reach target 1
+    When target 1 names no limit
+    Then after 6 s some of 30 requests reach target 1
+    And after 0 s at least 4 of 30 requests reach target 1
+
   Scenario: An evacuated zone gets nothing until it is taken back
     Given a platform deployment of 3 control and 1 entry processes
     And 2 platform targets of service "stock"
--- a/tests/steps/platform_whole_path.py
+++ b/tests/steps/platform_whole_path.py
@@ -194,6 +194,33 @@
     assert reached(context, seconds, count, number) > 0
 
 
+@then(
+    "after {seconds:g} s at most {most:d} of {count:d} requests reach target {number:d}"
+)
+def reaches_at_most(context, seconds, most, count, number):
+    found = reached(context, seconds, count, number)
+    assert found <= most, found
+
+
+@then(
+    "after {seconds:g} s at least {least:d} of {count:d} requests reach target"
+    " {number:d}"
+)
+def reaches_at_least(context, seconds, least, count, number):
+    found = reached(context, seconds, count, number)
+    assert found >= least, found
+
+
+@when('target {number:d} names a limit of "{limit}" a second')
+def names_limit(context, number, limit):
+    context.platform.targets[number - 1].limit = limit
+
+
+@when("target {number:d} names no limit")
+def names_no_limit(context, number):
+    context.platform.targets[number - 1].limit = None
+
+
 @when("control process {number:d} is killed and loses its disk")
 def killed_and_wiped(context, number):
     process = context.platform.controls[number - 1]
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -66,6 +66,7 @@
     ip: str
     delay_s: float = 0.0
     state: str = "ready"
+    limit: str | None = None
     requests: list = field(default_factory=list)
     running: int = 0
     sequence: int = 0
@@ -87,6 +88,8 @@
         self.running -= 1
         headers = {PROOF: f"seal-{self.number}", "Mothshunt-Server-Load": "0,0,4"}
         headers[REQUEST_ID] = request.headers.get(REQUEST_ID, "")
+        if self.limit is not None:
+            headers["Server-Limit"] = self.limit
         return web.Response(text=f"target {self.number}", headers=headers)
 
     def report(self) -> dict:
