Forget the rate limits of targets that are gone

Operators would see limited targets for good: a target that named a limit and was then replaced under another name stayed in the gauge, in the list that attaching entry instances are sent, and in memory. Both sides now drop limits of targets that the registry no longer knows, or knows by a newer incarnation. The limiter is passed to the placement when it is built.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -122,6 +122,7 @@
             network=network,
             control_count=lambda: len(control()),
             entries=roster.primary_entries,
+            known=registry.registry.incarnation,
             clock=clock,
             metrics=metrics,
             issuer=TokenIssuer(routing.rate_limit_min_per_s),
@@ -200,6 +201,7 @@
 
     async def async_stop(self) -> None:
         """Stop the parts; a leader hands its leadership on."""
+        await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
         await self.registry.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -102,6 +102,13 @@
         )
         random = Random()
         pool = ConnectionPool(clock, metrics)
+        rate_limiter = RateLimiter(
+            network=network,
+            controls=attachments.nearest,
+            known=registry.registry.incarnation,
+            clock=clock,
+            metrics=metrics,
+        )
         placement = PlacementCoordinator(
             state=Placement(
                 zone=own.availability_zone,
@@ -109,6 +116,7 @@
                 max_region_shift=routing.max_region_shift,
                 renewal_interval_s=routing.renewal_interval_s,
                 random=random,
+                rate_limits=rate_limiter,
             ),
             registry=registry.registry,
             roster=roster,
@@ -126,13 +134,6 @@
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
         metrics.gauge("mothshunt_entries_counted", roster.count)
-        rate_limiter = RateLimiter(
-            network=network,
-            controls=attachments.nearest,
-            clock=clock,
-            metrics=metrics,
-        )
-        placement.state.rate_limits = rate_limiter
         budget = RetryBudget(
             ratio=routing.retry_ratio,
             slack=routing.retry_slack,
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -123,9 +123,9 @@
     async def _async_choose(self, attempts: RequestAttempts) -> Result[Choice, Failure]:
         """Choose a target, and get a token for it if it names a rate limit.
 
-        Targets that there is no token for are passed over. Before the request is given
-        up, the number of targets that tokens are requested for is limited, as the
-        caller waits for each of them.
+        Targets that there is no token for are passed over. As the caller waits for the
+        answer to each token request, only targets without a limit are considered after
+        a few of them.
         """
         routed = attempts.outgoing.routed
         denied: frozenset[TargetId] = frozenset()
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -24,6 +24,7 @@
 )
 from mothshunt.rate_limit.model import RateLimit, RateLimitStatement, TokenResult
 from mothshunt.rate_limit.state import (
+    IncarnationByTarget,
     RateLimits,
     TokenIssuer,
     TokenSources,
@@ -43,6 +44,7 @@
 
     :param network: Streams to the control instances.
     :param controls: Returns the connected control instances, nearest first.
+    :param known: Returns the present incarnation of a target.
     :param clock: Source of the present time.
     :param metrics: Metrics of the process.
     :param limits: Limits that are known.
@@ -51,11 +53,12 @@
 
     network: PeerNetwork
     controls: Callable[[], Sequence[InstanceId]]
+    known: IncarnationByTarget
     clock: Clock
     metrics: Metrics
     limits: RateLimits = field(default_factory=RateLimits)
     sources: TokenSources = field(default_factory=TokenSources)
-    _announced_by_target: dict[TargetId, float | None] = field(default_factory=dict)
+    _announced_by_target: dict[TargetId, float] = field(default_factory=dict)
     _announced_at_by_target: dict[TargetId, float] = field(default_factory=dict)
     _pending_by_target: Counter[TargetId] = field(default_factory=Counter)
     _sent_by_target: Counter[TargetId] = field(default_factory=Counter)
@@ -244,6 +247,14 @@
             await asyncio.sleep(const.REPORT_INTERVAL_S)
             for report in self.reports():
                 log.write(report)
+            self.remove_unknown()
+
+    def remove_unknown(self) -> None:
+        """Forget targets that have been removed or restarted."""
+        for target in self.limits.remove_unknown(self.known):
+            self.sources.forget_denials(target)
+            self._announced_by_target.pop(target, None)
+            self._announced_at_by_target.pop(target, None)
 
 
 @dataclass(slots=True, eq=False)
@@ -253,6 +264,7 @@
     :param network: Streams to the entry instances.
     :param control_count: Returns the number of control instances, 0 while unknown.
     :param entries: Returns the entry instances that get each change at once.
+    :param known: Returns the present incarnation of a target.
     :param clock: Source of the present time.
     :param metrics: Metrics of the process.
     :param issuer: Limits that are known and tokens that are left.
@@ -261,14 +273,26 @@
     network: PeerNetwork
     control_count: Callable[[], int]
     entries: Callable[[], Iterable[InstanceId]]
+    known: IncarnationByTarget
     clock: Clock
     metrics: Metrics
     issuer: TokenIssuer
+    _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
-        """Register the handlers for messages of entry instances."""
+        """Answer entry instances, and forget targets that are gone."""
         self.network.on_message(RateLimitSeen, self._on_seen)
         self.network.on_request(TokenRequest, self._async_on_request)
+        self._task = start_background("rate-limit-tokens", self._async_run)
+
+    async def async_stop(self) -> None:
+        """Stop to forget targets."""
+        await async_cancel(self._task)
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.sleep(const.REPORT_INTERVAL_S)
+            self.issuer.remove_unknown(self.known)
 
     def limits(self) -> RateLimits:
         """Return the rate limits that are known here."""
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -1,13 +1,16 @@
 """Deciding functions of the rate_limit slice, without any I/O."""
 
 from collections import OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from mothshunt.core.types import Incarnation, InstanceId, TargetId
 from mothshunt.rate_limit import const
 from mothshunt.rate_limit.model import RateLimit, TokenDecision
 
+#: Returns the present incarnation of a target; ``None`` if it isn't known.
+IncarnationByTarget = Callable[[TargetId], Incarnation | None]
+
 
 @dataclass(slots=True)
 class RateLimits:
@@ -69,6 +72,22 @@
         held = self.get(target, incarnation)
         return None if held is None else held.per_s
 
+    def remove_unknown(self, known: IncarnationByTarget) -> list[TargetId]:
+        """Remove the limits of targets that have been removed or restarted.
+
+        :param known: Returns the present incarnation of a target; ``None`` if it isn't
+            known.
+        :return: Names of the targets whose limits were removed.
+        """
+        removed = [
+            target
+            for target, limit in self._limit_by_target.items()
+            if (incarnation := known(target)) is None or incarnation > limit.incarnation
+        ]
+        for target in removed:
+            del self._limit_by_target[target]
+        return removed
+
     def limited(self) -> Iterator[tuple[TargetId, RateLimit]]:
         """Return the targets that name a limit, with it."""
         for target, limit in self._limit_by_target.items():
@@ -157,6 +176,15 @@
                 self._bucket_by_target.popitem(last=False)
         return True
 
+    def remove_unknown(self, known: IncarnationByTarget) -> None:
+        """Remove limits and tokens of targets that have been removed or restarted.
+
+        :param known: Returns the present incarnation of a target; ``None`` if it isn't
+            known.
+        """
+        for target in self.limits.remove_unknown(known):
+            self._bucket_by_target.pop(target, None)
+
     def take_token(self, target: TargetId, share: float, now: float) -> TokenDecision:
         """Take a token if there is one.
 
--- a/mothshunt/registry/state.py
+++ b/mothshunt/registry/state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from mothshunt.core.types import ServiceName, TargetId
+from mothshunt.core.types import Incarnation, ServiceName, TargetId
 from mothshunt.registry import const
 from mothshunt.registry.messages import (
     RegistryPulse,
@@ -63,6 +63,14 @@
     _sorted: list[KnownTarget] = field(default_factory=list)
     _sorted_at_change_count: int = -1
 
+    def incarnation(self, target: TargetId) -> Incarnation | None:
+        """Return the present incarnation of a target; ``None`` if it isn't known.
+
+        :param target: Name of the target.
+        """
+        known = self.known_by_target.get(target)
+        return None if known is None else known.renewal.incarnation
+
     def apply_renewal(self, renewal: Renewal, renewed_at: float) -> RenewalEffect:
         """Apply a renewal unless the stored one is as new.
 
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -181,6 +181,7 @@
         self.rate_limiter = RateLimiter(
             network=self.network,
             controls=lambda: (OWN_ID,),
+            known=self.registry.incarnation,
             clock=clock,
             metrics=self.metrics,
         )
@@ -188,6 +189,7 @@
             network=self.network,
             control_count=lambda: 1,
             entries=lambda: (OWN_ID,),
+            known=self.registry.incarnation,
             clock=clock,
             metrics=self.metrics,
             issuer=TokenIssuer(RoutingSettings().rate_limit_min_per_s),
--- a/tests/rate_limit/exchange.feature
+++ b/tests/rate_limit/exchange.feature
@@ -60,3 +60,11 @@
     When "e1" receives a response of "t1" with a limit of 5 a second
     And "t1" restarts, as all entry instances hear
     Then "e1" may send to "t1" without a token
+
+  # Guards against the failure that targets which were replaced while they named a limit
+  # count as limited for good.
+  Scenario: The limit of a target that is gone is forgotten
+    When "e1" receives a response of "t1" with a limit of 5 a second
+    Then 1 targets are limited at "e1" and at the control instance
+    When "t1" is removed, as all instances hear
+    Then 0 targets are limited at "e1" and at the control instance
--- a/tests/steps/rate_limit_exchange.py
+++ b/tests/steps/rate_limit_exchange.py
@@ -144,3 +144,20 @@
         for entry in (first, second):
             count += take_token(context, entry, context.exchange.choose(name))
     assert least <= count <= most, count
+
+
+@when('"{name}" is removed, as all instances hear')
+def removed(context, name):
+    del context.exchange.target_by_name[name]
+
+
+@then('{count:d} targets are limited at "{entry}" and at the control instance')
+def limited_targets(context, count, entry):
+    limiter, issuer = (
+        context.exchange.limiter_by_entry[entry],
+        context.exchange.tokens.issuer,
+    )
+    limiter.remove_unknown()
+    issuer.remove_unknown(context.exchange.incarnation)
+    found = [len(list(limits.limited())) for limits in (limiter.limits, issuer.limits)]
+    assert found == [count, count], found
--- a/tests/support/limit_exchange.py
+++ b/tests/support/limit_exchange.py
@@ -68,6 +68,7 @@
             network=self._streams(CONTROL),
             control_count=lambda: 1,
             entries=lambda: entries,
+            known=self.incarnation,
             clock=self.clock,
             metrics=Metrics(),
             issuer=TokenIssuer(0.25),
@@ -86,6 +87,7 @@
         limiter = RateLimiter(
             network=self._streams(entry),
             controls=lambda: (CONTROL,),
+            known=self.incarnation,
             clock=self.clock,
             metrics=Metrics(),
         )
@@ -93,7 +95,14 @@
         await limiter.async_start()
         self.tokens.send_limits(entry)
 
+    def incarnation(self, name):
+        for held in self.target_by_name.values():
+            if held.id == name:
+                return held.incarnation
+        return None
+
     async def async_stop(self):
+        await self.tokens.async_stop()
         for limiter in self.limiter_by_entry.values():
             await limiter.async_stop()
 
