Take a control instance for silent only after the whole wait for a token

A caller with little time left waits for a token for a quarter of it. When that was less than a round trip to a distant control instance, the entry instance took it for silent and asked it for nothing in the next 2 s, whatever the target, so that a part of the limits was not used. The new scenario in rate_limit/exchange failed before (no wait at all at the second request).

--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -196,7 +196,8 @@
             case Result(tag="ok", ok=TokenReply() as reply):
                 pass
             case _:
-                self.sources.record_silence(control, answered_at)
+                if timeout_s >= const.TOKEN_TIMEOUT_S:
+                    self.sources.record_silence(control, answered_at)
                 return TokenResult.NO_ANSWER
         self.metrics.observe(const.METRIC_TOKEN_SECONDS, answered_at - now)
         if reply.news is not None:
--- a/tests/rate_limit/exchange.feature
+++ b/tests/rate_limit/exchange.feature
@@ -56,6 +56,14 @@
     Then "e1" gets no token for "t1", after 0.15 s
     And "e1" gets no token for "t1", after 0 s
 
+  # Guards against the failure that a request with little time left makes the entry
+  # instance take a control instance of a distant region for silent.
+  Scenario: A control instance that had less time to answer than usual is asked again
+    When "e1" receives a response of "t1" with a limit of 5 a second
+    And the control instance is cut off
+    Then "e1" gets no token for "t1" with 0.2 s left, after 0.05 s
+    And "e1" gets no token for "t1" with 0.2 s left, after 0.05 s
+
   Scenario: News of an older incarnation does not limit the present one
     When "e1" receives a response of "t1" with a limit of 5 a second
     And "t1" restarts, as all entry instances hear
--- a/tests/steps/rate_limit_exchange.py
+++ b/tests/steps/rate_limit_exchange.py
@@ -84,9 +84,9 @@
     assert found == [None, None], found
 
 
-def take_token(context, entry, choice):
+def take_token(context, entry, choice, left_s=TIME_LEFT_S):
     limiter = context.exchange.limiter_by_entry[entry]
-    return context.runner.run(limiter.async_take_token(choice, TIME_LEFT_S))
+    return context.runner.run(limiter.async_take_token(choice, left_s))
 
 
 @then('"{entry}" gets no token for "{name}"')
@@ -96,8 +96,15 @@
 
 @then('"{entry}" gets no token for "{name}", after {seconds:g} s')
 def no_token_after(context, entry, name, seconds):
+    no_token_with(context, entry, name, TIME_LEFT_S, seconds)
+
+
+@then(
+    '"{entry}" gets no token for "{name}" with {left_s:g} s left, after {seconds:g} s'
+)
+def no_token_with(context, entry, name, left_s, seconds):
     began_at = context.exchange.clock.now
-    assert not take_token(context, entry, context.exchange.choose(name))
+    assert not take_token(context, entry, context.exchange.choose(name), left_s)
     took_s = context.exchange.clock.now - began_at
     assert abs(took_s - seconds) < 1e-6, took_s
 
