Look at rate limits only while any target names one

Each choice asked for the limit of each target of the service, though nearly always none names one. It asks once a choice now, and for each target only then. Not measured.

--- a/bench/load/limits.py
+++ b/bench/load/limits.py
@@ -33,6 +33,10 @@
     limits: RateLimits = field(default_factory=RateLimits)
     sources: TokenSources = field(default_factory=TokenSources)
 
+    def has_limits(self) -> bool:
+        """Tell whether any target may name a limit."""
+        return self.limits.has_any()
+
     def limit_per_s(self, target: RoutableTarget) -> float | None:
         """Return the limit of a target, in requests a second.
 
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -178,6 +178,10 @@
 class RateLimitView(Protocol):
     """Rate limits of targets, as the choice of a target depends on them."""
 
+    def has_limits(self) -> bool:
+        """Whether any target may name a limit; checked once for each choice."""
+        ...
+
     def limit_per_s(self, target: RoutableTarget) -> float | None:
         """Return the requests a second that a target accepts in all.
 
@@ -199,6 +203,10 @@
 class NoRateLimits:
     """Rate limits of targets that name none; a ``RateLimitView``."""
 
+    def has_limits(self) -> bool:
+        """Return that no target names a limit."""
+        return False
+
     def limit_per_s(self, target: RoutableTarget) -> float | None:
         """Return that a target names no limit.
 
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -188,6 +188,15 @@
             scope: [load for load in loads if self._is_usable(load, request, now)]
             for scope, loads in targets.loads_by_scope().items()
         }
+        if self.rate_limits.has_limits():
+            usable = {
+                scope: [
+                    load
+                    for load in loads
+                    if self._is_within_rate_limit(load.target, request, now)
+                ]
+                for scope, loads in usable.items()
+            }
         healthy = {
             scope: [load for load in loads if not load.is_failing(now)]
             for scope, loads in usable.items()
@@ -307,8 +316,6 @@
             return False
         if now < load.down_until or load.is_silent(now):
             return False
-        if not self._is_within_rate_limit(target, request, now):
-            return False
         if load.is_cold(now):
             limit = self._cold_limit_by_target.get(target.id, 0.0)
             share = self.cold_share(target.availability_zone, now)
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/coordinator.py
@@ -77,6 +77,10 @@
         """Stop the periodic reports."""
         await async_cancel(self._task)
 
+    def has_limits(self) -> bool:
+        """Whether any target may name a limit; see ``RateLimitView``."""
+        return self.limits.has_any()
+
     def limit_per_s(self, target: RoutableTarget) -> float | None:
         """Return the rate limit of a target; see ``placement.model.RateLimitView``."""
         return self.limits.per_s(target.id, target.incarnation)
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -45,6 +45,10 @@
             self._limit_by_target.popitem(last=False)
         return True
 
+    def has_any(self) -> bool:
+        """Whether any target names a limit, or did so before."""
+        return bool(self._limit_by_target)
+
     def newest(self, target: TargetId) -> RateLimit | None:
         """Return the limit that the newest known incarnation of a target has named.
 
