Split the rate limits of entry and control instances; one type for a reported limit

The coordinator held two jobs: the limiter of an entry instance and the token service of a control instance. Both repeated the four fields of a limit in three messages, with its age worked out in each; LimitReport holds them and converts from and to a clock once.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -23,8 +23,8 @@
 from mothshunt.membership.roster_messages import ControlAddress
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
-from mothshunt.rate_limit.coordinator import TokenService
 from mothshunt.rate_limit.state import TokenIssuer
+from mothshunt.rate_limit.token_service import TokenService
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.witnesses import LeaveReportCoordinator
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -24,7 +24,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
-from mothshunt.rate_limit.coordinator import RateLimiter
+from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.registry.messages import LeavingSeen
 from mothshunt.settings.config import RoutingSettings, Settings
--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -39,7 +39,7 @@
     ReportedLoad,
     TargetNotice,
 )
-from mothshunt.rate_limit.coordinator import RateLimiter
+from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.rate_limit.model import RateLimitStatement
 
 FIRST_ERROR_STATUS = 500
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -36,7 +36,7 @@
 from mothshunt.forwarding.tries import ChosenResponse
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
-from mothshunt.rate_limit.coordinator import RateLimiter
+from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
 
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -25,7 +25,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.model import AttemptOutcome, Choice, PlacementRequest
-from mothshunt.rate_limit.coordinator import RateLimiter
+from mothshunt.rate_limit.limiter import RateLimiter
 
 
 class AttemptCoordinator:
--- a/mothshunt/rate_limit/coordinator.py
+++ b/mothshunt/rate_limit/limiter.py
@@ -1,8 +1,8 @@
-"""Exchange of rate limits and tokens between entry and control instances."""
+"""Observance of the rate limits of targets at one entry instance."""
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from expression import Result
@@ -17,6 +17,8 @@
 from mothshunt.placement.model import Choice, RoutableTarget
 from mothshunt.rate_limit import const
 from mothshunt.rate_limit.messages import (
+    MILLISECONDS_PER_SECOND,
+    LimitReport,
     RateLimitNews,
     RateLimitSeen,
     TokenReply,
@@ -26,13 +28,10 @@
 from mothshunt.rate_limit.state import (
     IncarnationByTarget,
     RateLimits,
-    TokenIssuer,
     TokenSources,
     is_material_change,
 )
 
-MILLISECONDS_PER_SECOND = 1000
-
 
 @dataclass(slots=True, eq=False)
 class RateLimiter:
@@ -110,13 +109,8 @@
         ):
             self._announced_at_by_target[target.id] = now
             self._record_announcement(target.id, statement.per_s)
-            seen = RateLimitSeen(
-                target=target.id,
-                incarnation=target.incarnation,
-                per_s=statement.per_s,
-                age_ms=0,
-            )
-            self.network.post_all(self.controls(), seen)
+            report = LimitReport.from_limit(target.id, limit, now)
+            self.network.post_all(self.controls(), RateLimitSeen(report=report))
 
     def _record_announcement(self, target: TargetId, per_s: float | None) -> None:
         """Record what the control instances know of a limit from now on."""
@@ -126,14 +120,12 @@
             self._announced_by_target[target] = per_s
 
     def _on_news(self, peer: InstanceId, news: RateLimitNews) -> None:
-        now = self.clock.monotonic()
-        limit = RateLimit(
-            incarnation=news.incarnation,
-            per_s=news.per_s,
-            observed_at=now - news.age_ms / MILLISECONDS_PER_SECOND,
-        )
-        if self._record(news.target, limit, source=peer):
-            self._record_announcement(news.target, news.per_s)
+        self._record_report(news.report, source=peer)
+
+    def _record_report(self, report: LimitReport, *, source: InstanceId) -> None:
+        limit = report.limit(self.clock.monotonic())
+        if self._record(report.target, limit, source=source):
+            self._record_announcement(report.target, report.per_s)
 
     def _record(self, target: TargetId, limit: RateLimit, *, source: str) -> bool:
         before = self.limits.per_s(target, limit.incarnation)
@@ -181,12 +173,7 @@
             or self._pending_by_target[target] >= const.MAX_PENDING_REQUESTS
         ):
             return TokenResult.NOT_REQUESTED
-        request = TokenRequest(
-            target=target,
-            incarnation=limit.incarnation,
-            per_s=limit.per_s,
-            age_ms=_age_ms(limit, now),
-        )
+        request = TokenRequest(report=LimitReport.from_limit(target, limit, now))
         timeout_s = min(const.TOKEN_TIMEOUT_S, time_left_s * const.TOKEN_TIMEOUT_SHARE)
         self._pending_by_target[target] += 1
         try:
@@ -205,7 +192,7 @@
                 return TokenResult.NO_ANSWER
         self.metrics.observe(const.METRIC_TOKEN_SECONDS, answered_at - now)
         if reply.news is not None:
-            self._on_news(control, reply.news)
+            self._record_report(reply.news, source=control)
         if not reply.is_granted:
             retry_after_s = reply.retry_after_ms / MILLISECONDS_PER_SECOND
             self.sources.record_denial(target, control, answered_at + retry_after_s)
@@ -260,116 +247,3 @@
             self.sources.forget_denials(target)
             self._announced_by_target.pop(target, None)
             self._announced_at_by_target.pop(target, None)
-
-
-@dataclass(slots=True, eq=False)
-class TokenService:
-    """Tokens and news of rate limits at one control instance.
-
-    :param network: Streams to the entry instances.
-    :param control_count: Returns the number of control instances, 0 while unknown.
-    :param entries: Returns the entry instances that get each change at once.
-    :param known: Returns the present incarnation of a target.
-    :param clock: Source of the present time.
-    :param metrics: Metrics of the process.
-    :param issuer: Limits that are known and tokens that are left.
-    """
-
-    network: PeerNetwork
-    control_count: Callable[[], int]
-    entries: Callable[[], Iterable[InstanceId]]
-    known: IncarnationByTarget
-    clock: Clock
-    metrics: Metrics
-    issuer: TokenIssuer
-    _task: asyncio.Task[None] | None = None
-
-    async def async_start(self) -> None:
-        """Answer entry instances, and forget targets that are gone."""
-        self.network.on_message(RateLimitSeen, self._on_seen)
-        self.network.on_request(TokenRequest, self._async_on_request)
-        self._task = start_background("rate-limit-tokens", self._async_run)
-
-    async def async_stop(self) -> None:
-        """Stop to forget targets."""
-        await async_cancel(self._task)
-
-    async def _async_run(self) -> None:
-        while True:
-            await asyncio.sleep(const.REPORT_INTERVAL_S)
-            self.issuer.remove_unknown(self.known)
-
-    def limits(self) -> RateLimits:
-        """Return the rate limits that are known here."""
-        return self.issuer.limits
-
-    def send_limits(self, entry: InstanceId) -> None:
-        """Send all limits to an entry instance, such as one that has been restarted.
-
-        :param entry: Name of the entry instance.
-        """
-        now = self.clock.monotonic()
-        for target, limit in self.issuer.limits.limited():
-            self.network.post(entry, _news(target, limit, now))
-
-    def _share(self) -> float:
-        """Return the share of each limit that this control instance issues."""
-        count = self.control_count()
-        return 1 / count if count else 0.0
-
-    def _on_seen(self, peer: InstanceId, seen: RateLimitSeen) -> None:
-        self._record(seen, self.clock.monotonic())
-
-    def _record(self, seen: RateLimitSeen | TokenRequest, now: float) -> None:
-        """Record a limit that an entry instance knows, and announce a change."""
-        held = self.issuer.limits.get(seen.target, seen.incarnation)
-        before = None if held is None else held.per_s
-        limit = RateLimit(
-            incarnation=seen.incarnation,
-            per_s=seen.per_s,
-            observed_at=now - seen.age_ms / MILLISECONDS_PER_SECOND,
-        )
-        is_newest = self.issuer.record(seen.target, limit, self._share(), now)
-        if is_newest and is_material_change(before, limit.per_s):
-            self.network.post_all(self.entries(), _news(seen.target, limit, now))
-
-    async def _async_on_request(
-        self, peer: InstanceId, request: TokenRequest
-    ) -> TokenReply:
-        now = self.clock.monotonic()
-        self._record(request, now)
-        decision = self.issuer.take_token(request.target, self._share(), now)
-        self.metrics.count(
-            const.METRIC_TOKENS,
-            decision="granted" if decision.is_granted else "denied",
-        )
-        newest = self.issuer.limits.newest(request.target)
-        return TokenReply(
-            is_granted=decision.is_granted,
-            retry_after_ms=round(decision.retry_after_s * MILLISECONDS_PER_SECOND),
-            news=(
-                _news(request.target, newest, now)
-                if newest is not None and _is_news_to_requester(newest, request)
-                else None
-            ),
-        )
-
-
-def _is_news_to_requester(newest: RateLimit, request: TokenRequest) -> bool:
-    # The same limit, sent back, would seem newer than it is by the way there and back.
-    return newest.incarnation != request.incarnation or is_material_change(
-        request.per_s, newest.per_s
-    )
-
-
-def _news(target: TargetId, limit: RateLimit, now: float) -> RateLimitNews:
-    return RateLimitNews(
-        target=target,
-        incarnation=limit.incarnation,
-        per_s=limit.per_s,
-        age_ms=_age_ms(limit, now),
-    )
-
-
-def _age_ms(limit: RateLimit, now: float) -> int:
-    return max(0, round((now - limit.observed_at) * MILLISECONDS_PER_SECOND))
--- a/mothshunt/rate_limit/messages.py
+++ b/mothshunt/rate_limit/messages.py
@@ -6,17 +6,17 @@
 from pydantic import Field
 
 from mothshunt.core.types import Incarnation, TargetId
+from mothshunt.rate_limit.model import RateLimit
 from mothshunt.util.wire import message
 
-_Rate = Annotated[float, Field(ge=0, lt=1e12)]
-_Milliseconds = Annotated[int, Field(ge=0)]
-_Incarnation = Annotated[Incarnation, Field(ge=0, lt=2**63)]
+MILLISECONDS_PER_SECOND = 1000
 
 
-@message("rate_limit.seen")
 @dataclass(frozen=True, kw_only=True, slots=True)
-class RateLimitSeen:
-    """Report of an entry instance on the rate limit that a target has named.
+class LimitReport:
+    """Rate limit of a target as instances send it to each other.
+
+    Clocks of different instances are not compared, so it carries its age.
 
     :param target: The target.
     :param incarnation: Its incarnation.
@@ -25,9 +25,49 @@
     """
 
     target: TargetId
-    incarnation: _Incarnation
-    per_s: _Rate | None
-    age_ms: _Milliseconds
+    incarnation: Annotated[Incarnation, Field(ge=0, lt=2**63)]
+    per_s: Annotated[float, Field(ge=0, lt=1e12)] | None
+    age_ms: Annotated[int, Field(ge=0)]
+
+    @classmethod
+    def from_limit(
+        cls, target: TargetId, limit: RateLimit, now: float
+    ) -> "LimitReport":
+        """Return the report on a limit.
+
+        :param target: Name of the target.
+        :param limit: Its limit.
+        :param now: The present time, in seconds.
+        """
+        age_s = max(0.0, now - limit.observed_at)
+        return cls(
+            target=target,
+            incarnation=limit.incarnation,
+            per_s=limit.per_s,
+            age_ms=round(age_s * MILLISECONDS_PER_SECOND),
+        )
+
+    def limit(self, now: float) -> RateLimit:
+        """Return the reported limit, with a time of this instance's clock.
+
+        :param now: Time at which the report was received, in seconds.
+        """
+        return RateLimit(
+            incarnation=self.incarnation,
+            per_s=self.per_s,
+            observed_at=now - self.age_ms / MILLISECONDS_PER_SECOND,
+        )
+
+
+@message("rate_limit.seen")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateLimitSeen:
+    """Message of an entry instance that a target has named or withdrawn a rate limit.
+
+    :param report: The limit.
+    """
+
+    report: LimitReport
 
 
 @message("rate_limit.news")
@@ -35,16 +75,10 @@
 class RateLimitNews:
     """Message of a control instance to entry instances that a rate limit has changed.
 
-    :param target: The target.
-    :param incarnation: Its incarnation.
-    :param per_s: Requests a second; ``None`` if it names no limit any more.
-    :param age_ms: Time since the response that said so, in milliseconds.
+    :param report: The limit.
     """
 
-    target: TargetId
-    incarnation: _Incarnation
-    per_s: _Rate | None
-    age_ms: _Milliseconds
+    report: LimitReport
 
 
 @message("rate_limit.token_request")
@@ -52,16 +86,10 @@
 class TokenRequest:
     """Request of an entry instance for a token, which permits one request to a target.
 
-    :param target: The target.
-    :param incarnation: Its incarnation.
-    :param per_s: Its rate limit as the entry instance knows it, in requests a second.
-    :param age_ms: Time since the response that named it, in milliseconds.
+    :param report: Rate limit of the target as the entry instance knows it.
     """
 
-    target: TargetId
-    incarnation: _Incarnation
-    per_s: _Rate
-    age_ms: _Milliseconds
+    report: LimitReport
 
 
 @message("rate_limit.token_reply")
@@ -77,5 +105,5 @@
     """
 
     is_granted: bool
-    retry_after_ms: _Milliseconds = 0
-    news: RateLimitNews | None = None
+    retry_after_ms: Annotated[int, Field(ge=0)] = 0
+    news: LimitReport | None = None
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -30,8 +30,9 @@
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.model import RoutableTarget
 from mothshunt.placement.state import Placement
-from mothshunt.rate_limit.coordinator import RateLimiter, TokenService
+from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.rate_limit.state import TokenIssuer
+from mothshunt.rate_limit.token_service import TokenService
 from mothshunt.registry.messages import Renewal
 from mothshunt.registry.state import TargetRegistry
 from mothshunt.routing.model import (
--- a/tests/support/limit_exchange.py
+++ b/tests/support/limit_exchange.py
@@ -9,8 +9,9 @@
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.model import Choice
-from mothshunt.rate_limit.coordinator import RateLimiter, TokenService
+from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.rate_limit.state import TokenIssuer
+from mothshunt.rate_limit.token_service import TokenService
 from tests.support.placement_world import target
 from tests.support.recording_network import ManualClock
 
