--- a/tests/platform/reload.feature
+++ b/tests/platform/reload.feature
@@ -21,3 +21,8 @@
     And the settings of entry 1 become unreadable, with SIGHUP
     Then entry 1 says why in its log
     And entry 1 is soon ready
+
+  # Guards against the failure that SIGHUP ends a process that is still loading modules.
+  Scenario: SIGHUP during the load of modules doesn't end the process
+    When the platform's program gets SIGHUP while it loads its modules, without settings
+    Then it ends because of its settings
--- a/tests/steps/platform_reload.py
+++ b/tests/steps/platform_reload.py
@@ -1,10 +1,16 @@
 """Steps for settings that change while a process runs."""
 
 import asyncio
+import os
 import signal
+import subprocess
+import sys
 
 from behave import then, when
 
+from mothshunt.platform.main import EXIT_BAD_SETTINGS
+from mothshunt.platform.names import ENV_SETTINGS
+
 #: A seed of a documentation network on loopback, at which nobody listens.
 NO_SEED = "127.255.255.1:8649"
 
@@ -66,3 +72,34 @@
         return "settings" in log.read_text().split("ready")[-1]
 
     context.platform.run(context.platform.async_until(told))
+
+
+#: Runs the program, and sends SIGHUP to it at the import of its main module.
+SIGHUP_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "mothshunt.platform.main":
+            os.kill(os.getpid(), signal.SIGHUP)
+        return None
+
+sys.meta_path.insert(0, Finder())
+runpy.run_module("mothshunt.platform", run_name="__main__")
+"""
+
+
+@when("the platform's program gets SIGHUP while it loads its modules, without settings")
+def sighup_at_import(context):
+    context.done = subprocess.run(
+        [sys.executable, "-c", SIGHUP_AT_IMPORT],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={**os.environ, ENV_SETTINGS: "/nonexistent"},
+    )
+
+
+@then("it ends because of its settings")
+def bad_settings(context):
+    assert context.done.returncode == EXIT_BAD_SETTINGS, context.done
