Move the log events of each slice into the slice

Each slice now has its log_events.py; the generated page finds them all and is sorted by slice. No line changes its text or fields.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -17,9 +17,9 @@
     TargetId,
 )
 from mothshunt.forwarding import const
+from mothshunt.forwarding.log_events import Answered
 from mothshunt.helpers import log
 from mothshunt.helpers.bounded_stream import BoundedStream
-from mothshunt.helpers.log_events import Answered
 
 LINES = 40_000
 QUICK_LINES = 8_000
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -8,6 +8,7 @@
 from mothshunt.consensus import codes, const
 from mothshunt.consensus.applying import CommandApplier
 from mothshunt.consensus.disk import DiskWriter
+from mothshunt.consensus.log_events import RoleChanged, VotersChanged
 from mothshunt.consensus.messages import NodeMessage
 from mothshunt.consensus.node import Node
 from mothshunt.consensus.state import NodeState, Outputs
@@ -29,7 +30,6 @@
 from mothshunt.core.types import InstanceId, LogIndex
 from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.log_events import RoleChanged, VotersChanged
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("consensus")
--- a/mothshunt/consensus/founder.py
+++ b/mothshunt/consensus/founder.py
@@ -8,6 +8,7 @@
 from mothshunt.consensus import const, founding
 from mothshunt.consensus.disk import DiskWriter
 from mothshunt.consensus.founding import FoundingRecord
+from mothshunt.consensus.log_events import FoundingProposed
 from mothshunt.consensus.messages import (
     NO_BALLOT,
     Ballot,
@@ -21,7 +22,6 @@
 from mothshunt.core.types import InstanceId
 from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.log_events import FoundingProposed
 
 _LOGGER = get_logger("consensus")
 
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -10,16 +10,13 @@
 from mothshunt.admin.coordinator import AdminServer
 from mothshunt.configuration.follower import ConfigurationFollower
 from mothshunt.configuration.holder import ConfigurationHolder
+from mothshunt.configuration.log_events import ConfigurationInForce
 from mothshunt.configuration.model import Configuration
 from mothshunt.consensus.model import ReplicatedLog
 from mothshunt.core.clock import Clock, SystemClock
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId, InstanceState, Role
-from mothshunt.forwarding.model import HeaderConventions
-from mothshunt.helpers import log
-from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.log_events import (
-    ConfigurationInForce,
+from mothshunt.daemon.log_events import (
     Leaving,
     PeerTraffic,
     Ready,
@@ -27,6 +24,9 @@
     Starting,
     Stopped,
 )
+from mothshunt.forwarding.model import HeaderConventions
+from mothshunt.helpers import log
+from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.lookup.directory import EntryLookup
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -7,8 +7,7 @@
 from mothshunt.core.types import Revision
 from mothshunt.forwarding import const
 from mothshunt.forwarding.attempt import OutgoingRequest
-from mothshunt.helpers import log
-from mothshunt.helpers.log_events import (
+from mothshunt.forwarding.log_events import (
     AnswerBrokenOff,
     Answered,
     AttemptFailed,
@@ -16,6 +15,7 @@
     NoticeUnreadable,
     Refused,
 )
+from mothshunt.helpers import log
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.model import Choice, ReportedLoad
 
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -14,11 +14,11 @@
 from mothshunt.dispatch.const import BACKLOG, EXCEPTION_LOG_INTERVAL_S, MAX_HEADERS
 from mothshunt.forwarding import const
 from mothshunt.forwarding.forwarder import RoutedForwarder
+from mothshunt.forwarding.log_events import Left
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.helpers import log
 from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
 from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.log_events import Left
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("forwarding")
--- a/mothshunt/lookup/directory.py
+++ b/mothshunt/lookup/directory.py
@@ -9,13 +9,13 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import AvailabilityZoneId, RegionId
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import LookupsUnanswered
 from mothshunt.lookup import codes
 from mothshunt.lookup.const import (
     METRIC_LOOKUPS,
     RETRY_AFTER_S,
     UNANSWERED_LOG_INTERVAL_S,
 )
+from mothshunt.lookup.log_events import LookupsUnanswered
 from mothshunt.lookup.nearest import answer_lifetime_s, nearest_entries
 from mothshunt.membership.roster_messages import EntryRow, ReadyEntry
 from mothshunt.metrics.registry import Metrics
--- a/mothshunt/membership/attachments.py
+++ b/mothshunt/membership/attachments.py
@@ -11,10 +11,10 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import Attached, Detached
 from mothshunt.helpers.peer import codes as peer_codes
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.membership import const
+from mothshunt.membership.log_events import Attached, Detached
 from mothshunt.membership.primaries import Location, choose_primaries, order_by_distance
 from mothshunt.settings.config import ControlPeer
 
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -7,11 +7,11 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import InstanceId, InstanceState, ServiceName
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import EntriesGone, EntryChanged
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership import const
 from mothshunt.membership.attachments import Attachments
+from mothshunt.membership.log_events import EntriesGone, EntryChanged
 from mothshunt.membership.primaries import Location
 from mothshunt.membership.roster import RosterTable
 from mothshunt.membership.roster_messages import (
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -16,12 +16,12 @@
     TargetId,
 )
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import TargetLeaves
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
 from mothshunt.placement.demand import DemandMeter
+from mothshunt.placement.log_events import TargetLeaves
 from mothshunt.placement.model import (
     NO_NOTICE,
     AttemptOutcome,
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -17,8 +17,8 @@
 
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
-from mothshunt.helpers.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement import codes, const
+from mothshunt.placement.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement.model import (
     AttemptOutcome,
     Choice,
--- a/mothshunt/platform/main.py
+++ b/mothshunt/platform/main.py
@@ -11,12 +11,12 @@
 from aiohttp import web
 
 from mothshunt.core.types import InstanceId
+from mothshunt.daemon.log_events import SettingsUnreadable
 from mothshunt.daemon.routed import RoutedDaemon
 from mothshunt.forwarding.model import HeaderConventions
 from mothshunt.helpers import log
 from mothshunt.helpers.bounded_stream import BoundedStream
 from mothshunt.helpers.http_listener import HttpListener
-from mothshunt.helpers.log_events import SettingsUnreadable
 from mothshunt.metrics.registry import Metrics
 from mothshunt.platform import names
 from mothshunt.platform.directory import DirectoryEndpoint
--- a/mothshunt/rate_limit/limiter.py
+++ b/mothshunt/rate_limit/limiter.py
@@ -11,11 +11,11 @@
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, TargetId
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import RateLimitChanged, RateLimitReport
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.model import Choice, RoutableTarget
 from mothshunt.rate_limit import const
+from mothshunt.rate_limit.log_events import RateLimitChanged, RateLimitReport
 from mothshunt.rate_limit.messages import (
     MILLISECONDS_PER_SECOND,
     LimitReport,
--- a/mothshunt/registry/coordinator.py
+++ b/mothshunt/registry/coordinator.py
@@ -8,9 +8,9 @@
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, TargetId
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import TargetChanged
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.registry import const
+from mothshunt.registry.log_events import TargetChanged
 from mothshunt.registry.messages import (
     RegistryPulse,
     RegistryRequest,
--- a/mothshunt/registry/witnesses.py
+++ b/mothshunt/registry/witnesses.py
@@ -8,9 +8,9 @@
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import Incarnation, InstanceId, TargetId
 from mothshunt.helpers import log
-from mothshunt.helpers.log_events import LeaveWitnessed
 from mothshunt.helpers.tasks import async_cancel
 from mothshunt.registry import const
+from mothshunt.registry.log_events import LeaveWitnessed
 from mothshunt.registry.messages import LeavingSeen
 from mothshunt.routing.coordinator import RoutingCoordinator
 from mothshunt.routing.model import RetiredState
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -21,9 +21,9 @@
 )
 from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
-from mothshunt.helpers.log_events import EvacuationSet, RoutingItemsSet, TargetRetires
 from mothshunt.routing import codes, const
 from mothshunt.routing.applier import routing_items
+from mothshunt.routing.log_events import EvacuationSet, RoutingItemsSet, TargetRetires
 from mothshunt.routing.messages import (
     EvacuationOutcome,
     PatchOutcome,
--- a/tools/log_pages.py
+++ b/tools/log_pages.py
@@ -1,10 +1,13 @@
 """Page of the log lines of a deployment that routes by hosts."""
 
+import importlib
+import importlib.util
+import pkgutil
 from collections.abc import Iterator
 from typing import Any
 
+import mothshunt
 from mothshunt.admin.field_texts import field_texts, summary_text
-from mothshunt.helpers import log_events
 from mothshunt.helpers.log import KIND_BY_CLASS, EventKind, FailureMet
 from tools.markdown import table_row
 
@@ -30,14 +33,26 @@
 
 def _lines() -> Iterator[str]:
     yield HEAD
-    for cls, kind in KIND_BY_CLASS.items():
-        if cls.__module__ == log_events.__name__:
+    modules = _import_event_modules()
+    for cls, kind in sorted(
+        KIND_BY_CLASS.items(), key=lambda item: (item[1].slice_name, item[1].text)
+    ):
+        if cls.__module__ in modules:
             yield from _event(cls, kind)
     yield "## Failures"
     yield ""
     yield from _fields(FailureMet)
 
 
+def _import_event_modules() -> frozenset[str]:
+    """Import the log events of all slices; return the names of the modules."""
+    names = []
+    for package in pkgutil.iter_modules(mothshunt.__path__, "mothshunt."):
+        if package.ispkg and importlib.util.find_spec(f"{package.name}.log_events"):
+            names.append(importlib.import_module(f"{package.name}.log_events").__name__)
+    return frozenset(names)
+
+
 def _event(cls: type[Any], kind: EventKind) -> Iterator[str]:
     yield f"## `{kind.text}`"
     yield ""
