Decode downloads and the fourth load figure; add types for workspaces

Cause: the kind download was unknown, so the first configuration of a deployment with large downloads was refused whole, and a load header with a fourth figure was ignored, so targets that share machines had no load at all. Change: download is an idempotent kind; the load is read from the first three figures, the fourth is the slowdown of the machine, and further ones are ignored.

--- a/mothshunt/configuration/decode.py
+++ b/mothshunt/configuration/decode.py
@@ -19,6 +19,7 @@
     RetiredTarget,
     RouteItem,
     ServiceItem,
+    WorkspaceItem,
 )
 from mothshunt.util import schema
 
@@ -30,6 +31,7 @@
     Section.INSTANCE: InstanceRecord,
     Section.ROUTE: RouteItem,
     Section.SERVICE: ServiceItem,
+    Section.WORKSPACE: WorkspaceItem,
     Section.REQUEST_LIMITS: LimitsItem,
     Section.EVACUATION: Evacuation,
     Section.RETIRED_TARGET: RetiredTarget,
--- a/mothshunt/configuration/model.py
+++ b/mothshunt/configuration/model.py
@@ -24,6 +24,7 @@
     OPERATOR = "operator"
     ROUTE = "route"
     SERVICE = "service"
+    WORKSPACE = "workspace"
     REQUEST_LIMITS = "request_limits"
     EVACUATION = "evacuation"
     RETIRED_TARGET = "retired_target"
--- a/mothshunt/core/types.py
+++ b/mothshunt/core/types.py
@@ -5,6 +5,7 @@
 
 InstanceId = NewType("InstanceId", str)
 CustomerId = NewType("CustomerId", str)
+WorkspaceName = NewType("WorkspaceName", str)
 ServiceName = NewType("ServiceName", str)
 RegionId = NewType("RegionId", str)
 AvailabilityZoneId = NewType("AvailabilityZoneId", str)
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -11,7 +11,7 @@
     HEADER_RETRY_AFTER,
 )
 from mothshunt.core.types import RequestId, ServiceName
-from mothshunt.routing.model import Route
+from mothshunt.routing.model import Route, Workspace
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,6 +36,8 @@
     :param leaving_value: Value of ``leaving`` that says so.
     :param rate_limit: Header with the requests a second that a target accepts from all
         entry instances together; set on all its responses as long as the limit holds.
+    :param workspace: Name of the workspace that a request belongs to; set on requests
+        to targets.
     """
 
     request_id: str = HEADER_REQUEST_ID
@@ -50,6 +52,7 @@
     leaving: str = "Mothshunt-Leaving"
     leaving_value: str = "1"
     rate_limit: str = "Mothshunt-Rate-Limit"
+    workspace: str = "Mothshunt-Workspace"
 
 
 def whole_seconds(seconds: float) -> str:
@@ -85,6 +88,7 @@
         none.
     :param received_at: Time at which its head was read, in seconds.
     :param deadline: Time by which the request must be answered, in seconds.
+    :param workspace: Workspace that the request belongs to; ``None`` for none.
     """
 
     request_id: RequestId
@@ -95,3 +99,11 @@
     affinity_key: str | None
     received_at: float
     deadline: float
+    workspace: Workspace | None = None
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request: that of its workspace, else that of its route."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -27,6 +27,10 @@
 MAX_DEADLINE_DIGITS = 9
 MAX_REQUEST_ID_LENGTH = 128
 MILLISECONDS_PER_SECOND = 1000
+PERCENT = 100
+#: Longest value of a load header that is parsed, in characters. Fields may be added to
+#: its end.
+MAX_LOAD_LENGTH = 200
 #: Number of seconds in a target's ``Retry-After``, with or without a fraction.
 _SECONDS = re.compile(
     rf"[0-9]{{1,{const.MAX_RETRY_AFTER_DIGITS}}}(\.[0-9]{{1,{const.MAX_RETRY_AFTER_DIGITS}}})?"
@@ -162,14 +166,24 @@
 ) -> ReportedLoad | None:
     """Return the load that a target reports; ``None`` if it is missing or invalid.
 
+    The fourth figure is optional, and further ones are ignored.
+
     :param headers: Header fields of the target's response.
     :param names: Names of the header fields.
     """
-    parts = headers.get(names.load, "").split(",")
-    if len(parts) != 3 or not all(_is_count(part.strip()) for part in parts):
+    value = headers.get(names.load, "")
+    if len(value) > MAX_LOAD_LENGTH:
+        return None
+    parts = [part.strip() for part in value.split(",")]
+    if len(parts) < 3 or not all(_is_count(part) for part in parts[:3]):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = (int(part) for part in parts[:3])
+    slowdown = 1.0
+    if len(parts) > 3 and _is_count(parts[3]) and int(parts[3]) > 0:
+        slowdown = int(parts[3]) / PERCENT
+    return ReportedLoad(
+        running=running, waiting=waiting, slots=slots, slowdown=slowdown
+    )
 
 
 def read_notice(
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -341,6 +341,8 @@
         home_regions=frozenset(route.home_regions),
         excluded=excluded,
         accepts_limited=accepts_limited,
+        urgency=routed.urgency,
+        workspace=None if routed.workspace is None else routed.workspace.name,
     )
 
 
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -10,6 +10,7 @@
     RegionId,
     ServiceName,
     TargetId,
+    WorkspaceName,
 )
 from mothshunt.placement import const
 
@@ -52,6 +53,8 @@
         to all.
     :param excluded: Targets that must not be chosen.
     :param accepts_limited: Whether targets that name a rate limit may be chosen.
+    :param urgency: Rank of the request; 0 is the most urgent.
+    :param workspace: Workspace that the request belongs to; ``None`` for none.
     """
 
     service: ServiceName
@@ -61,6 +64,8 @@
     home_regions: frozenset[RegionId] = frozenset()
     excluded: frozenset[TargetId] = frozenset()
     accepts_limited: bool = True
+    urgency: int = 0
+    workspace: WorkspaceName | None = None
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -159,11 +164,14 @@
     :param running: Number of requests that it is handling.
     :param waiting: Number of requests in its queue.
     :param slots: Number of requests that it handles concurrently.
+    :param slowdown: Time that work takes on its machine at present, as a multiple of
+        the usual; 1 if the target does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
     @property
     def has_capacity(self) -> bool:
--- a/mothshunt/platform/names.py
+++ b/mothshunt/platform/names.py
@@ -18,6 +18,7 @@
 SERVES_ENTRY = "edge"
 
 KIND_SAFE = "safe"
+KIND_DOWNLOAD = "download"
 KIND_NON_IDEMPOTENT = "non_idempotent"
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
@@ -36,6 +37,7 @@
     leaving="Server-Leaving",
     leaving_value="1",
     rate_limit="Server-Limit",
+    workspace="Mothshunt-Tenant",
 )
 
 
--- a/mothshunt/routing/messages.py
+++ b/mothshunt/routing/messages.py
@@ -4,7 +4,13 @@
 from enum import Enum
 
 from mothshunt.core.types import AvailabilityZoneId, OperatorId, Revision
-from mothshunt.routing.model import LimitsItem, RetiredTarget, RouteItem, ServiceItem
+from mothshunt.routing.model import (
+    LimitsItem,
+    RetiredTarget,
+    RouteItem,
+    ServiceItem,
+    WorkspaceItem,
+)
 from mothshunt.util.wire import message
 
 
@@ -19,12 +25,14 @@
     :param routes: Routes to set or drop.
     :param services: Services to set or drop.
     :param limits: Limits for callers; ``None`` leaves them unchanged.
+    :param workspaces: Workspaces to set or drop.
     """
 
     operator: OperatorId
     routes: tuple[RouteItem, ...] = ()
     services: tuple[ServiceItem, ...] = ()
     limits: LimitsItem | None = None
+    workspaces: tuple[WorkspaceItem, ...] = ()
 
 
 class PatchStatus(Enum):
--- a/mothshunt/routing/model.py
+++ b/mothshunt/routing/model.py
@@ -13,6 +13,7 @@
     RouteName,
     ServiceName,
     TargetId,
+    WorkspaceName,
 )
 
 
@@ -54,6 +55,7 @@
         handled before.
     :param home_regions: Regions that the requests must stay in; empty for all regions.
     :param document: Operator's document of the item, returned as it was sent.
+    :param allows_anonymous: Whether the requests need no key of a workspace.
     """
 
     name: RouteName
@@ -68,6 +70,7 @@
     has_affinity: bool
     home_regions: tuple[RegionId, ...]
     document: str
+    allows_anonymous: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -96,6 +99,31 @@
     document: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """Tenant of the deployment, identified by the keys that its requests carry.
+
+    :param name: Unique name.
+    :param key_digests: SHA-256 digests of its keys, in hexadecimal digits.
+    :param requests_per_s: Quota of requests a second, over all entry instances; 0 for
+        no quota.
+    :param burst: Requests that may exceed the rate at a time.
+    :param priority: Rank of its requests, which takes precedence over that of the
+        route; ``None`` to use the route's.
+    :param home_regions: Regions that the requests must stay in; empty for all regions.
+    :param document: Operator's document of the item, returned as it was sent. It may
+        contain the keys.
+    """
+
+    name: WorkspaceName
+    key_digests: tuple[str, ...]
+    requests_per_s: float
+    burst: float
+    priority: int | None
+    home_regions: tuple[RegionId, ...]
+    document: str = field(repr=False)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestLimits:
     """Limits on what a caller may send, and on the time it may take.
@@ -142,6 +170,20 @@
     service: Service | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkspaceItem:
+    """Workspace at one version, set or dropped.
+
+    :param name: Name of the workspace.
+    :param version: Version of the item.
+    :param workspace: The workspace; ``None`` where this version drops it.
+    """
+
+    name: WorkspaceName
+    version: ItemVersion
+    workspace: Workspace | None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitsItem:
     """Request limits at one version.
@@ -196,6 +238,8 @@
     :param limits: Limits for callers; ``None`` until some are set.
     :param evacuated_zones: Availability zones whose targets get no new requests.
     :param retired_by_target: Targets that leave or have left.
+    :param workspace_by_name: Workspaces that exist.
+    :param workspace_by_key_digest: The same by the digest of each key.
     :param has_items: Whether any route was ever set; before that, it is unknown which
         requests are valid.
     """
@@ -205,6 +249,8 @@
     limits: RequestLimits | None = None
     evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
     retired_by_target: Mapping[TargetId, RetiredTarget] = field(default_factory=dict)
+    workspace_by_name: Mapping[WorkspaceName, Workspace] = field(default_factory=dict)
+    workspace_by_key_digest: Mapping[str, Workspace] = field(default_factory=dict)
     has_items: bool = False
 
     def find(self, host: str, path: str) -> Route | None:
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -45,3 +45,34 @@
     Then the instance is "10.1.0.17" with peers at port 7620
     And it may found a log of 5 voters with "10.1.0.17, 10.2.0.44, 10.3.0.40"
     And a leave takes 6 s and a retry budget of 0.2 and 56 is shared
+
+  Scenario Outline: A route of a known kind is taken, one of an unknown kind is refused
+    Guards against a configuration that is refused whole because of large downloads.
+
+    When the platform's operator sends a route of kind "<kind>"
+    Then the route is <result>
+
+    Examples:
+      | kind           | result         |
+      | safe           | idempotent     |
+      | download       | idempotent     |
+      | non_idempotent | non_idempotent |
+      | lurking        | refused        |
+
+  Scenario Outline: The load of a target is read from the first figures of its header
+    Guards against a load that is ignored because the target reports further figures.
+
+    When a target's response reports the load "<header>"
+    Then the load is read as "<load>" with a slowdown of <slowdown>
+
+    Examples:
+      | header            | load  | slowdown |
+      | 3,0,8             | 3+0/8 | 1.0      |
+      | 3, 1, 8           | 3+1/8 | 1.0      |
+      | 3,0,8,250         | 3+0/8 | 2.5      |
+      | 3,0,8,250,x,7     | 3+0/8 | 2.5      |
+      | 3,0,8,quick       | 3+0/8 | 1.0      |
+      | 3,0,8,0           | 3+0/8 | 1.0      |
+      | 3,0               | none  | 1.0      |
+      | 3,0,eight         | none  | 1.0      |
+      | -3,0,8,100        | none  | 1.0      |
--- a/tests/steps/platform_documents.py
+++ b/tests/steps/platform_documents.py
@@ -1,5 +1,6 @@
 """Steps for documents on the platform's wire."""
 
+import copy
 import json
 
 from behave import then, when
@@ -7,7 +8,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from mothshunt.platform import documents
+from mothshunt.forwarding.request import read_reported_load
+from mothshunt.platform import documents, names
 from mothshunt.platform.settings import read_settings
 from mothshunt.platform.values import BadValueError
 from mothshunt.routing.state import RoutingItems, merge
@@ -216,3 +218,32 @@
     routing = context.settings.routing
     found = (routing.leave_s, routing.retry_ratio, routing.retry_slack)
     assert found == (leave, ratio, slack), found
+
+
+@when('the platform\'s operator sends a route of kind "{kind}"')
+def step_send_kind(context, kind):
+    patch = copy.deepcopy(PATCH)
+    patch["upsert"]["hosts"][0]["paths"][0]["kind"] = kind
+    try:
+        context.route = documents.read_patch(patch).routes[0].route
+    except BadValueError:
+        context.route = None
+
+
+@then("the route is {result}")
+def step_route_kind(context, result):
+    route = context.route
+    assert (route.kind.value if route else "refused") == result
+
+
+@when('a target\'s response reports the load "{header}"')
+def step_report_load(context, header):
+    names_ = names.HEADERS
+    context.load = read_reported_load({names_.load: header}, names_)
+
+
+@then('the load is read as "{load}" with a slowdown of {slowdown:g}')
+def step_load_read(context, load, slowdown):
+    found = context.load
+    assert (found.text() if found else "none") == load, found
+    assert found is None or found.slowdown == slowdown, found
