Handle pipelined idempotent requests of one connection concurrently

Cause: requests that a caller sent before the first was answered were handled one by one, so each waited for all ahead of it (seen by reading; four requests of 1.6 s took 6.4 s). Change: idempotent requests without a body begin before their turn, bounded by 8 for each connection and 128 in all; responses keep the order of the requests. Orders and what is behind them wait for their turn. A leaving instance closes only after what has begun.

--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -50,6 +50,11 @@
 #: quarter of the budget at a steady request rate, is available from the start of the
 #: window, so that retries are possible as soon as targets begin to fail.
 BUDGET_CURRENT_WINDOW_FRACTION = 0.75
+#: Maximum number of pipelined requests that begin before their turn, on one connection
+#: and in all. The response of each may take MAX_BUFFERED_RESPONSE_BYTES of memory, so
+#: all together take at most 8 MB.
+MAX_EARLY_PER_CONNECTION = 8
+MAX_EARLY_REQUESTS = 128
 #: Maximum number of requests held until this instance serves; each takes a few
 #: kilobytes of memory.
 MAX_HELD_REQUESTS = 1000
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mothshunt.configuration.model import ConfigurationSource
@@ -25,6 +26,7 @@
 from mothshunt.forwarding.decisions import RequestLog
 from mothshunt.forwarding.model import RoutedRequest
 from mothshunt.forwarding.opening import AdmissionGate
+from mothshunt.forwarding.pipelining import async_wait_for_turn
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.forwarding.request import (
     read_request,
@@ -130,6 +132,16 @@
         task.add_done_callback(self._on_non_idempotent_done)
         return await asyncio.shield(task)
 
+    def is_idempotent(self, message: RawRequestMessage) -> bool:
+        """Whether a request belongs to a route whose requests may run more than once.
+
+        :param message: Head of the request.
+        """
+        path = message.path.partition("?")[0]
+        table = self._configuration.current().routing
+        route = table.find(message.headers.get("Host", ""), path)
+        return route is not None and route.is_idempotent
+
     def set_end(self, ends_at: float) -> None:
         """Refuse requests that may still be in flight when this instance ends.
 
@@ -219,6 +231,7 @@
         if "Content-Length" not in headers:
             response.enable_chunked_encoding()
         try:
+            await async_wait_for_turn(request)
             await response.prepare(request)
             await _async_copy_body(target_response, response)
             await response.write_eof()
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -4,8 +4,10 @@
 import contextlib
 import traceback
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
+from aiohttp.http_parser import RawRequestMessage
 
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.core.codes import Failure
@@ -15,6 +17,13 @@
 from mothshunt.forwarding import const
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.log_events import Left
+from mothshunt.forwarding.pipelining import (
+    EarlyRequestCount,
+    PipeliningProtocol,
+    async_wait_for_turn,
+    early_response,
+    has_early_requests,
+)
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.helpers import log
 from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
@@ -72,7 +81,10 @@
         """Start listening for callers."""
         self._metrics.gauge(const.METRIC_IN_FLIGHT, self.in_flight)
         self._protocols = ProtocolFactory(
-            self._async_handle, self._refuse_malformed, self._options
+            self._async_handle,
+            self._refuse_malformed,
+            self._options,
+            partial(PipeliningProtocol, policy=self, early_count=EarlyRequestCount()),
         )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
@@ -142,11 +154,15 @@
 
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request, web.Request)
-        self._in_flight += 1
-        self._idle.clear()
+        self._begin_request()
         try:
-            response = await self._async_respond(request)
-            if self._is_leaving:
+            early = early_response(request)
+            if early is None:
+                response = await self._async_respond_or_fail(request)
+            else:
+                response = await early
+            if self._is_leaving and not has_early_requests(request):
+                # A request that has begun behind this one is answered first.
                 response.force_close()
             await response.prepare(request)
             await response.write_eof()
@@ -155,11 +171,43 @@
             self._metrics.count(const.METRIC_REQUESTS, outcome="caller_left")
             raise
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            self._end_request()
+
+    def may_begin_early(self, message: RawRequestMessage) -> bool:
+        """Whether a pipelined request may begin early; see ``PipelinePolicy``.
+
+        :param message: Head of the request.
+        """
+        return not self._is_leaving and self._forwarder.is_idempotent(message)
+
+    async def async_respond(self, request: web.Request) -> web.StreamResponse:
+        """Return the response to a request that begins before its turn.
+
+        :param request: The request.
+        """
+        self._begin_request()
+        try:
+            response = await self._async_respond_or_fail(request)
+            await async_wait_for_turn(request)
+            # The request in its turn counts as in flight before this one ends.
+            await asyncio.sleep(0)
+            return response
+        except asyncio.CancelledError:
+            self._metrics.count(const.METRIC_REQUESTS, outcome="caller_left")
+            raise
+        finally:
+            self._end_request()
+
+    def _begin_request(self) -> None:
+        self._in_flight += 1
+        self._idle.clear()
+
+    def _end_request(self) -> None:
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._idle.set()
 
-    async def _async_respond(self, request: web.Request) -> web.StreamResponse:
+    async def _async_respond_or_fail(self, request: web.Request) -> web.StreamResponse:
         try:
             return await self._forwarder.async_handle(request)
         except (ConnectionError, web.HTTPException):
--- a/mothshunt/helpers/http_protocol.py
+++ b/mothshunt/helpers/http_protocol.py
@@ -125,6 +125,7 @@
     :param handler: Called with each request; returns the response.
     :param on_malformed: Returns the response to a request that is not valid HTTP.
     :param options: Returns the limits of a new connection.
+    :param protocol: Creates the protocol of a new connection.
     """
 
     def __init__(
@@ -132,6 +133,7 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         on_malformed: MalformedHandler,
         options: Callable[[], ProtocolOptions],
+        protocol: Callable[..., ResultCodeProtocol] = ResultCodeProtocol,
     ) -> None:
         super().__init__(
             handler,
@@ -140,11 +142,12 @@
         )
         self._on_malformed = on_malformed
         self._options = options
+        self._protocol = protocol
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         options = self._options()
-        return ResultCodeProtocol(
+        return self._protocol(
             self,
             on_malformed=self._on_malformed,
             loop=self._loop,
