Authenticate requests by the keys of workspaces

Cause: deployments are shared by customers, and nothing told whose request it is. The types of workspaces existed and nothing used them.

Change: workspaces are merged by version like routes and services. A patch in which two workspaces have one key, also a stored one, is refused as a whole (2708). The platform's documents have `upsert/tenants`, `remove/tenants` and `allow_anonymous`, and items are read back as sent. An entry instance looks up the digest of each request's key. A missing or unknown key is rejected with 401 (2808, 2809), or with 503 (2810) while no control instance confirmed within 2 s that the configuration held here is current. The target gets the workspace's name and no `Authorization`. Home regions of route and workspace both bind; none in common is 503 (2811). The documents with the keys stay at the control instances; other instances and the audit trail get digests only. A number beyond the range of a float in an operator's document was an unhandled exception and is refused now.

A caller's own workspace header is removed also without workspaces, as a target could take it for the instance's.

--- a/mothshunt/admin/history.py
+++ b/mothshunt/admin/history.py
@@ -18,6 +18,7 @@
 from mothshunt.configuration.service import AuditRecord, ConfigurationService
 from mothshunt.contract.check import check_contract
 from mothshunt.core.types import CustomerId
+from mothshunt.routing.workspaces import without_document
 from mothshunt.util import schema
 
 ATTR_TOKEN_HASH = "token_sha256"
@@ -163,4 +164,7 @@
     value = json.loads(record.value)
     if record.key.section is Section.OPERATOR:
         value.pop(ATTR_TOKEN_HASH, None)
+    if record.key.section is Section.WORKSPACE:
+        # The document contains the workspace's keys.
+        value = json.loads(without_document(record.value))
     return value
--- a/mothshunt/configuration/const.py
+++ b/mothshunt/configuration/const.py
@@ -8,6 +8,11 @@
 BEAT_INTERVAL_S = 1.0
 #: Time-out of one confirmation by a majority.
 CONFIRM_TIMEOUT_S = 2.0
+#: Age of the newest confirmation up to which the configuration of an instance counts as
+#: current, in seconds. A change must be in force everywhere within 2.5 s of its
+#: confirmation. With one control instance in reach, beats and the round trip of their
+#: confirmation take up to about 1.4 s.
+MAX_CONFIRMATION_AGE_S = 2.0
 #: Least time between two delta requests of a follower.
 DELTA_REQUEST_INTERVAL_S = 0.5
 #: Pause between two attempts to get the confirmed revision at start.
--- a/mothshunt/configuration/follower.py
+++ b/mothshunt/configuration/follower.py
@@ -18,7 +18,7 @@
 from mothshunt.configuration.mirror import ConfigurationMirror, MirrorNeed
 from mothshunt.core.clock import Clock
 from mothshunt.core.network import ControlConnection, PeerNetwork
-from mothshunt.core.types import InstanceId
+from mothshunt.core.types import InstanceId, Revision
 
 
 @dataclass(slots=True, eq=False)
@@ -70,7 +70,12 @@
     def _on_beat(self, peer: InstanceId, beat: Beat) -> None:
         age_s = beat.confirmed_age_ms / 1000
         self.confirmed_at = self.clock.monotonic() - age_s
-        self._request(peer, self.mirror.check(beat))
+        need = self.mirror.check(beat)
+        if need is MirrorNeed.ALL_ITEMS:
+            self.holder.record_newest(beat.revision)
+        else:
+            self.holder.record_confirmation(beat.revision, self.confirmed_at)
+        self._request(peer, need)
 
     def _request(self, control: InstanceId, need: MirrorNeed) -> None:
         if need is MirrorNeed.NOTHING:
@@ -95,11 +100,13 @@
     async def async_wait_until_current(self) -> None:
         """Wait for a revision that a majority confirmed after the call."""
         while True:
+            asked_at = self.clock.monotonic()
             answer = await self.control.async_ask(
                 ConfirmedRevisionRequest(), const.CONFIRM_TIMEOUT_S
             )
             match answer:
                 case Result(tag="ok", ok=ConfirmedRevision(revision=int(revision))):
+                    self.holder.record_confirmation(Revision(revision), asked_at)
                     break
                 case _:
                     await asyncio.sleep(const.CONFIRM_RETRY_PAUSE_S)
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from expression import Result
 
@@ -17,6 +17,7 @@
 )
 from mothshunt.configuration.holder import ConfigurationHolder
 from mothshunt.configuration.model import NO_REVISION, Section
+from mothshunt.configuration.service import Item
 from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.configuration.store import ItemStore
 from mothshunt.consensus.model import ReplicatedLog
@@ -24,6 +25,7 @@
 from mothshunt.core.network import PeerNetwork
 from mothshunt.core.types import InstanceId, LogIndex, Revision
 from mothshunt.helpers.tasks import async_cancel, start_background
+from mothshunt.routing.workspaces import without_document
 
 #: Age that beats carry until a majority has confirmed this instance once.
 NEVER_CONFIRMED_AGE_MS = 3_600_000
@@ -45,8 +47,8 @@
     holder: ConfigurationHolder
     network: PeerNetwork
     clock: Clock
-    #: Items that are sent to subscribers; those of operators stay at the control
-    #: instances.
+    #: Items that are sent to subscribers; those of operators, and the keys of
+    #: workspaces, stay at the control instances.
     delivered: ItemStore = field(default_factory=ItemStore)
     #: Newest revision sent to each subscriber that gets changes at once.
     revision_by_subscriber: dict[InstanceId, Revision] = field(default_factory=dict)
@@ -89,7 +91,7 @@
             return
         for item in self.state.store.changed_since(self.delivered.revision):
             if item.key.section is not Section.OPERATOR:
-                self.delivered.put(item)
+                self.delivered.put(_delivered_item(item))
         for key in self.delivered.item_by_key.keys() - self.state.store.item_by_key:
             self.delivered.purge(key)
         self.delivered.revision = self.state.store.revision
@@ -150,6 +152,7 @@
             result = await self.log.async_read_barrier(const.CONFIRM_TIMEOUT_S)
             if result.is_ok():
                 self.confirmed_at = started_at
+                self.holder.record_confirmation(self.delivered.revision, started_at)
             self.network.post_all(self.subscribers, self._build_beat())
             await asyncio.sleep(const.BEAT_INTERVAL_S * random.uniform(0.8, 1.2))
 
@@ -159,3 +162,9 @@
             digest=self.delivered.digest,
             confirmed_age_ms=self.confirmed_age_ms(self.clock.monotonic()),
         )
+
+
+def _delivered_item(item: Item) -> Item:
+    if item.key.section is not Section.WORKSPACE or item.value is None:
+        return item
+    return replace(item, value=without_document(item.value))
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -149,6 +149,7 @@
         )
         forwarder = RoutedForwarder(
             configuration=holder,
+            is_current=holder.is_current,
             placement=placement,
             rate_limiter=rate_limiter,
             pool=pool,
--- a/mothshunt/forwarding/codes.py
+++ b/mothshunt/forwarding/codes.py
@@ -16,6 +16,34 @@
     summary="No route of the host is a prefix of the path.",
     action="Check host and path; `mothshunt routing show` shows all routes.",
 )
+KEY_MISSING = ResultCode(
+    number=2808,
+    name="workspace_key_missing",
+    http_status=401,
+    summary="The request carries no key of a workspace.",
+    action="Send the key as `Authorization: Bearer KEY`.",
+)
+KEY_UNKNOWN = ResultCode(
+    number=2809,
+    name="workspace_key_unknown",
+    http_status=401,
+    summary="No workspace has the key of the request.",
+    action="Check the key; `mothshunt routing show` shows the keys' digests.",
+)
+KEY_UNCONFIRMED = ResultCode(
+    number=2810,
+    name="workspace_key_unconfirmed",
+    http_status=503,
+    summary="The key is unknown here, and the configuration may be out of date.",
+    action="Use another entry instance, or retry after the time in `Retry-After`.",
+)
+NO_COMMON_REGION = ResultCode(
+    number=2811,
+    name="regions_without_common",
+    http_status=503,
+    summary="Workspace and route have no home region in common.",
+    action="Correct the home regions of the workspace or of the route.",
+)
 TARGET_MISDIRECTED = ResultCode(
     number=2803,
     name="target_misdirected",
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -66,6 +66,12 @@
 HEDGE_MIN_S = 0.2
 #: ``Retry-After`` of a refusal while this instance does not serve, in seconds.
 NOT_READY_RETRY_S = 0.3
+#: ``Retry-After`` for an unknown key while the configuration may be out of date, in
+#: seconds: about half the interval at which control instances confirm it.
+UNCONFIRMED_RETRY_S = 0.5
+#: ``Retry-After`` if workspace and route have no home region in common, in seconds: a
+#: corrected configuration is in force within this time of its confirmation.
+NO_COMMON_REGION_RETRY_S = 2.5
 #: ``Retry-After`` after a request that no target ran, in seconds.
 DEFAULT_RETRY_S = 0.2
 #: ``Retry-After`` after a target rejected a request although it reports free capacity,
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -47,6 +47,7 @@
     """Handler that forwards callers' requests to targets according to the routes.
 
     :param configuration: Source of the routes in force.
+    :param is_current: Whether the configuration is known to be current at a given time.
     :param placement: Chooses targets.
     :param rate_limiter: Rate limits that targets name.
     :param pool: Connections to targets.
@@ -63,6 +64,7 @@
         self,
         *,
         configuration: ConfigurationSource,
+        is_current: Callable[[float], bool],
         placement: PlacementCoordinator,
         rate_limiter: RateLimiter,
         pool: ConnectionPool,
@@ -74,6 +76,7 @@
         clock: Clock,
     ) -> None:
         self._configuration = configuration
+        self._is_current = is_current
         self._refusal_builder = refusal_builder
         self._admission = admission
         self._metrics = metrics
@@ -111,7 +114,9 @@
         table = self._configuration.current().routing
         if not is_open or not table.has_items:
             return self._build_refusal(_NOT_READY, RequestId(""))
-        routed = read_request(request, table, names, self._split.next_service, now)
+        routed = read_request(
+            request, table, names, self._split.next_service, now, self._is_current
+        )
         if isinstance(routed, Failure):
             return self._build_refusal(
                 routed, RequestId(request.headers.get(names.request_id, ""))
@@ -156,7 +161,12 @@
             return self._build_refusal(body, routed.request_id)
         outgoing = OutgoingRequest(
             routed=routed,
-            headers=target_headers(request.headers, self._refusal_builder.names),
+            headers=target_headers(
+                request.headers,
+                self._refusal_builder.names,
+                routed.workspace,
+                has_keys=bool(table.workspace_by_name),
+            ),
             body=body,
             max_field_bytes=(
                 limits.max_header_bytes if limits else const.DEFAULT_MAX_FIELD_BYTES
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -10,7 +10,7 @@
     HEADER_REQUEST_ID,
     HEADER_RETRY_AFTER,
 )
-from mothshunt.core.types import RequestId, ServiceName
+from mothshunt.core.types import RegionId, RequestId, ServiceName
 from mothshunt.routing.model import Route, Workspace
 
 
@@ -107,3 +107,12 @@
         if self.workspace is not None and self.workspace.priority is not None:
             return self.workspace.priority
         return self.route.priority
+
+    @property
+    def home_regions(self) -> frozenset[RegionId]:
+        """Regions that the request must stay in; empty for all regions."""
+        regions = frozenset(self.route.home_regions)
+        if self.workspace is None or not self.workspace.home_regions:
+            return regions
+        own = frozenset(self.workspace.home_regions)
+        return own & regions if regions else own
--- a/mothshunt/forwarding/refusal.py
+++ b/mothshunt/forwarding/refusal.py
@@ -11,6 +11,7 @@
 from mothshunt.dispatch.refusal import error_response
 from mothshunt.forwarding.model import HeaderNames
 
+STATUS_UNAUTHENTICATED = 401
 STATUS_NOT_RUN = 503
 STATUS_UNKNOWN = 502
 STATUS_TIMED_OUT = 504
@@ -35,12 +36,16 @@
         :param request_id: Id of the request; empty if it has none.
         """
         response = error_response(failure)
-        response.set_status(http_status(failure))
+        status = http_status(failure)
+        response.set_status(status)
         if failure.retry_after_s is not None and failure.ran is Ran.NO:
             value = self.format_retry_after(failure.retry_after_s)
             response.headers[self.names.retry_after] = value
         else:
             response.headers.popall(self.names.retry_after, None)
+        if status == STATUS_UNAUTHENTICATED:
+            # RFC 9110 requires the field with this status.
+            response.headers["WWW-Authenticate"] = "Bearer"
         if request_id:
             response.headers[self.names.request_id] = request_id
         return response
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -12,6 +12,11 @@
 from mothshunt.dispatch import codes as dispatch_codes
 from mothshunt.dispatch.request import end_to_end_headers
 from mothshunt.forwarding import codes, const
+from mothshunt.forwarding.authentication import (
+    AUTHORIZATION,
+    authenticate,
+    region_fault,
+)
 from mothshunt.forwarding.model import HeaderNames, RoutedRequest
 from mothshunt.placement.model import (
     NO_NOTICE,
@@ -20,7 +25,7 @@
     TargetNotice,
 )
 from mothshunt.rate_limit.model import NO_RATE_LIMIT, RateLimitStatement
-from mothshunt.routing.model import Route, RoutingTable
+from mothshunt.routing.model import Route, RoutingTable, Workspace
 
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -47,15 +52,19 @@
     names: HeaderNames,
     next_service: Callable[[Route], ServiceName],
     now: float,
+    is_current: Callable[[float], bool],
 ) -> RoutedRequest | Failure:
-    """Parse the head of a caller's request and find its route.
+    """Parse the head of a caller's request; find its route and workspace.
+
+    A caller without a valid key learns only whether its route exists.
 
     :param request: Request of a caller.
     :param table: Routes in force.
     :param names: Names of the header fields.
     :param next_service: Selects one of the services of a route.
     :param now: The present time, in seconds.
-    :return: The routed request; or a failure with code 2802 or 2006.
+    :param is_current: Whether the table is known to be current at a given time.
+    :return: The routed request; or a failure with code 2802, 2006, or 2808 to 2811.
     """
     target = request.raw_path
     path = target.partition("?")[0]
@@ -64,6 +73,20 @@
     route = table.find(request.headers.get("Host", ""), path)
     if route is None:
         return Failure(code=codes.UNKNOWN_ROUTE, detail=path[:80])
+    workspace = None
+    if table.workspace_by_name:
+        authenticated = authenticate(
+            request.headers.getall(AUTHORIZATION, ()),
+            route,
+            table,
+            lambda: is_current(now),
+        )
+        if isinstance(authenticated, Failure):
+            return authenticated
+        workspace = authenticated
+        fault = region_fault(workspace, route)
+        if fault is not None:
+            return fault
     left_s = _time_left_s(request.headers.get(names.deadline_ms), route)
     if left_s is None:
         return Failure(code=dispatch_codes.BAD_HEADER, detail=names.deadline_ms)
@@ -78,6 +101,7 @@
         affinity_key=_affinity_key(request, route, names),
         received_at=now,
         deadline=now + left_s,
+        workspace=workspace,
     )
 
 
@@ -119,15 +143,30 @@
     return None
 
 
-def target_headers(headers: Mapping[str, str], names: HeaderNames) -> CIMultiDict[str]:
+def target_headers(
+    headers: Mapping[str, str],
+    names: HeaderNames,
+    workspace: Workspace | None = None,
+    *,
+    has_keys: bool = False,
+) -> CIMultiDict[str]:
     """Return the header fields that each attempt sends to its target.
 
+    Targets trust the name of the workspace, so a caller's own field is never sent on.
+
     :param headers: Header fields of the caller's request.
     :param names: Names of the header fields.
+    :param workspace: Workspace that the request belongs to; ``None`` for none.
+    :param has_keys: Whether ``Authorization`` contains keys of workspaces.
     """
     kept = end_to_end_headers(headers)
     for name in (names.deadline_ms, names.expected_target, "Expect", "Content-Length"):
         kept.popall(name, None)
+    if has_keys:
+        kept.popall(AUTHORIZATION, None)
+    kept.popall(names.workspace, None)
+    if workspace is not None:
+        kept[names.workspace] = workspace.name
     return kept
 
 
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -338,7 +338,7 @@
         affinity_key=routed.affinity_key,
         target_latency_s=max(0.0, route.target_latency_s - spent_s),
         time_left_s=routed.deadline - now,
-        home_regions=frozenset(route.home_regions),
+        home_regions=routed.home_regions,
         excluded=excluded,
         accepts_limited=accepts_limited,
         urgency=routed.urgency,
--- a/mothshunt/platform/documents.py
+++ b/mothshunt/platform/documents.py
@@ -14,10 +14,12 @@
     RouteName,
     ServiceName,
     TargetId,
+    WorkspaceName,
 )
 from mothshunt.platform import names, values
 from mothshunt.platform.values import BadValueError
 from mothshunt.registry.messages import Renewal, RenewalState
+from mothshunt.routing.const import MAX_KEY_LENGTH
 from mothshunt.routing.messages import PatchRouting
 from mothshunt.routing.model import (
     LimitsItem,
@@ -28,8 +30,11 @@
     Service,
     ServiceItem,
     WeightedService,
+    Workspace,
+    WorkspaceItem,
 )
 from mothshunt.routing.state import RoutingItems
+from mothshunt.routing.workspaces import key_digests
 
 OPERATOR = OperatorId("platform")
 MAX_INT = 2**62
@@ -141,11 +146,31 @@
             for item_name, item_version in _dropped(remove, "services")
         ),
     ]
+    workspaces = [
+        *(
+            _workspace(
+                values.table(item, f"upsert/{names.WORKSPACES}/{index}"),
+                f"upsert/{names.WORKSPACES}/{index}",
+            )
+            for index, item in enumerate(
+                values.rows(upsert.get(names.WORKSPACES), f"upsert/{names.WORKSPACES}")
+            )
+        ),
+        *(
+            WorkspaceItem(
+                name=WorkspaceName(item_name),
+                version=ItemVersion(item_version),
+                workspace=None,
+            )
+            for item_name, item_version in _dropped(remove, names.WORKSPACES)
+        ),
+    ]
     return PatchRouting(
         operator=OPERATOR,
         routes=tuple(routes),
         services=tuple(services),
         limits=None if limits is None else _limits(values.table(limits, "limits")),
+        workspaces=tuple(workspaces),
     )
 
 
@@ -191,6 +216,9 @@
         has_affinity=item.get("sticky") is True,
         home_regions=tuple(RegionId(values.text(home, path)) for home in homes),
         document=json.dumps(item),
+        allows_anonymous=values.flag(
+            item.get("allow_anonymous", False), f"{path}/allow_anonymous"
+        ),
     )
     version = ItemVersion(values.version(item.get("version"), f"{path}/version"))
     return RouteItem(name=name, version=version, route=route)
@@ -230,6 +258,33 @@
     return ServiceItem(name=name, version=version, service=service)
 
 
+def _workspace(item: dict[str, Any], path: str) -> WorkspaceItem:
+    name = WorkspaceName(values.text(item.get("name"), f"{path}/name"))
+    keys = values.rows(item.get("api_keys"), f"{path}/api_keys")
+    homes = values.rows(item.get("allowed_regions"), f"{path}/allowed_regions")
+    priority = item.get("priority")
+    workspace = Workspace(
+        name=name,
+        key_digests=key_digests(
+            values.text(key, f"{path}/api_keys/{index}", MAX_KEY_LENGTH)
+            for index, key in enumerate(keys)
+        ),
+        requests_per_s=values.number(item.get("per_s", 0), f"{path}/per_s"),
+        burst=values.number(item.get("burst", 0), f"{path}/burst"),
+        priority=(
+            None
+            if priority is None
+            else values.whole(priority, f"{path}/priority", 0, 1000)
+        ),
+        home_regions=tuple(
+            RegionId(values.text(home, f"{path}/allowed_regions")) for home in homes
+        ),
+        document=json.dumps(item),
+    )
+    version = ItemVersion(values.version(item.get("version"), f"{path}/version"))
+    return WorkspaceItem(name=name, version=version, workspace=workspace)
+
+
 def _limits(item: dict[str, Any]) -> LimitsItem:
     limits = RequestLimits(
         max_header_bytes=values.whole(
@@ -264,6 +319,9 @@
             {"host": host, "paths": paths} for host, paths in paths_by_host.items()
         ],
     }
+    workspaces = [json.loads(workspace.document) for workspace in items.workspaces()]
+    if workspaces:
+        document[names.WORKSPACES] = workspaces
     if items.limits is not None:
         document["limits"] = json.loads(items.limits.limits.document)
     return document
--- a/mothshunt/platform/names.py
+++ b/mothshunt/platform/names.py
@@ -17,6 +17,8 @@
 SERVES_DIRECTORY = "directory"
 SERVES_ENTRY = "edge"
 
+WORKSPACES = "tenants"
+
 KIND_SAFE = "safe"
 KIND_DOWNLOAD = "download"
 KIND_NON_IDEMPOTENT = "non_idempotent"
--- a/mothshunt/platform/values.py
+++ b/mothshunt/platform/values.py
@@ -83,9 +83,25 @@
     :raises BadValueError: When it is none.
     """
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value):
-        raise BadValueError(path, "not a number")
-    return float(value)
+    try:
+        if is_number and math.isfinite(value):
+            return float(value)
+    except OverflowError:
+        # JSON allows whole numbers that exceed the range of a float.
+        raise BadValueError(path, "not a number") from None
+    raise BadValueError(path, "not a number")
+
+
+def flag(value: Any, path: str) -> bool:
+    """Read a truth value.
+
+    :param value: The value.
+    :param path: Place in the document.
+    :raises BadValueError: When it is none.
+    """
+    if not isinstance(value, bool):
+        raise BadValueError(path, "neither true nor false")
+    return value
 
 
 def table(value: Any, path: str) -> dict[str, Any]:
--- a/mothshunt/routing/applier.py
+++ b/mothshunt/routing/applier.py
@@ -42,6 +42,7 @@
         route_by_name=decoder.values(store, Section.ROUTE),
         service_by_name=decoder.values(store, Section.SERVICE),
         limits=limits.get(_LIMITS_NAME),
+        workspace_by_name=decoder.values(store, Section.WORKSPACE),
     )
 
 
@@ -86,6 +87,10 @@
         for service in merged.services:
             key = ItemKey(section=Section.SERVICE, name=service.name)
             put(key, schema.to_json(service), f"service at version {service.version}")
+        for workspace in merged.workspaces:
+            key = ItemKey(section=Section.WORKSPACE, name=workspace.name)
+            summary = f"workspace at version {workspace.version}"
+            put(key, schema.to_json(workspace), summary)
         if merged.limits is not None:
             key = ItemKey(section=Section.REQUEST_LIMITS, name=_LIMITS_NAME)
             summary = f"limits at version {merged.limits.version}"
--- a/mothshunt/routing/codes.py
+++ b/mothshunt/routing/codes.py
@@ -44,6 +44,13 @@
     summary="Another call changed the availability zone in the meantime.",
     action="Send the call again if it is still wanted.",
 )
+KEY_TAKEN = ResultCode(
+    number=2708,
+    name="workspace_key_taken",
+    http_status=400,
+    summary="Two workspaces have the same key.",
+    action="Take the key from the other workspace first, or in the same call.",
+)
 UNKNOWN_ZONE = ResultCode(
     number=2707,
     name="availability_zone_unknown",
--- a/mothshunt/routing/const.py
+++ b/mothshunt/routing/const.py
@@ -1,7 +1,9 @@
 """Constants of the routing slice."""
 
-#: Longest name of a route, host or service, in characters.
+#: Longest name of a route, host, service or workspace, in characters.
 MAX_NAME_LENGTH = 255
+#: Longest key of a workspace, in characters.
+MAX_KEY_LENGTH = 255
 #: Number of targets that are recorded as leaving or left; a deployment replaces far
 #: fewer in an hour, and each record takes about 100 bytes.
 MAX_RETIRED_TARGETS = 4096
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -41,7 +41,12 @@
 
 _INVALID_CODES: dict[int, ResultCode] = {
     code.number: code
-    for code in (codes.INVALID_ITEM, codes.UNKNOWN_SERVICE, codes.PLACE_TAKEN)
+    for code in (
+        codes.INVALID_ITEM,
+        codes.UNKNOWN_SERVICE,
+        codes.PLACE_TAKEN,
+        codes.KEY_TAKEN,
+    )
 }
 
 T = TypeVar("T")
@@ -64,7 +69,7 @@
 
         :param patch: The patch.
         :return: The outcome, once a majority has committed it; or a failure with code
-            2701 to 2705.
+            2701 to 2705 or 2708.
         """
         match await self._async_propose(patch, PatchOutcome):
             case Result(
--- a/mothshunt/routing/state.py
+++ b/mothshunt/routing/state.py
@@ -7,10 +7,24 @@
 from expression import Error, Ok, Result
 
 from mothshunt.core.codes import Failure, ResultCode
-from mothshunt.core.types import HostName, ItemVersion, RouteName, ServiceName
+from mothshunt.core.types import (
+    HostName,
+    ItemVersion,
+    RouteName,
+    ServiceName,
+    WorkspaceName,
+)
 from mothshunt.routing import codes
 from mothshunt.routing.messages import PatchRouting
-from mothshunt.routing.model import LimitsItem, Route, RouteItem, ServiceItem
+from mothshunt.routing.model import (
+    LimitsItem,
+    Route,
+    RouteItem,
+    ServiceItem,
+    Workspace,
+    WorkspaceItem,
+)
+from mothshunt.routing.workspaces import fault_in_workspaces, shared_key_fault
 
 
 class Versioned(Protocol):
@@ -33,11 +47,15 @@
     :param route_by_name: Routes.
     :param service_by_name: Services.
     :param limits: Limits for callers; ``None`` until some are set.
+    :param workspace_by_name: Workspaces.
     """
 
     route_by_name: Mapping[RouteName, RouteItem] = field(default_factory=dict)
     service_by_name: Mapping[ServiceName, ServiceItem] = field(default_factory=dict)
     limits: LimitsItem | None = None
+    workspace_by_name: Mapping[WorkspaceName, WorkspaceItem] = field(
+        default_factory=dict
+    )
 
     def routes(self) -> Iterator[Route]:
         """Return the routes that are not dropped."""
@@ -45,6 +63,12 @@
             if item.route is not None:
                 yield item.route
 
+    def workspaces(self) -> Iterator[Workspace]:
+        """Return the workspaces that are not dropped."""
+        for item in self.workspace_by_name.values():
+            if item.workspace is not None:
+                yield item.workspace
+
     def has_service(self, service: ServiceName) -> bool:
         """Whether a service exists and is not dropped.
 
@@ -62,17 +86,24 @@
     :param routes: Routes that the patch changes.
     :param services: Services that the patch changes.
     :param limits: Limits, if the patch changes them.
+    :param workspaces: Workspaces that the patch changes.
     """
 
     items: RoutingItems
     routes: tuple[RouteItem, ...]
     services: tuple[ServiceItem, ...]
     limits: LimitsItem | None
+    workspaces: tuple[WorkspaceItem, ...] = ()
 
     @property
     def changed(self) -> int:
         """Number of items that take effect."""
-        return len(self.routes) + len(self.services) + (self.limits is not None)
+        return (
+            len(self.routes)
+            + len(self.services)
+            + (self.limits is not None)
+            + len(self.workspaces)
+        )
 
 
 def merge(stored: RoutingItems, patch: PatchRouting) -> Result[MergeResult, Failure]:
@@ -85,7 +116,8 @@
 
     :param stored: Items that are stored.
     :param patch: The patch.
-    :return: The items that take effect; or a failure with code 2701, 2702 or 2703.
+    :return: The items that take effect; or a failure with code 2701, 2702,
+        2703 or 2708.
     """
     fault = _fault_in_patch(stored, patch)
     if fault is not None:
@@ -96,6 +128,10 @@
     services = _newer_than_stored(
         stored.service_by_name, _highest_versions((i.name, i) for i in patch.services)
     )
+    workspaces = _newer_than_stored(
+        stored.workspace_by_name,
+        _highest_versions((i.name, i) for i in patch.workspaces),
+    )
     limits = patch.limits
     if limits is not None and stored.limits is not None:
         limits = limits if limits.version > stored.limits.version else None
@@ -103,8 +139,11 @@
         route_by_name={**stored.route_by_name, **routes},
         service_by_name={**stored.service_by_name, **services},
         limits=limits or stored.limits,
+        workspace_by_name={**stored.workspace_by_name, **workspaces},
+    )
+    fault = _fault_in_items(items, routes, services) or shared_key_fault(
+        items.workspace_by_name, workspaces
     )
-    fault = _fault_in_items(items, routes, services)
     if fault is not None:
         return Error(fault)
     return Ok(
@@ -113,6 +152,7 @@
             routes=tuple(routes.values()),
             services=tuple(services.values()),
             limits=limits,
+            workspaces=tuple(workspaces.values()),
         )
     )
 
@@ -154,7 +194,7 @@
                 and part.service not in stored.service_by_name
             ):
                 return _failure(codes.UNKNOWN_SERVICE, part.service)
-    return None
+    return fault_in_workspaces(patch.workspaces)
 
 
 def _fault_in_route(route: Route) -> str | None:
--- a/mothshunt/routing/table.py
+++ b/mothshunt/routing/table.py
@@ -6,6 +6,7 @@
 from mothshunt.core.types import HostName, ServiceName, TargetId
 from mothshunt.routing.model import Route, RoutingTable, Service
 from mothshunt.routing.state import RoutingItems
+from mothshunt.routing.workspaces import workspace_by_key_digest
 
 
 def routes_by_host(items: RoutingItems) -> dict[HostName, tuple[Route, ...]]:
@@ -36,6 +37,7 @@
         for name, item in items.service_by_name.items()
         if item.service is not None
     }
+    workspace_by_name = {workspace.name: workspace for workspace in items.workspaces()}
     evacuations = decoder.values(store, Section.EVACUATION).values()
     retired = decoder.values(store, Section.RETIRED_TARGET)
     return RoutingTable(
@@ -46,6 +48,8 @@
             item.availability_zone for item in evacuations if item.is_evacuated
         ),
         retired_by_target={TargetId(name): item for name, item in retired.items()},
+        workspace_by_name=workspace_by_name,
+        workspace_by_key_digest=workspace_by_key_digest(workspace_by_name.values()),
         has_items=bool(items.route_by_name),
     )
 
--- /dev/null
+++ b/mothshunt/routing/workspaces.py
@@ -0,0 +1,135 @@
+"""Keys of workspaces: their digests, the index by digest and the validation."""
+
+import hashlib
+import json
+import math
+from collections.abc import Iterable, Mapping
+
+from mothshunt.core.codes import Failure
+from mothshunt.core.types import WorkspaceName
+from mothshunt.routing import codes, const
+from mothshunt.routing.model import Workspace, WorkspaceItem
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which a key is stored and looked up.
+
+    :param key: The key, from a document or from the header field of a request.
+    """
+    try:
+        # Bytes of a header field that aren't UTF-8 are represented as surrogates.
+        content = key.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        # A document may hold other surrogates; no header field contains them.
+        content = key.encode("utf-8", "surrogatepass")
+    return hashlib.sha256(content).hexdigest()
+
+
+def key_digests(keys: Iterable[str]) -> tuple[str, ...]:
+    """Return the digests of a workspace's keys; a repeated key counts once.
+
+    :param keys: The keys.
+    """
+    return tuple(dict.fromkeys(key_digest(key) for key in keys))
+
+
+def workspace_by_key_digest(workspaces: Iterable[Workspace]) -> dict[str, Workspace]:
+    """Return the index for the look-up of keys.
+
+    :param workspaces: Workspaces that exist.
+    """
+    return {
+        digest: workspace
+        for workspace in workspaces
+        for digest in workspace.key_digests
+    }
+
+
+def without_document(value: bytes) -> bytes:
+    """Return a stored workspace item without the operator's document.
+
+    The document contains the keys; entry instances need only the digests.
+
+    :param value: JSON text of a ``WorkspaceItem``.
+    """
+    item = json.loads(value)
+    if item["workspace"] is not None:
+        item["workspace"]["document"] = ""
+    return json.dumps(item, separators=(",", ":")).encode()
+
+
+def fault_in_workspaces(items: Iterable[WorkspaceItem]) -> Failure | None:
+    """Return the fault in any workspace of a patch, whether it takes effect or not.
+
+    :param items: Workspaces that the patch sets and drops.
+    :return: A failure with code 2701 or 2708; it never contains a key.
+    """
+    name_by_digest: dict[str, WorkspaceName] = {}
+    for item in items:
+        workspace = item.workspace
+        if workspace is None:
+            continue
+        problem = _problem(workspace)
+        if problem is not None:
+            return Failure(
+                code=codes.INVALID_ITEM, detail=f"{workspace.name!a:.80}: {problem}"
+            )
+        for digest in workspace.key_digests:
+            other = name_by_digest.setdefault(digest, workspace.name)
+            if other != workspace.name:
+                return _shared_key(other, workspace.name)
+    return None
+
+
+def shared_key_fault(
+    items: Mapping[WorkspaceName, WorkspaceItem],
+    changed: Mapping[WorkspaceName, WorkspaceItem],
+) -> Failure | None:
+    """Return the fault that a changed workspace has a key of another one.
+
+    The stored keys are compared with those that change, so that the cost is one look-up
+    for each stored key, and nothing for a patch without workspaces.
+
+    :param items: All workspaces after the patch.
+    :param changed: Those that the patch changes.
+    """
+    name_by_digest = {
+        digest: name
+        for name, item in changed.items()
+        if item.workspace is not None
+        for digest in item.workspace.key_digests
+    }
+    if not name_by_digest:
+        return None
+    for name, item in items.items():
+        if item.workspace is None:
+            continue
+        for digest in item.workspace.key_digests:
+            if name_by_digest.get(digest, name) != name:
+                return _shared_key(name_by_digest[digest], name)
+    return None
+
+
+def _problem(workspace: Workspace) -> str | None:
+    """Return a description of the fault in a workspace itself, if it has any."""
+    name = workspace.name
+    checks = (
+        (0 < len(name) <= const.MAX_NAME_LENGTH, "the name is empty or too long"),
+        # The name is sent to targets in a header field.
+        (name.isprintable() and name == name.strip(), "the name has other characters"),
+        (_is_quota(workspace.requests_per_s), "the quota is negative"),
+        (_is_quota(workspace.burst), "the burst is negative"),
+        (
+            workspace.priority is None or workspace.priority >= 0,
+            "the priority is negative",
+        ),
+    )
+    return next((problem for is_valid, problem in checks if not is_valid), None)
+
+
+def _is_quota(number: float) -> bool:
+    return math.isfinite(number) and number >= 0
+
+
+def _shared_key(one: WorkspaceName, other: WorkspaceName) -> Failure:
+    return Failure(code=codes.KEY_TAKEN, detail=f"{one} and {other}")
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -147,6 +147,7 @@
         clock, self.metrics = SystemClock(), Metrics()
         self.holder = Holder(Configuration(routing=table(timeout_s)))
         self.registry = TargetRegistry()
+        self.is_current = True
         self.seen_leaving: list[RoutableTarget] = []
         self._port_by_name: dict[str, int] = {}
         self._sequence = 0
@@ -205,6 +206,7 @@
             self.admission.open()
         forwarder = RoutedForwarder(
             configuration=self.holder,
+            is_current=lambda now: self.is_current,
             placement=self.placement,
             rate_limiter=self.rate_limiter,
             pool=self.pool,
--- a/tests/configuration/delivery.feature
+++ b/tests/configuration/delivery.feature
@@ -26,3 +26,18 @@
     Given a follower of the configuration that holds revision 0
     When control "c3" sends it a beat of revision 2
     Then it asked "c3" for what came after revision 0
+
+  Scenario: A follower is sure of its configuration while control instances confirm it
+    An instance that is not sure must not tell a caller that its key is unknown.
+    Given a follower of the configuration that holds revision 0
+    Then it is not sure that its configuration is current
+    When control "c1" confirms revision 0 as of 3 s ago
+    Then it is not sure that its configuration is current
+    When control "c1" confirms revision 0 as of 0.5 s ago
+    And control "c2" confirms revision 0 as of 3 s ago
+    Then it is sure for 1.4 s that its configuration is current, and after 1.6 s no more
+    When control "c1" confirms revision 0 as of 0 s ago
+    And control "c2" confirms revision 2 as of 0 s ago
+    Then it is not sure that its configuration is current
+    When it gets what "c2" holds at revision 2
+    Then it is sure that its configuration is current
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -39,6 +39,33 @@
       | {"remove":{"routes":[{"name":"r"}]}}                                                    |
       | {"upsert":{"limits":{"max_header_bytes":"many","version":"r1"}}}                        |
       | []                                                                                      |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":[""],"version":"r1"}]}}                    |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":["<256 letters>"],"version":"r1"}]}}       |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":[7],"version":"r1"}]}}                     |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":"k","version":"r1"}]}}                     |
+      | {"upsert":{"tenants":[{"name":7,"api_keys":["k"],"version":"r1"}]}}                     |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":["k"],"version":"1"}]}}                    |
+      | {"upsert":{"tenants":[{"name":"w","api_keys":["k"]}]}}                                  |
+      | {"upsert":{"tenants":[{"name":"w","per_s":"many","version":"r1"}]}}                     |
+      | {"upsert":{"tenants":[{"name":"w","per_s":1<400 zeros>,"version":"r1"}]}}               |
+      | {"upsert":{"tenants":[{"name":"w","priority":-1,"version":"r1"}]}}                      |
+      | {"upsert":{"tenants":[7]}}                                                              |
+      | {"remove":{"tenants":[{"name":"w"}]}}                                                   |
+
+  Scenario Outline: A workspace whose values are out of range is refused as a whole
+    Guards against a quota that rejects or admits everything by mistake.
+    When the platform's operator sends '<patch>'
+    Then the patch is read and its merge is refused with code <code>
+
+    Examples:
+      | patch                                                                                                          | code |
+      | {"upsert":{"tenants":[{"name":"w","per_s":-1,"version":"r1"}]}}                                                | 2701 |
+      | {"upsert":{"tenants":[{"name":"w","burst":-0.5,"version":"r1"}]}}                                              | 2701 |
+      | {"upsert":{"tenants":[{"name":"v","api_keys":["k"],"version":"r1"},{"name":"w","api_keys":["k"],"version":"r1"}]}} | 2708 |
+
+  Scenario: A key with characters that no header field contains does not stop the decoding
+    When the platform's operator sends '{"upsert":{"tenants":[{"name":"w","api_keys":["\\ud800"],"version":"r1"}]}}'
+    Then the patch is read and has 1 workspaces
 
   Scenario: Settings become those of the product
     When the platform hands out settings of a core machine
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -59,3 +59,17 @@
     And for 2 s entry 1 answers those who were told of it before
     And a caller who asks the directory is told of 1 entries
     And entry 1 ends with exit code 0 within 6 s
+
+  Scenario: A request with a key reaches its target with the workspace's name and no key
+    A key that reaches a target or a log line can be used by whoever reads it there.
+    Given a platform deployment of 3 control and 2 entry processes
+    And 1 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And the operator sets workspace "huka270" with the keys "key-one, key-two" at version 2
+    Then each entry answers requests with the key "key-one" with 200 within 2.5 s
+    And the target got the name "huka270" and no key
+    And each entry answers requests with the key "key-zero" with 401 within 2.5 s
+    And the operator reads back what was sent
+    And open connections of the key "key-one" are answered 401 within 2.5 s of setting workspace "huka270" with the keys "key-two" at version 3
+    And each entry answers requests with the key "key-two" with 200 within 2.5 s
+    And no log of a process contains "key-"
--- a/tests/steps/configuration_delivery.py
+++ b/tests/steps/configuration_delivery.py
@@ -91,3 +91,39 @@
 def it_asked(context, control, revision):
     asked = context.network.posted_by_peer[control][-1]
     assert asked == DeltaRequest(revision=revision), asked
+
+
+@when('control "{control}" confirms revision {revision:d} as of {age_s:g} s ago')
+def confirms(context, control, revision, age_s):
+    beat = Beat(revision=revision, digest=0, confirmed_age_ms=round(age_s * 1000))
+    context.follower._on_beat(control, beat)
+
+
+@when('it gets what "{control}" holds at revision {revision:d}')
+def gets_delta(context, control, revision):
+    delta = Delta(from_revision=0, to_revision=revision, digest=0, items=())
+    context.follower._on_delta(control, delta)
+
+
+def is_current(context, after_s=0.0):
+    follower = context.follower
+    return follower.holder.is_current(follower.clock.monotonic() + after_s)
+
+
+@then("it is not sure that its configuration is current")
+def not_current(context):
+    assert not is_current(context)
+
+
+@then("it is sure that its configuration is current")
+def current(context):
+    assert is_current(context)
+
+
+@then(
+    "it is sure for {sure_s:g} s that its configuration is current, and after"
+    " {unsure_s:g} s no more"
+)
+def current_until(context, sure_s, unsure_s):
+    assert is_current(context, sure_s)
+    assert not is_current(context, unsure_s)
--- /dev/null
+++ b/tests/steps/forwarding_workspaces.py
@@ -0,0 +1,152 @@
+"""Steps for the authentication of requests by keys of workspaces."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+
+from mothshunt.configuration.model import Configuration
+from mothshunt.forwarding.model import RoutedRequest
+from mothshunt.routing.model import Workspace
+from mothshunt.routing.workspaces import key_digests, workspace_by_key_digest
+from testkit.routed_entry import HOST, request_bytes, table
+from tests.steps.forwarding_attempts import send, set_up, status
+
+
+def workspace(keys=(), *, priority=None, regions=()) -> Workspace:
+    return Workspace(
+        name="florist",
+        key_digests=key_digests(keys),
+        requests_per_s=0.0,
+        burst=0.0,
+        priority=priority,
+        home_regions=tuple(regions),
+        document="",
+    )
+
+
+def set_workspace(context, the_workspace):
+    configuration = context.world.holder.configuration
+    routing = replace(
+        configuration.routing,
+        workspace_by_name={the_workspace.name: the_workspace},
+        workspace_by_key_digest=workspace_by_key_digest([the_workspace]),
+    )
+    context.world.holder.configuration = replace(configuration, routing=routing)
+
+
+@given('a routed entry with workspace "florist" with the key "{key}"')
+def entry_with_workspace(context, key):
+    set_up(context)
+    holder = context.world.holder
+    reads, orders = holder.configuration.routing.routes_by_host[HOST]
+    opened = replace(reads, name="open", path_prefix="/open/", allows_anonymous=True)
+    far = replace(reads, name="far", path_prefix="/far/", home_regions=("south",))
+    routes_by_host = {HOST: (reads, orders, opened, far)}
+    routing = replace(holder.configuration.routing, routes_by_host=routes_by_host)
+    holder.configuration = Configuration(revision=1, routing=routing)
+    set_workspace(context, workspace([key], regions=["north"]))
+    context.key = key
+
+
+@given("the routed entry is not sure that its configuration is current")
+def not_current(context):
+    context.world.is_current = False
+
+
+@when('a caller with the header "{header}" sends "{path}"')
+def sends_with_header(context, header, path):
+    lines = "".join(f"{line}\r\n" for line in header.split(";"))
+    context.answers = [send(context, "GET", path, headers=lines)]
+
+
+@when('a caller with a key of {length:d} characters sends "{path}"')
+def sends_long_key(context, length, path):
+    line = f"Authorization: Bearer {'k' * length}\r\n"
+    context.answers = [send(context, "GET", path, headers=line)]
+
+
+@then("the routed caller got status {wanted:d} and code {code:d}")
+def got_code(context, wanted, code):
+    answer = context.answers[-1]
+    assert status(answer) == wanted, answer
+    assert f"Mothshunt-Code: {code}\r\n".encode() in answer, answer
+
+
+@then("the response contains no key")
+def no_key_in_response(context):
+    answer = context.answers[-1]
+    assert context.key.encode() not in answer, answer
+    assert b"wrong" not in answer, answer
+
+
+@then('"{name}" got no request')
+def got_no_request(context, name):
+    assert not context.target_by_name[name].requests
+
+
+@then(
+    'on one connection a request with the key "{key}" is answered 200, and 401 after'
+    " the key is removed"
+)
+def removed_on_open_connection(context, key):
+    async def run():
+        port = context.world.server.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        statuses = []
+        for is_removed in (False, True):
+            if is_removed:
+                set_workspace(context, workspace())
+            line = f"Authorization: Bearer {key}\r\n"
+            data = request_bytes("GET", "/reads/a", headers=line)
+            writer.write(data.replace(b"Connection: close\r\n", b""))
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+            statuses.append(status(head))
+        writer.close()
+        return statuses
+
+    found = context.runner.run(run())
+    assert found == [200, 401], found
+
+
+def routed(the_workspace, **of_route) -> RoutedRequest:
+    route = replace(table(1.0).routes_by_host[HOST][0], **of_route)
+    return RoutedRequest(
+        request_id="id",
+        route=route,
+        service="s",
+        method="GET",
+        target="/",
+        affinity_key=None,
+        received_at=0.0,
+        deadline=1.0,
+        workspace=the_workspace,
+    )
+
+
+def regions(text):
+    return () if text == "all" else tuple(text.split())
+
+
+@then('home regions "{route}" of the route and "{own}" of the workspace allow "{both}"')
+def home_regions(context, route, own, both):
+    request = routed(workspace(regions=regions(own)), home_regions=regions(route))
+    assert request.home_regions == frozenset(regions(both)), request.home_regions
+
+
+@then(
+    "a workspace of priority {own:d} makes a request of a route of priority"
+    " {of_route:d} rank {rank:d}"
+)
+def ranks(context, own, of_route, rank):
+    assert routed(workspace(priority=own), priority=of_route).urgency == rank
+
+
+@then(
+    "a workspace without a priority makes a request of a route of priority"
+    " {of_route:d} rank {rank:d}"
+)
+def ranks_by_route(context, of_route, rank):
+    assert routed(workspace(), priority=of_route).urgency == rank
--- a/tests/steps/platform_documents.py
+++ b/tests/steps/platform_documents.py
@@ -55,6 +55,18 @@
             "idle_timeout": "15000ms",
             "version": "r7",
         },
+        "tenants": [
+            {
+                "name": "huka270",
+                "api_keys": ["bbkf83fgfwrz56aw63is", "47qd"],
+                "priority": 1,
+                "per_s": 358,
+                "burst": 358,
+                "allowed_regions": [],
+                "version": "r7",
+                "note": "unknown fields are returned too",
+            }
+        ],
         "hosts": [
             {
                 "host": "h.example",
@@ -124,9 +136,10 @@
 
 @when("the platform's operator sends '{patch}'")
 def sends_text(context, patch):
-    context.error = None
+    context.error = context.patch = None
+    patch = patch.replace("<256 letters>", "k" * 256).replace("<400 zeros>", "0" * 400)
     try:
-        documents.read_patch(documents.read_json(patch.encode()))
+        context.patch = documents.read_patch(documents.read_json(patch.encode()))
     except BadValueError as error:
         context.error = error
 
@@ -136,6 +149,20 @@
     assert context.error is not None
 
 
+@then("the patch is read and its merge is refused with code {code:d}")
+def merge_refused(context, code):
+    assert context.error is None, context.error
+    outcome = merge(RoutingItems(), context.patch)
+    assert outcome.is_error(), outcome
+    assert outcome.error.code.number == code, outcome.error
+
+
+@then("the patch is read and has {count:d} workspaces")
+def patch_has_workspaces(context, count):
+    assert context.error is None, context.error
+    assert len(context.patch.workspaces) == count
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: (
@@ -148,6 +175,9 @@
                     "hosts",
                     "paths",
                     "routes",
+                    "tenants",
+                    "api_keys",
+                    "per_s",
                     "services",
                     "limits",
                     "host",
--- a/tests/steps/platform_whole_path.py
+++ b/tests/steps/platform_whole_path.py
@@ -297,3 +297,105 @@
 def ends(context, number, code, seconds):
     entry = context.platform.entries[number - 1]
     assert entry.popen.wait(seconds) == code
+
+
+def set_workspace(context, name, keys, version):
+    """Have the operator set a workspace, and return when that is confirmed."""
+    tenant = {
+        "name": name,
+        "api_keys": keys.split(", "),
+        "priority": 1,
+        "per_s": 358,
+        "burst": 358,
+        "allowed_regions": [],
+        "version": f"r{version}",
+    }
+    context.sent["tenants"] = [tenant]
+    platform = context.platform
+
+    async def confirmed():
+        status, _ = await platform.call_control(
+            "POST", "/-/Configuration.Patch", {"upsert": {"tenants": [tenant]}}
+        )
+        return status == 200
+
+    return platform.async_until(confirmed)
+
+
+@when(
+    'the operator sets workspace "{name}" with the keys "{keys}" at version {version:d}'
+)
+def operator_sets_workspace(context, name, keys, version):
+    context.platform.run(set_workspace(context, name, keys, version))
+
+
+@then(
+    'each entry answers requests with the key "{key}" with {wanted:d} within'
+    " {seconds:g} s"
+)
+def each_answers(context, key, wanted, seconds):
+    platform = context.platform
+    headers = {**CALL, "Authorization": f"Bearer {key}"}
+
+    async def all_answer():
+        answers = [
+            await platform.get(entry.ip, 8641, "/stock/keyed", headers)
+            for entry in platform.entries
+        ]
+        return all(status == wanted for status, _, _ in answers)
+
+    platform.run(platform.async_until(all_answer, seconds))
+
+
+@then('the target got the name "{name}" and no key')
+def target_got_name(context, name):
+    keyed = [
+        headers
+        for target in context.platform.targets
+        for (path, _), headers in zip(target.requests, target.headers, strict=True)
+        if path == "/stock/keyed" and "Mothshunt-Tenant" in headers
+    ]
+    assert keyed
+    for headers in keyed:
+        assert headers["Mothshunt-Tenant"] == name, headers
+        assert "Authorization" not in headers, headers
+
+
+@then(
+    'open connections of the key "{key}" are answered 401 within {seconds:g} s of'
+    ' setting workspace "{name}" with the keys "{keys}" at version {version:d}'
+)
+def removed_on_open_connections(context, key, seconds, name, keys, version):
+    platform = context.platform
+    head = f"GET /stock/keyed HTTP/1.1\r\nAuthorization: Bearer {key}\r\n"
+    data = head + "".join(f"{field}: {text}\r\n" for field, text in CALL.items())
+
+    async def ask(reader, writer):
+        writer.write(data.encode() + b"\r\n")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        length = int(answer.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+        return int(answer.split(b" ", 2)[1])
+
+    async def run():
+        connections = [
+            await asyncio.open_connection(entry.ip, 8641) for entry in platform.entries
+        ]
+        assert [await ask(*c) for c in connections] == [200] * len(connections)
+        await set_workspace(context, name, keys, version)
+
+        async def rejected():
+            return {await ask(*c) for c in connections} == {401}
+
+        await platform.async_until(rejected, seconds)
+        for _, writer in connections:
+            writer.close()
+
+    platform.run(run())
+
+
+@then('no log of a process contains "{text}"')
+def no_log_contains(context, text):
+    for process in context.platform.processes:
+        log = (process.folder / "log").read_text()
+        assert text not in log, (process.number, log)
--- a/tests/support/platform_deployment.py
+++ b/tests/support/platform_deployment.py
@@ -68,6 +68,7 @@
     state: str = "ready"
     limit: str | None = None
     requests: list = field(default_factory=list)
+    headers: list = field(default_factory=list)
     running: int = 0
     sequence: int = 0
     beats: asyncio.Task | None = None
@@ -83,6 +84,7 @@
         if request.headers.get("Mothshunt-Expect-Instance") != f"i-{self.number}":
             return web.Response(status=421)
         self.requests.append((request.raw_path, request.headers.get(REQUEST_ID)))
+        self.headers.append(request.headers)
         self.running += 1
         await asyncio.sleep(self.delay_s)
         self.running -= 1
