Show, set and drop workspaces by the administration API; count by workspace

Cause: workspaces could be set by the platform's documents only, and nobody could tell from the metrics and logs which workspace is rejected and why.

Change: `POST /v1/routing` takes `workspaces` with keys and `dropped_workspaces`; only digests of the keys are stored. `GET /v1/routing` and `mothshunt routing show|workspaces` show the first 12 digits of each digest, `mothshunt routing drop-workspace` drops one. Routes have `allows_anonymous`. `mothshunt_workspace_admitted_total` and `..._rejected_total` name the 20 largest workspaces and sum up the others; at most 4,096 are counted one by one. The line `rejected for its key` has the digits of the digest, never the key, and is written 8 times a second at most.

Tests: admin/routing, cli/routing, forwarding/workspaces.

--- a/mothshunt/admin/routing.py
+++ b/mothshunt/admin/routing.py
@@ -34,7 +34,7 @@
             Route(
                 method="GET",
                 path="/v1/routing",
-                summary="Show the routes, services and limits in force.",
+                summary="Show the routes, services, limits and workspaces in force.",
                 role=AccessRole.READ,
                 scope=Scope.DEPLOYMENT,
                 handler=self._async_get,
--- a/mothshunt/admin/routing_model.py
+++ b/mothshunt/admin/routing_model.py
@@ -6,6 +6,7 @@
 
 from pydantic import ConfigDict, Field
 
+from mothshunt.admin.workspace_model import WorkspaceBody, WorkspaceDocument
 from mothshunt.core.types import (
     AvailabilityZoneId,
     HostName,
@@ -18,6 +19,7 @@
     RouteName,
     ServiceName,
     TargetId,
+    WorkspaceName,
 )
 from mothshunt.routing.const import MAX_NAME_LENGTH
 from mothshunt.routing.messages import PatchRouting
@@ -30,6 +32,7 @@
     Service,
     ServiceItem,
     WeightedService,
+    WorkspaceItem,
 )
 from mothshunt.routing.state import RoutingItems
 from mothshunt.util import schema
@@ -74,6 +77,7 @@
     :param has_affinity: Whether a target answers sooner for an object that it
         handled before.
     :param home_regions: Regions that the requests must not leave; none for all.
+    :param allows_anonymous: Whether the requests need no key of a workspace.
     """
 
     __pydantic_config__ = _STRICT
@@ -90,6 +94,7 @@
     max_attempts: Annotated[int, Field(ge=1, le=1000)] = 1
     has_affinity: bool = False
     home_regions: tuple[RegionId, ...] = ()
+    allows_anonymous: bool = False
 
     @classmethod
     def from_item(cls, route: Route, version: ItemVersion) -> "RouteDocument":
@@ -114,6 +119,7 @@
             max_attempts=route.max_attempts,
             has_affinity=route.has_affinity,
             home_regions=route.home_regions,
+            allows_anonymous=route.allows_anonymous,
         )
 
     def item(self) -> RouteItem:
@@ -133,6 +139,7 @@
             max_attempts=self.max_attempts,
             has_affinity=self.has_affinity,
             home_regions=self.home_regions,
+            allows_anonymous=self.allows_anonymous,
             document=schema.to_json(self).decode(),
         )
         return RouteItem(name=self.name, version=self.version, route=route)
@@ -261,6 +268,8 @@
     :param limits: Limits for callers.
     :param dropped_routes: Routes that are dropped.
     :param dropped_services: Services that are dropped.
+    :param workspaces: Workspaces that are set.
+    :param dropped_workspaces: Workspaces that are dropped.
     """
 
     __pydantic_config__ = _STRICT
@@ -270,6 +279,8 @@
     limits: LimitsDocument | None = None
     dropped_routes: tuple[DroppedDocument, ...] = ()
     dropped_services: tuple[DroppedDocument, ...] = ()
+    workspaces: tuple[WorkspaceBody, ...] = ()
+    dropped_workspaces: tuple[DroppedDocument, ...] = ()
 
     def patch(self, operator: OperatorId) -> PatchRouting:
         """Return the command that this asks for.
@@ -281,6 +292,7 @@
             routes=tuple(self._routes()),
             services=tuple(self._services()),
             limits=self.limits.item() if self.limits is not None else None,
+            workspaces=tuple(self._workspaces()),
         )
 
     def _routes(self) -> Iterator[RouteItem]:
@@ -295,6 +307,12 @@
             name = ServiceName(dropped.name)
             yield ServiceItem(name=name, version=dropped.version, service=None)
 
+    def _workspaces(self) -> Iterator[WorkspaceItem]:
+        yield from (workspace.item() for workspace in self.workspaces)
+        for dropped in self.dropped_workspaces:
+            name = WorkspaceName(dropped.name)
+            yield WorkspaceItem(name=name, version=dropped.version, workspace=None)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PatchDocument:
@@ -315,11 +333,13 @@
     :param routes: Routes, sorted by name.
     :param services: Services, sorted by name.
     :param limits: Limits for callers, once there are any.
+    :param workspaces: Workspaces, sorted by name.
     """
 
     routes: tuple[RouteDocument, ...]
     services: tuple[ServiceDocument, ...]
     limits: LimitsDocument | None
+    workspaces: tuple[WorkspaceDocument, ...] = ()
 
     @classmethod
     def from_items(cls, items: RoutingItems) -> "RoutingDocument":
@@ -337,11 +357,17 @@
             for _, item in sorted(items.service_by_name.items())
             if item.service is not None
         )
+        workspaces = (
+            WorkspaceDocument.from_item(item.workspace, item.version)
+            for _, item in sorted(items.workspace_by_name.items())
+            if item.workspace is not None
+        )
         limits = items.limits
         return cls(
             routes=tuple(routes),
             services=tuple(services),
             limits=LimitsDocument.from_item(limits) if limits is not None else None,
+            workspaces=tuple(workspaces),
         )
 
 
--- a/mothshunt/cli/commands/routing.py
+++ b/mothshunt/cli/commands/routing.py
@@ -45,12 +45,21 @@
 
 def _add_routing(subparsers: Subparsers) -> None:
     group = add_group(subparsers, "routing", "read and change routes and services")
-    add_command(group, "show", "show routes, services and limits", _async_show)
+    add_command(
+        group, "show", "show routes, services, limits and workspaces", _async_show
+    )
     apply = add_command(
         group, "apply", "set and drop items; the highest version wins", _async_apply
     )
     apply.add_argument("file", help="JSON file of the items; - reads stdin")
-    for kind in ("route", "service"):
+    workspaces = add_command(
+        group,
+        "workspaces",
+        "show workspaces, with the first digits of their keys' digests",
+        _async_workspaces,
+    )
+    workspaces.add_argument("name", nargs="?", help="name of one workspace")
+    for kind in ("route", "service", "workspace"):
         drop = add_command(group, f"drop-{kind}", f"drop a {kind}", _async_drop)
         drop.set_defaults(kind=kind)
         drop.add_argument("name", help=f"name of the {kind}")
@@ -82,6 +91,19 @@
     return _output(await client.async_read(PATH_ROUTING))
 
 
+async def _async_workspaces(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    def selected(document: Any) -> dict[str, Any]:
+        workspaces = document["workspaces"]
+        if arguments.name is not None:
+            workspaces = [w for w in workspaces if w["name"] == arguments.name]
+        return {"workspaces": workspaces}
+
+    answer = await client.async_read(PATH_ROUTING)
+    return _output(answer.map(selected))
+
+
 async def _async_apply(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
--- a/mothshunt/forwarding/authentication.py
+++ b/mothshunt/forwarding/authentication.py
@@ -6,10 +6,17 @@
 from mothshunt.forwarding import codes, const
 from mothshunt.routing.const import MAX_KEY_LENGTH
 from mothshunt.routing.model import Route, RoutingTable, Workspace
-from mothshunt.routing.workspaces import key_digest
+from mothshunt.routing.workspaces import digest_prefix, key_digest
 
 AUTHORIZATION = "Authorization"
 _SCHEME = "bearer"
+#: Reasons for which a request is rejected before it is known what it asks for.
+REJECTION_CODES = (
+    codes.KEY_MISSING,
+    codes.KEY_UNKNOWN,
+    codes.KEY_UNCONFIRMED,
+    codes.NO_COMMON_REGION,
+)
 
 
 def authenticate(
@@ -68,6 +75,20 @@
     return keys[0] if len(keys) == 1 else ""
 
 
+def sent_digest_prefix(authorization: Sequence[str]) -> str | None:
+    """Return the first digits of the digest of a request's key, for log lines.
+
+    Operators are shown the same digits of stored keys.
+
+    :param authorization: Values of the request's ``Authorization`` header fields.
+    :return: The digits; ``None`` if the request has no key or one that is too long.
+    """
+    key = sent_key(authorization)
+    if not key or len(key) > MAX_KEY_LENGTH:
+        return None
+    return digest_prefix(key_digest(key))
+
+
 def region_fault(workspace: Workspace | None, route: Route) -> Failure | None:
     """Return the fault that workspace and route have no home region in common.
 
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -96,8 +96,17 @@
 MAX_LATE_LINES_PER_S = 10
 #: The same for requests that were answered in time.
 MAX_TIMELY_LINES_PER_S = 5
+#: The same for requests that were rejected for their key.
+MAX_AUTHENTICATION_LINES_PER_S = 8
+#: Maximum number of workspaces that are counted one by one; a deployment has up to
+#: 1,000, and dropped ones remain in the counts for a while.
+MAX_COUNTED_WORKSPACES = 4096
+#: Number of workspaces that metrics name, the largest ones.
+MAX_EXPOSED_WORKSPACES = 20
 
 METRIC_REQUESTS = "mothshunt_forwarding_requests_total"
+METRIC_WORKSPACE_ADMITTED = "mothshunt_workspace_admitted_total"
+METRIC_WORKSPACE_REJECTED = "mothshunt_workspace_rejected_total"
 METRIC_ATTEMPTS = "mothshunt_forwarding_attempts_total"
 METRIC_RETRIES = "mothshunt_forwarding_retries_total"
 METRIC_HEDGES = "mothshunt_forwarding_hedges_total"
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass, field
 
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import Revision
+from mothshunt.core.types import RequestId, Revision
 from mothshunt.forwarding import const
 from mothshunt.forwarding.attempt import OutgoingRequest
 from mothshunt.forwarding.log_events import (
     AnswerBrokenOff,
     Answered,
     AttemptFailed,
+    KeyRejected,
     LinesLeftOut,
     NoticeUnreadable,
     Refused,
@@ -166,6 +167,37 @@
             )
         )
 
+    def log_key_rejected(
+        self,
+        request_id: RequestId,
+        failure: Failure,
+        *,
+        key_digest: str | None,
+        revision: Revision,
+        now: float,
+    ) -> None:
+        """Log that a request is rejected for its key or its workspace's home regions.
+
+        :param request_id: Id of the request.
+        :param failure: Reason for the rejection.
+        :param key_digest: First digits of the digest of the key that was sent.
+        :param revision: Revision of the configuration in force.
+        :param now: The present time, in seconds.
+        """
+        text = "rejected for its key"
+        if not self._may_write(text, const.MAX_AUTHENTICATION_LINES_PER_S, now):
+            return
+        log.write(
+            KeyRejected(
+                request_id=request_id,
+                code=failure.code.number,
+                code_name=failure.code.name,
+                detail=failure.detail or None,
+                key_digest=key_digest,
+                revision=revision,
+            )
+        )
+
     def log_broken_off(
         self, outgoing: OutgoingRequest, choice: Choice, detail: str, now: float
     ) -> None:
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -21,12 +21,18 @@
     TargetClient,
     TargetResponse,
 )
+from mothshunt.forwarding.authentication import (
+    AUTHORIZATION,
+    REJECTION_CODES,
+    sent_digest_prefix,
+)
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.decisions import RequestLog
 from mothshunt.forwarding.model import RoutedRequest
 from mothshunt.forwarding.opening import AdmissionGate
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.forwarding.request import (
+    MAX_REQUEST_ID_LENGTH,
     read_request,
     stated_time_left_s,
     target_headers,
@@ -34,10 +40,11 @@
 from mothshunt.forwarding.retry import RetryBudget, RetryState
 from mothshunt.forwarding.trier import AttemptCoordinator
 from mothshunt.forwarding.tries import ChosenResponse
+from mothshunt.forwarding.workspace_metrics import WorkspaceCounters
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.rate_limit.limiter import RateLimiter
-from mothshunt.routing.model import RoutingTable
+from mothshunt.routing.model import RoutingTable, Workspace
 from mothshunt.routing.split import WeightedSplit
 
 _NOT_READY = Failure(code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S)
@@ -83,6 +90,7 @@
         self._clock = clock
         self._split = WeightedSplit()
         self._request_log = RequestLog(metrics)
+        self._workspace_counters = WorkspaceCounters.from_metrics(metrics)
         self._attempts = AttemptCoordinator(
             configuration=configuration,
             placement=placement,
@@ -118,13 +126,11 @@
             request, table, names, self._split.next_service, now, self._is_current
         )
         if isinstance(routed, Failure):
-            return self._build_refusal(
-                routed, RequestId(request.headers.get(names.request_id, ""))
-            )
+            return self._refuse_unrouted(request, routed, now)
         if not self._admission.may_admit(routed.deadline):
             # This instance is leaving and could cut the request off; another can finish
             # it.
-            return self._build_refusal(_NOT_READY, routed.request_id)
+            return self._build_refusal(_NOT_READY, routed.request_id, routed.workspace)
         forwarding = self._async_forward(request, routed, table)
         if routed.route.is_idempotent:
             return await forwarding
@@ -155,10 +161,10 @@
         length = request.content_length
         if limits is not None and length is not None and length > limits.max_body_bytes:
             failure = Failure(code=dispatch_codes.BODY_TOO_LARGE)
-            return self._build_refusal(failure, routed.request_id)
+            return self._build_refusal(failure, routed.request_id, routed.workspace)
         body = await async_read_body(request, keyed=False, timeout_s=left_s)
         if isinstance(body, Failure):
-            return self._build_refusal(body, routed.request_id)
+            return self._build_refusal(body, routed.request_id, routed.workspace)
         outgoing = OutgoingRequest(
             routed=routed,
             headers=target_headers(
@@ -198,7 +204,9 @@
                 revision=revision,
                 now=now,
             )
-            return self._build_refusal(result, routed.request_id)
+            return self._build_refusal(result, routed.request_id, routed.workspace)
+        if routed.workspace is not None:
+            self._workspace_counters.count_admitted(routed.workspace)
         self._request_log.log_answered(
             outgoing,
             result.choice,
@@ -243,7 +251,33 @@
             target_response.connection.abort()
         return response
 
-    def _build_refusal(self, failure: Failure, request_id: RequestId) -> web.Response:
+    def _refuse_unrouted(
+        self, request: web.Request, failure: Failure, now: float
+    ) -> web.Response:
+        """Return the response to a request whose head gives no routed request."""
+        names = self._refusal_builder.names
+        request_id = RequestId(request.headers.get(names.request_id, ""))
+        if failure.code in REJECTION_CODES:
+            self._workspace_counters.count_rejected(None)
+            self._request_log.log_key_rejected(
+                RequestId(request_id[:MAX_REQUEST_ID_LENGTH]),
+                failure,
+                key_digest=sent_digest_prefix(
+                    request.headers.getall(AUTHORIZATION, ())
+                ),
+                revision=self._configuration.current().revision,
+                now=now,
+            )
+        return self._build_refusal(failure, request_id)
+
+    def _build_refusal(
+        self,
+        failure: Failure,
+        request_id: RequestId,
+        workspace: Workspace | None = None,
+    ) -> web.Response:
+        if workspace is not None:
+            self._workspace_counters.count_rejected(workspace)
         self._metrics.count(const.METRIC_REQUESTS, outcome=failure.code.name)
         return self._refusal_builder.response(failure, request_id)
 
--- a/mothshunt/forwarding/log_events.py
+++ b/mothshunt/forwarding/log_events.py
@@ -156,6 +156,28 @@
     revision: Revision
 
 
+@log_event("rejected for its key", slice_name="forwarding")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeyRejected:
+    """Rejection of a request for its key, or for the home regions of its workspace.
+
+    :param request_id: The request.
+    :param code: Number of the result code.
+    :param code_name: Name of the result code.
+    :param detail: Details of this rejection.
+    :param key_digest: First digits of the SHA-256 digest of the key that was sent, as
+        ``mothshunt routing workspaces`` shows them; missing if none was sent.
+    :param revision: Revision of the configuration in force.
+    """
+
+    request_id: RequestId
+    code: int
+    code_name: str
+    detail: str | None
+    key_digest: str | None
+    revision: Revision
+
+
 @log_event("answer broken off", slice_name="forwarding", level=Level.WARNING)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerBrokenOff:
--- a/mothshunt/routing/const.py
+++ b/mothshunt/routing/const.py
@@ -4,6 +4,8 @@
 MAX_NAME_LENGTH = 255
 #: Longest key of a workspace, in characters.
 MAX_KEY_LENGTH = 255
+#: Digits of a key's digest that operators are shown: 48 bits tell 10,000 keys apart.
+DIGEST_PREFIX_LENGTH = 12
 #: Number of targets that are recorded as leaving or left; a deployment replaces far
 #: fewer in an hour, and each record takes about 100 bytes.
 MAX_RETIRED_TARGETS = 4096
--- a/mothshunt/routing/workspaces.py
+++ b/mothshunt/routing/workspaces.py
@@ -33,6 +33,14 @@
     return tuple(dict.fromkeys(key_digest(key) for key in keys))
 
 
+def digest_prefix(digest: str) -> str:
+    """Return the part of a digest that tells keys apart for people.
+
+    :param digest: The digest of a key.
+    """
+    return digest[: const.DIGEST_PREFIX_LENGTH]
+
+
 def workspace_by_key_digest(workspaces: Iterable[Workspace]) -> dict[str, Workspace]:
     """Return the index for the look-up of keys.
 
--- a/tests/admin/routing.feature
+++ b/tests/admin/routing.feature
@@ -42,6 +42,27 @@
       | {"routes": 3}                                   | 3005 /routes                               |
       | {"limits": {"version": "r1"}, "services": []}   | 3005 /limits/version, 3005 /limits/max_header_bytes, 3005 /limits/max_body_bytes, 3005 /limits/header_timeout_ms, 3005 /limits/idle_timeout_ms |
       | {"dropped_routes": [{"name": "", "version": 1}]} | 3005 /dropped_routes/0/name               |
+      | {"workspaces": [{"name": "w", "version": 1, "keys": [""]}]} | 3005 /workspaces/0/keys/0       |
+      | {"workspaces": [{"name": "w", "version": 1, "keys": [7]}]}  | 3005 /workspaces/0/keys/0       |
+      | {"workspaces": [{"name": "w", "version": 1, "burst": -1}]}  | 3005 /workspaces/0/burst        |
+      | {"workspaces": [{"name": 7, "version": 1}]}                 | 3005 /workspaces/0/name         |
+
+  Scenario: A workspace is set with keys, shown with digest prefixes, and dropped
+    A key that is shown could be used by whoever may only read.
+    When POST /v1/routing is asked with the text {"workspaces": [{"name": "florist", "version": 1, "keys": ["secret-key"], "requests_per_s": 358}]}
+    Then the administration API answers 200
+    When GET /v1/routing is asked by the bootstrap administrator
+    Then the answer's "workspaces.0.name" is florist
+    And the answer's "workspaces.0.requests_per_s" is 358.0
+    And the answer's "workspaces.0.key_digests" is ['85dbe15d75ef']
+    And the answer contains no "secret-key"
+    And the stored configuration contains no "secret-key"
+    When POST /v1/routing is asked with the text {"workspaces": [{"name": "other", "version": 1, "keys": ["secret-key"]}]}
+    Then the administration API refuses with 400 and code 2708 "workspace_key_taken"
+    And the answer contains no "secret-key"
+    When POST /v1/routing is asked with the routing items "drop workspace florist 2"
+    And GET /v1/routing is asked by the bootstrap administrator
+    Then the answer's "workspaces" is []
 
   Scenario: A zone is evacuated and taken back
     When PUT /v1/evacuations/north-a is asked by the bootstrap administrator
--- a/tests/cli/routing.feature
+++ b/tests/cli/routing.feature
@@ -19,3 +19,14 @@
     When "mothshunt routing apply no-json.json" is run
     Then the command exits with 3
     And the command complains "3005 admin_body_invalid"
+
+  Scenario: Workspaces are applied from a file, shown without their keys and dropped
+    When "mothshunt routing apply workspaces.json" is run
+    Then the command exits with 0
+    When "mothshunt routing workspaces florist --output json" is run
+    Then the command exits with 0
+    And the command's JSON has "workspaces.0.key_digests" ['85dbe15d75ef']
+    When "mothshunt routing drop-workspace florist --version 2" is run
+    Then the command exits with 0
+    When "mothshunt routing workspaces --output json" is run
+    Then the command's JSON has "workspaces" []
--- a/tests/forwarding/workspaces.feature
+++ b/tests/forwarding/workspaces.feature
@@ -82,3 +82,29 @@
   Scenario: The priority of the workspace takes precedence over the route's
     Then a workspace of priority 0 makes a request of a route of priority 1 rank 0
     And a workspace without a priority makes a request of a route of priority 1 rank 1
+
+  Scenario: Rejections are logged at a bounded rate, with a digest and without the key
+    A caller that repeats a wrong key must not fill the log, and its key may be right
+    elsewhere.
+    Given a routed entry with workspace "florist" with the key "secret"
+    When 30 requests with the key "wrong" are rejected
+    Then at most 8 lines "rejected for its key" a second have the digest of "wrong"
+    And no line contains "wrong"
+
+  Scenario: Requests are counted by workspace
+    Given a routed entry with workspace "florist" with the key "secret"
+    And a routed target "t1" that answers
+    When a caller with the header "Authorization: Bearer secret" sends "/reads/a"
+    And a caller with the header "Authorization: Bearer wrong" sends "/reads/a"
+    Then the metrics have 1 of mothshunt_workspace_admitted_total for "florist"
+    And the metrics have 1 of mothshunt_workspace_rejected_total for "(none)"
+
+  Scenario: Metrics name the largest 20 workspaces and sum up the others
+    A series for each of 1,000 workspaces at each of 80 instances would overload a
+    monitoring system.
+    When each of 1000 workspaces has as many requests as its number
+    Then the metrics name workspaces 981 to 1000 and sum up 980 others
+
+  Scenario: Counts of workspaces that come and go stay bounded
+    When each of 10000 workspaces has as many requests as its number
+    Then at most 4096 workspaces are counted one by one and no request is lost
--- a/tests/steps/admin_routing.py
+++ b/tests/steps/admin_routing.py
@@ -44,6 +44,17 @@
     assert [item.key.name for item in items] == [name], items
 
 
+@then('the answer contains no "{text}"')
+def answer_contains_no(context, text):
+    assert text not in str(context.answer), context.answer
+
+
+@then('the stored configuration contains no "{text}"')
+def stored_contains_no(context, text):
+    items = context.admin.state.store.item_by_key.values()
+    assert not any(text.encode() in (item.value or b"") for item in items)
+
+
 def send(context, method, path, body, token):
     context.status, context.headers, context.answer = ask(
         context.admin_port, method, path, None, body, token
--- a/tests/steps/cli_routing.py
+++ b/tests/steps/cli_routing.py
@@ -20,4 +20,6 @@
     context.folder = Path(folder)
     write(context, "routes.json", patch("service stock 1, route reads 1"))
     write(context, "unknown-service.json", patch("route nowhere 1"))
+    workspace = {"name": "florist", "version": 1, "keys": ["secret-key"]}
+    write(context, "workspaces.json", {"workspaces": [workspace]})
     (context.folder / "no-json.json").write_text("{")
--- a/tests/steps/forwarding_workspaces.py
+++ b/tests/steps/forwarding_workspaces.py
@@ -1,14 +1,26 @@
 """Steps for the authentication of requests by keys of workspaces."""
 
 import asyncio
+import io
+import json
+import logging
+import time
 from dataclasses import replace
 
 from behave import given, then, when
 
 from mothshunt.configuration.model import Configuration
 from mothshunt.forwarding.model import RoutedRequest
+from mothshunt.forwarding.workspace_metrics import WorkspaceCounters
+from mothshunt.helpers import log
+from mothshunt.metrics.registry import Metrics
 from mothshunt.routing.model import Workspace
-from mothshunt.routing.workspaces import key_digests, workspace_by_key_digest
+from mothshunt.routing.workspaces import (
+    digest_prefix,
+    key_digest,
+    key_digests,
+    workspace_by_key_digest,
+)
 from testkit.routed_entry import HOST, request_bytes, table
 from tests.steps.forwarding_attempts import send, set_up, status
 
@@ -150,3 +162,70 @@
 )
 def ranks_by_route(context, of_route, rank):
     assert routed(workspace(), priority=of_route).urgency == rank
+
+
+@when('{count:d} requests with the key "{key}" are rejected')
+def requests_rejected(context, count, key):
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(log.JsonLineFormatter("test"))
+    logger = logging.getLogger("absl")
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    began = time.monotonic()
+    try:
+        line = f"Authorization: Bearer {key}\r\n"
+        answers = [send(context, "GET", "/reads/a", headers=line) for _ in range(count)]
+    finally:
+        logger.removeHandler(handler)
+        logger.setLevel(level)
+    assert {status(answer) for answer in answers} == {401}
+    context.seconds_begun = int(time.monotonic() - began) + 2
+    context.lines = stream.getvalue().splitlines()
+
+
+@then('at most {per_s:d} lines "{text}" a second have the digest of "{key}"')
+def lines_have_digest(context, per_s, text, key):
+    lines = [json.loads(line) for line in context.lines]
+    found = [line["key_digest"] for line in lines if line["text"] == text]
+    assert 0 < len(found) <= per_s * context.seconds_begun, context.lines
+    assert set(found) == {digest_prefix(key_digest(key))}, found
+
+
+@then('no line contains "{key}"')
+def no_line_contains(context, key):
+    assert not any(key in line for line in context.lines), context.lines
+
+
+@then('the metrics have {count:d} of {metric} for "{name}"')
+def metrics_have(context, count, metric, name):
+    text = context.world.metrics.render()
+    assert f'{metric}{{workspace="{name}"}} {count}\n' in text, text
+
+
+@when("each of {count:d} workspaces has as many requests as its number")
+def many_workspaces(context, count):
+    context.count = count
+    context.metrics = Metrics()
+    context.counters = WorkspaceCounters.from_metrics(context.metrics)
+    for number in range(1, count + 1):
+        one = replace(workspace(), name=f"w-{number}")
+        context.counters.rejected_by_name[one.name] += number - 1
+        context.counters.count_admitted(one)
+
+
+@then("the metrics name workspaces {first:d} to {last:d} and sum up {others:d} others")
+def metrics_name(context, first, last, others):
+    counts = context.counters.exposed(context.counters.admitted_by_name)
+    named = {f"w-{number}" for number in range(first, last + 1)}
+    assert counts.keys() == named | {"(other)"}, counts
+    assert counts["(other)"] == others, counts
+
+
+@then("at most {most:d} workspaces are counted one by one and no request is lost")
+def counts_bounded(context, most):
+    counters = context.counters
+    assert len(counters.admitted_by_name) <= most + 1, len(counters.admitted_by_name)
+    total = counters.admitted_by_name.total() + counters.rejected_by_name.total()
+    assert total == context.count * (context.count + 1) // 2, total
