--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -71,6 +71,12 @@
 HEDGE_MIN_S = 0.2
 #: ``Retry-After`` of a refusal while this instance does not serve, in seconds.
 NOT_READY_RETRY_S = 0.3
+#: ``Retry-After`` for an unknown key while the configuration may be out of date, in
+#: seconds: about half the interval at which control instances confirm it.
+UNCONFIRMED_RETRY_S = 0.5
+#: ``Retry-After`` if workspace and route have no home region in common, in seconds: a
+#: corrected configuration is in force within this time of its confirmation.
+NO_COMMON_REGION_RETRY_S = 2.5
 #: ``Retry-After`` after a request that no target ran, in seconds.
 DEFAULT_RETRY_S = 0.2
 #: ``Retry-After`` after a target rejected a request although it reports free capacity,
@@ -95,8 +101,17 @@
 MAX_LATE_LINES_PER_S = 10
 #: The same for requests that were answered in time.
 MAX_TIMELY_LINES_PER_S = 5
+#: The same for requests that were rejected for their key.
+MAX_AUTHENTICATION_LINES_PER_S = 8
+#: Maximum number of workspaces that are counted one by one; a deployment has up to
+#: 1,000, and dropped ones remain in the counts for a while.
+MAX_COUNTED_WORKSPACES = 4096
+#: Number of workspaces that metrics name, the largest ones.
+MAX_EXPOSED_WORKSPACES = 20
 
 METRIC_REQUESTS = "mothshunt_forwarding_requests_total"
+METRIC_WORKSPACE_ADMITTED = "mothshunt_workspace_admitted_total"
+METRIC_WORKSPACE_REJECTED = "mothshunt_workspace_rejected_total"
 METRIC_ATTEMPTS = "mothshunt_forwarding_attempts_total"
 METRIC_RETRIES = "mothshunt_forwarding_retries_total"
 METRIC_HEDGES = "mothshunt_forwarding_hedges_total"
