Give objects their target in the region of their callers, where tenants share a deployment

Cause: an object had one target in the whole deployment if the way between regions took less than half of the target latency. Change: entry instances report a sample of the objects that they are asked for, control instances say per service whether they are regional or shared by the regions; regional ones have their target in the own region, as far as its capacity allows. Of a region without capacity the requests leave first that are in time elsewhere too. Takes effect only where the configuration has workspaces.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -17,6 +17,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.composite import CompositeStateMachine
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.locality.coordinator import LocalityHub
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub
@@ -45,6 +46,7 @@
     :param intake: Takes what targets say of themselves.
     :param witnessing: Takes what targets say to entry instances of leaving.
     :param tokens: Issues tokens for targets that name a rate limit.
+    :param locality: Regions in which objects are requested.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -58,6 +60,7 @@
     intake: TargetIntake
     witnessing: LeaveReportCoordinator
     tokens: TokenService
+    locality: LocalityHub
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -128,6 +131,12 @@
             issuer=TokenIssuer(routing.rate_limit_min_per_s),
         )
         roster.on_attached(tokens.send_limits)
+        locality = LocalityHub(
+            network=network,
+            region_by_entry=roster.region_by_entry,
+            primary_entries=roster.primary_entries,
+            clock=clock,
+        )
         attachments.on_attach(publisher.send_pulse)
         coordinator = RoutingCoordinator(state, log)
         return cls(
@@ -140,6 +149,7 @@
             intake=TargetIntake(publisher, coordinator),
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
             tokens=tokens,
+            locality=locality,
             attachments=attachments,
             network=network,
             _state=state,
@@ -193,6 +203,7 @@
         await self.registry.async_start()
         await self.witnessing.async_start()
         await self.tokens.async_start()
+        await self.locality.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
@@ -201,6 +212,7 @@
 
     async def async_stop(self) -> None:
         """Stop the parts; a leader hands its leadership on."""
+        await self.locality.async_stop()
         await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -16,6 +16,7 @@
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.locality.coordinator import LocalityReporter
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
@@ -39,6 +40,7 @@
 
     :param server: HTTP for callers.
     :param placement: Choice of targets.
+    :param locality: Regions in which objects are requested.
     :param rate_limiter: Rate limits that targets name.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
@@ -50,6 +52,7 @@
 
     server: RoutedServer
     placement: PlacementCoordinator
+    locality: LocalityReporter
     rate_limiter: RateLimiter
     pool: ConnectionPool
     budget: RetryBudget
@@ -109,6 +112,9 @@
             clock=clock,
             metrics=metrics,
         )
+        locality = LocalityReporter(
+            network=network, controls=attachments.attached, clock=clock
+        )
         placement = PlacementCoordinator(
             state=Placement(
                 zone=own.availability_zone,
@@ -117,12 +123,14 @@
                 renewal_interval_s=routing.renewal_interval_s,
                 random=random,
                 rate_limits=rate_limiter,
+                is_regional=locality.is_regional,
             ),
             registry=registry.registry,
             roster=roster,
             settings=routing,
             clock=clock,
             metrics=metrics,
+            locality=locality,
             on_demand=lambda demand: reporter.set_demand(demand),
             on_frequent_targets=pool.preconnect,
             on_leaving=lambda target: network.post_all(
@@ -180,6 +188,7 @@
         return cls(
             server=server,
             placement=placement,
+            locality=locality,
             rate_limiter=rate_limiter,
             pool=pool,
             budget=budget,
@@ -193,6 +202,7 @@
         """Begin to take requests; they are held until the instance is ready."""
         await self.pool.async_start()
         await self.placement.async_start()
+        await self.locality.async_start()
         await self.rate_limiter.async_start()
         await self.reporter.async_start()
         await self.server.async_start()
@@ -224,5 +234,6 @@
         await self.server.async_stop()
         await self.reporter.async_stop()
         await self.rate_limiter.async_stop()
+        await self.locality.async_stop()
         await self.placement.async_stop()
         await self.pool.async_stop()
--- /dev/null
+++ b/mothshunt/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Locality of objects: whether callers of one region or of several request them."""
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from mothshunt.core.clock import Clock
-from mothshunt.core.types import InstanceId, InstanceState, ServiceName
+from mothshunt.core.types import InstanceId, InstanceState, RegionId, ServiceName
 from mothshunt.helpers import log
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.tasks import async_cancel, start_background
@@ -76,6 +76,13 @@
         """Return the entry instances that this control instance is a primary of."""
         return self.table.attached(primary_only=True)
 
+    def region_by_entry(self) -> dict[InstanceId, RegionId]:
+        """Return the regions of the entry instances that reported here."""
+        return {
+            instance: entry.report.region
+            for instance, entry in self.table.entry_by_id.items()
+        }
+
     def record_report(self, peer: InstanceId, report: EntryReport) -> None:
         """Record the report of an entry instance; send the roster to a new one.
 
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -17,6 +17,7 @@
 )
 from mothshunt.helpers import log
 from mothshunt.helpers.tasks import async_cancel, start_background
+from mothshunt.locality.coordinator import LocalityReporter
 from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
@@ -56,6 +57,8 @@
     :param on_frequent_targets: Called with the targets to which a connection should be
         ready.
     :param on_leaving: Called with a target that announced in a response that it leaves.
+    :param locality: Regions in which objects are requested; ``None`` to not observe
+        them.
     """
 
     state: Placement
@@ -67,6 +70,7 @@
     on_demand: Callable[[Mapping[ServiceName, float]], None]
     on_frequent_targets: Callable[[Iterable[RoutableTarget]], None]
     on_leaving: Callable[[RoutableTarget], None]
+    locality: LocalityReporter | None = None
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
@@ -93,6 +97,10 @@
         table = configuration.routing
         readmitted = self._evacuated_zones - table.evacuated_zones
         self._table = table
+        if self.locality is not None:
+            # Only where tenants share the deployment is it worth the messages: there
+            # most objects belong to a tenant, and its callers to a region.
+            self.locality.is_enabled = bool(table.workspace_by_name)
         self._evacuated_zones = table.evacuated_zones
         self.refresh()
         if readmitted:
@@ -165,6 +173,8 @@
         """
         if not request.excluded:
             self._demand.count(request.service)
+            if self.locality is not None:
+                self.locality.record(request.service, request.affinity_key)
         result = self.state.choose(request, self.clock.monotonic())
         match result:
             case Result(tag="ok", ok=choice):
--- a/mothshunt/placement/service_targets.py
+++ b/mothshunt/placement/service_targets.py
@@ -11,6 +11,7 @@
 from mothshunt.placement.spill import RegionLoad, Spillover
 from mothshunt.placement.spread import GlobalAffinity
 from mothshunt.placement.target_load import TargetLoad
+from mothshunt.placement.tolerance import RemoteTolerance
 
 RegionByZone = Mapping[AvailabilityZoneId, RegionId]
 
@@ -99,12 +100,14 @@
     :param spillover: Share of the other requests that goes to other regions.
     :param service_time: Service times of the targets.
     :param counters: Choices since the last report.
+    :param tolerance: Share of the requests that are in time in other regions too.
     """
 
     global_affinity: GlobalAffinity
     spillover: Spillover
     service_time: ServiceTime
     counters: ChoiceCounters
+    tolerance: RemoteTolerance = field(default_factory=RemoteTolerance)
     local: list[TargetLoad] = field(default_factory=list)
     remote: list[TargetLoad] = field(default_factory=list)
 
--- a/mothshunt/placement/spread.py
+++ b/mothshunt/placement/spread.py
@@ -20,12 +20,15 @@
         that the target knows, in seconds; 0 before the first. Unlike the mean it does
         not include queueing, which entry instances would measure differently.
     :param min_local_s: The same for the own region.
+    :param prefers_region: Whether each object is requested in one region only, so that
+        it is to have its target there.
     """
 
     max_region_shift: float
     share: float = 1.0
     min_remote_s: float = 0.0
     min_local_s: float = 0.0
+    prefers_region: bool = False
     _latency_s: float = float("inf")
     _remote_delay_share: float | None = None
     _is_worthwhile: bool = True
@@ -60,14 +63,15 @@
                 if self._is_worthwhile
                 else const.GLOBAL_AFFINITY_ENTER_SHARE
             )
-            self._is_worthwhile = self._remote_delay_s() <= self._latency_s * limit
+            self._is_worthwhile = self.remote_delay_s() <= self._latency_s * limit
             if self.min_remote_s and self.min_local_s:
-                self._remote_delay_share = self._remote_delay_s() / self._latency_s
+                self._remote_delay_share = self.remote_delay_s() / self._latency_s
             self._latency_s = float("inf")
         # Let the minimums grow, so that a longer delay is noticed within some minutes.
         self.min_remote_s *= const.MIN_TIME_GROWTH
         self.min_local_s *= const.MIN_TIME_GROWTH
-        wanted = 1.0 if self._is_worthwhile else 0.0
+        is_wanted = self._is_worthwhile and not self.prefers_region
+        wanted = 1.0 if is_wanted else 0.0
         step = 1.0
         if has_traffic:
             steps = const.SHIFT_WINDOW_S / const.ADJUST_INTERVAL_S
@@ -81,7 +85,7 @@
             or self._remote_delay_share >= const.NOTICEABLE_DELAY_SHARE
         )
 
-    def _remote_delay_s(self) -> float:
+    def remote_delay_s(self) -> float:
         """Return the additional delay of other regions, in seconds; 0 if not known."""
         if not self.min_remote_s or not self.min_local_s:
             return 0.0
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -42,6 +42,7 @@
 from mothshunt.placement.spill import Spillover, choose_region, plan_spillover
 from mothshunt.placement.spread import GlobalAffinity
 from mothshunt.placement.target_load import TargetLoad
+from mothshunt.placement.tolerance import RemoteTolerance, is_tolerant
 from mothshunt.placement.withheld import TargetNotices
 from mothshunt.util.hashing import HASH_RANGE, hash_text
 
@@ -53,6 +54,11 @@
     return 1.0
 
 
+def never_regional(service: ServiceName) -> bool:
+    """Return that the regions of the callers of objects are not observed."""
+    return False
+
+
 @dataclass(kw_only=True, slots=True)
 class Placement:
     """Targets of one entry instance, and the choice among them.
@@ -69,6 +75,8 @@
     :param load_by_target: Load and health of each target that requests may be sent to.
     :param notices: Pauses and leaves that targets announced.
     :param rate_limits: Rate limits that targets name.
+    :param is_regional: Function that returns whether each object of a service is
+        requested in one region only.
     """
 
     zone: AvailabilityZoneId
@@ -80,6 +88,7 @@
     load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
     notices: TargetNotices = field(default_factory=TargetNotices)
     rate_limits: RateLimitView = field(default_factory=NoRateLimits)
+    is_regional: Callable[[ServiceName], bool] = never_regional
     _targets_by_service: dict[ServiceName, ServiceTargets] = field(default_factory=dict)
     _cold_limit_by_target: Mapping[TargetId, float] = field(default_factory=dict)
     _newest_renewed_at: float = float("-inf")
@@ -105,17 +114,24 @@
             if targets is None:
                 held = previous.get(service)
                 targets = ServiceTargets(
-                    held.global_affinity
-                    if held
-                    else GlobalAffinity(self.max_region_shift),
+                    held.global_affinity if held else self._new_affinity(service),
                     held.spillover if held else Spillover(self.max_region_shift),
                     held.service_time if held else ServiceTime(),
                     held.counters if held else ChoiceCounters(),
+                    held.tolerance if held else RemoteTolerance(),
                 )
                 self._targets_by_service[service] = targets
             load.service_time = targets.service_time
             self._list_for(targets, load).append(load)
 
+    def _new_affinity(self, service: ServiceName) -> GlobalAffinity:
+        is_regional = self.is_regional(service)
+        return GlobalAffinity(
+            self.max_region_shift,
+            share=0.0 if is_regional else 1.0,
+            prefers_region=is_regional,
+        )
+
     def _list_for(self, targets: ServiceTargets, load: TargetLoad) -> list[TargetLoad]:
         if load.target.region == self.region:
             return targets.local
@@ -262,10 +278,27 @@
             return (Scope.OTHER_REGIONS,)
         if request.affinity_key is not None:
             position = (position - global_share) / max(1e-9, 1.0 - global_share)
-        if position < targets.spillover.remote_share:
+        if position < self._remote_share(targets, request):
             return (Scope.OTHER_REGIONS, Scope.REGION)
         return (Scope.REGION,)
 
+    def _remote_share(
+        self, targets: ServiceTargets, request: PlacementRequest
+    ) -> float:
+        """Return the share of requests like this one that go to other regions first."""
+        share = targets.spillover.remote_share
+        affinity = targets.global_affinity
+        if not affinity.prefers_region:
+            return share
+        tolerates = is_tolerant(
+            request.target_latency_s,
+            targets.service_time.known_s,
+            affinity.remote_delay_s(),
+        )
+        if not request.excluded:
+            targets.tolerance.record(is_tolerant=tolerates)
+        return targets.tolerance.remote_share(share, is_tolerant=tolerates)
+
     def _in_chosen_region(
         self,
         spillover: Spillover,
@@ -521,6 +554,7 @@
         for service, targets in self._targets_by_service.items():
             demand_by_zone = demand.get(service, {})
             has_traffic = demand_by_zone.get(self.zone, 0.0) > 0
+            targets.global_affinity.prefers_region = self.is_regional(service)
             targets.global_affinity.adjust(has_traffic=has_traffic)
             loads = load_by_region(
                 targets, demand_by_zone, region_by_zone, self.rate_limits
