Test keys at instances with both roles and at an entry that is cut off

An instance with both roles has no beats of others to tell that its configuration is current, and an entry without any control instance must not reject a key that may be new. The line of a rejection is found by `mothshunt explain`. A route whose `allow_anonymous` is no boolean is refused.

--- a/testkit/routed_deployment.py
+++ b/testkit/routed_deployment.py
@@ -266,13 +266,24 @@
         *,
         request_id: str = "r-1",
         method: str = "GET",
+        key: str | None = None,
     ) -> tuple[int, str]:
-        """Send a request as a caller does; return status and body."""
+        """Send a request as a caller does; return status and body.
+
+        :param address: ``host:port`` of the entry instance.
+        :param host: Host that is asked for.
+        :param path: Path.
+        :param request_id: Id of the request.
+        :param method: HTTP method.
+        :param key: Key of a workspace; ``None`` to send none.
+        """
         headers = {
             "Host": host,
             HEADER_REQUEST_ID: request_id,
             HEADER_DEADLINE_MS: "2000",
         }
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
         timeout = aiohttp.ClientTimeout(total=5.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             try:
--- a/tests/daemon/routed.feature
+++ b/tests/daemon/routed.feature
@@ -25,6 +25,18 @@
     When "mothshunt zone take-back north-a" is run on the routed deployment
     Then after 1 s the routed target 1 gets some of 60 requests
 
+  Scenario: Instances with both roles accept keys and tell unknown ones for sure
+    They follow the replicated log themselves, without the beats of other instances.
+    Given a routed deployment of three instances with both roles
+    And 3 routed targets of service "stock"
+    When the routing items at version 1 are applied
+    Then a caller is told of 3 entries, and each serves "shop.example" "/stock/a"
+    When the workspace "florist" with the key "secret" is applied
+    Then within 2.5 s each entry answers "/stock/a" with the key "secret" with 200
+    And within 2.5 s each entry answers "/stock/a" with the key "wrong" with 401
+    And "mothshunt explain" tells that each entry has "rejected for its key"
+    And "mothshunt routing workspaces" shows "florist" and no "secret"
+
   Scenario: A route of an unknown service is refused with its code
     Given a routed deployment of three instances with both roles
     When a route to the unknown service "nowhere" is applied
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -50,6 +50,7 @@
       | {"upsert":{"tenants":[{"name":"w","per_s":1<400 zeros>,"version":"r1"}]}}               |
       | {"upsert":{"tenants":[{"name":"w","priority":-1,"version":"r1"}]}}                      |
       | {"upsert":{"tenants":[7]}}                                                              |
+      | {"upsert":{"hosts":[{"host":"h","paths":[{"name":"r","path_prefix":"/","kind":"safe","timeout":"1s","target_latency":"1s","priority":0,"service":"s","max_attempts":1,"allow_anonymous":"no","version":"r1"}]}]}} |
       | {"remove":{"tenants":[{"name":"w"}]}}                                                   |
 
   Scenario Outline: A workspace whose values are out of range is refused as a whole
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -73,3 +73,15 @@
     And open connections of the key "key-one" are answered 401 within 2.5 s of setting workspace "huka270" with the keys "key-two" at version 3
     And each entry answers requests with the key "key-two" with 200 within 2.5 s
     And no log of a process contains "key-"
+
+  Scenario: An entry that no control process confirms rejects no key for good
+    The key may have been added since; callers give up after 401. Known keys go on.
+    Given a platform deployment of 3 control and 1 entry processes
+    And 1 platform targets of service "stock"
+    When the operator routes "shop.example" "/stock/" to "stock"
+    And the operator sets workspace "huka270" with the keys "key-one, key-two" at version 2
+    Then each entry answers requests with the key "key-zero" with 401 within 2.5 s
+    When all control processes are killed
+    Then each entry answers requests with the key "key-zero" with 503 within 2.5 s
+    And each entry answers requests with the key "key-one" with 200 within 0.5 s
+    And for 2 s no entry answers a request with the key "key-zero" with 401
--- a/tests/steps/daemon_routed.py
+++ b/tests/steps/daemon_routed.py
@@ -295,3 +295,48 @@
 def all_stop(context):
     codes = context.routed.deployment.stop()
     assert set(codes.values()) == {0}, codes
+
+
+@when('the workspace "{name}" with the key "{key}" is applied')
+def workspace_applied(context, name, key):
+    workspace = {"name": name, "version": 1, "keys": [key]}
+    path = context.routed.write("workspaces.json", {"workspaces": [workspace]})
+    run(context, f"routing apply {path}")
+    assert context.done.returncode == 0, context.done
+
+
+@then(
+    'within {seconds:g} s each entry answers "{path}" with the key "{key}" with'
+    " {status:d}"
+)
+def entries_answer_key(context, seconds, path, key, status):
+    routed = context.routed
+    context.order = f"keyed-{status}"
+
+    async def all_answer():
+        found = {
+            (
+                await routed.get(
+                    a, CALLERS_HOST, path, request_id=context.order, key=key
+                )
+            )[0]
+            for a in context.entries
+        }
+        return found == {status}
+
+    routed.run(routed.async_until(all_answer, seconds))
+
+
+@then('"mothshunt explain" tells that each entry has "{text}"')
+def explained_at_each(context, text):
+    story = explain(context, context.order)["story"]
+    assert {row["text"] for row in story} == {text}, story
+    assert len({row["instance"] for row in story}) == len(context.entries), story
+
+
+@then('"mothshunt routing workspaces" shows "{name}" and no "{key}"')
+def workspaces_shown(context, name, key):
+    (shown,) = document(context, "routing workspaces")["workspaces"]
+    assert shown["name"] == name, shown
+    assert len(shown["key_digests"]) == 1, shown
+    assert key not in context.done.stdout, context.done
--- a/tests/steps/platform_whole_path.py
+++ b/tests/steps/platform_whole_path.py
@@ -399,3 +399,30 @@
     for process in context.platform.processes:
         log = (process.folder / "log").read_text()
         assert text not in log, (process.number, log)
+
+
+@when("all control processes are killed")
+def all_killed(context):
+    for process in context.platform.controls:
+        context.platform.kill(process)
+
+
+@then(
+    'for {seconds:g} s no entry answers a request with the key "{key}" with'
+    " {unwanted:d}"
+)
+def none_answers(context, seconds, key, unwanted):
+    platform = context.platform
+    headers = {**CALL, "Authorization": f"Bearer {key}"}
+
+    async def ask():
+        found = []
+        for _ in range(round(seconds * 5)):
+            for entry in platform.entries:
+                found.append(
+                    await platform.get(entry.ip, 8641, "/stock/keyed", headers)
+                )
+            await asyncio.sleep(0.2)
+        return {status for status, _, _ in found}
+
+    assert unwanted not in platform.run(ask())
