Test that the audit trail shows no key of a workspace

A document that the platform sends is stored with its keys, and the trail is shown to operators who may only read.

--- a/tests/admin/routing.feature
+++ b/tests/admin/routing.feature
@@ -64,6 +64,14 @@
     And GET /v1/routing is asked by the bootstrap administrator
     Then the answer's "workspaces" is []
 
+  Scenario: The audit trail shows no key of a workspace that the platform has set
+    Its document is stored with the keys, and the trail is shown to whoever may read.
+    Given the platform has set a workspace with the key "secret-key"
+    When GET /v1/audit?values=true is asked by the bootstrap administrator
+    Then the administration API answers 200
+    And the answer's "records.0.value.workspace.name" is florist
+    And the answer contains no "secret-key"
+
   Scenario: A zone is evacuated and taken back
     When PUT /v1/evacuations/north-a is asked by the bootstrap administrator
     Then the administration API answers 200
--- a/tests/steps/admin_routing.py
+++ b/tests/steps/admin_routing.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 
 from mothshunt.configuration.model import Section
+from mothshunt.core.types import LogIndex
+from mothshunt.platform import documents
 from tests.support.admin_deployment import AdminDeployment, ask
 from tests.support.admin_fakes import ManualClock
 
@@ -44,6 +46,15 @@
     assert [item.key.name for item in items] == [name], items
 
 
+@given('the platform has set a workspace with the key "{key}"')
+def platform_set_workspace(context, key):
+    tenant = {"name": "florist", "api_keys": [key], "version": "r1"}
+    patch = documents.read_patch({"upsert": {"tenants": [tenant]}})
+    context.admin.state.apply(LogIndex(1000), patch)
+    items = context.admin.state.store.item_by_key.values()
+    assert any(key.encode() in (item.value or b"") for item in items)
+
+
 @then('the answer contains no "{text}"')
 def answer_contains_no(context, text):
     assert text not in str(context.answer), context.answer
