Relay requests through another entry instance while no target can be reached

Cause: an entry instance that is partitioned from all targets refused its callers for as long as the partition lasted. With connections that hang, it served none of the first attempts from 4 s after the begin on, the others all of them.

Change: the new slice isolation detects the partition from attempts that are made anyway, relays requests over HTTP to another entry instance (one hop, named in a header), withdraws from the look-ups while another instance of the region is named, tries targets at a low rate, and returns to them over two seconds. Connections that were open during the partition carry no non-idempotent request before a response. The setting relays_when_isolated switches it on; the platform's adapter sets it.

--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -16,6 +16,9 @@
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.isolation.coordinator import EntryIsolation
+from mothshunt.isolation.model import NoIsolation
+from mothshunt.isolation.relay import RelayClient
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
@@ -45,6 +48,8 @@
     :param reporter: Reports to the control instances.
     :param directory: Finds entry instances for callers.
     :param admission: Holds requests until the instance serves.
+    :param isolation: Relays requests while no target can be reached; ``None`` where
+        the settings don't ask for it.
     :param clock: Source of the present time.
     """
 
@@ -56,6 +61,7 @@
     reporter: RosterReporter
     directory: EntryLookup
     admission: AdmissionGate
+    isolation: EntryIsolation | None
     clock: Clock
 
     @classmethod
@@ -147,6 +153,21 @@
         refusal_builder = RefusalBuilder(
             conventions.names, conventions.format_retry_after
         )
+        isolation = None
+        if routing.relays_when_isolated:
+            isolation = EntryIsolation(
+                placement=placement.state,
+                roster=roster,
+                target_pool=pool,
+                relay_client=RelayClient(
+                    ConnectionPool(clock, metrics), conventions.names, clock
+                ),
+                budget=budget,
+                slack_part=slack_part,
+                set_reported_state=lambda state: reporter.set_state(state),
+                metrics=metrics,
+                clock=clock,
+            )
         forwarder = RoutedForwarder(
             configuration=holder,
             placement=placement,
@@ -156,6 +177,7 @@
             slack_part=slack_part,
             refusal_builder=refusal_builder,
             admission=admission,
+            isolation=isolation or NoIsolation(),
             metrics=metrics,
             clock=clock,
         )
@@ -185,6 +207,7 @@
             reporter=reporter,
             directory=EntryLookup(roster, routing.lookup_lifetime_s, metrics),
             admission=admission,
+            isolation=isolation,
             clock=clock,
         )
 
@@ -194,6 +217,8 @@
         await self.placement.async_start()
         await self.rate_limiter.async_start()
         await self.reporter.async_start()
+        if self.isolation is not None:
+            await self.isolation.async_start()
         await self.server.async_start()
 
     def routes(self) -> "tuple[Route, ...]":
@@ -221,6 +246,8 @@
     async def async_stop(self) -> None:
         """Stop to serve."""
         await self.server.async_stop()
+        if self.isolation is not None:
+            await self.isolation.async_stop()
         await self.reporter.async_stop()
         await self.rate_limiter.async_stop()
         await self.placement.async_stop()
--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -172,7 +172,10 @@
         :param choice: The chosen target.
         """
         try:
-            connection = await self._pool.async_acquire(choice.target)
+            connection = await self._pool.async_acquire(
+                choice.target,
+                needs_trusted=not outgoing.routed.route.is_idempotent,
+            )
         except NotConnectedError as error:
             self._pool.close_idle(choice.target.id)
             return _failed_result(
@@ -258,9 +261,10 @@
         connection.write(head + body if isinstance(body, bytes) else head)
         sending = None
         if streamed is not None:
-            sending = asyncio.create_task(_async_send_chunks(connection, streamed))
+            sending = asyncio.create_task(async_send_chunks(connection, streamed))
         try:
             message, payload = await self._async_read_head(routed, connection)
+            connection.is_trusted = True
             is_sent = sending is None or sending.done()
             notice = read_notice(message.code, message.headers, self._names)
             rate_limit = read_rate_limit(message.code, message.headers, self._names)
@@ -292,7 +296,7 @@
         echoed request id distinguishes them.
         """
         for _ in range(const.MAX_STALE_RESPONSES + 1):
-            message, payload = await _async_read_final_head(connection)
+            message, payload = await async_read_final_head(connection)
             connection.read_keep_alive(message)
             echoed_id = message.headers.get(self._names.request_id)
             if echoed_id == routed.request_id or (
@@ -338,7 +342,7 @@
         response = TargetResponse(
             message=message,
             payload=payload,
-            buffered_body=await _async_buffer_body(routed, message, payload),
+            buffered_body=await async_buffer_body(routed, message, payload),
             connection=connection,
         )
         return AttemptResult(
@@ -366,10 +370,13 @@
         )
 
 
-async def _async_read_final_head(
+async def async_read_final_head(
     connection: TargetConnection,
 ) -> tuple[RawResponseMessage, StreamReader]:
-    """Return the next final response, skipping a few informational ones (1xx)."""
+    """Return the next final response, skipping a few informational ones (1xx).
+
+    :param connection: The connection.
+    """
     for _ in range(const.MAX_INFORMATIONAL_RESPONSES + 1):
         message, payload = await connection.read()
         if message.code == STATUS_SWITCHING_PROTOCOLS:
@@ -390,9 +397,14 @@
     raise aiohttp.ClientPayloadError("long response carries the id of another request")
 
 
-async def _async_send_chunks(
+async def async_send_chunks(
     connection: TargetConnection, parts: AsyncIterator[bytes]
 ) -> None:
+    """Send the body of a request in chunks, and the last chunk after its end.
+
+    :param connection: The connection.
+    :param parts: Parts of the body.
+    """
     try:
         async for part in parts:
             connection.write(b"%x\r\n%b\r\n" % (len(part), part))
@@ -403,10 +415,15 @@
         connection.abort()
 
 
-async def _async_buffer_body(
+async def async_buffer_body(
     routed: RoutedRequest, message: RawResponseMessage, payload: StreamReader
 ) -> bytes | None:
-    """Return the complete body of a small response; ``None`` if it is streamed."""
+    """Return the complete body of a small response; ``None`` if it is streamed.
+
+    :param routed: The request.
+    :param message: Head of the response.
+    :param payload: Unread body of the response.
+    """
     if routed.method == "HEAD" or message.code in _STATUSES_WITHOUT_BODY:
         return b""
     length = message.headers.get("Content-Length", "")
--- a/mothshunt/forwarding/connections.py
+++ b/mothshunt/forwarding/connections.py
@@ -43,6 +43,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.request_count = 0
+        #: Whether a non-idempotent request may be sent on it.
+        self.is_trusted = True
         self._is_in_use = False
         self.idle_since = 0.0
         self.idle_limit_s = const.DEFAULT_IDLE_S
@@ -176,17 +178,22 @@
         for target in list(self._idle_by_target):
             self.close_idle(target)
 
-    async def async_acquire(self, target: RoutableTarget) -> TargetConnection:
+    async def async_acquire(
+        self, target: RoutableTarget, *, needs_trusted: bool = False
+    ) -> TargetConnection:
         """Return an idle connection for one request, or open one.
 
         :param target: The target.
+        :param needs_trusted: Whether to pass over connections that may have stopped to
+            carry anything; see ``distrust_open``.
         :raises NotConnectedError: No connection could be opened.
         """
         idle = self._idle_by_target.get(target.id, [])
         now = self.clock.monotonic()
         while idle:
             connection = idle.pop()
-            if connection.is_reusable(now):
+            is_usable = connection.is_trusted or not needs_trusted
+            if is_usable and connection.is_reusable(now):
                 return connection
             connection.close()
         return await self._async_open(target)
@@ -204,6 +211,27 @@
         self._open_by_target.setdefault(target.id, set()).add(connection)
         return connection
 
+    def distrust_open(self) -> None:
+        """Send no non-idempotent request on open connections before a response.
+
+        Connections that survived a partition may not carry anything any more.
+        """
+        for connections in self._open_by_target.values():
+            for connection in connections:
+                connection.is_trusted = False
+
+    async def async_can_connect(self, target: RoutableTarget) -> bool:
+        """Open a connection to a target and close it; return whether that worked.
+
+        :param target: The target.
+        """
+        try:
+            connection = await self._async_open(target)
+        except NotConnectedError:
+            return False
+        connection.close()
+        return True
+
     def preconnect(self, targets: Iterable[RoutableTarget]) -> None:
         """Open a connection, in the background, to each target that has none.
 
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from mothshunt.forwarding.retry import RetryBudget, RetryState
 from mothshunt.forwarding.trier import AttemptCoordinator
 from mothshunt.forwarding.tries import ChosenResponse
+from mothshunt.isolation.model import Isolation
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.rate_limit.limiter import RateLimiter
@@ -55,6 +56,7 @@
         time.
     :param refusal_builder: Builds the responses to refused requests.
     :param admission: Holds requests until this instance serves.
+    :param isolation: Relays requests while this instance reaches no target.
     :param metrics: Metrics of the process.
     :param clock: Source of the present time.
     """
@@ -70,12 +72,14 @@
         slack_part: Callable[[float], float],
         refusal_builder: RefusalBuilder,
         admission: AdmissionGate,
+        isolation: Isolation,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
         self._configuration = configuration
         self._refusal_builder = refusal_builder
         self._admission = admission
+        self._isolation = isolation
         self._metrics = metrics
         self._clock = clock
         self._split = WeightedSplit()
@@ -94,6 +98,7 @@
             budget=budget,
             slack_part=slack_part,
             request_log=self._request_log,
+            isolation=isolation,
             metrics=metrics,
             clock=clock,
         )
@@ -166,10 +171,15 @@
             is_idempotent=routed.route.is_idempotent,
             max_attempts=routed.route.max_attempts,
         )
-        result = await self._attempts.async_run(
+        result = await self._isolation.async_run(
+            request,
             outgoing,
             retry_state,
-            is_caller_connected=lambda: request.transport is not None,
+            lambda: self._attempts.async_run(
+                outgoing,
+                retry_state,
+                is_caller_connected=lambda: request.transport is not None,
+            ),
         )
         now = self._clock.monotonic()
         self._metrics.observe(
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -38,6 +38,8 @@
         entry instances together; set on all its responses as long as the limit holds.
     :param workspace: Name of the workspace that a request belongs to; set on requests
         to targets.
+    :param relayed: Name of the entry instance that relays a request to another one; a
+        request is relayed once at most.
     """
 
     request_id: str = HEADER_REQUEST_ID
@@ -53,6 +55,7 @@
     leaving_value: str = "1"
     rate_limit: str = "Mothshunt-Rate-Limit"
     workspace: str = "Mothshunt-Workspace"
+    relayed: str = "Mothshunt-Relayed-By"
 
 
 def whole_seconds(seconds: float) -> str:
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -126,7 +126,13 @@
     :param names: Names of the header fields.
     """
     kept = end_to_end_headers(headers)
-    for name in (names.deadline_ms, names.expected_target, "Expect", "Content-Length"):
+    for name in (
+        names.deadline_ms,
+        names.expected_target,
+        names.relayed,
+        "Expect",
+        "Content-Length",
+    ):
         kept.popall(name, None)
     return kept
 
@@ -153,14 +159,24 @@
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"{names.deadline_ms}: {left_ms}")
     lines.append(f"{names.expected_target}: {target.id}")
-    if body_length is None:
-        lines.append("Transfer-Encoding: chunked")
-    elif body_length or routed.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(f"Content-Length: {body_length}")
+    lines += framing_lines(routed.method, body_length)
     text = "\r\n".join(lines) + "\r\n\r\n"
     return text.encode("utf-8", "surrogateescape")
 
 
+def framing_lines(method: str, body_length: int | None) -> list[str]:
+    """Return the header lines from which the receiver knows the end of the body.
+
+    :param method: Method of the request.
+    :param body_length: Length of the body in bytes; ``None`` if it is sent in chunks.
+    """
+    if body_length is None:
+        return ["Transfer-Encoding: chunked"]
+    if body_length or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        return [f"Content-Length: {body_length}"]
+    return []
+
+
 def read_reported_load(
     headers: Mapping[str, str], names: HeaderNames
 ) -> ReportedLoad | None:
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -22,6 +22,7 @@
     hedge_delay_s,
 )
 from mothshunt.forwarding.tries import ChosenResponse, RequestAttempts, RunningAttempt
+from mothshunt.isolation.model import Isolation
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.model import AttemptOutcome, Choice, PlacementRequest
@@ -44,6 +45,7 @@
     :param slack_part: Returns this instance's fraction of the budget's slack at a given
         time.
     :param request_log: Writes log lines about requests.
+    :param isolation: Learns of the attempts; ends them while no target can be reached.
     :param metrics: Metrics of the process.
     :param clock: Source of the present time.
     """
@@ -58,6 +60,7 @@
         budget: RetryBudget,
         slack_part: Callable[[float], float],
         request_log: RequestLog,
+        isolation: Isolation,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -68,6 +71,7 @@
         self._budget = budget
         self._slack_part = slack_part
         self._request_log = request_log
+        self._isolation = isolation
         self._metrics = metrics
         self._clock = clock
 
@@ -104,6 +108,9 @@
         self, attempts: RequestAttempts, is_caller_connected: Callable[[], bool]
     ) -> ChosenResponse | Failure | None:
         """Start an attempt; return the result for the caller if none can be started."""
+        if attempts.last_failure is not None and self._isolation.is_isolated:
+            failure = self._isolation.isolation_failure()
+            return attempts.best_response or self._final_failure(attempts, failure)
         match await self._async_choose(attempts):
             case Result(tag="ok", ok=choice):
                 pass
@@ -158,6 +165,7 @@
         attempt = RunningAttempt(choice)
         task = asyncio.create_task(self._async_attempt(attempts.outgoing, attempt))
         attempts.running[task] = attempt
+        self._isolation.record_start(choice)
 
     async def _async_wait(
         self, attempts: RequestAttempts
@@ -306,6 +314,7 @@
                 outcome = AttemptOutcome.OVERTAKEN
             reported_load = None if result is None else result.reported_load
             self._placement.finish(choice, outcome, reported_load)
+            self._isolation.record_end(choice, outcome)
             if result is not None:
                 self._placement.record_notice(choice.target, result.notice)
                 if result.rate_limit is not None:
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -85,6 +85,12 @@
         self.renewed_at = renewed_at
         self.cold_until = cold_until
 
+    def forgive_failures(self) -> None:
+        """Forget failures that were those of this instance's network."""
+        self.down_until = 0.0
+        self._connect_failures = 0
+        self.failure_share = 0.0
+
     def assume_cold(self, now: float) -> None:
         """Treat the target as cold until its next renewal.
 
--- a/mothshunt/platform/settings.py
+++ b/mothshunt/platform/settings.py
@@ -153,4 +153,5 @@
         max_region_shift=bound("max_region_shift", usual.max_region_shift),
         lookup_lifetime_s=LOOKUP_LIFETIME_PART * time_bound("ttl_max", 5.0),
         leave_s=time_bound("grace", usual.leave_s),
+        relays_when_isolated=True,
     )
--- a/testkit/proxy.py
+++ b/testkit/proxy.py
@@ -167,6 +167,11 @@
         self.reset_open()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Refuse new connections, until ``async_start``; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
     def delay_s(self, direction: Direction) -> float:
         """Return the time on the way in a direction, in seconds."""
         return self._delay_s_by_direction[direction]
--- a/testkit/routed_deployment.py
+++ b/testkit/routed_deployment.py
@@ -21,6 +21,7 @@
 from testkit.ports import HOST
 from testkit.process import wait_until
 from testkit.shape import REGIONS, InstancePlan
+from testkit.target_proxies import redirect_targets
 from testkit.web_target import WebTarget
 
 T = TypeVar("T")
@@ -135,6 +136,9 @@
     :param plans: Instances to run.
     :param with_proxies: Whether streams between instances can be cut.
     :param full_disk_of: Name of an instance that can't write a byte from its start.
+    :param redirects_targets: Whether each entry instance reaches each target through a
+        proxy of its own, see ``testkit.target_proxies``.
+    :param routing: Settings about routing that differ from ``ROUTING``.
     """
 
     def __init__(
@@ -144,14 +148,21 @@
         *,
         with_proxies: bool = False,
         full_disk_of: str | None = None,
+        redirects_targets: bool = False,
+        routing: dict[str, Any] | None = None,
     ) -> None:
-        deployment = Deployment(plans, routing=ROUTING, with_proxies=with_proxies)
+        deployment = Deployment(
+            plans, routing={**ROUTING, **(routing or {})}, with_proxies=with_proxies
+        )
         self.deployment = stack.enter_context(deployment)
         self.targets: list[Target] = []
         # In a thread, so that targets go on while a command or a test step blocks.
         self._loop = LoopThread()
         stack.callback(self._loop.close)
         stack.callback(self.stop_targets)
+        if redirects_targets:
+            for instance in self.deployment.entry_instances:
+                redirect_targets(instance, self.deployment.folder)
         for instance in self.deployment.instances:
             instance.process.start()
             if instance.id == full_disk_of:
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -24,6 +24,7 @@
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
+from mothshunt.isolation.model import NoIsolation
 from mothshunt.membership.roster_messages import EntryReport
 from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
@@ -204,6 +205,7 @@
         if is_open:
             self.admission.open()
         forwarder = RoutedForwarder(
+            isolation=NoIsolation(),
             configuration=self.holder,
             placement=self.placement,
             rate_limiter=self.rate_limiter,
