--- a/mothshunt/isolation/coordinator.py
+++ b/mothshunt/isolation/coordinator.py
@@ -197,22 +197,22 @@
     ) -> RequestResult:
         """Make attempts at targets, and a relay as well if these can't be reached."""
         running = asyncio.ensure_future(run())
-        is_done = False
+        is_overtaken = False
         try:
             if not await self._async_needs_relay(relay, running, path):
                 return await running
-            is_done = True
             relayed = await self._async_relay(relay)
-            if not isinstance(relayed, Failure) or running.cancelled():
-                return relayed
-            return await running
+            if isinstance(relayed, Failure):
+                return await running
+            is_overtaken = True
+            return relayed
         finally:
-            if is_done and path is Path.TRIAL:
+            if is_overtaken and path is Path.TRIAL:
                 # Its response ends the isolation, also after the relayed one.
                 self._finish_in_background(running)
             elif not running.done():
                 running.cancel()
-            elif is_done:
+            elif is_overtaken:
                 _discard(running)
 
     async def _async_needs_relay(
