Move token bucket and choice of the control instance to ask into util/tokens

Cause: quotas of workspaces need the same bucket, order of control instances and back-off as the rate limits of targets. Change: TokenBucket and TokenSources are in util/tokens.py, the latter for keys of any kind; rate_limit uses them. Only the place of the code changes.

--- a/bench/load/limits.py
+++ b/bench/load/limits.py
@@ -7,8 +7,9 @@
 from mothshunt.core.types import AvailabilityZoneId, InstanceId, TargetId
 from mothshunt.placement.model import RoutableTarget
 from mothshunt.rate_limit.model import RateLimit, TokenDecision
-from mothshunt.rate_limit.state import RateLimits, TokenIssuer, TokenSources
+from mothshunt.rate_limit.state import RateLimits, TokenIssuer
 from mothshunt.settings.config import RoutingSettings
+from mothshunt.util.tokens import TokenSources
 
 #: Control instances of a scenario, in its first zones in turn.
 CONTROL_INSTANCES = 5
--- a/mothshunt/rate_limit/const.py
+++ b/mothshunt/rate_limit/const.py
@@ -23,9 +23,6 @@
 TOKEN_TIMEOUT_S = 0.15
 #: The same, as a share of the time left until the deadline of the request.
 TOKEN_TIMEOUT_SHARE = 0.25
-#: Time for which a control instance that has not answered is not asked for tokens, in
-#: seconds.
-CONTROL_BACKOFF_S = 2.0
 #: Retry time of a control instance that doesn't know its share of the limits yet, in
 #: seconds.
 UNKNOWN_SHARE_RETRY_S = 0.5
--- a/mothshunt/rate_limit/limiter.py
+++ b/mothshunt/rate_limit/limiter.py
@@ -28,9 +28,9 @@
 from mothshunt.rate_limit.state import (
     IncarnationByTarget,
     RateLimits,
-    TokenSources,
     is_material_change,
 )
+from mothshunt.util.tokens import TokenSources
 
 
 @dataclass(slots=True, eq=False)
@@ -56,7 +56,7 @@
     clock: Clock
     metrics: Metrics
     limits: RateLimits = field(default_factory=RateLimits)
-    sources: TokenSources = field(default_factory=TokenSources)
+    sources: TokenSources[TargetId] = field(default_factory=TokenSources)
     _announced_by_target: dict[TargetId, float] = field(default_factory=dict)
     _announced_at_by_target: dict[TargetId, float] = field(default_factory=dict)
     _pending_by_target: Counter[TargetId] = field(default_factory=Counter)
--- a/mothshunt/rate_limit/state.py
+++ b/mothshunt/rate_limit/state.py
@@ -1,12 +1,13 @@
 """Deciding functions of the rate_limit slice, without any I/O."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from mothshunt.core.types import Incarnation, InstanceId, TargetId
+from mothshunt.core.types import Incarnation, TargetId
 from mothshunt.rate_limit import const
 from mothshunt.rate_limit.model import RateLimit, TokenDecision
+from mothshunt.util.tokens import TokenBucket
 
 #: Returns the present incarnation of a target; ``None`` if it isn't known.
 IncarnationByTarget = Callable[[TargetId], Incarnation | None]
@@ -111,17 +112,15 @@
 
 
 @dataclass(slots=True)
-class _TokenBucket:
+class _TargetTokens:
     """Tokens of one target at one control instance.
 
     :param incarnation: Incarnation of the target.
-    :param updated_at: Time up to which tokens have been added, in seconds.
-    :param level: Number of tokens.
+    :param bucket: Its tokens.
     """
 
     incarnation: Incarnation
-    updated_at: float
-    level: float = 0.0
+    bucket: TokenBucket
 
     def refill(self, rate_per_s: float, now: float) -> None:
         """Add the tokens of the time since the last call.
@@ -129,10 +128,7 @@
         :param rate_per_s: Tokens a second.
         :param now: The present time, in seconds.
         """
-        elapsed_s = max(0.0, now - self.updated_at)
-        self.updated_at = max(self.updated_at, now)
-        capacity = 1.0 + rate_per_s * const.MAX_BURST_S
-        self.level = min(capacity, self.level + elapsed_s * rate_per_s)
+        self.bucket.refill(rate_per_s, 1.0 + rate_per_s * const.MAX_BURST_S, now)
 
 
 @dataclass(slots=True)
@@ -150,7 +146,7 @@
 
     min_per_s: float
     limits: RateLimits = field(default_factory=RateLimits)
-    _bucket_by_target: OrderedDict[TargetId, _TokenBucket] = field(
+    _tokens_by_target: OrderedDict[TargetId, _TargetTokens] = field(
         default_factory=OrderedDict
     )
 
@@ -165,19 +161,19 @@
         :param now: The present time, in seconds.
         :return: Whether it is the newest one known.
         """
-        held, bucket = self.limits.newest(target), self._bucket_by_target.get(target)
-        if held is not None and bucket is not None:
-            bucket.refill(self._rate_per_s(held, share), now)
+        held, tokens = self.limits.newest(target), self._tokens_by_target.get(target)
+        if held is not None and tokens is not None:
+            tokens.refill(self._rate_per_s(held, share), now)
         if not self.limits.record(target, limit):
             return False
         if limit.per_s is None:
-            self._bucket_by_target.pop(target, None)
-        elif bucket is None or bucket.incarnation != limit.incarnation:
-            self._bucket_by_target[target] = _TokenBucket(
-                limit.incarnation, now + const.INITIAL_PAUSE_S
+            self._tokens_by_target.pop(target, None)
+        elif tokens is None or tokens.incarnation != limit.incarnation:
+            self._tokens_by_target[target] = _TargetTokens(
+                limit.incarnation, TokenBucket(now + const.INITIAL_PAUSE_S)
             )
-            if len(self._bucket_by_target) > const.MAX_LIMITED_TARGETS:
-                self._bucket_by_target.popitem(last=False)
+            if len(self._tokens_by_target) > const.MAX_LIMITED_TARGETS:
+                self._tokens_by_target.popitem(last=False)
         return True
 
     def remove_unknown(self, known: IncarnationByTarget) -> None:
@@ -187,7 +183,7 @@
             known.
         """
         for target in self.limits.remove_unknown(known):
-            self._bucket_by_target.pop(target, None)
+            self._tokens_by_target.pop(target, None)
 
     def take_token(self, target: TargetId, share: float, now: float) -> TokenDecision:
         """Take a token if there is one.
@@ -197,97 +193,22 @@
         :param now: The present time, in seconds.
         """
         limit = self.limits.newest(target)
-        bucket = self._bucket_by_target.get(target)
-        if limit is None or limit.per_s is None or bucket is None:
+        tokens = self._tokens_by_target.get(target)
+        if limit is None or limit.per_s is None or tokens is None:
             return TokenDecision(is_granted=True)
         rate_per_s = self._rate_per_s(limit, share)
         if rate_per_s <= 0:
             return TokenDecision(
                 is_granted=False, retry_after_s=const.UNKNOWN_SHARE_RETRY_S
             )
-        bucket.refill(rate_per_s, now)
-        if bucket.level >= 1.0:
-            bucket.level -= 1.0
+        tokens.refill(rate_per_s, now)
+        if tokens.bucket.take(1):
             return TokenDecision(is_granted=True)
-        pause_s = bucket.updated_at - now
         return TokenDecision(
-            is_granted=False, retry_after_s=pause_s + (1.0 - bucket.level) / rate_per_s
+            is_granted=False,
+            retry_after_s=tokens.bucket.next_token_s(rate_per_s, now),
         )
 
     def _rate_per_s(self, limit: RateLimit, share: float) -> float:
         """Return the tokens a second that this control instance issues for a target."""
         return max(limit.per_s or 0.0, self.min_per_s) * share
-
-
-@dataclass(slots=True)
-class TokenSources:
-    """Control instances that an entry instance may ask for tokens.
-
-    One that has denied a token for a target is not asked for that target until its next
-    token, and one that has not answered is not asked for a while.
-    """
-
-    _retry_at_by_control_by_target: OrderedDict[TargetId, dict[InstanceId, float]] = (
-        field(default_factory=OrderedDict)
-    )
-    _backoff_until_by_control: dict[InstanceId, float] = field(default_factory=dict)
-
-    def choose_control(
-        self, target: TargetId, controls: Sequence[InstanceId], now: float
-    ) -> InstanceId | None:
-        """Return the control instance to ask for a token; ``None`` if there is none.
-
-        :param target: Name of the target.
-        :param controls: Connected control instances, nearest first.
-        :param now: The present time, in seconds.
-        """
-        return next((c for c in controls if self._retry_at(target, c) <= now), None)
-
-    def next_token_at(
-        self, target: TargetId, controls: Sequence[InstanceId]
-    ) -> float | None:
-        """Return when the first control instance may have a token, in seconds.
-
-        :param target: Name of the target.
-        :param controls: Connected control instances.
-        :return: The time, possibly past; ``None`` without any control instance.
-        """
-        times = (self._retry_at(target, control) for control in controls)
-        return min(times, default=None)
-
-    def _retry_at(self, target: TargetId, control: InstanceId) -> float:
-        denied = self._retry_at_by_control_by_target.get(target, {})
-        return max(
-            denied.get(control, float("-inf")),
-            self._backoff_until_by_control.get(control, float("-inf")),
-        )
-
-    def record_denial(
-        self, target: TargetId, control: InstanceId, retry_at: float
-    ) -> None:
-        """Record that a control instance has no token for a target.
-
-        :param target: Name of the target.
-        :param control: Name of the control instance.
-        :param retry_at: Time of its next token, in seconds.
-        """
-        held = self._retry_at_by_control_by_target.setdefault(target, {})
-        held[control] = retry_at
-        self._retry_at_by_control_by_target.move_to_end(target)
-        if len(self._retry_at_by_control_by_target) > const.MAX_LIMITED_TARGETS:
-            self._retry_at_by_control_by_target.popitem(last=False)
-
-    def record_silence(self, control: InstanceId, now: float) -> None:
-        """Record that a control instance has not answered a token request.
-
-        :param control: Name of the control instance.
-        :param now: The present time, in seconds.
-        """
-        self._backoff_until_by_control[control] = now + const.CONTROL_BACKOFF_S
-
-    def forget_denials(self, target: TargetId) -> None:
-        """Forget the denials for a target, as its limit has changed.
-
-        :param target: Name of the target.
-        """
-        self._retry_at_by_control_by_target.pop(target, None)
--- a/tests/steps/rate_limit_tokens.py
+++ b/tests/steps/rate_limit_tokens.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from mothshunt.rate_limit.model import RateLimit
-from mothshunt.rate_limit.state import TokenIssuer, TokenSources
+from mothshunt.rate_limit.state import TokenIssuer
+from mothshunt.util.tokens import TokenSources
 from tests.support.token_world import (
     DISTURBANCES,
     LIMITS,
--- a/tests/support/token_world.py
+++ b/tests/support/token_world.py
@@ -7,7 +7,8 @@
 
 from mothshunt.rate_limit import const
 from mothshunt.rate_limit.model import RateLimit
-from mothshunt.rate_limit.state import RateLimits, TokenIssuer, TokenSources
+from mothshunt.rate_limit.state import RateLimits, TokenIssuer
+from mothshunt.util.tokens import TokenSources
 
 TARGET = "t"
 CONTROL = 5
