Add quotas of workspaces: tokens at control instances, used by entry instances

Cause: requests of a workspace have a quota over all entry instances, also those that are partitioned from each other. Each control instance issues a fixed share of each quota from a token bucket; an entry instance asks the nearest one, then the others, remembers denials, and asks for tokens ahead of need where requests are frequent. A control instance whose view of the membership no majority has confirmed for 8 s issues nothing, and a new one waits as long, so that the shares never add up to more than one. Nothing is sent or waited for where no workspace has a quota.

--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -23,6 +23,8 @@
 from mothshunt.membership.roster_messages import ControlAddress
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
+from mothshunt.quota.share import IssuerShare
+from mothshunt.quota.token_service import QuotaTokenService
 from mothshunt.rate_limit.state import TokenIssuer
 from mothshunt.rate_limit.token_service import TokenService
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
@@ -45,6 +47,7 @@
     :param intake: Takes what targets say of themselves.
     :param witnessing: Takes what targets say to entry instances of leaving.
     :param tokens: Issues tokens for targets that name a rate limit.
+    :param quota_tokens: Issues tokens for workspaces that have a quota.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -58,6 +61,7 @@
     intake: TargetIntake
     witnessing: LeaveReportCoordinator
     tokens: TokenService
+    quota_tokens: QuotaTokenService
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -130,16 +134,29 @@
         roster.on_attached(tokens.send_limits)
         attachments.on_attach(publisher.send_pulse)
         coordinator = RoutingCoordinator(state, log)
+        configuration_publisher = ConfigurationPublisher(
+            state, log, holder, network, clock
+        )
+        quota_tokens = QuotaTokenService(
+            network=network,
+            members=lambda: [member.id for member in control()],
+            confirmed_at=lambda: configuration_publisher.confirmed_at,
+            clock=clock,
+            metrics=metrics,
+            share=IssuerShare(settings.instance.id),
+        )
+        holder.on_change(quota_tokens.on_configuration)
         return cls(
             log=log,
             routing=coordinator,
-            publisher=ConfigurationPublisher(state, log, holder, network, clock),
+            publisher=configuration_publisher,
             roster=roster,
             directory=EntryLookup(roster.table, routing.lookup_lifetime_s, metrics),
             registry=publisher,
             intake=TargetIntake(publisher, coordinator),
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
             tokens=tokens,
+            quota_tokens=quota_tokens,
             attachments=attachments,
             network=network,
             _state=state,
@@ -193,14 +210,17 @@
         await self.registry.async_start()
         await self.witnessing.async_start()
         await self.tokens.async_start()
+        await self.quota_tokens.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
         """Read the log from the disk and take part in the elections."""
         await self.log.async_start()
+        self.quota_tokens.on_log_opened()
 
     async def async_stop(self) -> None:
         """Stop the parts; a leader hands its leadership on."""
+        await self.quota_tokens.async_stop()
         await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -24,6 +24,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
+from mothshunt.quota.limiter import QuotaLimiter
 from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.registry.messages import LeavingSeen
@@ -40,6 +41,7 @@
     :param server: HTTP for callers.
     :param placement: Choice of targets.
     :param rate_limiter: Rate limits that targets name.
+    :param quota: Quotas of workspaces.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
@@ -51,6 +53,7 @@
     server: RoutedServer
     placement: PlacementCoordinator
     rate_limiter: RateLimiter
+    quota: QuotaLimiter
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
@@ -109,6 +112,13 @@
             clock=clock,
             metrics=metrics,
         )
+        quota = QuotaLimiter(
+            network=network,
+            controls=attachments.nearest,
+            clock=clock,
+            metrics=metrics,
+        )
+        holder.on_change(quota.on_configuration)
         placement = PlacementCoordinator(
             state=Placement(
                 zone=own.availability_zone,
@@ -151,6 +161,7 @@
             configuration=holder,
             placement=placement,
             rate_limiter=rate_limiter,
+            quota=quota,
             pool=pool,
             budget=budget,
             slack_part=slack_part,
@@ -180,6 +191,7 @@
             server=server,
             placement=placement,
             rate_limiter=rate_limiter,
+            quota=quota,
             pool=pool,
             budget=budget,
             reporter=reporter,
@@ -193,6 +205,7 @@
         await self.pool.async_start()
         await self.placement.async_start()
         await self.rate_limiter.async_start()
+        await self.quota.async_start()
         await self.reporter.async_start()
         await self.server.async_start()
 
@@ -222,6 +235,7 @@
         """Stop to serve."""
         await self.server.async_stop()
         await self.reporter.async_stop()
+        await self.quota.async_stop()
         await self.rate_limiter.async_stop()
         await self.placement.async_stop()
         await self.pool.async_stop()
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import RequestId
+from mothshunt.core.types import Ran, RequestId
 from mothshunt.dispatch import codes as dispatch_codes
 from mothshunt.dispatch.body import async_read_body
 from mothshunt.dispatch.request import end_to_end_headers
@@ -36,6 +36,8 @@
 from mothshunt.forwarding.tries import ChosenResponse
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
+from mothshunt.quota.limiter import QuotaLimiter
+from mothshunt.quota.model import QuotaDecision
 from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.routing.model import RoutingTable
 from mothshunt.routing.split import WeightedSplit
@@ -49,6 +51,7 @@
     :param configuration: Source of the routes in force.
     :param placement: Chooses targets.
     :param rate_limiter: Rate limits that targets name.
+    :param quota: Quotas of workspaces; ``None`` if they don't apply.
     :param pool: Connections to targets.
     :param budget: Budget for retries and hedged attempts.
     :param slack_part: Returns this instance's fraction of the budget's slack at a given
@@ -65,6 +68,7 @@
         configuration: ConfigurationSource,
         placement: PlacementCoordinator,
         rate_limiter: RateLimiter,
+        quota: QuotaLimiter | None = None,
         pool: ConnectionPool,
         budget: RetryBudget,
         slack_part: Callable[[float], float],
@@ -78,6 +82,7 @@
         self._admission = admission
         self._metrics = metrics
         self._clock = clock
+        self._quota = quota
         self._split = WeightedSplit()
         self._request_log = RequestLog(metrics)
         self._attempts = AttemptCoordinator(
@@ -151,9 +156,18 @@
         if limits is not None and length is not None and length > limits.max_body_bytes:
             failure = Failure(code=dispatch_codes.BODY_TOO_LARGE)
             return self._build_refusal(failure, routed.request_id)
+        quota = await self._async_admit(routed)
+        if quota is not None and quota.failure is not None:
+            return self._build_refusal(quota.failure, routed.request_id)
         body = await async_read_body(request, keyed=False, timeout_s=left_s)
         if isinstance(body, Failure):
+            self._give_back(quota)
             return self._build_refusal(body, routed.request_id)
+        if quota is not None and self._clock.monotonic() >= quota.valid_until:
+            # The body took longer than the token lasted.
+            quota = await self._async_admit(routed)
+            if quota is not None and quota.failure is not None:
+                return self._build_refusal(quota.failure, routed.request_id)
         outgoing = OutgoingRequest(
             routed=routed,
             headers=target_headers(request.headers, self._refusal_builder.names),
@@ -181,6 +195,8 @@
         )
         revision = self._configuration.current().revision
         if isinstance(result, Failure):
+            if not retry_state.targets_tried and result.ran is Ran.NO:
+                self._give_back(quota)
             self._request_log.log_refused(
                 outgoing,
                 result,
@@ -199,6 +215,19 @@
         )
         return await self._async_send_response(request, outgoing, result)
 
+    async def _async_admit(self, routed: RoutedRequest) -> QuotaDecision | None:
+        """Return the decision of the workspace's quota; ``None`` without a quota."""
+        workspace = routed.workspace
+        if workspace is None or workspace.requests_per_s <= 0 or self._quota is None:
+            return None
+        now = self._clock.monotonic()
+        return await self._quota.async_admit(workspace, now, routed.deadline - now)
+
+    def _give_back(self, quota: QuotaDecision | None) -> None:
+        """Let another request of the workspace use the token of one not sent."""
+        if quota is not None and self._quota is not None:
+            self._quota.give_back(quota)
+
     async def _async_send_response(
         self, request: web.Request, outgoing: OutgoingRequest, chosen: ChosenResponse
     ) -> web.StreamResponse:
--- /dev/null
+++ b/mothshunt/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, shared by the entry instances by means of tokens."""
--- a/mothshunt/util/tokens.py
+++ b/mothshunt/util/tokens.py
@@ -118,6 +118,13 @@
         if len(self._retry_at_by_control_by_key) > MAX_KEYS:
             self._retry_at_by_control_by_key.popitem(last=False)
 
+    def has_denials(self, key: K) -> bool:
+        """Whether any control instance has denied a token.
+
+        :param key: What the token is for.
+        """
+        return key in self._retry_at_by_control_by_key
+
     def record_silence(self, control: InstanceId, now: float) -> None:
         """Record that a control instance has not answered a token request.
 
