--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -24,6 +24,8 @@
 from mothshunt.membership.roster_messages import ControlAddress
 from mothshunt.membership.roster_status import RosterStatus
 from mothshunt.metrics.registry import Metrics
+from mothshunt.quota.share import IssuerShare
+from mothshunt.quota.token_service import QuotaTokenService
 from mothshunt.rate_limit.state import TokenIssuer
 from mothshunt.rate_limit.token_service import TokenService
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
@@ -47,6 +49,7 @@
     :param witnessing: Takes what targets say to entry instances of leaving.
     :param tokens: Issues tokens for targets that name a rate limit.
     :param locality: Regions in which objects are requested.
+    :param quota_tokens: Issues tokens for workspaces that have a quota.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -61,6 +64,7 @@
     witnessing: LeaveReportCoordinator
     tokens: TokenService
     locality: LocalityHub
+    quota_tokens: QuotaTokenService
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -139,10 +143,23 @@
         )
         attachments.on_attach(publisher.send_pulse)
         coordinator = RoutingCoordinator(state, log)
+        configuration_publisher = ConfigurationPublisher(
+            state, log, holder, network, clock
+        )
+        quota_tokens = QuotaTokenService(
+            network=network,
+            members=lambda: [member.id for member in control()],
+            confirmed_at=lambda: configuration_publisher.confirmed_at,
+            log_length=lambda: log.status().last_index,
+            clock=clock,
+            metrics=metrics,
+            share=IssuerShare(settings.instance.id),
+        )
+        holder.on_change(quota_tokens.on_configuration)
         return cls(
             log=log,
             routing=coordinator,
-            publisher=ConfigurationPublisher(state, log, holder, network, clock),
+            publisher=configuration_publisher,
             roster=roster,
             directory=EntryLookup(roster.table, routing.lookup_lifetime_s, metrics),
             registry=publisher,
@@ -150,6 +167,7 @@
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
             tokens=tokens,
             locality=locality,
+            quota_tokens=quota_tokens,
             attachments=attachments,
             network=network,
             _state=state,
@@ -204,15 +222,18 @@
         await self.witnessing.async_start()
         await self.tokens.async_start()
         await self.locality.async_start()
+        await self.quota_tokens.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
         """Read the log from the disk and take part in the elections."""
         await self.log.async_start()
+        self.quota_tokens.on_log_opened()
 
     async def async_stop(self) -> None:
         """Stop the parts; a leader hands its leadership on."""
         await self.locality.async_stop()
+        await self.quota_tokens.async_stop()
         await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -28,6 +28,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
 from mothshunt.placement.state import Placement
+from mothshunt.quota.limiter import QuotaLimiter
 from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.registry.messages import LeavingSeen
@@ -45,6 +46,7 @@
     :param placement: Choice of targets.
     :param locality: Regions in which objects are requested.
     :param rate_limiter: Rate limits that targets name.
+    :param quota: Quotas of workspaces.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
@@ -59,6 +61,7 @@
     placement: PlacementCoordinator
     locality: LocalityReporter
     rate_limiter: RateLimiter
+    quota: QuotaLimiter
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
@@ -121,6 +124,13 @@
         locality = LocalityReporter(
             network=network, controls=attachments.attached, clock=clock
         )
+        quota = QuotaLimiter(
+            network=network,
+            controls=attachments.nearest,
+            clock=clock,
+            metrics=metrics,
+        )
+        holder.on_change(quota.on_configuration)
         placement = PlacementCoordinator(
             state=Placement(
                 zone=own.availability_zone,
@@ -181,6 +191,7 @@
             is_current=holder.is_current,
             placement=placement,
             rate_limiter=rate_limiter,
+            quota=quota,
             pool=pool,
             budget=budget,
             slack_part=slack_part,
@@ -212,6 +223,7 @@
             placement=placement,
             locality=locality,
             rate_limiter=rate_limiter,
+            quota=quota,
             pool=pool,
             budget=budget,
             reporter=reporter,
@@ -227,6 +239,7 @@
         await self.placement.async_start()
         await self.locality.async_start()
         await self.rate_limiter.async_start()
+        await self.quota.async_start()
         await self.reporter.async_start()
         if self.isolation is not None:
             await self.isolation.async_start()
@@ -260,6 +273,7 @@
         if self.isolation is not None:
             await self.isolation.async_stop()
         await self.reporter.async_stop()
+        await self.quota.async_stop()
         await self.rate_limiter.async_stop()
         await self.locality.async_stop()
         await self.placement.async_stop()
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -11,7 +11,7 @@
 from mothshunt.configuration.model import ConfigurationSource
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
-from mothshunt.core.types import RequestId
+from mothshunt.core.types import Ran, RequestId
 from mothshunt.dispatch import codes as dispatch_codes
 from mothshunt.dispatch.body import async_read_body
 from mothshunt.dispatch.request import end_to_end_headers
@@ -46,6 +46,8 @@
 from mothshunt.isolation.model import Isolation
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
+from mothshunt.quota.limiter import QuotaLimiter
+from mothshunt.quota.model import QuotaDecision
 from mothshunt.rate_limit.limiter import RateLimiter
 from mothshunt.routing.model import RoutingTable, Workspace
 from mothshunt.routing.split import WeightedSplit
@@ -60,6 +62,7 @@
     :param is_current: Whether the configuration is known to be current at a given time.
     :param placement: Chooses targets.
     :param rate_limiter: Rate limits that targets name.
+    :param quota: Quotas of workspaces; ``None`` if they don't apply.
     :param pool: Connections to targets.
     :param budget: Budget for retries and hedged attempts.
     :param slack_part: Returns this instance's fraction of the budget's slack at a given
@@ -78,6 +81,7 @@
         is_current: Callable[[float], bool],
         placement: PlacementCoordinator,
         rate_limiter: RateLimiter,
+        quota: QuotaLimiter | None = None,
         pool: ConnectionPool,
         budget: RetryBudget,
         slack_part: Callable[[float], float],
@@ -94,6 +98,7 @@
         self._isolation = isolation
         self._metrics = metrics
         self._clock = clock
+        self._quota = quota
         self._split = WeightedSplit()
         self._request_log = RequestLog(metrics)
         self._workspace_counters = WorkspaceCounters.from_metrics(metrics)
@@ -179,9 +184,25 @@
         if limits is not None and length is not None and length > limits.max_body_bytes:
             failure = Failure(code=dispatch_codes.BODY_TOO_LARGE)
             return self._build_refusal(failure, routed.request_id, routed.workspace)
+        # The quota of a relayed request is charged by the instance that relays it to a
+        # target.
+        is_charged = routed.workspace is not None and not self._isolation.is_isolated
+        quota = await self._async_admit(routed) if is_charged else None
+        if quota is not None and quota.failure is not None:
+            return self._build_refusal(
+                quota.failure, routed.request_id, routed.workspace
+            )
         body = await async_read_body(request, keyed=False, timeout_s=left_s)
         if isinstance(body, Failure):
+            self._give_back(quota)
             return self._build_refusal(body, routed.request_id, routed.workspace)
+        if quota is not None and self._clock.monotonic() >= quota.valid_until:
+            # The body took longer than the token lasted.
+            quota = await self._async_admit(routed)
+            if quota is not None and quota.failure is not None:
+                return self._build_refusal(
+                    quota.failure, routed.request_id, routed.workspace
+                )
         outgoing = OutgoingRequest(
             routed=routed,
             headers=target_headers(
@@ -219,6 +240,8 @@
         )
         revision = self._configuration.current().revision
         if isinstance(result, Failure):
+            if not retry_state.targets_tried and result.ran is Ran.NO:
+                self._give_back(quota)
             self._request_log.log_refused(
                 outgoing,
                 result,
@@ -239,6 +262,19 @@
         )
         return await self._async_send_response(request, outgoing, result)
 
+    async def _async_admit(self, routed: RoutedRequest) -> QuotaDecision | None:
+        """Return the decision of the workspace's quota; ``None`` without a quota."""
+        workspace = routed.workspace
+        if workspace is None or workspace.requests_per_s <= 0 or self._quota is None:
+            return None
+        now = self._clock.monotonic()
+        return await self._quota.async_admit(workspace, now, routed.deadline - now)
+
+    def _give_back(self, quota: QuotaDecision | None) -> None:
+        """Let another request of the workspace use the token of one not sent."""
+        if quota is not None and self._quota is not None:
+            self._quota.give_back(quota)
+
     async def _async_send_response(
         self, request: web.Request, outgoing: OutgoingRequest, chosen: ChosenResponse
     ) -> web.StreamResponse:
