Admit requests by urgency and fair share while a service is short

With more demand than capacity, requests of all kinds waited in the targets' queues until all were late, kinds that may wait long were served before more urgent ones, and 80 entry instances that see one request a second each could not tell.

Entry instances now count requests, rejections, late responses and the load that targets report, by service and urgency, in their load reports; control instances sum these into the pulses; each entry instance derives the fraction of each urgency, and of workspaces over their max-min share. The level moves in bounded steps and falls back to own counts after 3 s. Rejections are 503 with 2905 or 2906 and a spread Retry-After time. It is in use where routes of a service have different priorities, or workspaces exist; elsewhere messages have the same bytes as before.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -18,7 +18,7 @@
 DEFAULT_SCENARIOS = ("florists", "utilities")
 SEEDS = (11, 12, 13)
 #: Policies that are compared: deciders of ``bench.load``.
-POLICIES = ("mothshunt",)
+POLICIES = ("mothshunt", "admission")
 #: Part of the rejections that must come within an eighth of the target latency.
 IMMEDIATE_PART = 0.95
 
--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -17,6 +17,7 @@
     TargetId,
 )
 from mothshunt.placement import codes
+from mothshunt.placement.admission import LevelAdmission
 from mothshunt.placement.model import (
     AttemptOutcome,
     Choice,
@@ -91,9 +92,11 @@
     """Choose as an entry instance of the product does.
 
     :param placement: Its deciding state.
+    :param admission: Its control of admission; ``None`` where it has none.
     """
 
     placement: Placement
+    admission: LevelAdmission | None = None
 
     def follow_limits(self, limits: EntryLimits) -> None:
         """Use what is known of rate limits."""
@@ -119,6 +122,23 @@
             )
         )
 
+    @classmethod
+    def with_admission(
+        cls, scenario: Scenario, zone: AvailabilityZoneId, random: Random
+    ) -> "ProductDecider":
+        """Build the decider of an entry instance that controls admission.
+
+        :param scenario: The scenario.
+        :param zone: Availability zone of the instance.
+        :param random: Source of what it draws.
+        """
+        decider = cls.from_scenario(scenario, zone, random)
+        decider.admission = LevelAdmission(
+            random, services=frozenset(plan.name for plan in scenario.services)
+        )
+        decider.placement.admission = decider.admission
+        return decider
+
     def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
         """Use these targets from now on."""
         held = self.placement.load_by_target
@@ -227,6 +247,7 @@
 #: Makes the decider of an entry instance in a zone.
 DECIDERS: dict[str, Callable[[Scenario, AvailabilityZoneId, Random], Decider]] = {
     "mothshunt": ProductDecider.from_scenario,
+    "admission": ProductDecider.with_admission,
     "least_loaded": _least_loaded,
     "random": _random,
 }
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -35,6 +35,7 @@
     :param region: Region of the caller.
     :param workspace: Workspace of the caller; ``None`` where there are none.
     :param returns: Times that the caller came back after a rejection.
+    :param tried_at: Time at which an entry instance last got it, in seconds.
     """
 
     kind: KindPlan
@@ -44,6 +45,7 @@
     region: RegionId | None = None
     workspace: WorkspaceName | None = None
     returns: int = 0
+    tried_at: float = 0.0
 
     @property
     def earned(self) -> float:
--- a/bench/load/world.py
+++ b/bench/load/world.py
@@ -11,6 +11,7 @@
 from bench.load.arrivals import Arrival, arrivals
 from bench.load.deciders import DECIDERS, Decider, ProductDecider
 from bench.load.limits import EmulatedControl, EntryLimits, LimitedSpan
+from bench.load.overload import EmulatedSums
 from bench.load.report import Ending, Figures, Outcome
 from bench.load.scenario import EventKind, EventPlan, Scenario
 from bench.load.targets import EmulatedTarget, Job
@@ -98,6 +99,7 @@
         self.entries: list[Entry] = []
         self.limited_spans: list[LimitedSpan] = []
         self._control = EmulatedControl(scenario)
+        self._sums = EmulatedSums(scenario)
         self._make_decider = DECIDERS[decider]
         self._random = Random(scenario.seed + 1)
         self._timeline = Timeline(0.0)
@@ -161,6 +163,16 @@
         self._tell_targets(entry)
         return entry
 
+    @property
+    def timeline(self) -> Timeline:
+        """Events in emulated time."""
+        return self._timeline
+
+    @property
+    def levels(self) -> list[tuple[float, dict[str, dict[int, float]]]]:
+        """Admission levels of the first entry instance over time, by service."""
+        return self._sums.levels
+
     def _tell_targets(self, entry: Entry) -> None:
         placed = (target.placed for target in self.targets.values() if target.is_up)
         entry.decider.replace_targets(placed, self._timeline.now)
@@ -173,6 +185,7 @@
         for event in self.scenario.events:
             self._timeline.at(event.at, partial(self._begin, event))
         self._timeline.after(ADJUST_INTERVAL_S, self._adjust)
+        self._sums.start(self)
         longest_s = max(kind.deadline_ms for kind in self.scenario.kinds) / 1000
         self._timeline.run_until(self.scenario.seconds + longest_s)
         self.figures.asked = len(drawn)
@@ -422,7 +435,12 @@
         if is_allowed:
             self._attempt(asked)
         elif ran is Ran.UNKNOWN:
-            self._end(asked.arrival, Outcome.FAILED, returns=asked.returns)
+            self._end(
+                asked.arrival,
+                Outcome.FAILED,
+                returns=asked.returns,
+                tried_at=asked.began_at,
+            )
         else:
             wait_s = forwarding_const.DEFAULT_RETRY_S
             if has_capacity:
@@ -442,7 +460,9 @@
         self.figures.rejected_after[arrival.kind.name].append(held_share)
         may_return = asked.returns < arrival.kind.retries and left_s > 0
         if not may_return:
-            self._end(arrival, Outcome.REFUSED, returns=asked.returns)
+            self._end(
+                arrival, Outcome.REFUSED, returns=asked.returns, tried_at=asked.began_at
+            )
             return
         wait_s = min(wait_s, left_s * RETURN_PART)
         self.figures.returns += 1
@@ -461,7 +481,9 @@
             outcome = Outcome.IN_TIME
         if outcome is Outcome.FAILED:
             took_ms = 0.0
-        self._end(arrival, outcome, took_ms, returns=asked.returns)
+        self._end(
+            arrival, outcome, took_ms, returns=asked.returns, tried_at=asked.began_at
+        )
 
     def _end(
         self,
@@ -470,6 +492,7 @@
         took_ms: float = 0.0,
         *,
         returns: int = 0,
+        tried_at: float = 0.0,
     ) -> None:
         self.figures.note(
             Ending(
@@ -480,6 +503,7 @@
                 region=self.scenario.region_by_zone[arrival.zone],
                 workspace=arrival.workspace,
                 returns=returns,
+                tried_at=tried_at,
             )
         )
 
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -175,6 +175,7 @@
             revision=lambda: holder.current().revision,
             in_flight=server.in_flight,
             local=local,
+            admission=placement.admission,
         )
         return cls(
             server=server,
--- a/mothshunt/membership/const.py
+++ b/mothshunt/membership/const.py
@@ -47,6 +47,14 @@
 DIGEST_MISMATCH_GRACE_S = 0.9
 #: Decimal digits of a request rate in load reports.
 DEMAND_DIGITS = 2
+#: Age of a load report after which its counts are left out of the sums, in seconds:
+#: counts of a frozen or lost entry instance would hold up the admission level. A little
+#: above two ENTRY_LOAD_INTERVAL_S.
+MAX_COUNTS_AGE_S = 2.5
+#: Workspaces that are named for each service in the sums, and services in them; the
+#: links of entry instances are narrow.
+MAX_SUMMED_WORKSPACES = 8
+MAX_SUMMED_SERVICES = 64
 #: Time for which an entry instance is still listed after its stream closed, in seconds,
 #: because only the stream may have been lost.
 ENTRY_DETACH_GRACE_S = 0.6
--- a/mothshunt/membership/roster.py
+++ b/mothshunt/membership/roster.py
@@ -14,6 +14,7 @@
     EntryRow,
     ReadyEntry,
 )
+from mothshunt.placement.admission_counts import ServiceCounts, sum_counts
 
 
 @dataclass(slots=True, eq=False)
@@ -23,6 +24,7 @@
     :param report: Its last report.
     :param load: Its last load report.
     :param reported_at: Time at which it last sent a report or a load, in seconds.
+    :param load_at: Time at which it sent the load report, in seconds.
     :param detached_at: Time at which its stream closed, in seconds; ``None`` while it
         is open.
     :param ready_since: Time from which it is known to accept requests, in seconds;
@@ -32,6 +34,7 @@
     report: EntryReport
     reported_at: float
     load: EntryLoad = field(default_factory=EntryLoad)
+    load_at: float = float("-inf")
     detached_at: float | None = None
     ready_since: float | None = None
 
@@ -82,7 +85,7 @@
         entry = self.entry_by_id.get(instance)
         if entry is not None:
             entry.load = load
-            entry.reported_at = now
+            entry.load_at = entry.reported_at = now
 
     def detach(self, instance: InstanceId, now: float) -> None:
         """Record that the stream of an instance closed.
@@ -145,6 +148,20 @@
             for service, by_zone in demand.items()
         )
 
+    def counts(self, now: float) -> tuple[ServiceCounts, ...]:
+        """Return the sums of the counts in recent load reports, by service.
+
+        :param now: The present time, in seconds.
+        """
+        rows = (
+            row
+            for entry in self.entry_by_id.values()
+            if entry.load.counts and now - entry.load_at <= const.MAX_COUNTS_AGE_S
+            for row in entry.load.counts
+        )
+        sums = sum_counts(rows, const.MAX_SUMMED_WORKSPACES)
+        return tuple(sums.values())[: const.MAX_SUMMED_SERVICES]
+
     def ready_entries(self, now: float) -> Sequence[ReadyEntry]:
         """Return the entry instances that accept requests, sorted by name.
 
--- a/mothshunt/membership/roster_coordinator.py
+++ b/mothshunt/membership/roster_coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import InstanceId, InstanceState, ServiceName
@@ -25,6 +26,7 @@
     roster_digest,
 )
 from mothshunt.membership.roster_view import RosterView
+from mothshunt.placement.admission_counts import ServiceCounts
 from mothshunt.settings.config import ControlPeer
 
 
@@ -148,7 +150,11 @@
             pulse_at = now + const.PRIMARY_PULSE_INTERVAL_S
             digest = roster_digest(self.table.rows())
             primary = self.primary_entries()
-            pulse = RosterPulse(digest=digest, demand=self.table.demand())
+            pulse = RosterPulse(
+                digest=digest,
+                demand=self.table.demand(),
+                counts=self.table.counts(now),
+            )
             self.network.post_all(primary, pulse)
             if now >= pulse_all_at:
                 pulse_all_at = now + const.SECONDARY_PULSE_INTERVAL_S
@@ -157,6 +163,25 @@
                 self.network.post_all(self.attached(), self._control_list())
 
 
+class CountExchange(Protocol):
+    """Counter of requests that is told the sums of all entry instances."""
+
+    def take_counts(self) -> tuple[ServiceCounts, ...]:
+        """Return the counts since the last call."""
+        ...
+
+    def record_sums(
+        self, control: InstanceId, rows: tuple[ServiceCounts, ...], now: float
+    ) -> None:
+        """Record the sums of the counts of all entry instances.
+
+        :param control: Control instance that sent them.
+        :param rows: The sums.
+        :param now: The present time, in seconds.
+        """
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class RosterReporter:
     """Sender of an entry instance's reports; receiver of the rosters.
@@ -168,6 +193,8 @@
     :param revision: Returns the revision in force here.
     :param in_flight: Returns the number of requests in flight here.
     :param local: Collector of reports here, if this is a control instance too.
+    :param admission: Counts requests for the load reports, and is told the sums of all
+        entry instances.
     """
 
     network: StreamNetwork
@@ -177,6 +204,7 @@
     revision: Callable[[], int]
     in_flight: Callable[[], int]
     local: RosterHub | None = None
+    admission: CountExchange | None = None
     _demand: Mapping[ServiceName, float] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
@@ -224,10 +252,13 @@
                 (service, round(per_s, const.DEMAND_DIGITS))
                 for service, per_s in self._demand.items()
             ),
+            counts=() if self.admission is None else self.admission.take_counts(),
         )
         self.network.post_all(self.attachments.attached(), load)
         if self.local is not None:
-            self.local.record_load(self.view.own.instance, load)
+            own, now = self.view.own.instance, self.clock.monotonic()
+            self.local.record_load(own, load)
+            self._record_sums(own, self.local.table.counts(now))
             self.view.record_own_listing(self.clock.monotonic())
 
     def _report_to(self, control: InstanceId) -> None:
@@ -250,6 +281,13 @@
     def _on_pulse(self, peer: InstanceId, pulse: RosterPulse) -> None:
         if self.view.apply_pulse(peer, pulse, self.clock.monotonic()):
             self.network.post(peer, RosterRequest())
+        self._record_sums(peer, pulse.counts)
+
+    def _record_sums(
+        self, control: InstanceId, counts: tuple[ServiceCounts, ...]
+    ) -> None:
+        if counts and self.admission is not None:
+            self.admission.record_sums(control, counts, self.clock.monotonic())
 
     def _on_control_list(self, peer: InstanceId, message: ControlList) -> None:
         self.attachments.set_location(
--- a/mothshunt/membership/roster_messages.py
+++ b/mothshunt/membership/roster_messages.py
@@ -11,6 +11,7 @@
     RegionId,
     ServiceName,
 )
+from mothshunt.placement.admission_counts import ServiceCounts
 from mothshunt.util.hashing import hash_text
 from mothshunt.util.wire import message
 
@@ -90,7 +91,7 @@
         )
 
 
-@message("membership.entry_load")
+@message("membership.entry_load", omit_if_empty=("counts",))
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntryLoad:
     """Load of an entry instance, sent to a control instance.
@@ -98,11 +99,14 @@
     :param revision: Revision of the configuration in force there.
     :param in_flight: Requests in flight there.
     :param demand: Services and their request rates, in requests a second.
+    :param counts: Counts since the last report that admission is decided from; empty
+        where admission is not controlled.
     """
 
     revision: int = 0
     in_flight: int = 0
     demand: tuple[tuple[ServiceName, float], ...] = ()
+    counts: tuple[ServiceCounts, ...] = ()
 
 
 @message("membership.control_address")
@@ -156,7 +160,7 @@
     """Request for all entry instances attached to a control instance."""
 
 
-@message("membership.roster_pulse")
+@message("membership.roster_pulse", omit_if_empty=("counts",))
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RosterPulse:
     """Confirmation of the entry instances attached to a control instance.
@@ -164,10 +168,13 @@
     :param digest: Digest of all their rows.
     :param demand: Sum of their request rates; empty if the sender is not a primary of
         the receiver.
+    :param counts: Sums of the counts of the entry instances, by service; empty where
+        ``demand`` is, and where admission is not controlled.
     """
 
     digest: int
     demand: tuple[DemandRow, ...] = ()
+    counts: tuple[ServiceCounts, ...] = ()
 
 
 def roster_digest(rows: Iterable[EntryRow]) -> int:
--- a/mothshunt/placement/codes.py
+++ b/mothshunt/placement/codes.py
@@ -30,3 +30,17 @@
     summary="All targets of the service are too busy to respond in time.",
     action="Retry after the given time.",
 )
+NOT_ADMITTED = ResultCode(
+    number=2905,
+    name="service_over_capacity",
+    http_status=503,
+    summary="The service is short of capacity and admits a part of such requests only.",
+    action="Retry after the given time; add targets if the service is short for long.",
+)
+OVER_FAIR_SHARE = ResultCode(
+    number=2906,
+    name="workspace_over_fair_share",
+    http_status=503,
+    summary="The service is short of capacity and the workspace has used its share.",
+    action="Retry after the given time, or send fewer requests.",
+)
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -117,3 +117,5 @@
 SHIFT_LIMIT_SHARE = 0.6
 #: Window of the allowed shift between regions, in seconds.
 SHIFT_WINDOW_S = 2.0
+#: Urgencies of a service whose admitted fraction is a metric.
+MAX_URGENCY_METRICS = 4
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 
 from expression import Result
 
@@ -20,6 +21,12 @@
 from mothshunt.membership.roster_view import RosterView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement import const
+from mothshunt.placement.admission import (
+    UPDATE_INTERVAL_S,
+    LevelAdmission,
+    NoAdmissionControl,
+    controlled_services,
+)
 from mothshunt.placement.demand import DemandMeter
 from mothshunt.placement.log_events import TargetLeaves
 from mothshunt.placement.model import (
@@ -39,6 +46,7 @@
 from mothshunt.settings.config import RoutingSettings
 
 METRIC_CHOICES = "mothshunt_placement_choices_total"
+METRIC_ADMITTED = "mothshunt_admission_fraction"
 METRIC_REFUSALS = "mothshunt_placement_refusals_total"
 
 
@@ -56,6 +64,8 @@
     :param on_frequent_targets: Called with the targets to which a connection should be
         ready.
     :param on_leaving: Called with a target that announced in a response that it leaves.
+    :param admission: Admission to services that are short of capacity; in use where
+        the configuration ranks requests.
     """
 
     state: Placement
@@ -67,6 +77,7 @@
     on_demand: Callable[[Mapping[ServiceName, float]], None]
     on_frequent_targets: Callable[[Iterable[RoutableTarget]], None]
     on_leaving: Callable[[RoutableTarget], None]
+    admission: LevelAdmission = field(default_factory=LevelAdmission)
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
@@ -93,11 +104,27 @@
         table = configuration.routing
         readmitted = self._evacuated_zones - table.evacuated_zones
         self._table = table
+        self._control_admission(table)
         self._evacuated_zones = table.evacuated_zones
         self.refresh()
         if readmitted:
             self._assume_cold(readmitted, self.clock.monotonic())
 
+    def _control_admission(self, table: RoutingTable) -> None:
+        services = controlled_services(table)
+        if services == self.admission.services:
+            return
+        for service in services - self.admission.services:
+            for urgency in range(const.MAX_URGENCY_METRICS):
+                self.metrics.gauge(
+                    METRIC_ADMITTED,
+                    partial(self.admission.fraction, service, urgency),
+                    service=service,
+                    urgency=str(urgency),
+                )
+        self.admission.control(services)
+        self.state.admission = self.admission if services else NoAdmissionControl()
+
     def _assume_cold(self, zones: frozenset[AvailabilityZoneId], now: float) -> None:
         """Treat the targets of zones as cold until their next renewal.
 
@@ -236,7 +263,7 @@
         return (t for t in self.registry.known_by_target if t not in routable)
 
     async def _async_run(self) -> None:
-        report_at = 0.0
+        report_at = update_admission_at = 0.0
         while True:
             await asyncio.sleep(const.ADJUST_INTERVAL_S)
             self.refresh()
@@ -245,6 +272,11 @@
                 report_at = now + const.REPORT_INTERVAL_S
                 for report in self.state.reports():
                     log.write(report)
+                for admission_report in self.admission.reports():
+                    log.write(admission_report)
+            if self.admission.services and now >= update_admission_at:
+                update_admission_at = now + UPDATE_INTERVAL_S
+                self.admission.update(now)
             for changed in self.state.health_changes(now):
                 log.write(changed)
             own_demand = self._demand.measure(const.ADJUST_INTERVAL_S)
--- a/mothshunt/placement/log_events.py
+++ b/mothshunt/placement/log_events.py
@@ -85,3 +85,33 @@
     unknown_ms: int
     mean_ms: int
     targets: int
+
+
+@log_event("admission", slice_name="placement")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdmissionReport:
+    """Admission to a service that is short of capacity, since the previous such line.
+
+    :param service: The service.
+    :param admitted: Fraction of the requests that is admitted, by urgency.
+    :param limited: Workspaces that ask for more than their fair share, with the
+        fraction of their requests that is admitted.
+    :param rejected: Requests that this instance rejected, by reason: `level`: the
+        admission level; `workspace`: the fair share of the workspace; `capacity`: no
+        target had capacity.
+    :param demand_per_s: Requests a second for the service, over all entry instances.
+    :param capacity_per_s: Requests a second that its targets can handle.
+    :param queue: Mean queue of its targets, as a multiple of their slots.
+    :param source: `all` if the figures are those of all entry instances; `own` if only
+        those of this instance are known, whose demand and capacity are for its own
+        requests over some seconds.
+    """
+
+    service: ServiceName
+    admitted: Mapping[str, float]
+    limited: Mapping[str, float]
+    rejected: Mapping[str, int]
+    demand_per_s: float
+    capacity_per_s: float
+    queue: float
+    source: str
--- a/mothshunt/placement/model.py
+++ b/mothshunt/placement/model.py
@@ -86,6 +86,8 @@
     :param renewal_age_s: Age of the target's newest renewal, in seconds.
     :param token_until: Time up to which the request may be sent to a target that names
         a rate limit, in seconds.
+    :param urgency: Urgency of the request, where admission is controlled.
+    :param due_at: Time at which its target latency passes, in seconds.
     """
 
     target: RoutableTarget
@@ -98,6 +100,8 @@
     unknown_object_s: float = 0.0
     renewal_age_s: float = 0.0
     token_until: float = float("-inf")
+    urgency: int = 0
+    due_at: float = float("inf")
 
 
 class AttemptOutcome(Enum):
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -18,6 +18,7 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
 from mothshunt.placement import codes, const
+from mothshunt.placement.admission import AdmissionControl, NoAdmissionControl
 from mothshunt.placement.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement.model import (
     AttemptOutcome,
@@ -69,6 +70,7 @@
     :param load_by_target: Load and health of each target that requests may be sent to.
     :param notices: Pauses and leaves that targets announced.
     :param rate_limits: Rate limits that targets name.
+    :param admission: Admission of requests to services that are short of capacity.
     """
 
     zone: AvailabilityZoneId
@@ -80,6 +82,7 @@
     load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
     notices: TargetNotices = field(default_factory=TargetNotices)
     rate_limits: RateLimitView = field(default_factory=NoRateLimits)
+    admission: AdmissionControl = field(default_factory=NoAdmissionControl)
     _targets_by_service: dict[ServiceName, ServiceTargets] = field(default_factory=dict)
     _cold_limit_by_target: Mapping[TargetId, float] = field(default_factory=dict)
     _newest_renewed_at: float = float("-inf")
@@ -162,7 +165,12 @@
             if token_wait_s is not None:
                 return Error(self._refusal_until(codes.TARGETS_AT_LIMIT, token_wait_s))
             return Error(self._refusal(codes.NO_TARGETS, const.MIN_CONNECT_BACKOFF_S))
+        rejection = self.admission.reject(request)
+        if rejection is not None:
+            targets.counters.refused += 1
+            return Error(rejection)
         if not self._is_worthwhile(best, request):
+            self.admission.record_no_capacity(request)
             wait_s = best.total_s - request.target_latency_s
             targets.counters.refused += 1
             return Error(self._refusal(codes.NO_CAPACITY, wait_s))
@@ -174,6 +182,7 @@
             best.unknown_object_s,
         )
         targets.counters.count(choice)
+        self.admission.record_choice(choice, request, now)
         return Ok(choice)
 
     def _usable_by_scope(
@@ -416,6 +425,7 @@
         if load is None:
             return
         load.finish(choice, outcome, reported, now)
+        self.admission.record_end(choice, outcome, reported, now)
         targets = self._targets_by_service.get(choice.target.service)
         is_remote = choice.target.region != self.region
         may_have_queued = choice.load > choice.target.slots
--- a/mothshunt/util/wire.py
+++ b/mothshunt/util/wire.py
@@ -24,12 +24,18 @@
 
 _CLASS_BY_KIND: dict[str, type[Any]] = {}
 _KIND_BY_CLASS: dict[type[Any], str] = {}
+_OMITTED_IF_EMPTY_BY_CLASS: dict[type[Any], tuple[str, ...]] = {}
 
 
-def message(kind: str) -> Callable[[type[T]], type[T]]:
+def message(
+    kind: str, *, omit_if_empty: tuple[str, ...] = ()
+) -> Callable[[type[T]], type[T]]:
     """Register a frozen dataclass as a message between instances.
 
     :param kind: Unique name in the form ``slice.message``.
+    :param omit_if_empty: Fields that are not sent while they are empty, so that a
+        feature that is not in use adds nothing to the message. Receivers of an older
+        release ignore fields that they don't know.
     :return: Class decorator.
     """
 
@@ -38,6 +44,8 @@
             raise ValueError(f"message kind {kind} is registered twice")
         _CLASS_BY_KIND[kind] = cls
         _KIND_BY_CLASS[cls] = kind
+        if omit_if_empty:
+            _OMITTED_IF_EMPTY_BY_CLASS[cls] = omit_if_empty
         return cls
 
     return register
@@ -58,7 +66,11 @@
     :param value: Instance of a registered class.
     :return: Plain data for msgpack.
     """
-    return [kind_of(value), schema.to_plain(value)]
+    body = schema.to_plain(value)
+    for name in _OMITTED_IF_EMPTY_BY_CLASS.get(type(value), ()):
+        if not body[name]:
+            del body[name]
+    return [kind_of(value), body]
 
 
 def from_wire_or_raise(document: object) -> Any:
