--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -24,9 +24,9 @@
 from mothshunt.placement.admission import (
     UPDATE_INTERVAL_S,
     LevelAdmission,
-    NoAdmissionControl,
     controlled_services,
 )
+from mothshunt.placement.admission_model import NoAdmissionControl
 from mothshunt.placement.demand import DemandMeter
 from mothshunt.placement.log_events import TargetLeaves
 from mothshunt.placement.model import (
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -18,7 +18,7 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
 from mothshunt.placement import codes, const
-from mothshunt.placement.admission import AdmissionControl, NoAdmissionControl
+from mothshunt.placement.admission_model import AdmissionControl, NoAdmissionControl
 from mothshunt.placement.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement.model import (
     AttemptOutcome,
--- a/tests/placement/admission.feature
+++ b/tests/placement/admission.feature
@@ -33,6 +33,17 @@
     Then it uses its own counts
     And after 15 s everything is admitted there
 
+  # Guards against counts of another moment that keep a service closed.
+  Scenario: Counts of a frozen entry instance are left out of the sums
+    Given load reports of entries "e1, e2" with 10 requests each at 0 s
+    And a load report of entry "e2" with 10 requests at 3 s
+    Then the sums are of 10 requests at 3 s
+
+  Scenario: The sums of the other control instance are used while one is frozen
+    Given an entry instance that gets sums from control instances "c1, c2"
+    When "c1" is frozen for 20 s, and demand falls meanwhile
+    Then it uses the sums of "c2", and everything is admitted
+
   Scenario: Without ranks nothing is controlled, and messages are as before
     Given a service with routes of one priority and no workspaces
     Then no service is controlled
