--- a/tests/placement/admission.feature
+++ b/tests/placement/admission.feature
@@ -87,7 +87,7 @@
       | nothing fails                                                    |
       | control instances are silent from 8 s to 18 s                    |
       | sums arrive 2 s late from 8 s to 26 s                            |
-      | targets of region "centre" come back cold at 10 s                |
+      | targets of region "north" come back cold at 9 s                  |
       | targets of region "centre" are unreachable from 12 s to 20 s     |
 
   Scenario Outline: A less urgent kind gets no larger share of its value
