Share the loads of targets among entry instances, and spread requests by them

Cause: with dozens of entry instances each knows little of the targets, and those that choose at the same moment choose alike: in the emulator, with 80 instances, the busiest target had 1.6 (requests without an object) and 3.7 times (with objects) the mean over a run. Change: entry instances tell what they learned of targets, control instances forward the newest of each target. Requests without an object go to three targets of each instance in turn, weighted by use; objects beyond 1.05 times the mean demand of a target go to their second target. A slowdown counts for 0.6 s, within bounds. Only with the setting shares_target_loads, 40 or more entry instances, and workspaces or a target that reports a slowdown; else no message is sent and targets are chosen as before. The emulator measures the spread of the load, and plays machines that are slow in turn.

--- a/bench/load/arrivals.py
+++ b/bench/load/arrivals.py
@@ -28,7 +28,7 @@
     at: float
     kind: KindPlan
     zone: AvailabilityZoneId
-    key: str
+    key: str | None
 
 
 def arrivals(scenario: Scenario) -> list[Arrival]:
@@ -43,7 +43,7 @@
 
 def _drawn(
     scenario: Scenario, random: Random
-) -> Iterator[tuple[float, KindPlan, AvailabilityZoneId, str]]:
+) -> Iterator[tuple[float, KindPlan, AvailabilityZoneId, str | None]]:
     for kind in scenario.kinds:
         weights = [1.0 / (rank + 1) ** kind.skew for rank in range(kind.objects)]
         cumulative = list(itertools.accumulate(weights))
@@ -54,7 +54,8 @@
                 for _ in range(_poisson(per_step, random)):
                     rank = bisect.bisect(cumulative, random.random() * cumulative[-1])
                     moment = at + random.random() * STEP_S
-                    yield moment, kind, zone, f"{kind.service}-{rank}"
+                    key = f"{kind.service}-{rank}" if kind.has_affinity else None
+                    yield moment, kind, zone, key
             at += STEP_S
 
 
--- a/bench/load/bound.py
+++ b/bench/load/bound.py
@@ -53,7 +53,7 @@
     lost_to_unknown = 0.0
     for arrival in arrivals(scenario):
         plan = scenario.service(arrival.kind.service)
-        is_known = arrival.key in seen
+        is_known = arrival.key is not None and arrival.key in seen
         seen.add(arrival.key)
         index = min(count - 1, int(arrival.at / WINDOW_S))
         window = windows[(plan.name, index)]
--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -16,7 +16,9 @@
     ServiceName,
     TargetId,
 )
+from mothshunt.load_sharing.entry_state import EntryLoads
 from mothshunt.placement import codes
+from mothshunt.placement.even_load import EvenLoad
 from mothshunt.placement.model import (
     AttemptOutcome,
     Choice,
@@ -153,6 +155,45 @@
         self.placement.adjust(demand, region_by_zone)
 
 
+@dataclass(slots=True)
+class EvenDecider(ProductDecider):
+    """Choose as an entry instance that shares the loads of targets.
+
+    :param loads: What it tells and is told; used by the world.
+    """
+
+    loads: EntryLoads
+
+    @classmethod
+    def from_scenario(
+        cls, scenario: Scenario, zone: AvailabilityZoneId, random: Random
+    ) -> "EvenDecider":
+        """Build the decider of one entry instance."""
+        placement = ProductDecider.from_scenario(scenario, zone, random).placement
+        placement.even_load = EvenLoad(random)
+        return cls(placement, EntryLoads(placement.even_load))
+
+    def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
+        """Use these targets from now on."""
+        ProductDecider.replace_targets(self, targets, now)
+        self.loads.set_targets(
+            load.target for load in self.placement.load_by_target.values()
+        )
+        self.placement.refresh_use(now)
+
+    def finish(
+        self,
+        choice: Choice,
+        outcome: AttemptOutcome,
+        reported: ReportedLoad | None,
+        now: float,
+    ) -> None:
+        """Give room back, learn, and note what is to be told."""
+        self.placement.finish(choice, outcome, reported, now)
+        if reported is not None:
+            self.loads.record_response(choice.target, reported, now)
+
+
 @dataclass(slots=True)
 class SimpleDecider:
     """Choose by a rank, among the targets of the region where it has any.
@@ -227,6 +268,7 @@
 #: Makes the decider of an entry instance in a zone.
 DECIDERS: dict[str, Callable[[Scenario, AvailabilityZoneId, Random], Decider]] = {
     "mothshunt": ProductDecider.from_scenario,
+    "even": EvenDecider.from_scenario,
     "least_loaded": _least_loaded,
     "random": _random,
 }
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -10,6 +10,7 @@
 import pygal
 
 from bench.load.scenario import KindPlan, Scenario
+from bench.load.spread import WINDOWS_S, SpreadMeter
 
 WINDOW_S = 2.0
 
@@ -53,11 +54,13 @@
     :param endings: Requests that ended.
     :param asked: Requests that callers made.
     :param returns: Times that callers came back.
+    :param spread: How evenly the targets were loaded.
     """
 
     endings: list[Ending] = field(default_factory=list)
     asked: int = 0
     returns: int = 0
+    spread: SpreadMeter = field(default_factory=SpreadMeter)
 
     def note(self, ending: Ending) -> None:
         """Take the end of a request.
@@ -85,6 +88,18 @@
             "returns": self.returns,
             "p50_ms": round(quantile(took, 0.5), 1),
             "p99_ms": round(quantile(took, 0.99), 1),
+            "busiest_by_mean": {
+                f"{window_s:g}s": [
+                    round(quantile(self.spread.ratios(window_s), part), 2)
+                    for part in (0.5, 0.95, 0.99)
+                ]
+                for window_s in WINDOWS_S
+            },
+            "run_ratio": round(self.spread.run_ratio(), 2),
+            "run_ratio_by_region": round(self.spread.run_ratio(by_region=True), 2),
+            "uneven_part": round(self.spread.uneven_part, 3),
+            "sheds": self.spread.sheds,
+            "needless_sheds": self.spread.needless_sheds,
         }
 
 
--- a/bench/load/scenario.py
+++ b/bench/load/scenario.py
@@ -34,6 +34,8 @@
     SHED = "shed"
     #: Targets take ``x`` times as long.
     SLOW = "slow"
+    #: The machines of a part of the targets are ``x`` times as slow, each time others.
+    FLICKER = "flicker"
     #: Targets name a rate limit of ``x`` requests a second.
     LIMIT = "limit"
     #: Targets are gone, and come back without any memory.
@@ -55,6 +57,7 @@
     :param memory: Objects that a target remembers.
     :param speed_spread: Part by which targets are faster or slower than usual.
     :param renewal_interval_s: Time between two renewals of a target.
+    :param reports_slowdown: Whether targets report how slow their machine is.
     """
 
     __pydantic_config__ = _STRICT
@@ -68,6 +71,7 @@
     memory: Annotated[int, Field(ge=1)] = 64
     speed_spread: Part = 0.2
     renewal_interval_s: Positive = 1.5
+    reports_slowdown: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +90,8 @@
     :param late_worth: What a later answer is worth.
     :param retries: Times that callers come back.
     :param max_attempts: Targets that one request may be sent to.
+    :param has_affinity: Whether entries choose by the object; if not, each request
+        takes the time of an unknown object.
     """
 
     __pydantic_config__ = _STRICT
@@ -102,6 +108,7 @@
     late_worth: Annotated[float, Field(ge=0)] = 0.2
     retries: Annotated[int, Field(ge=0)] = 1
     max_attempts: Annotated[int, Field(ge=1)] = 2
+    has_affinity: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -146,6 +153,8 @@
     :param regions: Availability zones of each region.
     :param callers: Weight of the callers of each zone; alike where it is empty.
     :param entries_per_zone: Entry instances of each zone.
+    :param entries: Entry instances in all, spread over the zones in turn; 0 for
+        ``entries_per_zone`` in each.
     :param zone_ms: Time one way between zones.
     :param region_ms: Time one way between regions.
     :param caller_ms: Time one way from callers to entries.
@@ -167,6 +176,7 @@
     regions: Mapping[RegionId, tuple[AvailabilityZoneId, ...]]
     callers: Mapping[AvailabilityZoneId, float] = field(default_factory=dict)
     entries_per_zone: Annotated[int, Field(ge=1)] = 1
+    entries: Annotated[int, Field(ge=0)] = 0
     zone_ms: float = 0.9
     region_ms: float = 35.0
     caller_ms: float = 1.0
@@ -182,6 +192,14 @@
         """Regions of the availability zones, in the order of the file."""
         return {z: region for region, zones in self.regions.items() for z in zones}
 
+    @property
+    def entry_zones(self) -> list[AvailabilityZoneId]:
+        """Availability zone of each entry instance."""
+        zones = list(self.region_by_zone)
+        if self.entries:
+            return [zones[number % len(zones)] for number in range(self.entries)]
+        return [zone for zone in zones for _ in range(self.entries_per_zone)]
+
     def service(self, name: ServiceName) -> ServicePlan:
         """Return a service.
 
--- a/bench/load/targets.py
+++ b/bench/load/targets.py
@@ -22,7 +22,7 @@
     :param answer: Called with whether it was run, and with the load of the target.
     """
 
-    key: str
+    key: str | None
     answer: Answer
 
 
@@ -37,6 +37,7 @@
     :param random: Decides what is turned away.
     :param shed_part: Part of the requests that is turned away at random.
     :param slowness: Further multiple of its time.
+    :param flicker: Further multiple, of its machine at present.
     :param is_up: Whether it answers at all.
     :param limited: Rate limit that it names; ``None`` for none.
     """
@@ -48,6 +49,7 @@
     random: Random
     shed_part: float = 0.0
     slowness: float = 1.0
+    flicker: float = 1.0
     is_up: bool = True
     limited: LimitedSpan | None = None
     runs: int = 0
@@ -59,7 +61,10 @@
     def load(self) -> ReportedLoad:
         """Return what the target tells of its load."""
         return ReportedLoad(
-            running=self._running, waiting=len(self._waiting), slots=self.plan.slots
+            running=self._running,
+            waiting=len(self._waiting),
+            slots=self.plan.slots,
+            slowdown=self.flicker if self.plan.reports_slowdown else 1.0,
         )
 
     def take(self, job: Job, now: float) -> bool:
@@ -93,10 +98,11 @@
         self._running += 1
         self.runs += 1
         is_known = job.key in self._memory
-        self._memory[job.key] = None
-        self._memory.move_to_end(job.key)
-        if len(self._memory) > self.plan.memory:
-            self._memory.popitem(last=False)
+        if job.key is not None:
+            self._memory[job.key] = None
+            self._memory.move_to_end(job.key)
+            if len(self._memory) > self.plan.memory:
+                self._memory.popitem(last=False)
         usual_ms = self.plan.known_ms if is_known else self.plan.unknown_ms
         life = self._life
 
@@ -108,4 +114,5 @@
             if self._waiting:
                 self._run(self._waiting.popleft())
 
-        self.after(usual_ms / 1000 * self.speed * self.slowness, end)
+        factor = self.speed * self.slowness * self.flicker
+        self.after(usual_ms / 1000 * factor, end)
--- a/bench/load/world.py
+++ b/bench/load/world.py
@@ -9,10 +9,12 @@
 from expression import Result
 
 from bench.load.arrivals import Arrival, arrivals
-from bench.load.deciders import DECIDERS, Decider, ProductDecider
+from bench.load.deciders import DECIDERS, Decider, EvenDecider, ProductDecider
 from bench.load.limits import EmulatedControl, EntryLimits, LimitedSpan
 from bench.load.report import Ending, Figures, Outcome
 from bench.load.scenario import EventKind, EventPlan, Scenario
+from bench.load.sharing import EmulatedSharing, SharingEntry
+from bench.load.spread import SAMPLE_INTERVAL_S
 from bench.load.targets import EmulatedTarget, Job
 from bench.timeline import Timeline
 from mothshunt.core.codes import Failure
@@ -38,6 +40,8 @@
 #: Weight of a new measurement of the demand, each interval.
 DEMAND_WEIGHT = 0.25
 RETRY_WINDOW_S = 10.0
+#: Time for which a machine is slow at a time, in seconds.
+FLICKER_S = 0.6
 #: Part of the time left for which callers honour a time to come back.
 RETURN_PART = 1 / 3
 
@@ -101,6 +105,9 @@
         self._make_decider = DECIDERS[decider]
         self._random = Random(scenario.seed + 1)
         self._timeline = Timeline(0.0)
+        self.sharing = EmulatedSharing(
+            scenario, self._timeline, self._control.zone_by_control
+        )
         self._asked: dict[tuple[ServiceName, AvailabilityZoneId], int] = defaultdict(
             int
         )
@@ -115,9 +122,20 @@
         """
         world = cls(scenario, decider)
         world._build_targets()
-        for zone in scenario.region_by_zone:
-            for _ in range(scenario.entries_per_zone):
-                world.entries.append(world._new_entry(zone))
+        for zone in scenario.entry_zones:
+            world.entries.append(world._new_entry(zone))
+        for entry in world.entries:
+            if isinstance(entry.decider, EvenDecider):
+                region = scenario.region_by_zone[entry.zone]
+                peers = [
+                    e
+                    for e in world.entries
+                    if scenario.region_by_zone[e.zone] == region
+                ]
+                entry.decider.loads.even_load.position = (
+                    peers.index(entry),
+                    len(peers),
+                )
         return world
 
     def _build_targets(self) -> None:
@@ -158,6 +176,11 @@
             limits=EntryLimits(self._control.nearest(self.scenario, zone)),
         )
         entry.decider.follow_limits(entry.limits)
+        if isinstance(entry.decider, EvenDecider):
+            self.sharing.add(
+                SharingEntry(zone, entry.decider.loads, entry.limits.controls),
+                random.random(),
+            )
         self._tell_targets(entry)
         return entry
 
@@ -173,11 +196,27 @@
         for event in self.scenario.events:
             self._timeline.at(event.at, partial(self._begin, event))
         self._timeline.after(ADJUST_INTERVAL_S, self._adjust)
+        self._timeline.after(SAMPLE_INTERVAL_S, self._sample)
+        self.sharing.start()
         longest_s = max(kind.deadline_ms for kind in self.scenario.kinds) / 1000
         self._timeline.run_until(self.scenario.seconds + longest_s)
         self.figures.asked = len(drawn)
         return self.figures
 
+    def after(self, delay_s: float, event: Callable[[], None]) -> None:
+        """Run an event in emulated time.
+
+        :param delay_s: Seconds from now.
+        :param event: What to run.
+        """
+        self._timeline.after(delay_s, event)
+
+    def _sample(self) -> None:
+        now = self._timeline.now
+        self.figures.spread.sample(self.targets.values(), now)
+        if now < self.scenario.seconds:
+            self._timeline.after(SAMPLE_INTERVAL_S, self._sample)
+
     def _adjust(self) -> None:
         for (service, zone), count in self._asked.items():
             by_zone = self._demand.setdefault(service, {})
@@ -197,6 +236,8 @@
     def _begin(self, event: EventPlan) -> None:
         if event.kind is EventKind.RESTART_ENTRIES:
             self._restart_entries(event)
+        elif event.kind is EventKind.FLICKER:
+            self._flicker(event)
         elif event.kind in (
             EventKind.SHED,
             EventKind.SLOW,
@@ -205,6 +246,15 @@
         ):
             self._meet_targets(event)
 
+    def _flicker(self, event: EventPlan) -> None:
+        targets = list(self.targets.values())
+        slow = set()
+        if event.holds(self._timeline.now):
+            slow = set(self._random.sample(targets, round(len(targets) * event.share)))
+            self._timeline.after(FLICKER_S, partial(self._flicker, event))
+        for target in targets:
+            target.flicker = event.x if target in slow else 1.0
+
     def _meet_targets(self, event: EventPlan) -> None:
         near = [
             target
@@ -360,6 +410,10 @@
             ended = True
             self._learn_limit(asked.entry, target)
             outcome = AttemptOutcome.ANSWERED if has_run else AttemptOutcome.SHED
+            if not has_run:
+                self.figures.spread.record_shed(
+                    target.plan.name, self.targets.values(), self._timeline.now
+                )
             asked.entry.decider.finish(choice, outcome, load, self._timeline.now)
             if has_run:
                 self._answer(asked)
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -17,6 +17,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.composite import CompositeStateMachine
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.load_sharing.board_service import LoadBoardService
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub
@@ -45,6 +46,7 @@
     :param intake: Takes what targets say of themselves.
     :param witnessing: Takes what targets say to entry instances of leaving.
     :param tokens: Issues tokens for targets that name a rate limit.
+    :param load_board: Forwards the loads of targets that entry instances learned.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -58,6 +60,7 @@
     intake: TargetIntake
     witnessing: LeaveReportCoordinator
     tokens: TokenService
+    load_board: LoadBoardService
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -140,6 +143,7 @@
             intake=TargetIntake(publisher, coordinator),
             witnessing=LeaveReportCoordinator(network, clock, coordinator),
             tokens=tokens,
+            load_board=LoadBoardService(network, roster.primary_entries, clock),
             attachments=attachments,
             network=network,
             _state=state,
@@ -193,6 +197,7 @@
         await self.registry.async_start()
         await self.witnessing.async_start()
         await self.tokens.async_start()
+        await self.load_board.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
@@ -201,6 +206,7 @@
 
     async def async_stop(self) -> None:
         """Stop the parts; a leader hands its leadership on."""
+        await self.load_board.async_stop()
         await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -16,6 +16,7 @@
 from mothshunt.forwarding.retry import RetryBudget
 from mothshunt.forwarding.server import RoutedServer
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.load_sharing.coordinator import LoadSharer
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
 from mothshunt.membership.roster_coordinator import RosterHub, RosterReporter
@@ -40,6 +41,7 @@
     :param server: HTTP for callers.
     :param placement: Choice of targets.
     :param rate_limiter: Rate limits that targets name.
+    :param load_sharer: Loads of targets, shared with other entry instances.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
@@ -51,6 +53,7 @@
     server: RoutedServer
     placement: PlacementCoordinator
     rate_limiter: RateLimiter
+    load_sharer: LoadSharer
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
@@ -130,6 +133,18 @@
                 LeavingSeen(target=target.id, incarnation=target.incarnation),
             ),
         )
+        load_sharer = LoadSharer(
+            network=network,
+            controls=attachments.attached,
+            placement=placement.state,
+            roster=roster,
+            clock=clock,
+            metrics=metrics,
+            is_permitted=routing.shares_target_loads,
+        )
+        if load_sharer.is_permitted:
+            placement.on_reported = load_sharer.record_response
+            holder.on_change(load_sharer.on_configuration)
         holder.on_change(placement.on_configuration)
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
@@ -180,6 +195,7 @@
             server=server,
             placement=placement,
             rate_limiter=rate_limiter,
+            load_sharer=load_sharer,
             pool=pool,
             budget=budget,
             reporter=reporter,
@@ -193,6 +209,7 @@
         await self.pool.async_start()
         await self.placement.async_start()
         await self.rate_limiter.async_start()
+        await self.load_sharer.async_start()
         await self.reporter.async_start()
         await self.server.async_start()
 
@@ -222,6 +239,7 @@
         """Stop to serve."""
         await self.server.async_stop()
         await self.reporter.async_stop()
+        await self.load_sharer.async_stop()
         await self.rate_limiter.async_stop()
         await self.placement.async_stop()
         await self.pool.async_stop()
--- a/mothshunt/placement/const.py
+++ b/mothshunt/placement/const.py
@@ -117,3 +117,36 @@
 SHIFT_LIMIT_SHARE = 0.6
 #: Window of the allowed shift between regions, in seconds.
 SHIFT_WINDOW_S = 2.0
+#: Time constant of the smoothed number of requests at a target, in seconds: several
+#: service times.
+MEAN_LOAD_TIME_S = 2.0
+#: Shortest time constant in which a figure on a target fades to the mean, in seconds.
+MIN_FADE_S = 0.1
+#: Time after which a figure on the load of a target says nothing, in seconds.
+FIGURE_LIFETIME_S = 10.0
+#: Bound of the mean of a target, as a multiple of the mean of its service, that its
+#: estimate tends to.
+MAX_MEAN_FACTOR = 2.0
+#: Time in which a figure on the slowdown of a machine fades, in seconds: it changes
+#: about as often.
+SLOWDOWN_LIFETIME_S = 0.6
+#: Bounds of a reported slowdown, so that a false figure neither fills nor empties a
+#: target.
+MIN_SLOWDOWN = 1.0
+MAX_SLOWDOWN = 3.0
+#: Demand for the objects of a target, as a multiple of the mean, up to which it keeps
+#: them all.
+MAX_FIRST_DEMAND = 1.05
+#: Counted requests for each target of a service from which on objects are moved.
+MIN_DEMAND_PER_TARGET = 5.0
+#: Entry instances that each target gets requests without an object from, and the least
+#: number of targets of one entry instance. With 2 a target depends on the callers of
+#: few instances, with more than 4 an instance can't space its requests to each.
+PART_SIZE = 3
+#: Bound of the weight of a target that is more or less used than the mean.
+MAX_TURN_WEIGHT = 2.0
+#: Turns by which a target that was passed over, such as while it was cold, may lag
+#: behind, in turns of a target with one slot; it must not get all requests afterwards.
+MAX_TURN_LAG = 1.5
+#: Utilization of all targets of the own part from which on another one is compared.
+CROWDED_UTILIZATION = 2.0
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -55,6 +55,8 @@
     :param on_demand: Called with the request rate at this instance, by service.
     :param on_frequent_targets: Called with the targets to which a connection should be
         ready.
+    :param on_reported: Called with each load that a target reported; ``None`` where
+        loads are not shared.
     :param on_leaving: Called with a target that announced in a response that it leaves.
     """
 
@@ -67,6 +69,7 @@
     on_demand: Callable[[Mapping[ServiceName, float]], None]
     on_frequent_targets: Callable[[Iterable[RoutableTarget]], None]
     on_leaving: Callable[[RoutableTarget], None]
+    on_reported: Callable[[RoutableTarget, ReportedLoad], None] | None = None
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
@@ -229,6 +232,8 @@
         :param reported: Load that the target reported; ``None`` if it reported none.
         """
         self.state.finish(choice, outcome, reported, self.clock.monotonic())
+        if reported is not None and self.on_reported is not None:
+            self.on_reported(choice.target, reported)
 
     def unroutable_targets(self) -> Iterator[TargetId]:
         """Return the registered targets that get no new requests."""
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -18,6 +18,7 @@
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import AvailabilityZoneId, RegionId, ServiceName, TargetId
 from mothshunt.placement import codes, const
+from mothshunt.placement.even_load import EvenLoad
 from mothshunt.placement.log_events import PlacementReport, TargetBelieved
 from mothshunt.placement.model import (
     AttemptOutcome,
@@ -69,6 +70,8 @@
     :param load_by_target: Load and health of each target that requests may be sent to.
     :param notices: Pauses and leaves that targets announced.
     :param rate_limits: Rate limits that targets name.
+    :param even_load: Load of the targets as all entry instances know it; ``None``
+        where it is not shared.
     """
 
     zone: AvailabilityZoneId
@@ -80,6 +83,7 @@
     load_by_target: dict[TargetId, TargetLoad] = field(default_factory=dict)
     notices: TargetNotices = field(default_factory=TargetNotices)
     rate_limits: RateLimitView = field(default_factory=NoRateLimits)
+    even_load: EvenLoad | None = None
     _targets_by_service: dict[ServiceName, ServiceTargets] = field(default_factory=dict)
     _cold_limit_by_target: Mapping[TargetId, float] = field(default_factory=dict)
     _newest_renewed_at: float = float("-inf")
@@ -146,7 +150,7 @@
             usable = usable_by_scope[scope]
             if scope is Scope.OTHER_REGIONS:
                 usable = self._in_chosen_region(targets.spillover, usable, request)
-            ranked = self._ranked(usable, request)[: const.MAX_COMPARED_TARGETS]
+            ranked = self._ranked(usable, request, now)[: const.MAX_COMPARED_TARGETS]
             for rank, load in enumerate(ranked):
                 estimate = self._estimate(targets, load, request, now)
                 estimate.reason = f"{scope.value}-{rank}"
@@ -173,6 +177,10 @@
             best.expected_s,
             best.unknown_object_s,
         )
+        if self.even_load is not None:
+            choice.load = self.even_load.estimated_requests(best.load, now)
+            if request.affinity_key is None:
+                self.even_load.record_choice(best.load, now)
         targets.counters.count(choice)
         return Ok(choice)
 
@@ -219,15 +227,21 @@
         expected_s = times.expected_s(is_known=is_known, target_latency_s=latency_s)
         unknown_s = times.expected_s(is_known=False, target_latency_s=latency_s)
         slots = load.target.slots
-        queued = max(0.0, load.estimated_requests(now) + 1 - slots)
-        wait_s = queued / slots * times.mean_or_initial_s(latency_s) * load.slowness
+        slowness = load.slowness
+        if self.even_load is None:
+            estimated = load.estimated_requests(now)
+        else:
+            estimated = self.even_load.estimated_requests(load, now)
+            slowness *= self.even_load.slowdown_factor(load, now)
+        queued = max(0.0, estimated + 1 - slots)
+        wait_s = queued / slots * times.mean_or_initial_s(latency_s) * slowness
         return Estimate(
             load=load,
             queue_factor=queued / slots,
             is_known=is_known,
             expected_s=expected_s,
-            total_s=wait_s + expected_s * load.slowness,
-            unknown_object_s=wait_s + max(expected_s, unknown_s) * load.slowness,
+            total_s=wait_s + expected_s * slowness,
+            unknown_object_s=wait_s + max(expected_s, unknown_s) * slowness,
         )
 
     def _is_worthwhile(self, best: Estimate, request: PlacementRequest) -> bool:
@@ -290,17 +304,22 @@
         return hash_text(key) / HASH_RANGE
 
     def _ranked(
-        self, usable: list[TargetLoad], request: PlacementRequest
+        self, usable: list[TargetLoad], request: PlacementRequest, now: float
     ) -> list[TargetLoad]:
         key = request.affinity_key
         if key is None:
+            if self.even_load is not None and usable:
+                return self.even_load.order(usable, now)
             self.random.shuffle(usable)
             return sorted(usable, key=self._utilization_and_zone)
-        return sorted(
+        ranked = sorted(
             usable,
             key=lambda load: hash_text(f"{load.target.id}/{key}"),
             reverse=True,
         )
+        if self.even_load is not None:
+            return self.even_load.order_for_object(ranked, request)
+        return ranked
 
     def _utilization_and_zone(self, load: TargetLoad) -> tuple[float, bool]:
         utilization = load.pending_requests / load.target.slots
@@ -416,6 +435,8 @@
         if load is None:
             return
         load.finish(choice, outcome, reported, now)
+        if self.even_load is not None:
+            self.even_load.record_outcome(choice.target, outcome, reported, now)
         targets = self._targets_by_service.get(choice.target.service)
         is_remote = choice.target.region != self.region
         may_have_queued = choice.load > choice.target.slots
@@ -529,6 +550,21 @@
                 plan_spillover(loads, self.region), has_traffic=has_traffic
             )
 
+    def refresh_use(self, now: float) -> None:
+        """Refresh the mean use of the targets, if their loads are shared.
+
+        :param now: The present time, in seconds.
+        """
+        if self.even_load is None:
+            return
+        for service, targets in self._targets_by_service.items():
+            self.even_load.record_use(
+                service,
+                targets.all_targets(),
+                targets.service_time.mean_s,
+                now,
+            )
+
 
 def _is_in_home_regions(target: RoutableTarget, request: PlacementRequest) -> bool:
     return not request.home_regions or target.region in request.home_regions
--- a/mothshunt/placement/target_load.py
+++ b/mothshunt/placement/target_load.py
@@ -63,6 +63,13 @@
         """Number of requests of this instance that are pending at the target."""
         return len(self._pending)
 
+    def pending_since(self, since: float) -> int:
+        """Return the number of pending requests that were sent after a time.
+
+        :param since: The time, in seconds.
+        """
+        return sum(choice.sent_at > since for choice in self._pending)
+
     def record_renewal(
         self, target: RoutableTarget, renewed_at: float, cold_until: float
     ) -> None:
--- a/mothshunt/platform/settings.py
+++ b/mothshunt/platform/settings.py
@@ -153,4 +153,7 @@
         max_region_shift=bound("max_region_shift", usual.max_region_shift),
         lookup_lifetime_s=LOOKUP_LIFETIME_PART * time_bound("ttl_max", 5.0),
         leave_s=time_bound("grace", usual.leave_s),
+        # Nothing in the file tells whether loads are to be shared; whether they are
+        # depends on the configuration and on what targets report.
+        shares_target_loads=True,
     )
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -110,6 +110,9 @@
         region from one window of 2 s to the next.
     :param lookup_lifetime_s: Time for which callers may cache a look-up, in seconds.
     :param leave_s: Time that an instance has for leaving, in seconds.
+    :param shares_target_loads: Whether entry instances may share what they learn of the
+        loads of targets. They do it if there are dozens of them, and workspaces exist
+        or targets report that their machines are slow.
     """
 
     __pydantic_config__ = _STRICT
@@ -126,6 +129,7 @@
     max_region_shift: Annotated[float, Field(ge=0, le=1)] = 0.1
     lookup_lifetime_s: Annotated[float, Field(gt=0)] = 2.0
     leave_s: Annotated[float, Field(gt=0)] = 6.0
+    shares_target_loads: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
