Cut the parts of targets as neighbours on the ring

Cause: parts at equal distances repeat each other where the number of entry instances in a region is not that of its targets. Change: the part of an entry instance is a run of neighbours on the ring.

--- a/mothshunt/placement/even_load.py
+++ b/mothshunt/placement/even_load.py
@@ -250,7 +250,7 @@
         :param usable: Targets that may get the request.
         :param now: The present time, in seconds.
         """
-        own = sorted(self._own_part(usable), key=lambda load: self._turn(load.target))
+        own = sorted(self.own_part(usable), key=lambda load: self._turn(load.target))
         if not own:
             return []
         if self._is_overdue(own[0]):
@@ -266,7 +266,7 @@
         # the least figure would be taken by all instances.
         return [*own[:2], self.random.choice(usable)]
 
-    def _own_part(self, usable: Sequence[TargetLoad]) -> Sequence[TargetLoad]:
+    def own_part(self, usable: Sequence[TargetLoad]) -> Sequence[TargetLoad]:
         """Return the targets that this instance usually sends such requests to.
 
         Its requests to each of a few targets are so frequent that it can space them
@@ -275,13 +275,17 @@
 
         :param usable: Targets that may get the request.
         """
-        index, count = self.position
-        size = max(const.PART_SIZE, math.ceil(len(usable) * const.PART_SIZE / count))
+        index, instances = self.position
+        size = max(
+            const.PART_SIZE, math.ceil(len(usable) * const.PART_SIZE / instances)
+        )
         if size >= len(usable):
             return usable
         ring = sorted(usable, key=lambda load: self._ring_position(load.target.id))
-        start, step = index * len(ring) / count, len(ring) / size
-        return [ring[int(start + n * step) % len(ring)] for n in range(size)]
+        # Neighbours on the ring: targets at equal distances would repeat the parts of
+        # other instances and leave targets out.
+        start = index * len(ring) // instances
+        return [ring[(start + number) % len(ring)] for number in range(size)]
 
     def _ring_position(self, target: TargetId) -> int:
         held = self._ring_position_by_target.get(target)
--- a/tests/load_sharing/even_load.feature
+++ b/tests/load_sharing/even_load.feature
@@ -10,6 +10,10 @@
     When each entry instance sends 3 requests without an object
     Then the busiest target has under 1.3 times the mean
 
+  Scenario: Each target belongs to the parts of about equally many entry instances
+    Then for 1 to 100 entry instances and 3 to 100 targets no target is left out
+    And each is in the parts of at most 1 instance more than any other
+
   Scenario Outline: A target with a false load is neither filled nor emptied
     Given 80 entry instances and 80 targets of 3 slots with shared loads
     And one target always reports <requests> requests and a slowdown of <slowdown>
--- a/tests/steps/load_sharing_even_load.py
+++ b/tests/steps/load_sharing_even_load.py
@@ -11,6 +11,7 @@
 from bench.load.world import World
 from mothshunt.placement.even_load import EvenLoad, LoadFigure, moved_shares
 from mothshunt.placement.model import AttemptOutcome, ReportedLoad
+from mothshunt.placement.target_load import TargetLoad
 from tests.support.placement_world import placement, request, target
 
 NOW = 100.0
@@ -215,3 +216,28 @@
 def less_busy(context):
     ratios = [f.spread.run_ratio() for f in (context.even, context.own)]
     assert ratios[0] < ratios[1], ratios
+
+
+def part_counts():
+    for count in range(3, 101, 7):
+        loads = [TargetLoad(target=target(n, 3), renewed_at=0.0) for n in range(count)]
+        for entries in range(1, 101, 3):
+            found = Counter({load.target.id: 0 for load in loads})
+            for number in range(entries):
+                even_load = EvenLoad(Random(1))
+                even_load.position = (number, entries)
+                found.update(load.target.id for load in even_load.own_part(loads))
+            yield entries, count, found.values()
+
+
+@then("for 1 to 100 entry instances and 3 to 100 targets no target is left out")
+def none_left_out(context):
+    context.part_counts = list(part_counts())
+    for entries, count, found in context.part_counts:
+        assert min(found) > 0, (entries, count, found)
+
+
+@then("each is in the parts of at most {most:d} instance more than any other")
+def equally_many(context, most):
+    for entries, count, found in context.part_counts:
+        assert max(found) - min(found) <= most, (entries, count, found)
