--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -10,6 +10,7 @@
 import pygal
 
 from bench.load.scenario import KindPlan, Scenario
+from bench.load.spread import WINDOWS_S, SpreadMeter
 from mothshunt.core.types import RegionId, WorkspaceName
 
 WINDOW_S = 2.0
@@ -64,6 +65,7 @@
     :param returns: Times that callers came back.
     :param rejected_after: Time to each rejection as a multiple of the target latency,
         by kind.
+    :param spread: How evenly the targets were loaded.
     """
 
     endings: list[Ending] = field(default_factory=list)
@@ -72,6 +74,7 @@
     rejected_after: dict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    spread: SpreadMeter = field(default_factory=SpreadMeter)
 
     def note(self, ending: Ending) -> None:
         """Take the end of a request.
@@ -99,6 +102,18 @@
             "returns": self.returns,
             "p50_ms": round(quantile(took, 0.5), 1),
             "p99_ms": round(quantile(took, 0.99), 1),
+            "busiest_by_mean": {
+                f"{window_s:g}s": [
+                    round(quantile(self.spread.ratios(window_s), part), 2)
+                    for part in (0.5, 0.95, 0.99)
+                ]
+                for window_s in WINDOWS_S
+            },
+            "run_ratio": round(self.spread.run_ratio(), 2),
+            "run_ratio_by_region": round(self.spread.run_ratio(by_region=True), 2),
+            "uneven_part": round(self.spread.uneven_part, 3),
+            "sheds": self.spread.sheds,
+            "needless_sheds": self.spread.needless_sheds,
         }
 
 
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -17,6 +17,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.composite import CompositeStateMachine
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.load_sharing.board_service import LoadBoardService
 from mothshunt.locality.coordinator import LocalityHub
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
@@ -50,6 +51,7 @@
     :param tokens: Issues tokens for targets that name a rate limit.
     :param locality: Regions in which objects are requested.
     :param quota_tokens: Issues tokens for workspaces that have a quota.
+    :param load_board: Forwards the loads of targets that entry instances learned.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
     """
@@ -65,6 +67,7 @@
     tokens: TokenService
     locality: LocalityHub
     quota_tokens: QuotaTokenService
+    load_board: LoadBoardService
     attachments: Attachments
     network: StreamNetwork
     _state: ReplicatedConfiguration
@@ -168,6 +171,7 @@
             tokens=tokens,
             locality=locality,
             quota_tokens=quota_tokens,
+            load_board=LoadBoardService(network, roster.primary_entries, clock),
             attachments=attachments,
             network=network,
             _state=state,
@@ -223,6 +227,7 @@
         await self.tokens.async_start()
         await self.locality.async_start()
         await self.quota_tokens.async_start()
+        await self.load_board.async_start()
         self.log.on_voters_changed(self._follow_voters)
 
     async def async_open_log(self) -> None:
@@ -234,6 +239,7 @@
         """Stop the parts; a leader hands its leadership on."""
         await self.locality.async_stop()
         await self.quota_tokens.async_stop()
+        await self.load_board.async_stop()
         await self.tokens.async_stop()
         await self.witnessing.async_stop()
         await self.log.async_stop()
--- a/mothshunt/daemon/routed_entry.py
+++ b/mothshunt/daemon/routed_entry.py
@@ -19,6 +19,7 @@
 from mothshunt.isolation.coordinator import EntryIsolation
 from mothshunt.isolation.model import NoIsolation
 from mothshunt.isolation.relay import RelayClient
+from mothshunt.load_sharing.coordinator import LoadSharer
 from mothshunt.locality.coordinator import LocalityReporter
 from mothshunt.lookup.directory import EntryLookup
 from mothshunt.membership.attachments import Attachments
@@ -47,6 +48,7 @@
     :param locality: Regions in which objects are requested.
     :param rate_limiter: Rate limits that targets name.
     :param quota: Quotas of workspaces.
+    :param load_sharer: Loads of targets, shared with other entry instances.
     :param pool: Connections to targets.
     :param budget: Attempts beyond the first.
     :param reporter: Reports to the control instances.
@@ -62,6 +64,7 @@
     locality: LocalityReporter
     rate_limiter: RateLimiter
     quota: QuotaLimiter
+    load_sharer: LoadSharer
     pool: ConnectionPool
     budget: RetryBudget
     reporter: RosterReporter
@@ -154,6 +157,18 @@
                 LeavingSeen(target=target.id, incarnation=target.incarnation),
             ),
         )
+        load_sharer = LoadSharer(
+            network=network,
+            controls=attachments.attached,
+            placement=placement.state,
+            roster=roster,
+            clock=clock,
+            metrics=metrics,
+            is_permitted=routing.shares_target_loads,
+        )
+        if load_sharer.is_permitted:
+            placement.on_reported = load_sharer.record_response
+            holder.on_change(load_sharer.on_configuration)
         holder.on_change(placement.on_configuration)
         registry.on_change(placement.refresh)
         # Limits that hold for all entry instances are divided by this number.
@@ -225,6 +240,7 @@
             locality=locality,
             rate_limiter=rate_limiter,
             quota=quota,
+            load_sharer=load_sharer,
             pool=pool,
             budget=budget,
             reporter=reporter,
@@ -241,6 +257,7 @@
         await self.locality.async_start()
         await self.rate_limiter.async_start()
         await self.quota.async_start()
+        await self.load_sharer.async_start()
         await self.reporter.async_start()
         if self.isolation is not None:
             await self.isolation.async_start()
@@ -275,6 +292,7 @@
             await self.isolation.async_stop()
         await self.reporter.async_stop()
         await self.quota.async_stop()
+        await self.load_sharer.async_stop()
         await self.rate_limiter.async_stop()
         await self.locality.async_stop()
         await self.placement.async_stop()
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -64,6 +64,8 @@
     :param on_demand: Called with the request rate at this instance, by service.
     :param on_frequent_targets: Called with the targets to which a connection should be
         ready.
+    :param on_reported: Called with each load that a target reported; ``None`` where
+        loads are not shared.
     :param on_leaving: Called with a target that announced in a response that it leaves.
     :param locality: Regions in which objects are requested; ``None`` to not observe
         them.
@@ -82,6 +84,7 @@
     on_leaving: Callable[[RoutableTarget], None]
     locality: LocalityReporter | None = None
     admission: LevelAdmission = field(default_factory=LevelAdmission)
+    on_reported: Callable[[RoutableTarget, ReportedLoad], None] | None = None
     _table: RoutingTable = field(default_factory=RoutingTable)
     _demand: DemandMeter = field(default_factory=DemandMeter)
     _evacuated_zones: frozenset[AvailabilityZoneId] = frozenset()
@@ -268,6 +271,8 @@
         :param reported: Load that the target reported; ``None`` if it reported none.
         """
         self.state.finish(choice, outcome, reported, self.clock.monotonic())
+        if reported is not None and self.on_reported is not None:
+            self.on_reported(choice.target, reported)
 
     def unroutable_targets(self) -> Iterator[TargetId]:
         """Return the registered targets that get no new requests."""
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -115,6 +115,9 @@
         workspaces it always does.
     :param relays_when_isolated: Whether an entry instance that reaches no target relays
         requests through another entry instance.
+    :param shares_target_loads: Whether entry instances may share what they learn of the
+        loads of targets. They do it if there are dozens of them, and workspaces exist
+        or targets report that their machines are slow.
     """
 
     __pydantic_config__ = _STRICT
@@ -133,6 +136,7 @@
     leave_s: Annotated[float, Field(gt=0)] = 6.0
     admits_by_priority: bool = False
     relays_when_isolated: bool = False
+    shares_target_loads: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
