Check a file of routing items before it is sent

Cause: a fault in a file of routing items was found only when it was applied, one at a time, and entries that can never match or limits that contradict each other were not reported at all.

Change: `mothshunt routing check FILE` names all errors and warnings, each once with its path into the file, and with a deployment what its targets cannot do and what differs from the items in force. It exits with 0 without findings, 1 with warnings only and 2 with errors. No key of a workspace is printed.

--- a/mothshunt/cli/commands/routing.py
+++ b/mothshunt/cli/commands/routing.py
@@ -9,8 +9,11 @@
 from mothshunt.cli.beliefs import side_by_side
 from mothshunt.cli.client import ApiClient, ApiRequest, path_of
 from mothshunt.cli.files import read_text
-from mothshunt.cli.model import CommandFailure, CommandOutput
+from mothshunt.cli.model import CommandFailure, CommandOutput, ExitCode
 from mothshunt.cli.parsing import Subparsers, add_command, add_group
+from mothshunt.cli.routing_check import decode, differences, findings_in
+from mothshunt.routing.check import Severity
+from mothshunt.util import schema
 
 PATH_ROUTING = "/v1/routing"
 PATH_TARGETS = "/v1/targets"
@@ -52,6 +55,19 @@
         group, "apply", "set and drop items; the highest version wins", _async_apply
     )
     apply.add_argument("file", help="JSON file of the items; - reads stdin")
+    check = add_command(
+        group,
+        "check",
+        "check a file that is the whole configuration, and send nothing",
+        _async_check,
+    )
+    check.add_argument("file", help="JSON file of the items; - reads stdin")
+    check.add_argument(
+        "--offline",
+        action="store_true",
+        help="do not compare the file with a deployment, even if --admin is given",
+    )
+    check.set_defaults(needs_deployment=False)
     workspaces = add_command(
         group,
         "workspaces",
@@ -113,6 +129,41 @@
     return await _async_patch(client, text.ok)
 
 
+async def _async_check(
+    client: ApiClient, arguments: argparse.Namespace
+) -> Result[CommandOutput, CommandFailure]:
+    text = read_text(arguments.file)
+    if text.is_error():
+        return Error(text.error)
+    file = decode(text.ok)
+    targets = in_force = None
+    if arguments.admin and not arguments.offline:
+        in_force = await client.async_read(PATH_ROUTING)
+        targets = await client.async_read(PATH_TARGETS)
+        for answer in (in_force, targets):
+            if answer.is_error():
+                return Error(answer.error)
+    known = targets.ok["targets"] if targets is not None else None
+    findings = findings_in(file, known)
+    document = {
+        "errors": sum(f.severity is Severity.ERROR for f in findings),
+        "warnings": sum(f.severity is Severity.WARNING for f in findings),
+        "findings": [
+            {**schema.to_plain(f), "severity": f.severity.value} for f in findings
+        ],
+        "differences": (
+            differences(file, in_force.ok) if in_force is not None else None
+        ),
+    }
+    return Ok(CommandOutput(document=document, exit_code=_check_exit_code(document)))
+
+
+def _check_exit_code(document: dict[str, Any]) -> ExitCode:
+    if document["errors"]:
+        return ExitCode.USAGE
+    return ExitCode.WARNINGS if document["warnings"] else ExitCode.OK
+
+
 async def _async_drop(
     client: ApiClient, arguments: argparse.Namespace
 ) -> Result[CommandOutput, CommandFailure]:
--- a/mothshunt/cli/main.py
+++ b/mothshunt/cli/main.py
@@ -33,7 +33,8 @@
 EPILOG = """\
 exit codes:
   0  done
-  2  wrong usage
+  1  a check found warnings, but no error
+  2  wrong usage, or a check found errors
   3  refused; nothing was changed
   4  conflict: another change was accepted first
   5  the outcome is unknown; ask with: mothshunt change show ID
@@ -46,7 +47,7 @@
   export MOTHSHUNT_TOKEN=...
   mothshunt contract apply rackhaven.json --wait
   mothshunt drain add availability-zone north-a --wait
-  mothshunt routing apply routes.json
+  mothshunt routing check routes.json && mothshunt routing apply routes.json
   mothshunt status --output json
   mothshunt explain 4e7bef8d14c3fe79 /var/log/mothshunt/*.log
 """
@@ -115,7 +116,7 @@
     token = _token(arguments)
     if token.is_error():
         return Error(token.error)
-    if not arguments.admin:
+    if not arguments.admin and getattr(arguments, "needs_deployment", True):
         text = f"no administration API: use --admin URL or set {ENV_ADMIN}"
         return Error(CommandFailure(exit_code=ExitCode.USAGE, text=text))
     async with ApiClient(arguments.admin, token.ok, arguments.timeout) as client:
--- a/mothshunt/cli/model.py
+++ b/mothshunt/cli/model.py
@@ -9,6 +9,9 @@
     """Exit code of a command, for use in scripts."""
 
     OK = 0
+    #: A check found warnings, but no error.
+    WARNINGS = 1
+    #: Wrong usage, or errors in a file that was checked.
     USAGE = 2
     REFUSED = 3
     CONFLICT = 4
--- a/mothshunt/routing/state.py
+++ b/mothshunt/routing/state.py
@@ -1,12 +1,12 @@
 """Merge of routing items by version, and validation of patches."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
 from expression import Error, Ok, Result
 
-from mothshunt.core.codes import Failure, ResultCode
+from mothshunt.core.codes import Failure
 from mothshunt.core.types import (
     HostName,
     ItemVersion,
@@ -24,7 +24,7 @@
     Workspace,
     WorkspaceItem,
 )
-from mothshunt.routing.workspaces import fault_in_workspaces, shared_key_fault
+from mothshunt.routing.workspaces import faults_in_workspaces, shared_key_fault
 
 
 class Versioned(Protocol):
@@ -119,18 +119,18 @@
     :return: The items that take effect; or a failure with code 2701, 2702,
         2703 or 2708.
     """
-    fault = _fault_in_patch(stored, patch)
+    fault = next(faults_in_patch(patch, stored.service_by_name), None)
     if fault is not None:
         return Error(fault)
     routes = _newer_than_stored(
-        stored.route_by_name, _highest_versions((i.name, i) for i in patch.routes)
+        stored.route_by_name, highest_versions((i.name, i) for i in patch.routes)
     )
     services = _newer_than_stored(
-        stored.service_by_name, _highest_versions((i.name, i) for i in patch.services)
+        stored.service_by_name, highest_versions((i.name, i) for i in patch.services)
     )
     workspaces = _newer_than_stored(
         stored.workspace_by_name,
-        _highest_versions((i.name, i) for i in patch.workspaces),
+        highest_versions((i.name, i) for i in patch.workspaces),
     )
     limits = patch.limits
     if limits is not None and stored.limits is not None:
@@ -141,9 +141,8 @@
         limits=limits or stored.limits,
         workspace_by_name={**stored.workspace_by_name, **workspaces},
     )
-    fault = _fault_in_items(items, routes, services) or shared_key_fault(
-        items.workspace_by_name, workspaces
-    )
+    _, fault = next(faults_in_items(items, routes, services), (None, None))
+    fault = fault or shared_key_fault(items.workspace_by_name, workspaces)
     if fault is not None:
         return Error(fault)
     return Ok(
@@ -157,7 +156,11 @@
     )
 
 
-def _highest_versions(items: Iterable[tuple[K, V]]) -> dict[K, V]:
+def highest_versions(items: Iterable[tuple[K, V]]) -> dict[K, V]:
+    """Return the item of the highest version of each name; of equal ones, the first.
+
+    :param items: Names and items.
+    """
     item_by_name: dict[K, V] = {}
     for name, item in items:
         other = item_by_name.get(name)
@@ -174,75 +177,98 @@
     }
 
 
-def _fault_in_patch(stored: RoutingItems, patch: PatchRouting) -> Failure | None:
-    """Return the fault in any item of a patch, whether it takes effect or not."""
+def faults_in_patch(
+    patch: PatchRouting, known_services: Container[ServiceName]
+) -> Iterator[Failure]:
+    """Yield the faults in any item of a patch, whether it takes effect or not.
+
+    The path of a fault is a JSON pointer into the patch: items that are set precede
+    those that are dropped, so that it also fits the document of the patch.
+
+    :param patch: The patch.
+    :param known_services: Services that routes may name besides those of the patch.
+    """
     name_by_place: dict[tuple[HostName, str], RouteName] = {}
     set_services = {item.name for item in patch.services if item.service is not None}
-    for item in patch.routes:
+    for index, item in enumerate(patch.routes):
         route = item.route
         if route is None:
             continue
-        fault = _fault_in_route(route)
-        if fault is not None:
-            return _failure(codes.INVALID_ITEM, f"{route.name}: {fault}")
+        path = f"/routes/{index}"
+        for member, problem in _problems_of_route(route):
+            yield Failure(
+                code=codes.INVALID_ITEM,
+                detail=f"{route.name}: {problem}",
+                path=f"{path}/{member}",
+            )
         place = (route.host, route.path_prefix)
         if name_by_place.setdefault(place, route.name) != route.name:
-            return _failure(codes.PLACE_TAKEN, "".join(place))
-        for part in route.services:
-            if (
-                part.service not in set_services
-                and part.service not in stored.service_by_name
-            ):
-                return _failure(codes.UNKNOWN_SERVICE, part.service)
-    return fault_in_workspaces(patch.workspaces)
+            yield _place_taken(place, path)
+        for part_index, part in enumerate(route.services):
+            if part.service not in set_services and part.service not in known_services:
+                yield _unknown_service(part.service, path, part_index)
+    yield from faults_in_workspaces(patch.workspaces)
 
 
-def _fault_in_route(route: Route) -> str | None:
-    """Return a description of the fault in a route itself, if it has any.
+def _problems_of_route(route: Route) -> Iterator[tuple[str, str]]:
+    """Yield the members of a route that are faulty, with a description of each fault.
 
     :param route: The route.
     """
     prefix = route.path_prefix
-    checks = (
-        (
-            prefix.startswith("/") and prefix.endswith("/"),
-            "the path prefix does not begin and end with a slash",
-        ),
-        (bool(route.services), "the route has no service"),
-        (all(part.weight >= 0 for part in route.services), "a weight is negative"),
-        (sum(part.weight for part in route.services) > 0, "the weights add up to 0"),
-        (route.max_attempts >= 1, "the number of attempts is below 1"),
-        (route.timeout_s > 0, "the timeout is not positive"),
-    )
-    return next((problem for is_valid, problem in checks if not is_valid), None)
-
-
-def _fault_in_items(
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        yield "path_prefix", "the path prefix does not begin and end with a slash"
+    if not route.services:
+        yield "services", "the route has no service"
+    elif not all(part.weight >= 0 for part in route.services):
+        yield "services", "a weight is negative"
+    elif not sum(part.weight for part in route.services) > 0:
+        yield "services", "the weights add up to 0"
+    if not route.max_attempts >= 1:
+        yield "max_attempts", "the number of attempts is below 1"
+    if not route.timeout_s > 0:
+        yield "timeout_ms", "the timeout is not positive"
+
+
+def faults_in_items(
     items: RoutingItems,
     routes: Mapping[RouteName, RouteItem],
     services: Mapping[ServiceName, ServiceItem],
-) -> Failure | None:
-    """Return the fault that all items together would have after the patch."""
+) -> Iterator[tuple[RouteName, Failure]]:
+    """Yield the faults that all items together would have after a patch.
+
+    :param items: All items after the patch.
+    :param routes: Routes that the patch changes.
+    :param services: Services that the patch changes.
+    :return: Names of the faulty routes and their faults, with paths into the route.
+    """
     changed = [item.route for item in routes.values() if item.route is not None]
     places = {(route.host, route.path_prefix) for route in changed}
     dropped = {name for name, item in services.items() if item.service is None}
     if not places and not dropped:
-        return None
+        return
     seen: set[tuple[HostName, str]] = set()
     for route in items.routes():
         place = (route.host, route.path_prefix)
         if place in places and place in seen:
-            return _failure(codes.PLACE_TAKEN, "".join(place))
+            yield route.name, _place_taken(place, "")
         seen.add(place)
-        must_be_checked = route.name in routes or bool(dropped)
-        missing = next(
-            (p.service for p in route.services if not items.has_service(p.service)),
-            None,
-        )
-        if must_be_checked and missing is not None:
-            return _failure(codes.UNKNOWN_SERVICE, missing)
-    return None
+        if route.name not in routes and not dropped:
+            continue
+        for index, part in enumerate(route.services):
+            if not items.has_service(part.service):
+                yield route.name, _unknown_service(part.service, "", index)
+
 
+def _place_taken(place: tuple[HostName, str], path: str) -> Failure:
+    return Failure(
+        code=codes.PLACE_TAKEN, detail="".join(place), path=f"{path}/path_prefix"
+    )
 
-def _failure(code: ResultCode, detail: str) -> Failure:
-    return Failure(code=code, detail=detail)
+
+def _unknown_service(service: ServiceName, path: str, index: int) -> Failure:
+    return Failure(
+        code=codes.UNKNOWN_SERVICE,
+        detail=service,
+        path=f"{path}/services/{index}/service",
+    )
--- a/mothshunt/routing/workspaces.py
+++ b/mothshunt/routing/workspaces.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import WorkspaceName
@@ -66,27 +66,28 @@
     return json.dumps(item, separators=(",", ":")).encode()
 
 
-def fault_in_workspaces(items: Iterable[WorkspaceItem]) -> Failure | None:
-    """Return the fault in any workspace of a patch, whether it takes effect or not.
+def faults_in_workspaces(items: Iterable[WorkspaceItem]) -> Iterator[Failure]:
+    """Yield the faults in any workspace of a patch, whether it takes effect or not.
 
     :param items: Workspaces that the patch sets and drops.
-    :return: A failure with code 2701 or 2708; it never contains a key.
+    :return: Failures with code 2701 or 2708; they never contain a key.
     """
     name_by_digest: dict[str, WorkspaceName] = {}
-    for item in items:
+    for index, item in enumerate(items):
         workspace = item.workspace
         if workspace is None:
             continue
-        problem = _problem(workspace)
-        if problem is not None:
-            return Failure(
-                code=codes.INVALID_ITEM, detail=f"{workspace.name!a:.80}: {problem}"
+        path = f"/workspaces/{index}"
+        for member, problem in _problems(workspace):
+            yield Failure(
+                code=codes.INVALID_ITEM,
+                detail=f"{workspace.name!a:.80}: {problem}",
+                path=f"{path}/{member}",
             )
         for digest in workspace.key_digests:
             other = name_by_digest.setdefault(digest, workspace.name)
             if other != workspace.name:
-                return _shared_key(other, workspace.name)
-    return None
+                yield _shared_key(other, workspace.name, f"{path}/keys")
 
 
 def shared_key_fault(
@@ -118,26 +119,25 @@
     return None
 
 
-def _problem(workspace: Workspace) -> str | None:
-    """Return a description of the fault in a workspace itself, if it has any."""
+def _problems(workspace: Workspace) -> Iterator[tuple[str, str]]:
+    """Yield the members of a workspace that are faulty, with a description of each."""
     name = workspace.name
-    checks = (
-        (0 < len(name) <= const.MAX_NAME_LENGTH, "the name is empty or too long"),
-        # The name is sent to targets in a header field.
-        (name.isprintable() and name == name.strip(), "the name has other characters"),
-        (_is_quota(workspace.requests_per_s), "the quota is negative"),
-        (_is_quota(workspace.burst), "the burst is negative"),
-        (
-            workspace.priority is None or workspace.priority >= 0,
-            "the priority is negative",
-        ),
-    )
-    return next((problem for is_valid, problem in checks if not is_valid), None)
+    if not 0 < len(name) <= const.MAX_NAME_LENGTH:
+        yield "name", "the name is empty or too long"
+    # The name is sent to targets in a header field.
+    elif not (name.isprintable() and name == name.strip()):
+        yield "name", "the name has other characters"
+    if not _is_quota(workspace.requests_per_s):
+        yield "requests_per_s", "the quota is negative"
+    if not _is_quota(workspace.burst):
+        yield "burst", "the burst is negative"
+    if workspace.priority is not None and workspace.priority < 0:
+        yield "priority", "the priority is negative"
 
 
 def _is_quota(number: float) -> bool:
     return math.isfinite(number) and number >= 0
 
 
-def _shared_key(one: WorkspaceName, other: WorkspaceName) -> Failure:
-    return Failure(code=codes.KEY_TAKEN, detail=f"{one} and {other}")
+def _shared_key(one: WorkspaceName, other: WorkspaceName, path: str = "") -> Failure:
+    return Failure(code=codes.KEY_TAKEN, detail=f"{one} and {other}", path=path)
