--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -175,7 +175,7 @@
         self.placement.adjust(demand, region_by_zone)
 
 
-@dataclass(slots=True)
+@dataclass(kw_only=True, slots=True)
 class EvenDecider(ProductDecider):
     """Choose as an entry instance that shares the loads of targets.
 
@@ -191,7 +191,7 @@
         """Build the decider of one entry instance."""
         placement = ProductDecider.from_scenario(scenario, zone, random).placement
         placement.even_load = EvenLoad(random)
-        return cls(placement, EntryLoads(placement.even_load))
+        return cls(placement=placement, loads=EntryLoads(placement.even_load))
 
     def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
         """Use these targets from now on."""
