Move regional objects by the demand of their own region

Cause: a target gave away objects beyond 1.05 times the mean demand of all targets. Where each object has its target in the region of its callers, all targets of a busy region are above that mean, so they exchanged objects with each other. Change: where objects are regional, the mean is that of the region.

--- a/mothshunt/load_sharing/coordinator.py
+++ b/mothshunt/load_sharing/coordinator.py
@@ -78,7 +78,7 @@
         wanted = self.is_permitted and is_asked_for and self.roster.count() >= enough
         if wanted is (self.loads is not None):
             return
-        self.loads = EntryLoads(EvenLoad(self.placement.random)) if wanted else None
+        self.loads = self._new_loads() if wanted else None
         self.placement.even_load = self.loads.even_load if self.loads else None
         log.write(
             LoadSharingChanged(
@@ -90,6 +90,11 @@
         )
         self.refresh()
 
+    def _new_loads(self) -> EntryLoads:
+        return EntryLoads(
+            EvenLoad(self.placement.random), is_regional=self.placement.is_regional
+        )
+
     def record_response(self, target: RoutableTarget, reported: ReportedLoad) -> None:
         """Record the load that a response carried.
 
--- a/mothshunt/load_sharing/entry_state.py
+++ b/mothshunt/load_sharing/entry_state.py
@@ -1,10 +1,10 @@
 """Loads of targets at one entry instance: what it tells, and what it is told."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from mothshunt.core.types import InstanceId, ServiceName, TargetId
+from mothshunt.core.types import InstanceId, RegionId, ServiceName, TargetId
 from mothshunt.load_sharing import const
 from mothshunt.load_sharing.log_events import TargetSpread
 from mothshunt.load_sharing.messages import (
@@ -16,6 +16,7 @@
 from mothshunt.load_sharing.state import HeldLoad, LoadObserver
 from mothshunt.placement.even_load import EvenLoad, moved_shares
 from mothshunt.placement.model import ReportedLoad, RoutableTarget
+from mothshunt.placement.state import never_regional
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,16 +38,21 @@
     """Exchange of the loads of targets at one entry instance, without any I/O.
 
     :param even_load: Figures that the choices depend on.
+    :param is_regional: Whether the objects of a service have their targets in the
+        region of their callers. They are then moved within the region, as moving them
+        from one target of a busy region to another gains nothing.
     :param observer: What has been learned and not told yet.
     """
 
     even_load: EvenLoad
+    is_regional: Callable[[ServiceName], bool] = never_regional
     observer: LoadObserver = field(default_factory=LoadObserver)
     _key_by_target: dict[TargetId, TargetKey] = field(default_factory=dict)
     _target_by_key: dict[TargetKey, TargetId] = field(default_factory=dict)
     _slots_by_service: dict[ServiceName, dict[TargetId, int]] = field(
         default_factory=dict
     )
+    _region_by_target: dict[TargetId, RegionId] = field(default_factory=dict)
     _demand_by_control: dict[InstanceId, _Demand] = field(default_factory=dict)
 
     def set_targets(self, targets: Iterable[RoutableTarget]) -> None:
@@ -56,12 +62,14 @@
         """
         held, self._key_by_target = self._key_by_target, {}
         slots_by_service: dict[ServiceName, dict[TargetId, int]] = defaultdict(dict)
+        self._region_by_target = {}
         for target in targets:
             key = held.get(target.id)
             self._key_by_target[target.id] = (
                 target_key(target.id) if key is None else key
             )
             slots_by_service[target.service][target.id] = target.slots
+            self._region_by_target[target.id] = target.region
         self._target_by_key = {k: target for target, k in self._key_by_target.items()}
         self._slots_by_service = slots_by_service
         self.even_load.retain(self._key_by_target)
@@ -156,10 +164,21 @@
                 del self._demand_by_control[control]
         best = max(self._demand_by_control.values(), key=lambda d: d.total)
         shares: dict[TargetId, float] = {}
-        for slots_by_target in self._slots_by_service.values():
+        for slots_by_target in self._slots_by_group():
             demand_by_target = {
                 target: float(best.count_by_key.get(self._key_by_target[target], 0))
                 for target in slots_by_target
             }
             shares.update(moved_shares(slots_by_target, demand_by_target))
         self.even_load.moved_share_by_target = shares
+
+    def _slots_by_group(self) -> Iterator[dict[TargetId, int]]:
+        """Return the targets among which objects are moved, with their slots."""
+        for service, slots_by_target in self._slots_by_service.items():
+            if not self.is_regional(service):
+                yield slots_by_target
+                continue
+            by_region: dict[RegionId, dict[TargetId, int]] = defaultdict(dict)
+            for target, slots in slots_by_target.items():
+                by_region[self._region_by_target[target]][target] = slots
+            yield from by_region.values()
--- a/tests/load_sharing/exchange.feature
+++ b/tests/load_sharing/exchange.feature
@@ -46,3 +46,12 @@
       | 10      | whose settings permit it  | 2          | 2.5      | shares no loads   |
       | 80      | whose settings permit it  | 2          | 1        | shares loads only |
       | 80      | whose settings permit it  | 0          | 2.5      | shares loads only |
+
+  # Guards against objects of a busy region that move from one busy target to another,
+  # while targets of the other regions count as idle.
+  Scenario: Regional objects move within the region of their callers
+    Given targets with a demand of "30, 10" in one region and "3, 1" in another
+    When the objects of the service are regional
+    Then "0.300, 0.000, 0.300, 0.000" of the objects of each target move
+    When the objects of the service are shared
+    Then "0.615, 0.000, 0.000, 0.000" of the objects of each target move
--- a/tests/steps/load_sharing_exchange.py
+++ b/tests/steps/load_sharing_exchange.py
@@ -15,7 +15,13 @@
 from mothshunt.load_sharing import const
 from mothshunt.load_sharing.coordinator import LoadSharer
 from mothshunt.load_sharing.entry_state import EntryLoads
-from mothshunt.load_sharing.messages import LoadNews, LoadRow, LoadsObserved, target_key
+from mothshunt.load_sharing.messages import (
+    DemandRow,
+    LoadNews,
+    LoadRow,
+    LoadsObserved,
+    target_key,
+)
 from mothshunt.load_sharing.state import LoadBoard
 from mothshunt.membership.roster_messages import EntryReport, EntryRow, RosterRows
 from mothshunt.membership.roster_view import RosterView
@@ -315,3 +321,33 @@
     # No health check and no other question: only what responses told.
     kinds = {type(m) for m in context.network.posted_by_peer["c1"]}
     assert kinds == {LoadsObserved}, kinds
+
+
+@given('targets with a demand of "{one}" in one region and "{other}" in another')
+def regional_demand(context, one, other):
+    regions = (("north", one), ("south", other))
+    context.demand_by_target = {
+        target(number, 3, f"{region}-a", region): float(count)
+        for region, counts in regions
+        for number, count in enumerate(counts.split(", "))
+    }
+
+
+@when("the objects of the service are {kind}")
+def objects_of_kind(context, kind):
+    loads = EntryLoads(EvenLoad(Random(1)), is_regional=lambda _: kind == "regional")
+    demand_by_target = context.demand_by_target
+    loads.set_targets(demand_by_target)
+    rows = tuple(
+        DemandRow(target_key(found.id), round(count * 10))
+        for found, count in demand_by_target.items()
+    )
+    loads.apply("c1", LoadNews(loads=(), demand=rows), 1.0)
+    shares = loads.even_load.moved_share_by_target
+    context.moved = [shares.get(found.id, 0.0) for found in demand_by_target]
+
+
+@then('"{shares}" of the objects of each target move')
+def objects_moved(context, shares):
+    found = ", ".join(f"{share:.3f}" for share in context.moved)
+    assert found == shares, found
