--- a/mothshunt/placement/admission.py
+++ b/mothshunt/placement/admission.py
@@ -59,17 +59,16 @@
 ) -> frozenset[ServiceName]:
     """Return the services that admission is controlled for.
 
-    These are all services if there are workspaces; else, if the settings ask for it,
-    those whose routes have different priorities. Elsewhere all requests are served as
-    if they were equal.
+    None, unless the settings ask for it. Then these are all services if there are
+    workspaces; else those whose routes have different priorities.
 
     :param table: Configuration in force.
     :param admits_by_priority: Setting of the same name.
     """
-    if table.workspace_by_name:
-        return frozenset(table.service_by_name)
     if not admits_by_priority:
         return frozenset()
+    if table.workspace_by_name:
+        return frozenset(table.service_by_name)
     priorities: dict[ServiceName, set[int]] = {}
     for routes in table.routes_by_host.values():
         for route in routes:
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -111,8 +111,8 @@
     :param lookup_lifetime_s: Time for which callers may cache a look-up, in seconds.
     :param leave_s: Time that an instance has for leaving, in seconds.
     :param admits_by_priority: Whether a service that is short of capacity admits
-        requests by the priorities of its routes; where the configuration has
-        workspaces it always does.
+        requests by the priorities of its workspaces and routes, and by fair shares of
+        its workspaces.
     :param relays_when_isolated: Whether an entry instance that reaches no target relays
         requests through another entry instance.
     :param shares_target_loads: Whether entry instances may share what they learn of the
