Ignore requests without time left when the delay of other regions is judged

Cause: a request that waited for a token of its quota longer than its target latency had no time left when a target was chosen. Change: such requests don't count. Test: placement/spread, one scenario more, failed before.

--- a/mothshunt/placement/spread.py
+++ b/mothshunt/placement/spread.py
@@ -47,9 +47,13 @@
     def record_target_latency(self, target_latency_s: float) -> None:
         """Record the target latency of a request; the lowest one of an interval counts.
 
-        :param target_latency_s: Target latency of the route, in seconds.
+        A request that is late already says nothing of the delay that others bear.
+
+        :param target_latency_s: Time left to the target latency, in seconds; 0 for a
+            late request.
         """
-        self._latency_s = min(self._latency_s, target_latency_s)
+        if target_latency_s > 0:
+            self._latency_s = min(self._latency_s, target_latency_s)
 
     def adjust(self, *, has_traffic: bool) -> None:
         """Adjust the share by one step; called once each adjustment interval.
--- a/tests/placement/spread.feature
+++ b/tests/placement/spread.feature
@@ -4,6 +4,11 @@
   most of the work. Guards against more targets for an object than necessary, and
   against objects that move between regions faster than allowed.
 
+  # Guards against an adjustment that fails, and is never made again, because a request
+  # waited for longer than its target latency before a target was chosen for it.
+  Scenario: A request that is late already doesn't count
+    Then global affinity is adjusted after a request without time left
+
   Scenario: Entry instances in all regions choose the same target for an object
     Given entry instances in "north, centre, south" and 4 targets of 4 slots in each
     Then all of them choose the same target for each of 300 objects
--- a/tests/steps/placement_spread.py
+++ b/tests/steps/placement_spread.py
@@ -179,3 +179,13 @@
             first = sum(shares[start : start + steps]) / steps
             second = sum(shares[start + steps : start + 2 * steps]) / steps
             assert abs(second - first) <= limit, (seed, first, second)
+
+
+@then("global affinity is adjusted after a request without time left")
+def late_request(context):
+    affinity = GlobalAffinity(0.15, min_remote_s=0.1, min_local_s=0.03)
+    affinity.record_target_latency(0.25)
+    affinity.record_target_latency(0.0)
+    affinity.adjust(has_traffic=True)
+    assert affinity.is_remote_delay_noticeable()
+    assert affinity.share == 1.0, affinity.share
