--- a/mothshunt/load_sharing/coordinator.py
+++ b/mothshunt/load_sharing/coordinator.py
@@ -25,10 +25,9 @@
 class LoadSharer:
     """Exchange of the loads of targets at one entry instance.
 
-    It is active where the settings permit it, there are dozens of entry instances, and
-    the configuration has workspaces or a target has reported that its machine is slow.
-    Until then nothing is sent, and
-    targets are chosen as if it did not exist.
+    It is active where the settings permit it, there are dozens of entry instances, and a
+    target has reported that its machine is slow. Until then nothing is sent, and targets
+    are chosen as if it did not exist.
 
     :param network: Streams to the control instances.
     :param controls: Returns the connected control instances.
@@ -73,9 +72,10 @@
         self._update_activity()
 
     def _update_activity(self) -> None:
-        is_asked_for = self._workspaces > 0 or self._has_slowdowns
         enough = const.MIN_ENTRIES if self.loads is None else const.MIN_ENTRIES_TO_STAY
-        wanted = self.is_permitted and is_asked_for and self.roster.count() >= enough
+        wanted = (
+            self.is_permitted and self._has_slowdowns and self.roster.count() >= enough
+        )
         if wanted is (self.loads is not None):
             return
         self.loads = self._new_loads() if wanted else None
