--- a/mothshunt/load_sharing/coordinator.py
+++ b/mothshunt/load_sharing/coordinator.py
@@ -25,9 +25,9 @@
 class LoadSharer:
     """Exchange of the loads of targets at one entry instance.
 
-    It is active where the settings permit it, there are dozens of entry instances, and a
-    target has reported that its machine is slow. Until then nothing is sent, and targets
-    are chosen as if it did not exist.
+    It is active where the settings permit it, there are dozens of entry instances, and
+    a target has reported that its machine is slow. Until then nothing is sent, and
+    targets are chosen as if it did not exist.
 
     :param network: Streams to the control instances.
     :param controls: Returns the connected control instances.
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -75,7 +75,8 @@
     And no log of a process contains "key-"
 
   Scenario: An entry that no control process confirms rejects no key for good
-    The key may have been added since; callers give up after 401. Known keys of workspaces without a quota go on.
+    The key may have been added since; callers give up after 401. Known keys of
+    workspaces without a quota go on.
     Given a platform deployment of 3 control and 1 entry processes
     And 1 platform targets of service "stock"
     When the operator routes "shop.example" "/stock/" to "stock"
