Tell what waits to be sent to peers and how much memory a process has had

Added: the gauges mothshunt_peer_pending_bytes and mothshunt_process_peak_memory_bytes, both also in the line 'peer traffic'; a line 'messages to peers pile up' whenever what waits has doubled from 8 MB on; and the bytes of an incomplete frame in the failure of a stream that is closed as silent. Nothing decides by them.

--- a/mothshunt/daemon/base.py
+++ b/mothshunt/daemon/base.py
@@ -14,6 +14,7 @@
 from mothshunt.membership.view import PresenceView
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Settings
+from mothshunt.util.memory import peak_memory_bytes
 
 
 @dataclass(slots=True, eq=False)
@@ -108,6 +109,8 @@
         gauge("mothshunt_peer_frames_sent", lambda: traffic.frames_sent)
         gauge("mothshunt_peer_frames_received", lambda: traffic.frames_received)
         gauge("mothshunt_peer_streams", lambda: len(self.network.connected()))
+        gauge("mothshunt_peer_pending_bytes", self.network.pending_bytes)
+        gauge("mothshunt_process_peak_memory_bytes", peak_memory_bytes)
         gauge("mothshunt_revision", lambda: self.holder.current().revision)
 
     async def async_start(self) -> None:
--- a/mothshunt/daemon/log_events.py
+++ b/mothshunt/daemon/log_events.py
@@ -78,6 +78,10 @@
     """Bytes queued for other instances since the previous such line.
 
     :param bytes_by_message: Bytes by kind of message.
+    :param pending_bytes: Bytes that wait to be sent now.
+    :param peak_memory_bytes: Largest resident memory that the process has had.
     """
 
     bytes_by_message: Mapping[str, int]
+    pending_bytes: int
+    peak_memory_bytes: int
--- a/mothshunt/daemon/routed.py
+++ b/mothshunt/daemon/routed.py
@@ -35,6 +35,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.registry.coordinator import RegistryFollower
 from mothshunt.settings.config import RoutingSettings, Settings
+from mothshunt.util.memory import peak_memory_bytes
 
 if TYPE_CHECKING:
     from mothshunt.daemon.routed_control import RoutedControl
@@ -174,6 +175,8 @@
         holder.on_change(_log_configuration)
         metrics.gauge("mothshunt_revision", lambda: holder.current().revision)
         metrics.gauge("mothshunt_peer_streams", lambda: len(network.connected()))
+        metrics.gauge("mothshunt_peer_pending_bytes", network.pending_bytes)
+        metrics.gauge("mothshunt_process_peak_memory_bytes", peak_memory_bytes)
         metrics.counters(
             "mothshunt_peer_posted_bytes_total",
             "message",
@@ -269,7 +272,13 @@
         while True:
             await asyncio.sleep(TRAFFIC_REPORT_INTERVAL_S)
             posted = self.network.traffic.posted_bytes_by_kind.copy()
-            log.write(PeerTraffic(bytes_by_message=dict(posted - before)))
+            log.write(
+                PeerTraffic(
+                    bytes_by_message=dict(posted - before),
+                    pending_bytes=self.network.pending_bytes(),
+                    peak_memory_bytes=peak_memory_bytes(),
+                )
+            )
             before = posted
 
     def _on_fatal(self, failure: Failure) -> None:
--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -17,3 +17,5 @@
 MAX_REDIAL_DELAY_S = 0.5
 MAX_PENDING_HANDSHAKES = 64
 MAX_HANDSHAKES_PER_S = 200.0
+#: Bytes waiting on all streams from which on their growth is logged.
+MIN_REPORTED_PENDING_BYTES = 8 * 1024 * 1024
--- a/mothshunt/helpers/peer/frame.py
+++ b/mothshunt/helpers/peer/frame.py
@@ -1,6 +1,7 @@
 """Frames of a stream: a length prefix and a msgpack array."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Any
@@ -72,19 +73,31 @@
         raise _malformed(error.failure.detail) from error
 
 
-async def async_read(reader: asyncio.StreamReader) -> bytes:
+async def async_read(
+    reader: asyncio.StreamReader, on_received: Callable[[int], None]
+) -> bytes:
     """Read one frame, without its length prefix and not decoded.
 
     :param reader: Incoming half of a stream.
+    :param on_received: Called with the number of bytes of each part that arrives.
     :return: msgpack bytes.
     :raises MothshuntError: With code 1102 (``peer_frame_too_large``).
     """
-    size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
+    prefix = await reader.readexactly(LENGTH_BYTES)
+    on_received(LENGTH_BYTES)
+    size = int.from_bytes(prefix, "big")
     if size > const.MAX_FRAME_BYTES:
         raise MothshuntError(
             Failure(code=codes.FRAME_TOO_LARGE, detail=f"{size} bytes")
         )
-    return await reader.readexactly(size)
+    data = bytearray()
+    while len(data) < size:
+        part = await reader.read(size - len(data))
+        if not part:
+            raise asyncio.IncompleteReadError(bytes(data), size)
+        on_received(len(part))
+        data += part
+    return bytes(data)
 
 
 def _malformed(detail: str) -> MothshuntError:
--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -23,7 +23,7 @@
     """Bytes and frames carried by all streams of a process.
 
     :param bytes_sent: Bytes written to sockets.
-    :param bytes_received: Bytes of complete frames received.
+    :param bytes_received: Bytes of frames received, complete or not.
     :param frames_sent: Frames written to sockets.
     :param frames_received: Complete frames received.
     :param posted_bytes_by_kind: Bytes queued for peers, by kind of message.
@@ -55,6 +55,8 @@
     traffic: Traffic
     deliver: Callable[["PeerLink", Frame], None]
     closed: bool = False
+    _queued_bytes: int = 0
+    _partial_bytes: int = 0
     _queue: asyncio.Queue[bytes] = field(
         default_factory=lambda: asyncio.Queue(const.MAX_QUEUED_FRAMES)
     )
@@ -88,8 +90,13 @@
             self._queue.put_nowait(data)
         except asyncio.QueueFull:
             return False
+        self._queued_bytes += len(data)
         return True
 
+    def pending_bytes(self) -> int:
+        """Return the bytes that wait in the queue or in the buffer of the socket."""
+        return self._queued_bytes + self.writer.transport.get_write_buffer_size()
+
     async def async_request(
         self, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
@@ -142,7 +149,8 @@
         :param now: Monotonic time, in seconds.
         """
         if now - self._received_at > const.SILENCE_TIMEOUT_S:
-            self._silence_failure = Failure(code=codes.PEER_SILENT, detail=self.peer)
+            detail = f"{self.peer}: {self._partial_bytes} bytes of an incomplete frame"
+            self._silence_failure = Failure(code=codes.PEER_SILENT, detail=detail)
             self.close()
         elif now - self._sent_at >= const.HEARTBEAT_INTERVAL_S:
             self.post(frame.HEARTBEAT)
@@ -162,8 +170,8 @@
     async def _async_receive(self) -> Failure | None:
         try:
             while True:
-                data = await frame.async_read(self.reader)
-                self.traffic.bytes_received += len(data) + frame.LENGTH_BYTES
+                data = await frame.async_read(self.reader, self._count_received)
+                self._partial_bytes = 0
                 self._handle_frame(frame.decode(data))
         except (OSError, asyncio.IncompleteReadError):
             return None
@@ -173,6 +181,10 @@
             # The stream is closed for this reason and dialled again.
             return Failure(code=codes.FRAME_MALFORMED, detail=repr(error)[:120])
 
+    def _count_received(self, count: int) -> None:
+        self.traffic.bytes_received += count
+        self._partial_bytes += count
+
     def _handle_frame(self, item: Frame) -> None:
         self._received_at = self.clock.monotonic()
         if item.kind is FrameKind.HEARTBEAT:
@@ -191,6 +203,7 @@
                 while not self._queue.empty():
                     batch.append(self._queue.get_nowait())
                 data = b"".join(batch)
+                self._queued_bytes -= len(data)
                 self.writer.write(data)
                 self.traffic.bytes_sent += len(data)
                 self.traffic.frames_sent += len(batch)
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -12,11 +13,13 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import InstanceId
+from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer import codes, const, frame, handshake
 from mothshunt.helpers.peer.admission import HandshakeLimiter
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.link import PeerLink, Traffic
+from mothshunt.helpers.peer.pending import PendingReporter
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address, Settings
@@ -98,7 +101,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for link in [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]:
+        for link in self._links():
             link.close()
         # asyncio reports an error for each server task that is cancelled at the end of
         # the event loop.
@@ -191,6 +194,20 @@
         """
         return peer in self._dialled_by_peer
 
+    def pending_bytes_by_peer(self) -> dict[InstanceId, int]:
+        """Return the bytes that wait to be sent on the streams to each peer."""
+        pending: Counter[InstanceId] = Counter()
+        for link in self._links():
+            pending[link.peer] += link.pending_bytes()
+        return pending
+
+    def pending_bytes(self) -> int:
+        """Return the bytes that wait to be sent on all streams."""
+        return sum(link.pending_bytes() for link in self._links())
+
+    def _links(self) -> list[PeerLink]:
+        return [*self._dialled_by_peer.values(), *self._accepted_by_peer.values()]
+
     def _link(self, peer: InstanceId) -> PeerLink | None:
         link = self._dialled_by_peer.get(peer)
         if link is None or link.closed:
@@ -198,12 +215,15 @@
         return link
 
     async def _async_watch(self) -> None:
+        pending = PendingReporter()
         while True:
             await asyncio.sleep(const.WATCH_INTERVAL_S)
             now = self.clock.monotonic()
-            dialled = self._dialled_by_peer.values()
-            for link in [*dialled, *self._accepted_by_peer.values()]:
+            for link in self._links():
                 link.watch(now)
+            report = pending.next_report(self.pending_bytes_by_peer())
+            if report is not None:
+                log.write(report)
 
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -76,3 +76,13 @@
     Given instances "a1" and "b1" that share a key
     When "a1" dials "b1"
     Then after each of 300 seeded malformed frames "a1" gets an answer from "b1"
+
+  Scenario: What waits for peers is reported as it grows
+    A process that ends for want of memory has no other way to tell what filled it.
+    Given nothing waits to be sent to peers
+    When 9000000 bytes wait for "b1" and 1000000 for "b2"
+    Then a line reports 10000000 bytes on 2 streams, most of them for "b1"
+    When 9000000 bytes wait for "b1" and 9000000 for "b2"
+    Then nothing is reported
+    When 9000000 bytes wait for "b1" and 12000000 for "b2"
+    Then a line reports 21000000 bytes on 2 streams, most of them for "b2"
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -14,6 +14,7 @@
 from mothshunt.helpers.peer.admission import HandshakeLimiter
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.network import StreamNetwork
+from mothshunt.helpers.peer.pending import PendingReporter
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address
 from mothshunt.util.wire import message
@@ -300,3 +301,27 @@
 @then("{count:d} of those that begin 1 s later are admitted")
 def later(context, count):
     assert begin(context, 1000, 101.0) == count
+
+
+@given("nothing waits to be sent to peers")
+def nothing_waits(context):
+    context.reporter = PendingReporter()
+    assert context.reporter.next_report({}) is None
+
+
+@when('{count:d} bytes wait for "{a}" and {other:d} for "{b}"')
+def bytes_wait(context, count, a, other, b):
+    context.report = context.reporter.next_report({a: count, b: other})
+
+
+@then(
+    'a line reports {count:d} bytes on {streams:d} streams, most of them for "{peer}"'
+)
+def line_reports(context, count, streams, peer):
+    report = context.report
+    assert (report.pending_bytes, report.streams, report.peer) == (count, streams, peer)
+
+
+@then("nothing is reported")
+def nothing_reported(context):
+    assert context.report is None, context.report
