--- a/testkit/proxy.py
+++ b/testkit/proxy.py
@@ -24,6 +24,10 @@
 #: Bytes on their way in one direction before the proxy stops reading, as a network
 #: would by its windows.
 MAX_HELD_BYTES = 4 * 1024 * 1024
+#: The same on a link whose bandwidth is limited.
+MAX_HELD_BYTES_ON_SLOW_LINK = 64 * 1024
+#: Bytes that pass a link of limited bandwidth at a time.
+SLOW_LINK_CHUNK_BYTES = 8 * 1024
 
 
 class Direction(Enum):
@@ -36,6 +40,26 @@
 BOTH = (Direction.TO_SERVER, Direction.TO_CLIENT)
 
 
+@dataclass(slots=True)
+class Bandwidth:
+    """Bandwidth of a link, shared by all connections that pass it.
+
+    :param bytes_per_s: Bytes that pass in a second.
+    """
+
+    bytes_per_s: float
+    _is_free_at: float = 0.0
+
+    async def async_pass(self, length: int) -> None:
+        """Wait until bytes have passed, behind those of earlier calls.
+
+        :param length: Number of bytes.
+        """
+        now = asyncio.get_running_loop().time()
+        self._is_free_at = max(now, self._is_free_at) + length / self.bytes_per_s
+        await asyncio.sleep(self._is_free_at - now)
+
+
 @dataclass(slots=True)
 class ProxyStats:
     """Count what went through a proxy."""
@@ -59,6 +83,7 @@
         self.silent = False
         self.is_held = False
         self._proxy = proxy
+        self._bandwidth = proxy.bandwidth(direction)
         self._reader = reader
         self._writer = writer
         self._held: deque[tuple[float, bytes]] = deque()
@@ -79,11 +104,14 @@
 
     async def _read(self) -> None:
         loop = asyncio.get_running_loop()
+        is_slow = self._bandwidth is not None
+        max_held_bytes = MAX_HELD_BYTES_ON_SLOW_LINK if is_slow else MAX_HELD_BYTES
+        chunk_bytes = SLOW_LINK_CHUNK_BYTES if is_slow else CHUNK_BYTES
         while True:
-            while self._held_bytes > MAX_HELD_BYTES or self.silent:
+            while self._held_bytes > max_held_bytes or self.silent:
                 await self._wait(None)
             try:
-                chunk = await self._reader.read(CHUNK_BYTES)
+                chunk = await self._reader.read(chunk_bytes)
             except OSError:
                 chunk = b""
             self._held_bytes += len(chunk)
@@ -109,6 +137,8 @@
                 with contextlib.suppress(OSError, RuntimeError):
                     self._writer.write_eof()
                 return
+            if self._bandwidth is not None:
+                await self._bandwidth.async_pass(len(chunk))
             self._proxy.count(self.direction, len(chunk))
             self._writer.write(chunk)
             await self._writer.drain()
@@ -128,6 +158,7 @@
     :param port: TCP port of the server.
     :param delay_to_server_s: Time on the way to the server, in seconds.
     :param delay_to_client_s: Time on the way back, in seconds.
+    :param bandwidth_to_client: Bandwidth on the way back; ``None`` for no limit.
     """
 
     def __init__(
@@ -137,8 +168,10 @@
         *,
         delay_to_server_s: float = 0.0,
         delay_to_client_s: float = 0.0,
+        bandwidth_to_client: Bandwidth | None = None,
     ) -> None:
         self._upstream = (host, port)
+        self._bandwidth_to_client = bandwidth_to_client
         self._delay_s_by_direction = {
             Direction.TO_SERVER: delay_to_server_s,
             Direction.TO_CLIENT: delay_to_client_s,
@@ -176,6 +209,10 @@
         """Return the time on the way in a direction, in seconds."""
         return self._delay_s_by_direction[direction]
 
+    def bandwidth(self, direction: Direction) -> Bandwidth | None:
+        """Return the bandwidth in a direction; ``None`` for no limit."""
+        return self._bandwidth_to_client if direction is Direction.TO_CLIENT else None
+
     def set_delay(
         self, delay_s: float, directions: tuple[Direction, ...] = BOTH
     ) -> None:
--- a/tests/configuration/delivery.feature
+++ b/tests/configuration/delivery.feature
@@ -41,3 +41,24 @@
     Then it is not sure that its configuration is current
     When it gets what "c2" holds at revision 2
     Then it is sure that its configuration is current
+
+  Scenario: A change that is on its way is not requested at each beat
+    Guards against a large change that fills the link several times: each request made
+    a control instance send all of it again.
+    Given a follower of the configuration that holds revision 0
+    When control instances send it beats of revision 2, 0.2 s apart, for 8 s
+    Then it asked for what came after revision 0 at most 5 times
+    When it gets what "c2" holds at revision 2
+    And control instances send it beats of revision 3, 0.2 s apart, for 0.4 s
+    Then it asked for what came after revision 2 once
+
+  Scenario: A change is coded once for all that request it
+    Guards against a control instance that holds a copy for each of hundreds of
+    instances.
+    Given a publisher of the configuration with 2 items
+    When "e1" asks for what came after revision 0
+    And "e2" asks for what came after revision 0
+    Then "e1" and "e2" were sent the same message
+    When an item is changed at revision 3
+    And "e1" asks for what came after revision 0
+    Then "e1" was last sent the items up to revision 3
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -77,6 +77,31 @@
     When "a1" dials "b1"
     Then after each of 300 seeded malformed frames "a1" gets an answer from "b1"
 
+  Scenario: A stream on which a long message arrives slowly stays open
+    Guards against a message that is sent anew on each new stream and never arrives.
+    Given instances "a1" and "b1" that share a key
+    And the link to "a1" carries 100000 bytes a second
+    When "a1" dials "b1"
+    And "b1" posts a message of 400000 random bytes to "a1"
+    Then "a1" receives it within 6 s
+    And "a1" counts 0 times "peer_silent"
+
+  Scenario: A peer that takes nothing holds a bounded number of bytes
+    Guards against an instance that ends for want of memory: the queue of a stream was
+    bounded by the number of messages, whatever their size.
+    Given instances "a1" and "b1" that share a key
+    And the link to "a1" carries 1000 bytes a second
+    When "a1" dials "b1"
+    And "b1" posts 100 messages of 1000000 random bytes each to "a1"
+    Then at most 8000000 bytes wait at "b1"
+
+  Scenario: Peers that take nothing hold a bounded number of bytes together
+    Guards against the sum over hundreds of streams.
+    Given instance "b1" with 24 peers whose links carry 1000 bytes a second
+    When "b1" posts 12 messages of 1000000 random bytes each to all of them
+    Then at most 128000000 bytes wait at "b1"
+    And a message of 1000 bytes is still queued for each of them
+
   Scenario: What waits for peers is reported as it grows
     A process that ends for want of memory has no other way to tell what filled it.
     Given nothing waits to be sent to peers
--- a/tests/steps/configuration_delivery.py
+++ b/tests/steps/configuration_delivery.py
@@ -127,3 +127,37 @@
 def current_until(context, sure_s, unsure_s):
     assert is_current(context, sure_s)
     assert not is_current(context, unsure_s)
+
+
+@when(
+    "control instances send it beats of revision {revision:d}, {gap_s:g} s apart, for"
+    " {length_s:g} s"
+)
+def sends_beats(context, revision, gap_s, length_s):
+    for number in range(round(length_s / gap_s)):
+        beat = Beat(revision=revision, digest=1, confirmed_age_ms=10)
+        context.follower._on_beat(f"c{number % 5}", beat)
+        context.follower.clock.now += gap_s
+
+
+def requests_after(context, revision):
+    sent = [m for posted in context.network.posted_by_peer.values() for m in posted]
+    return [m for m in sent if m == DeltaRequest(revision=revision)]
+
+
+@then("it asked for what came after revision {revision:d} at most {count:d} times")
+def asked_at_most(context, revision, count):
+    asked = requests_after(context, revision)
+    assert 1 <= len(asked) <= count, len(asked)
+
+
+@then("it asked for what came after revision {revision:d} once")
+def asked_once(context, revision):
+    asked = requests_after(context, revision)
+    assert len(asked) == 1, len(asked)
+
+
+@then('"{one}" and "{other}" were sent the same message')
+def same_message(context, one, other):
+    posted = context.network.posted_by_peer
+    assert posted[one][-1] is posted[other][-1]
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -18,6 +18,7 @@
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address
 from mothshunt.util.wire import message
+from testkit.proxy import Bandwidth, FaultProxy
 
 WAIT_S = 10.0
 
@@ -34,6 +35,12 @@
     number: int
 
 
+@message("test.blob")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Blob:
+    content: bytes
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -77,6 +84,7 @@
     context.loop = asyncio.new_event_loop()
     context.stack.callback(context.loop.close)
     context.network_by_id = {}
+    context.link_port = None
     for name, key in key_by_id.items():
         run(context, make_network(context, name, key))
     for network in context.network_by_id.values():
@@ -178,11 +186,28 @@
     assert context.errors == [], context.errors
 
 
+async def async_limit_link(context, name, bytes_per_s):
+    (server,) = (n for peer, n in context.network_by_id.items() if peer != name)
+    proxy = FaultProxy(
+        server.listen.host,
+        server.listen.port,
+        bandwidth_to_client=Bandwidth(bytes_per_s),
+    )
+    context.stack.callback(lambda: run(context, proxy.async_stop()))
+    return await proxy.async_start()
+
+
+@given('the link to "{name}" carries {bytes_per_s:d} bytes a second')
+def slow_link(context, name, bytes_per_s):
+    context.link_port = run(context, async_limit_link(context, name, bytes_per_s))
+
+
 @when('"{a}" dials "{b}"')
 def dials(context, a, b):
     async def dial():
         listen = context.network_by_id[b].listen
-        context.network_by_id[a].dial(InstanceId(b), listen.host, listen.port)
+        port = context.link_port or listen.port
+        context.network_by_id[a].dial(InstanceId(b), listen.host, port)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(0.5):
                 while b not in context.network_by_id[a].connected():
@@ -325,3 +350,99 @@
 @then("nothing is reported")
 def nothing_reported(context):
     assert context.report is None, context.report
+
+
+def random_blob(count, seed=0):
+    """Return a message that can't be compressed."""
+    return Blob(content=Random(seed).randbytes(count))
+
+
+@when('"{b}" posts a message of {count:d} random bytes to "{a}"')
+def posts_blob(context, b, count, a):
+    context.blob = random_blob(count)
+    context.blobs = []
+    receiver = context.network_by_id[a]
+    receiver.on_message(Blob, lambda peer, blob: context.blobs.append(blob))
+
+    async def post():
+        assert context.network_by_id[b].post(a, context.blob)
+
+    run(context, post())
+
+
+@then('"{a}" receives it within {bound_s:g} s')
+def receives_blob(context, a, bound_s):
+    async def receive():
+        async with asyncio.timeout(bound_s):
+            while not context.blobs:
+                await asyncio.sleep(0.05)
+
+    run(context, receive())
+    assert context.blobs == [context.blob]
+
+
+@when('"{b}" posts {count:d} messages of {size:d} random bytes each to "{a}"')
+def posts_blobs(context, b, count, size, a):
+    async def post():
+        for number in range(count):
+            context.network_by_id[b].post(a, random_blob(size, number))
+            await asyncio.sleep(0)
+
+    run(context, post())
+
+
+@then('at most {bound:d} bytes wait at "{b}"')
+def bytes_wait_at(context, bound, b):
+    waiting = context.network_by_id[b].pending_bytes()
+    assert waiting <= bound, waiting
+
+
+@given('instance "{b}" with {count:d} peers whose links carry {rate:d} bytes a second')
+def many_peers(context, b, count, rate):
+    context.loop = asyncio.new_event_loop()
+    context.stack.callback(context.loop.close)
+    context.network_by_id = {}
+    run(context, make_network(context, b, b"k" * 32))
+    server = context.network_by_id[b]
+    link = Bandwidth(rate * count)
+
+    async def connect():
+        proxy = FaultProxy(
+            server.listen.host, server.listen.port, bandwidth_to_client=link
+        )
+        context.stack.callback(lambda: run(context, proxy.async_stop()))
+        port = await proxy.async_start()
+        for number in range(count):
+            name = f"a{number}"
+            await make_network(context, name, b"k" * 32)
+            context.network_by_id[name].dial(InstanceId(b), "127.0.0.1", port)
+        async with asyncio.timeout(WAIT_S):
+            while len(server.connected()) < count:
+                await asyncio.sleep(0.02)
+
+    for_each = context.network_by_id
+    context.stack.callback(
+        lambda: [run(context, network.async_stop()) for network in for_each.values()]
+    )
+    run(context, connect())
+
+
+@when('"{b}" posts {count:d} messages of {size:d} random bytes each to all of them')
+def posts_to_all(context, b, count, size):
+    async def post():
+        for number in range(count):
+            for index, peer in enumerate(context.network_by_id[b].connected()):
+                blob = random_blob(size, 1000 * number + index)
+                context.network_by_id[b].post(peer, blob)
+            await asyncio.sleep(0)
+
+    run(context, post())
+
+
+@then("a message of {size:d} bytes is still queued for each of them")
+def still_queued(context, size):
+    async def post():
+        network = context.network_by_id["b1"]
+        return [network.post(peer, random_blob(size)) for peer in network.connected()]
+
+    assert all(run(context, post()))
