Count a peer as heard of while part of a message arrives

Cause: a stream was closed as silent when no whole message had arrived for 2 s; one of 900 KB takes 3.6 s of a link of 2 Mbit/s. It was sent anew on the next stream, and closed again, without end: 180 streams in 22 s of the zone whose lines were read.

Each part of a frame that arrives now counts.

--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -182,11 +182,12 @@
             return Failure(code=codes.FRAME_MALFORMED, detail=repr(error)[:120])
 
     def _count_received(self, count: int) -> None:
+        # Part of a frame is enough: a large one takes seconds on a slow link.
+        self._received_at = self.clock.monotonic()
         self.traffic.bytes_received += count
         self._partial_bytes += count
 
     def _handle_frame(self, item: Frame) -> None:
-        self._received_at = self.clock.monotonic()
         if item.kind is FrameKind.HEARTBEAT:
             return
         if item.kind is FrameKind.ANSWER:
