Bound what waits for peers in bytes, on each stream and in all

Cause: the queue of a stream was bounded by 4,096 messages, whatever their size, and each socket had a copy of its own.

A stream that a peer dialled now holds 4 MB of large messages at most, all of them 64 MB together, where one message for many counts once; small messages have room of their own, so a full queue keeps none out, and the streams to control instances, which carry the replicated log, are not in the sum. What has no room is dropped, as with a full queue before; its receiver asks for it after the next beat or pulse. Sockets are handed 16 KB at a time. A message over the size limit is not sent, where the peer would close the stream.

--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -8,6 +8,19 @@
 #: Part of the original size above which the original is sent.
 MAX_COMPRESSION_RATIO = 0.9
 MAX_QUEUED_FRAMES = 4096
+#: Frames of this size, not compressed, or more are large.
+MIN_LARGE_BYTES = 8 * 1024
+#: Most bytes of smaller frames that wait on a stream.
+MAX_SMALL_BYTES_PER_STREAM = 128 * 1024
+#: Most bytes of large frames that wait on a stream that a peer dialled, unless it is a
+#: single one.
+MAX_LARGE_BYTES_PER_ACCEPTED_STREAM = 4 * 1024 * 1024
+#: The same on a stream to a control instance, where parts of the replicated log wait.
+MAX_LARGE_BYTES_PER_DIALLED_STREAM = 16 * 1024 * 1024
+#: Most bytes of large frames that wait on all streams that peers dialled.
+MAX_LARGE_BYTES_IN_ALL = 64 * 1024 * 1024
+#: Bytes that are handed to a socket at a time, which copies those that don't fit.
+WRITE_BYTES = 16 * 1024
 HANDSHAKE_TIMEOUT_S = 3.0
 HEARTBEAT_INTERVAL_S = 0.6
 SILENCE_TIMEOUT_S = 2.0
--- a/mothshunt/helpers/peer/frame.py
+++ b/mothshunt/helpers/peer/frame.py
@@ -49,16 +49,28 @@
 ANNOUNCEMENT = Frame(FrameKind.HEARTBEAT, ACCEPTS_COMPRESSED)
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(slots=True, eq=False)
 class EncodedFrame:
     """Frame with its length prefix, ready to be sent.
 
     :param plain: The bytes for peers that accept no compressed frames.
     :param compressed: The bytes for all others; ``None`` where that gains nothing.
+    :param streams: Number of streams on which it waits.
     """
 
     plain: bytes
     compressed: bytes | None
+    streams: int = 0
+
+    @property
+    def size(self) -> int:
+        """Number of bytes for a peer that accepts compressed frames."""
+        return len(self.plain if self.compressed is None else self.compressed)
+
+    @property
+    def is_large(self) -> bool:
+        """Whether it counts to the bound on what waits on all streams."""
+        return len(self.plain) >= const.MIN_LARGE_BYTES
 
     def data(self, *, accepts_compressed: bool) -> bytes:
         """Return the bytes for a peer.
--- a/mothshunt/helpers/peer/link.py
+++ b/mothshunt/helpers/peer/link.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,10 +13,14 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import InstanceId
+from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer import codes, const, frame
 from mothshunt.helpers.peer.frame import EncodedFrame, Frame, FrameKind
+from mothshunt.helpers.peer.outbox import Outbox
 from mothshunt.util import wire
 
+_LOGGER = get_logger("peer")
+
 
 @dataclass(slots=True)
 class Traffic:
@@ -46,6 +50,7 @@
     :param clock: Source of the current time.
     :param traffic: Traffic counters of the process.
     :param deliver: Called with each message or request that arrives.
+    :param outbox: Frames that wait to be sent.
     :param closed: Whether the stream is closed.
     :param accepts_compressed: Whether the peer announced to accept compressed frames.
     """
@@ -56,13 +61,10 @@
     clock: Clock
     traffic: Traffic
     deliver: Callable[["PeerLink", Frame], None]
+    outbox: Outbox
     closed: bool = False
     accepts_compressed: bool = False
-    _queued_bytes: int = 0
     _partial_bytes: int = 0
-    _queue: asyncio.Queue[bytes] = field(
-        default_factory=lambda: asyncio.Queue(const.MAX_QUEUED_FRAMES)
-    )
     _waiter_by_correlation: dict[int, asyncio.Future[Any]] = field(default_factory=dict)
     _last_correlation: int = 0
     _received_at: float = math.inf
@@ -82,24 +84,25 @@
 
         :param encoded: What ``frame.encode`` returned.
         :param message: Message of the frame; ``None`` in a heartbeat.
-        :return: ``False`` when the stream is closed or its queue is full.
+        :return: ``False`` when the stream is closed, its queue is full or the frame is
+            larger than the peer accepts.
         """
         if self.closed:
             return False
-        data = encoded.data(accepts_compressed=self.accepts_compressed)
+        size = len(encoded.data(accepts_compressed=self.accepts_compressed))
+        if size - frame.LENGTH_BYTES > const.MAX_FRAME_BYTES:
+            detail = f"{size} bytes for {self.peer}"
+            failure = Failure(code=codes.FRAME_TOO_LARGE, detail=detail)
+            _LOGGER.failure("a message can't be sent", failure)
+            return False
         if message is not None:
             kind = wire.kind_of(message)
-            self.traffic.posted_bytes_by_kind[kind] += len(data)
-        try:
-            self._queue.put_nowait(data)
-        except asyncio.QueueFull:
-            return False
-        self._queued_bytes += len(data)
-        return True
+            self.traffic.posted_bytes_by_kind[kind] += encoded.size
+        return self.outbox.put(encoded)
 
     def pending_bytes(self) -> int:
         """Return the bytes that wait in the queue or in the buffer of the socket."""
-        return self._queued_bytes + self.writer.transport.get_write_buffer_size()
+        return self.outbox.waiting_bytes + self.writer.transport.get_write_buffer_size()
 
     async def async_request(
         self, message: object, timeout_s: float
@@ -167,6 +170,7 @@
         for waiter in self._waiter_by_correlation.values():
             if not waiter.done():
                 waiter.set_exception(ConnectionError("stream closed"))
+        self.outbox.clear()
         # Not close(), which first sends what is still buffered: a silent peer would
         # never take it, and the socket would stay open.
         self.writer.transport.abort()
@@ -204,16 +208,21 @@
         self.deliver(self, item)
 
     async def _async_send(self) -> Failure | None:
+        transport = self.writer.transport
+        transport.set_write_buffer_limits(high=const.WRITE_BYTES)
         with contextlib.suppress(OSError):
             while True:
-                batch = [await self._queue.get()]
-                while not self._queue.empty():
-                    batch.append(self._queue.get_nowait())
-                data = b"".join(batch)
-                self._queued_bytes -= len(data)
-                self.writer.write(data)
-                self.traffic.bytes_sent += len(data)
-                self.traffic.frames_sent += len(batch)
-                self._sent_at = self.clock.monotonic()
-                await self.writer.drain()
+                for part in self._parts(await self.outbox.async_take()):
+                    self.writer.write(part)
+                    self.traffic.bytes_sent += len(part)
+                    self._sent_at = self.clock.monotonic()
+                    await self.writer.drain()
         return None
+
+    def _parts(self, frames: list[EncodedFrame]) -> Iterator[memoryview]:
+        """Yield the bytes of frames in parts of limited size."""
+        self.traffic.frames_sent += len(frames)
+        accepts_compressed = self.accepts_compressed
+        data = b"".join(f.data(accepts_compressed=accepts_compressed) for f in frames)
+        for start in range(0, len(data), const.WRITE_BYTES):
+            yield memoryview(data)[start : start + const.WRITE_BYTES]
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
@@ -19,6 +20,7 @@
 from mothshunt.helpers.peer.admission import HandshakeLimiter
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.link import PeerLink, Traffic
+from mothshunt.helpers.peer.outbox import Outbox, SendBudget
 from mothshunt.helpers.peer.pending import PendingReporter
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
@@ -62,6 +64,7 @@
     #: Tasks that the server created, one for each accepted stream.
     _accept_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _handshakes: HandshakeLimiter = field(default_factory=HandshakeLimiter)
+    _send_budget: SendBudget = field(default_factory=SendBudget)
     _server: asyncio.Server | None = None
     _watcher: asyncio.Task[None] | None = None
 
@@ -294,7 +297,15 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        link = PeerLink(peer, reader, writer, self.clock, self.traffic, self._deliver)
+        link = PeerLink(
+            peer,
+            reader,
+            writer,
+            self.clock,
+            self.traffic,
+            self._deliver,
+            self._create_outbox(is_dialled=link_by_peer is self._dialled_by_peer),
+        )
         # The first frame, so that the peer knows before it answers any other.
         link.post(frame.ANNOUNCEMENT)
         is_new = peer not in self.connected()
@@ -311,6 +322,14 @@
         if failure is not None:
             self._report_closed(failure)
 
+    def _create_outbox(self, *, is_dialled: bool) -> Outbox:
+        # Only control instances are dialled. What waits for hundreds of entry instances
+        # must not keep out the replicated log.
+        if is_dialled:
+            budget = SendBudget(max_bytes=math.inf)
+            return Outbox(budget, const.MAX_LARGE_BYTES_PER_DIALLED_STREAM)
+        return Outbox(self._send_budget, const.MAX_LARGE_BYTES_PER_ACCEPTED_STREAM)
+
     def _deliver(self, link: PeerLink, item: Frame) -> None:
         if item.kind is FrameKind.REQUEST:
             self._spawn(self._async_answer(link, item))
