Request and send a change once while it is on its way

Cause: an entry instance that lacked a revision asked for it every 0.5 s, at whichever control instance sent a beat, and each answer was built, encoded and queued anew, though the one before was still on its way.

The time between two requests doubles until a delta arrives. All who lack the same changes share one message and one encoded frame, and a large frame that waits on a stream is not queued there again.

--- a/mothshunt/configuration/const.py
+++ b/mothshunt/configuration/const.py
@@ -13,8 +13,10 @@
 #: confirmation. With one control instance in reach, beats and the round trip of their
 #: confirmation take up to about 1.4 s.
 MAX_CONFIRMATION_AGE_S = 2.0
-#: Least time between two delta requests of a follower.
-DELTA_REQUEST_INTERVAL_S = 0.5
+#: Time between the first two requests of a follower for a delta; it doubles with each
+#: further request until one arrives.
+MIN_DELTA_REQUEST_INTERVAL_S = 0.5
+MAX_DELTA_REQUEST_INTERVAL_S = 4.0
 #: Pause between two attempts to get the confirmed revision at start.
 CONFIRM_RETRY_PAUSE_S = 0.1
 #: Number of control instances that a deployment may have.
--- a/mothshunt/configuration/follower.py
+++ b/mothshunt/configuration/follower.py
@@ -37,7 +37,8 @@
     clock: Clock
     mirror: ConfigurationMirror = field(default_factory=ConfigurationMirror)
     confirmed_at: float = 0.0
-    _requested_at: float = 0.0
+    _request_at: float = 0.0
+    _request_interval_s: float = const.MIN_DELTA_REQUEST_INTERVAL_S
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def async_start(self) -> None:
@@ -62,6 +63,8 @@
 
     def _on_delta(self, peer: InstanceId, delta: Delta) -> None:
         held = self.mirror.store.revision
+        self._request_at = 0.0
+        self._request_interval_s = const.MIN_DELTA_REQUEST_INTERVAL_S
         self._request(peer, self.mirror.apply(delta))
         if self.mirror.store.revision != held or delta.is_whole:
             self.holder.put_in_force(self.mirror.store)
@@ -81,9 +84,13 @@
         if need is MirrorNeed.NOTHING:
             return
         now = self.clock.monotonic()
-        if now - self._requested_at < const.DELTA_REQUEST_INTERVAL_S:
+        if now < self._request_at:
             return
-        self._requested_at = now
+        # A large delta may be on its way for longer than any fixed interval.
+        self._request_at = now + self._request_interval_s
+        self._request_interval_s = min(
+            2 * self._request_interval_s, const.MAX_DELTA_REQUEST_INTERVAL_S
+        )
         revision = self.mirror.store.revision
         is_whole = need is MirrorNeed.ALL_ITEMS
         self.network.post(control, DeltaRequest(revision=revision, is_whole=is_whole))
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -55,6 +55,8 @@
     #: All subscribers; each gets beats.
     subscribers: set[InstanceId] = field(default_factory=set)
     confirmed_at: float | None = None
+    #: Deltas up to the current revision, so that all who lack the same share one.
+    _delta_by_range: dict[tuple[Revision, bool], Delta] = field(default_factory=dict)
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -95,6 +97,7 @@
         for key in self.delivered.item_by_key.keys() - self.state.store.item_by_key:
             self.delivered.purge(key)
         self.delivered.revision = self.state.store.revision
+        self._delta_by_range.clear()
         self.holder.put_in_force(self.delivered)
         self._push_all()
 
@@ -115,7 +118,7 @@
         self.network.post(peer, self._build_delta(since, is_whole=is_whole))
 
     def _push_all(self) -> None:
-        """Send each subscriber the changes that it lacks; build each delta only once.
+        """Send each subscriber the changes that it lacks.
 
         If a full send queue drops a delta, the subscriber requests the changes after
         the next beat.
@@ -129,13 +132,17 @@
             self.revision_by_subscriber[subscriber] = self.delivered.revision
 
     def _build_delta(self, since: Revision, *, is_whole: bool) -> Delta:
-        return Delta(
-            from_revision=since,
-            to_revision=self.delivered.revision,
-            digest=self.delivered.digest,
-            items=self.delivered.changed_since(since),
-            is_whole=is_whole,
-        )
+        delta = self._delta_by_range.get((since, is_whole))
+        if delta is None:
+            delta = Delta(
+                from_revision=since,
+                to_revision=self.delivered.revision,
+                digest=self.delivered.digest,
+                items=self.delivered.changed_since(since),
+                is_whole=is_whole,
+            )
+            self._delta_by_range[since, is_whole] = delta
+        return delta
 
     async def _async_confirm(
         self, peer: InstanceId, message: ConfirmedRevisionRequest
--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -38,3 +38,5 @@
 MAX_HANDSHAKES_PER_S = 200.0
 #: Bytes waiting on all streams from which on their growth is logged.
 MIN_REPORTED_PENDING_BYTES = 8 * 1024 * 1024
+#: Large messages whose frames are kept to be sent to further peers.
+REMEMBERED_LARGE_MESSAGES = 4
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -18,7 +18,7 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.peer import codes, const, frame, handshake
 from mothshunt.helpers.peer.admission import HandshakeLimiter
-from mothshunt.helpers.peer.frame import Frame, FrameKind
+from mothshunt.helpers.peer.frame import EncodedFrame, Frame, FrameKind
 from mothshunt.helpers.peer.link import PeerLink, Traffic
 from mothshunt.helpers.peer.outbox import Outbox, SendBudget
 from mothshunt.helpers.peer.pending import PendingReporter
@@ -64,6 +64,9 @@
     #: Tasks that the server created, one for each accepted stream.
     _accept_tasks: set[asyncio.Task[Any]] = field(default_factory=set)
     _handshakes: HandshakeLimiter = field(default_factory=HandshakeLimiter)
+    _recent_large: deque[tuple[object, EncodedFrame]] = field(
+        default_factory=lambda: deque(maxlen=const.REMEMBERED_LARGE_MESSAGES)
+    )
     _send_budget: SendBudget = field(default_factory=SendBudget)
     _server: asyncio.Server | None = None
     _watcher: asyncio.Task[None] | None = None
@@ -140,11 +143,11 @@
             asyncio.get_running_loop().call_soon(self._handle_message, peer, message)
             return True
         link = self._link(peer)
-        return link is not None and link.post(Frame(FrameKind.MESSAGE, 0, message))
+        return link is not None and link.post_encoded(self._encode(message), message)
 
     def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
         """Queue one message for several peers; see ``PeerNetwork``."""
-        encoded = frame.encode(Frame(FrameKind.MESSAGE, 0, message))
+        encoded = self._encode(message)
         for peer in peers:
             link = self._link(peer)
             if link is not None:
@@ -152,6 +155,16 @@
             elif peer == self.own_id:
                 self.post(peer, message)
 
+    def _encode(self, message: object) -> EncodedFrame:
+        """Encode a message; a large one that is sent again shares its frame."""
+        for recent, encoded in self._recent_large:
+            if recent is message:
+                return encoded
+        encoded = frame.encode(Frame(FrameKind.MESSAGE, 0, message))
+        if encoded.is_large:
+            self._recent_large.append((message, encoded))
+        return encoded
+
     async def async_request(
         self, peer: InstanceId, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -102,6 +102,15 @@
     Then at most 128000000 bytes wait at "b1"
     And a message of 1000 bytes is still queued for each of them
 
+  Scenario: A large message that already waits for a peer is not queued again
+    Guards against copies of one change that fill a slow link.
+    Given instances "a1" and "b1" that share a key
+    And the link to "a1" carries 100000 bytes a second
+    When "a1" dials "b1"
+    And "b1" posts one message of 300000 random bytes 40 times to "a1"
+    Then at most 400000 bytes wait at "b1"
+    And "a1" receives it within 6 s
+
   Scenario: What waits for peers is reported as it grows
     A process that ends for want of memory has no other way to tell what filled it.
     Given nothing waits to be sent to peers
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -358,14 +358,16 @@
 
 
 @when('"{b}" posts a message of {count:d} random bytes to "{a}"')
-def posts_blob(context, b, count, a):
+@when('"{b}" posts one message of {count:d} random bytes {times:d} times to "{a}"')
+def posts_blob(context, b, count, a, times=1):
     context.blob = random_blob(count)
     context.blobs = []
     receiver = context.network_by_id[a]
     receiver.on_message(Blob, lambda peer, blob: context.blobs.append(blob))
 
     async def post():
-        assert context.network_by_id[b].post(a, context.blob)
+        for _ in range(times):
+            assert context.network_by_id[b].post(a, context.blob)
 
     run(context, post())
 
