Retry a refused request on a connection on which it was not refused

Cause: a target that refuses a request with room left is asked again, on the connection just used. If it sends its refusal once more before it runs the retry, both carry the id of the request, and the copy is taken for the answer; the order may then run at another target as well.

A connection remembers the ids that were refused on it and is passed over for them; requests without an id count as one. After 64 refusals it is closed. Deployments by contracts never ask a target twice for one request, so they are not affected (from reading dispatch/retrier).

--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -174,6 +174,7 @@
         try:
             connection = await self._pool.async_acquire(
                 choice.target,
+                outgoing.routed.request_id,
                 needs_trusted=not outgoing.routed.route.is_idempotent,
             )
         except NotConnectedError as error:
@@ -318,6 +319,7 @@
         reported_load = read_reported_load(message.headers, self._names)
         refused = self._not_run_result(message)
         if refused is not None:
+            connection.record_refusal(routed.request_id)
             refused.unread_body = payload
             refused.reported_load = reported_load
             if refused.is_shed_with_capacity and refused.failure is not None:
--- a/mothshunt/forwarding/connections.py
+++ b/mothshunt/forwarding/connections.py
@@ -13,7 +13,7 @@
 from aiohttp.streams import StreamReader
 
 from mothshunt.core.clock import Clock
-from mothshunt.core.types import TargetId
+from mothshunt.core.types import RequestId, TargetId
 from mothshunt.forwarding import const
 from mothshunt.helpers.bounded_answers import BoundedResponseHandler
 from mothshunt.helpers.log import get_logger
@@ -45,6 +45,9 @@
         self.request_count = 0
         #: Whether a non-idempotent request may be sent on it.
         self.is_trusted = True
+        #: Ids of the requests that the target refused on it; ``None`` for those
+        #: without an id.
+        self.refused_ids: set[RequestId | None] = set()
         self._is_in_use = False
         self.idle_since = 0.0
         self.idle_limit_s = const.DEFAULT_IDLE_S
@@ -65,6 +68,15 @@
             max_field_size=max_field_bytes,
         )
 
+    def record_refusal(self, request_id: RequestId | None) -> None:
+        """Record that the target refused a request on this connection.
+
+        :param request_id: Id of the request; ``None`` if it has none.
+        """
+        self.refused_ids.add(request_id)
+        if len(self.refused_ids) >= const.MAX_REFUSALS_PER_CONNECTION:
+            self.force_close()
+
     def mark_idle(self, now: float) -> None:
         """Mark the connection as idle, after its response was read completely.
 
@@ -179,19 +191,29 @@
             self.close_idle(target)
 
     async def async_acquire(
-        self, target: RoutableTarget, *, needs_trusted: bool = False
+        self,
+        target: RoutableTarget,
+        request_id: RequestId | None = None,
+        *,
+        needs_trusted: bool = False,
     ) -> TargetConnection:
         """Return an idle connection for one request, or open one.
 
+        Connections on which the target refused this request before are passed over: if
+        it sends that refusal again, nothing tells it from the response to the retry.
+
         :param target: The target.
+        :param request_id: Id of the request; ``None`` if it has none.
         :param needs_trusted: Whether to pass over connections that may have stopped to
             carry anything; see ``distrust_open``.
         :raises NotConnectedError: No connection could be opened.
         """
         idle = self._idle_by_target.get(target.id, [])
         now = self.clock.monotonic()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(idle.copy()):
+            if request_id in connection.refused_ids:
+                continue
+            idle.remove(connection)
             is_usable = connection.is_trusted or not needs_trusted
             if is_usable and connection.is_reusable(now):
                 return connection
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -24,6 +24,8 @@
 MAX_CONCURRENT_PRECONNECTS = 16
 #: Maximum number of responses to earlier requests that are skipped on one connection.
 MAX_STALE_RESPONSES = 2
+#: Requests that a target may refuse on a connection until it is closed.
+MAX_REFUSALS_PER_CONNECTION = 64
 #: Maximum number of informational responses (1xx) before a final response; targets have
 #: no reason to send more than a few.
 MAX_INFORMATIONAL_RESPONSES = 8
--- a/tests/forwarding/broken_answers.feature
+++ b/tests/forwarding/broken_answers.feature
@@ -34,3 +34,13 @@
       | sends bytes of no protocol after its answer  | POST   | /orders/a |
       | sends bytes of no protocol after its chunks  | POST   | /orders/a |
       | sends its answer twice in one piece          | POST   | /orders/a |
+
+  Scenario: A refusal that is sent again is not taken for the answer to the retry
+    Guards against orders that ran and were reported as not run, or ran at two targets: a
+    refusal of the first attempt, sent again, carries the id of the retry too.
+    Given a routed entry
+    And a routed target "t1" that turns away, and once more before it runs the retry
+    And a routed target "t2" that turns away, and once more before it runs the retry
+    When a routed caller sends POST "/orders/a" for each of 60 objects
+    Then no order that ran was reported as not run
+    And no order ran twice
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -339,3 +339,23 @@
             )
             worst = max(worst, extra_count / (ratio * request_count + slack))
     print(f"worst: {worst:.2f} of the budget")
+
+
+def orders_that_ran(context):
+    targets = context.target_by_name.values()
+    return [order for target in targets for order in getattr(target, "ran", [])]
+
+
+@then("no order that ran was reported as not run")
+def none_denied(context):
+    ran = orders_that_ran(context)
+    assert ran, "no order ran"
+    statuses = {f"id-{n}": status(a) for n, a in enumerate(context.answers)}
+    denied = {o: statuses[o] for o in ran if statuses[o] in (408, 421, 429, 503)}
+    assert not denied, denied
+
+
+@then("no order ran twice")
+def none_twice(context):
+    ran = orders_that_ran(context)
+    assert len(ran) == len(set(ran)), ran
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -40,6 +40,20 @@
         await answers(target, request, writer)
 
 
+async def repeats_refusal(target, request, writer):
+    """Turn an order away; before running it, send that refusal again if it can."""
+    order = request.header_by_name[ID]
+    before = [r for r in target.requests[:-1] if r.header_by_name[ID] == order]
+    if not before:
+        await turns_away_with_room(target, request, writer)
+        return
+    if before[-1].connection == request.connection:
+        await turns_away_with_room(target, request, writer)
+        await asyncio.sleep(0.005)
+    target.ran = [*getattr(target, "ran", []), order]
+    await answers(target, request, writer)
+
+
 async def turns_away_full(target, request, writer):
     headers = "Mothshunt-Ran: no\r\nMothshunt-Load: 4,8,4\r\n"
     writer.write(echo(request, b"", "503 Busy", headers))
@@ -217,6 +231,7 @@
     "turns away with room": turns_away_with_room,
     "turns away every other request with room": turns_away_every_other,
     "turns away without room": turns_away_full,
+    "turns away, and once more before it runs the retry": repeats_refusal,
     "answers 503 after running": fails_with_503,
     "answers 500": fails_with_500,
     "never answers": never,
