Test responses that end at each place within their head

Tried here at each byte of the head, closed and reset, GET and POST, 480 requests: no caller got a success. Not possible here; nothing was changed.

--- a/tests/forwarding/broken_answers.feature
+++ b/tests/forwarding/broken_answers.feature
@@ -44,3 +44,18 @@
     When a routed caller sends POST "/orders/a" for each of 60 objects
     Then no order that ran was reported as not run
     And no order ran twice
+
+  Scenario Outline: A response that ends within its head never looks complete
+    Guards against a response with status 200 and no body, or a part of it: each place in
+    the head is tried.
+    Given a routed entry
+    And a routed target "t1" that <ends>
+    When a routed caller sends <method> "<path>" for each of 120 objects
+    Then no routed caller got a successful response
+
+    Examples: ended and reset, idempotent and non-idempotent requests
+      | ends                     | method | path      |
+      | ends within the head     | GET    | /reads/a  |
+      | ends within the head     | POST   | /orders/a |
+      | is reset within the head | GET    | /reads/a  |
+      | is reset within the head | POST   | /orders/a |
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -359,3 +359,11 @@
 def none_twice(context):
     ran = orders_that_ran(context)
     assert len(ran) == len(set(ran)), ran
+
+
+@then("no routed caller got a successful response")
+def none_successful(context):
+    (target,) = context.target_by_name.values()
+    statuses = [status(answer) for answer in context.answers]
+    assert len(target.requests) >= len(statuses) / 2, len(target.requests)
+    assert not any(200 <= code < 300 for code in statuses), statuses
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -92,11 +92,7 @@
     writer.write(echo(request, b"half of it", length=False))
     await writer.drain()
     await asyncio.sleep(0.05)
-    # A linger time of 0 makes the close a reset.
-    linger = struct.pack("ii", 1, 0)
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
+    reset(writer)
 
 
 async def unframed(target, request, writer):
@@ -121,6 +117,30 @@
     writer.close()
 
 
+def ends_in_head(*, resets):
+    async def end_in_head(target, request, writer):
+        """End one byte later with each request, up to the last byte of the head."""
+        whole = echo(request, request.header_by_name[ID].encode())
+        head_bytes = whole.index(b"\r\n\r\n") + 4
+        writer.write(whole[: len(target.requests) % head_bytes])
+        await writer.drain()
+        if resets:
+            await asyncio.sleep(0.002)
+            reset(writer)
+        else:
+            writer.close()
+
+    return end_in_head
+
+
+def reset(writer):
+    """Close a connection with a reset, by a linger time of 0."""
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def truncated_long(target, request, writer):
     writer.write(echo(request, b"x" * LONG)[: -LONG // 2])
     await writer.drain()
@@ -240,6 +260,8 @@
     "answers twice, the second time late": twice,
     "is reset in an answer without a length": reset_unframed,
     "ends an answer with its connection": unframed,
+    "ends within the head": ends_in_head(resets=False),
+    "is reset within the head": ends_in_head(resets=True),
     "ends before the length of its answer": truncated,
     "ends before the length of a long answer": truncated_long,
     "ends before its last chunk": without_last_chunk,
