End a leaving entry instance only when its responses have been sent

Tried here: requests at any time of six stops with targets that take 20 to 250 ms: all that reached a target were answered, and those that could outlast the stop are refused. Not so an answer that its caller reads slowly: shown by a test, a part of it was still in the memory of the process when that ended, as a request counts as done once its response is buffered.

After the last request in flight, connections now read no further request, and the instance waits until all of them are closed, within the time for leaving.

--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -103,14 +103,34 @@
         :param now: Returns the present time, in seconds.
         """
         self._is_leaving = True
-        began_at = now()
-        self._forwarder.set_end(began_at + leave_s * const.FINISH_FRACTION)
+        ends_at = now() + leave_s * const.FINISH_FRACTION
+        self._forwarder.set_end(ends_at)
         await asyncio.sleep(leave_s * const.LISTEN_FRACTION)
         if self._server is not None:
             self._server.close()
-        await self.async_finish(leave_s * const.FINISH_FRACTION - (now() - began_at))
+        await self.async_finish(ends_at - now())
+        await self._async_close_connections(ends_at, now)
         log.write(Left(unfinished=self._in_flight))
 
+    async def _async_close_connections(
+        self, ends_at: float, now: Callable[[], float]
+    ) -> None:
+        """Read no more requests, and wait until all responses have been sent.
+
+        A response that was written may still wait for a caller that reads slowly; the
+        end of the process would cut it off.
+
+        :param ends_at: Time until which to wait, in seconds.
+        :param now: Returns the present time, in seconds.
+        """
+        if self._protocols is None:
+            return
+        self._protocols.pre_shutdown()
+        while now() < ends_at:
+            if not self._protocols.connections:
+                return
+            await asyncio.sleep(const.CLOSE_POLL_S)
+
     async def async_finish(self, longest_s: float) -> None:
         """Wait until no request is in flight.
 
--- a/tests/forwarding/stop.feature
+++ b/tests/forwarding/stop.feature
@@ -8,3 +8,12 @@
 
   Scenario: A request that arrives just after no request was in flight is answered
     Then a request that arrives after the check for requests in flight is answered
+
+  Scenario: Requests that arrive at any time of a stop are answered or not passed on
+    Guards against orders that were taken late in the time for leaving, passed on, and cut
+    off at its end.
+    Then in 6 planned stops with slow targets, every request that a target got is answered
+
+  Scenario: A caller that reads slowly gets its whole answer before the process ends
+    Guards against answers of which a part was still in the memory of the process.
+    Then a caller that reads slowly during a planned stop gets its whole answer
--- a/tests/steps/forwarding_stop.py
+++ b/tests/steps/forwarding_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from random import Random
 
 from behave import then
@@ -9,7 +10,7 @@
 from mothshunt.forwarding import const
 from testkit.routed_entry import HOST, RoutedWorld
 from tests.support.raw_target import RawTarget
-from tests.support.target_behaviours import ID, answers
+from tests.support.target_behaviours import ID, answers, echo
 
 CONNECTIONS = 150
 LEAVE_S = 2.0
@@ -93,6 +94,110 @@
     return request_id if is_complete else None
 
 
+@then(
+    "in {count:d} planned stops with slow targets, every request that a target got is"
+    " answered"
+)
+def slow_stops(context, count):
+    for seed in range(count):
+        reached, answered = asyncio.run(stop_with_slow_targets(Random(seed)))
+        assert len(reached) > CONNECTIONS / 3, len(reached)
+        assert reached <= answered, (seed, reached - answered)
+
+
+async def stop_with_slow_targets(random: Random) -> tuple[set[str], set[str]]:
+    """Stop an entry whose targets take long; see ``stop_under_load``."""
+    world = RoutedWorld()
+
+    async def answers_late(target, request, writer):
+        await asyncio.sleep(random.uniform(0.02, 0.25))
+        await answers(target, request, writer)
+
+    target = RawTarget("t1", answers_late)
+    await target.start()
+    await world.start()
+    world.add_target("t1", target.port)
+    loop = asyncio.get_running_loop()
+    connections = [
+        await asyncio.open_connection("127.0.0.1", world.server.port)
+        for _ in range(CONNECTIONS)
+    ]
+    began_at = loop.time()
+    sending = [
+        asyncio.create_task(
+            send_request(
+                *connection, f"id-{number}", began_at + random.uniform(0, LEAVE_S)
+            )
+        )
+        for number, connection in enumerate(connections)
+    ]
+    await world.server.async_leave(LEAVE_S, loop.time)
+    await world.server.async_stop()
+    answered = {name for name in await asyncio.gather(*sending) if name is not None}
+    reached = {request.header_by_name[ID] for request in target.requests}
+    await target.stop()
+    await world.pool.async_stop()
+    return reached, answered
+
+
+LARGE_BODY = b"x" * 250_000
+SMALL_BUFFER_BYTES = 4096
+
+
+async def answers_large(target, request, writer):
+    writer.write(echo(request, LARGE_BODY))
+
+
+@then("a caller that reads slowly during a planned stop gets its whole answer")
+def slow_caller(context):
+    assert asyncio.run(read_slowly_during_stop()).endswith(LARGE_BODY)
+
+
+async def read_slowly_during_stop() -> bytes:
+    """Return what a caller gets that begins to read late in a stop of the process."""
+    world = RoutedWorld()
+    target = RawTarget("t1", answers_large)
+    await target.start()
+    await world.start()
+    world.add_target("t1", target.port)
+    loop = asyncio.get_running_loop()
+    # Accepted connections inherit it; the kernel would take the whole answer otherwise.
+    (listener,) = world.server._server.sockets
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, ("127.0.0.1", world.server.port))
+        head = f"GET /reads/a HTTP/1.1\r\nHost: {HOST}\r\n"
+        head += f"Mothshunt-Deadline-Ms: {LEFT_MS}\r\nMothshunt-Request-Id: id-1\r\n"
+        await loop.sock_sendall(caller, f"{head}\r\n".encode())
+        reading = asyncio.create_task(read_after(caller, LEAVE_S * 0.6))
+        await asyncio.sleep(0.1)
+        protocols = world.server._protocols.connections
+        transports = [protocol.transport for protocol in protocols]
+        await world.server.async_leave(LEAVE_S, loop.time)
+        await world.server.async_stop()
+        for transport in transports:
+            # What the end of the process does to bytes that the kernel doesn't have.
+            if transport.get_write_buffer_size():
+                transport.abort()
+        answer = await reading
+    await target.stop()
+    await world.pool.async_stop()
+    return answer
+
+
+async def read_after(caller: socket.socket, pause_s: float) -> bytes:
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(pause_s)
+    answer = b""
+    with contextlib.suppress(ConnectionError):
+        while part := await loop.sock_recv(caller, SMALL_BUFFER_BYTES):
+            answer += part
+            await asyncio.sleep(0.002)
+    return answer
+
+
 class RequestSendingEvent(asyncio.Event):
     """Event that sends a request after its waiter saw that nothing is in flight."""
 
