--- a/mothshunt/dispatch/server.py
+++ b/mothshunt/dispatch/server.py
@@ -13,6 +13,7 @@
 from mothshunt.dispatch.const import (
     BACKLOG,
     CALLER_KEEPALIVE_S,
+    CANCEL_TIMEOUT_S,
     DRAIN_IDLE_S,
     DRAIN_POLL_S,
     EXCEPTION_LOG_INTERVAL_S,
@@ -118,8 +119,8 @@
         protocols, self._protocols = self._protocols, None
         if protocols is None:
             return
-        protocols.pre_shutdown()
-        await protocols.shutdown(STOP_TIMEOUT_S)
+        await protocols.async_close_connections(STOP_TIMEOUT_S)
+        await protocols.shutdown(CANCEL_TIMEOUT_S)
         await self._forwarder.async_stop()
 
     def refuse_malformed(self, detail: str) -> web.Response:
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -96,8 +96,6 @@
 LISTEN_FRACTION = 0.55
 #: Fraction of the leave time after which requests in flight are cut off.
 FINISH_FRACTION = 0.93
-#: Time between two looks at whether all connections of callers are closed, in seconds.
-CLOSE_POLL_S = 0.02
 #: Maximum number of log lines per second about failures; further ones are only counted.
 #: A line costs about 30 microseconds, so this is about 0.1% of a core.
 MAX_FAILURE_LINES_PER_S = 40
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -109,28 +109,10 @@
         if self._server is not None:
             self._server.close()
         await self.async_finish(ends_at - now())
-        await self._async_close_connections(ends_at, now)
+        if self._protocols is not None:
+            await self._protocols.async_close_connections(max(0.0, ends_at - now()))
         log.write(Left(unfinished=self._in_flight))
 
-    async def _async_close_connections(
-        self, ends_at: float, now: Callable[[], float]
-    ) -> None:
-        """Read no more requests, and wait until all responses have been sent.
-
-        A response that was written may still wait for a caller that reads slowly; the
-        end of the process would cut it off.
-
-        :param ends_at: Time until which to wait, in seconds.
-        :param now: Returns the present time, in seconds.
-        """
-        if self._protocols is None:
-            return
-        self._protocols.pre_shutdown()
-        while now() < ends_at:
-            if not self._protocols.connections:
-                return
-            await asyncio.sleep(const.CLOSE_POLL_S)
-
     async def async_finish(self, longest_s: float) -> None:
         """Wait until no request is in flight.
 
--- a/mothshunt/helpers/http_protocol.py
+++ b/mothshunt/helpers/http_protocol.py
@@ -1,6 +1,7 @@
 """HTTP server connections that answer malformed requests with a result code."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +19,8 @@
 #: Further overhead bytes allowed for each byte of the body: a chunk of one byte has
 #: five bytes of framing (RFC 9112, 7.1).
 OVERHEAD_BYTES_PER_BODY_BYTE = 8
+#: Time between two looks at whether all connections are closed, in seconds.
+CLOSE_POLL_S = 0.02
 
 #: Returns the response to a request that is not valid HTTP, given the error text.
 MalformedHandler = Callable[[str], web.Response]
@@ -159,6 +162,22 @@
             max_headers=options.max_headers,
         )
 
+    async def async_close_connections(self, timeout_s: float) -> None:
+        """Read no more requests, and wait until all responses have been sent.
+
+        A response that was written may still wait for a client that reads slowly; the
+        end of the process would cut it off.
+
+        :param timeout_s: Longest time to wait, in seconds.
+        """
+        self.pre_shutdown()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    if not self.connections:
+                        return
+                    await asyncio.sleep(CLOSE_POLL_S)
+
     def _make_request(
         self,
         message: RawRequestMessage,
