--- a/mothshunt/consensus/applying.py
+++ b/mothshunt/consensus/applying.py
@@ -99,6 +99,9 @@
         A large state waits for as many bytes of entries as half of its own, so that
         snapshots don't make up most of what is written.
         """
+        max_bytes = max(self._config.snapshot_after_bytes, self._snapshot_bytes)
+        if self._bytes_since >= max_bytes:
+            return True
         count = self.applied_index - self._snapshot_index
         if count < self._config.snapshot_after_entries:
             return False
--- a/mothshunt/consensus/config.py
+++ b/mothshunt/consensus/config.py
@@ -16,7 +16,10 @@
     :param resend_s: Time after which an unanswered append is sent again, in seconds.
     :param snapshot_after_entries: Applied entries between two snapshots.
     :param snapshot_after_entries_at_most: The same where the state is large.
+    :param snapshot_after_bytes: Bytes of applied entries between two snapshots at most,
+        unless the state is larger.
     :param keep_entries: Entries kept before a snapshot.
+    :param keep_bytes: Bytes of entries kept before a snapshot at most.
     :param snapshot_chunk_bytes: Largest part of a snapshot in one message.
     :param segment_bytes: Size after which a new file of the log is begun.
     :param max_voters: Voters up to which learners are promoted.
@@ -33,7 +36,9 @@
     resend_s: float = const.RESEND_S
     snapshot_after_entries: int = const.SNAPSHOT_AFTER_ENTRIES
     snapshot_after_entries_at_most: int = const.SNAPSHOT_AFTER_ENTRIES_AT_MOST
+    snapshot_after_bytes: int = const.SNAPSHOT_AFTER_BYTES
     keep_entries: int = const.KEEP_ENTRIES
+    keep_bytes: int = const.KEEP_BYTES
     snapshot_chunk_bytes: int = const.SNAPSHOT_CHUNK_BYTES
     segment_bytes: int = const.SEGMENT_BYTES
     max_voters: int = const.MAX_MEMBERS
--- a/mothshunt/consensus/const.py
+++ b/mothshunt/consensus/const.py
@@ -33,10 +33,14 @@
 
 #: Entries applied since the last snapshot after which a new one is taken.
 SNAPSHOT_AFTER_ENTRIES = 4096
-#: Entries kept before a snapshot for followers that lag a little.
 #: The same where the state is large, whatever its size.
 SNAPSHOT_AFTER_ENTRIES_AT_MOST = 32768
+#: Bytes of entries applied since the last snapshot after which a new one is taken,
+#: unless the state is larger. Entries are held in memory until then.
+SNAPSHOT_AFTER_BYTES = 16 * 1024 * 1024
+#: Entries, and their bytes, kept before a snapshot for followers that lag a little.
 KEEP_ENTRIES = 1024
+KEEP_BYTES = 4 * 1024 * 1024
 SEGMENT_BYTES = 8 * 1024 * 1024
 
 HELLO_INTERVAL_S = 0.5
--- a/mothshunt/consensus/log.py
+++ b/mothshunt/consensus/log.py
@@ -101,6 +101,24 @@
                 break
         return self.base_index if self.base_term == term else None
 
+    def oldest_base(
+        self, index: LogIndex, max_entries: int, max_bytes: int
+    ) -> LogIndex:
+        """Return the base from which a limited number of entries leads to an index.
+
+        :param index: Index of the last of these entries.
+        :param max_entries: Most entries.
+        :param max_bytes: Most bytes of them together.
+        """
+        base, size = index, 0
+        while base > max(self.base_index, index - max_entries):
+            entry = self._entries[base - self.base_index - 1]
+            size += len(entry.data) + const.ENTRY_OVERHEAD_BYTES
+            if size > max_bytes:
+                break
+            base = LogIndex(base - 1)
+        return base
+
     def compact(self, index: LogIndex) -> None:
         """Drop all entries up to an index that is held.
 
--- a/mothshunt/consensus/snapshots.py
+++ b/mothshunt/consensus/snapshots.py
@@ -196,8 +196,9 @@
     state.snapshot = snapshot
     later = [later for later in state.memberships if later.index > index]
     state.memberships = [MembershipAt(index=at.index, membership=at.membership), *later]
-    base = LogIndex(max(0, index - state.config.keep_entries))
-    state.log.compact(max(base, state.log.base_index))
+    state.log.compact(
+        state.log.oldest_base(index, state.config.keep_entries, state.config.keep_bytes)
+    )
     emit.write_snapshot(
         state, snapshot, reset=False, first_kept=LogIndex(state.log.base_index + 1)
     )
--- a/tests/consensus/fatal.feature
+++ b/tests/consensus/fatal.feature
@@ -43,6 +43,18 @@
     Then with commands of 100 bytes the next snapshot is due after 379 commands
     And with commands of 10 bytes the next snapshot is due after 1000 commands
 
+  Scenario: Large commands don't fill memory and disk until a number of them is reached
+    Guards against an instance that ends for want of memory or disk after some hundred
+    changes of many items each.
+    Given a state of 100000 bytes and snapshots after 4096 commands, 32768 at most
+    Then with commands of 1000000 bytes the next snapshot is due after 17 commands
+    Given a log of 2000 entries of 10 bytes, then 30 of 1000000 bytes
+    When it is compacted at its last entry
+    Then it keeps the last 4 entries
+    Given a log of 2000 entries of 10 bytes, then 0 of 1000000 bytes
+    When it is compacted at its last entry
+    Then it keeps the last 1024 entries
+
   Scenario: A command whose place another one took may still be accepted elsewhere
     Given a command that waits for index 5 of term 1
     When this instance leads again and appends another command at index 5 of term 3
--- a/tests/steps/consensus_fatal.py
+++ b/tests/steps/consensus_fatal.py
@@ -8,6 +8,7 @@
 
 from mothshunt.consensus.applying import CommandApplier
 from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.log import Log
 from mothshunt.consensus.types import Entry, EntryKind, Snapshot
 from mothshunt.consensus.voters import EMPTY
 from mothshunt.consensus.waiting import ProposalWaiters
@@ -189,6 +190,34 @@
     assert applied == count, applied
 
 
+@given(
+    "a log of {small:d} entries of {small_size:d} bytes, then {large:d} of"
+    " {large_size:d} bytes"
+)
+def log_of_entries(context, small, small_size, large, large_size):
+    sizes = [small_size] * small + [large_size] * large
+    context.log = Log(0, 0)
+    context.log.append(
+        [
+            Entry(term=1, index=index, kind=EntryKind.COMMAND, data=b"x" * size)
+            for index, size in enumerate(sizes, start=1)
+        ]
+    )
+
+
+@when("it is compacted at its last entry")
+def log_compacted(context):
+    config = ConsensusConfig()
+    last = context.log.last_index
+    base = context.log.oldest_base(last, config.keep_entries, config.keep_bytes)
+    context.log.compact(base)
+
+
+@then("it keeps the last {count:d} entries")
+def log_keeps(context, count):
+    assert context.log.last_index - context.log.base_index == count
+
+
 @given("a command that waits for index {index:d} of term {term:d}")
 def command_waits(context, index, term):
     context.event_loop = asyncio.new_event_loop()
