Count the attempts of a relayed request over both entry instances

Cause: the instance that a request is relayed to counts its attempts anew, and the one that relays may go on trying.

What the attempts here leave, those in progress included, is handed to the relay in a header, and no further one is made here. A relay that is lost counts as having used what it was given; an idempotent request keeps one for another relay. A release that doesn't know the header uses the route's attempts, as before.

--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -35,6 +35,7 @@
 from mothshunt.forwarding.refusal import RefusalBuilder
 from mothshunt.forwarding.request import (
     MAX_REQUEST_ID_LENGTH,
+    max_attempts,
     read_request,
     stated_time_left_s,
     target_headers,
@@ -218,7 +219,9 @@
         )
         retry_state = RetryState(
             is_idempotent=routed.route.is_idempotent,
-            max_attempts=routed.route.max_attempts,
+            max_attempts=max_attempts(
+                request.headers, self._refusal_builder.names, routed.route
+            ),
         )
         result = await self._isolation.async_run(
             request,
--- a/mothshunt/forwarding/model.py
+++ b/mothshunt/forwarding/model.py
@@ -40,6 +40,7 @@
         to targets.
     :param relayed: Name of the entry instance that relays a request to another one; a
         request is relayed once at most.
+    :param relayed_attempts: Number of targets that a relayed request may be sent to.
     """
 
     request_id: str = HEADER_REQUEST_ID
@@ -56,6 +57,7 @@
     rate_limit: str = "Mothshunt-Rate-Limit"
     workspace: str = "Mothshunt-Workspace"
     relayed: str = "Mothshunt-Relayed-By"
+    relayed_attempts: str = "Mothshunt-Relayed-Attempts"
 
 
 def whole_seconds(seconds: float) -> str:
--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -30,6 +30,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MAX_DEADLINE_DIGITS = 9
+MAX_ATTEMPTS_DIGITS = 4
 MAX_REQUEST_ID_LENGTH = 128
 MILLISECONDS_PER_SECOND = 1000
 PERCENT = 100
@@ -164,6 +165,7 @@
         names.deadline_ms,
         names.expected_target,
         names.relayed,
+        names.relayed_attempts,
         "Expect",
         "Content-Length",
     ):
@@ -176,6 +178,22 @@
     return kept
 
 
+def max_attempts(headers: Mapping[str, str], names: HeaderNames, route: Route) -> int:
+    """Return how many targets a request may be sent to from here.
+
+    The instance that relays a request has used some of the route's attempts itself. One
+    of an older release doesn't say how many are left.
+
+    :param headers: Header fields of the caller, or of the instance that relays.
+    :param names: Names of the header fields.
+    :param route: Route of the request.
+    """
+    left = headers.get(names.relayed_attempts, "")
+    if names.relayed not in headers or not left.isascii() or not left.isdigit():
+        return route.max_attempts
+    return min(route.max_attempts, max(1, int(left[:MAX_ATTEMPTS_DIGITS])))
+
+
 def request_head(
     routed: RoutedRequest,
     headers: CIMultiDict[str],
--- a/mothshunt/forwarding/retry.py
+++ b/mothshunt/forwarding/retry.py
@@ -136,6 +136,7 @@
     :param is_idempotent: Whether the request may run more than once.
     :param max_attempts: Maximum number of targets that it may be sent to.
     :param targets_tried: Number of targets that it was sent to.
+    :param targets_trying: Number of targets with an attempt in progress.
     :param connect_failures: Number of connections that could not be opened.
     :param ran: Whether a target may have run it.
     """
@@ -143,9 +144,23 @@
     is_idempotent: bool
     max_attempts: int
     targets_tried: int = 0
+    targets_trying: int = 0
     connect_failures: int = 0
     ran: Ran = Ran.NO
 
+    def record_start(self) -> None:
+        """Record the start of an attempt."""
+        self.targets_trying += 1
+
+    def take_attempts_left(self) -> int:
+        """Return how many further targets the request may be sent to, and forbid them.
+
+        Another entry instance may use them then.
+        """
+        left = self.max_attempts - self.targets_tried - self.targets_trying
+        self.max_attempts -= max(0, left)
+        return max(0, left)
+
     def record_attempt(
         self, outcome: AttemptOutcome, ran: Ran, *, was_sent_before: bool
     ) -> None:
@@ -155,6 +170,7 @@
         :param ran: Whether the target may have run the request.
         :param was_sent_before: Whether the request had been sent to that target before.
         """
+        self.targets_trying -= 1
         if outcome is AttemptOutcome.CONNECT_FAILED:
             self.connect_failures += 1
         elif outcome is not AttemptOutcome.CANCELLED and not was_sent_before:
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -165,6 +165,7 @@
         attempt = RunningAttempt(choice)
         task = asyncio.create_task(self._async_attempt(attempts.outgoing, attempt))
         attempts.running[task] = attempt
+        attempts.retry_state.record_start()
         self._isolation.record_start(choice)
 
     async def _async_wait(
--- a/mothshunt/isolation/coordinator.py
+++ b/mothshunt/isolation/coordinator.py
@@ -164,14 +164,14 @@
         )
         path = self._path(relay)
         if path is Path.RELAY:
-            return await self._async_relay(relay)
+            return await self._async_relay(relay, retry_state)
         if outgoing.routed.route.is_idempotent and outgoing.body.buffered is not None:
-            result = await self._async_run_hedged(relay, run, path)
+            result = await self._async_run_hedged(relay, retry_state, run, path)
         else:
             result = await run()
         if not isinstance(result, Failure) or not self._may_relay(relay, retry_state):
             return result
-        return await self._async_relay(relay, retry_state.ran)
+        return await self._async_relay(relay, retry_state)
 
     def _path(self, relay: RelayRequest) -> Path:
         routed, now = relay.outgoing.routed, self.clock.monotonic()
@@ -192,6 +192,7 @@
     async def _async_run_hedged(
         self,
         relay: RelayRequest,
+        retry_state: RetryState,
         run: Callable[[], Awaitable[RequestResult]],
         path: Path,
     ) -> RequestResult:
@@ -201,7 +202,7 @@
         try:
             if not await self._async_needs_relay(relay, running, path):
                 return await running
-            relayed = await self._async_relay(relay)
+            relayed = await self._async_relay(relay, retry_state)
             if isinstance(relayed, Failure):
                 return await running
             is_overtaken = True
@@ -250,6 +251,8 @@
         routed, now = relay.outgoing.routed, self.clock.monotonic()
         if not self.is_isolated or relay.outgoing.body.is_consumed:
             return False
+        if retry_state.targets_tried >= retry_state.max_attempts:
+            return False
         if retry_state.ran is Ran.NO:
             return True
         return routed.route.is_idempotent and self.budget.take(
@@ -257,20 +260,28 @@
         )
 
     async def _async_relay(
-        self, relay: RelayRequest, ran: Ran = Ran.NO
+        self, relay: RelayRequest, retry_state: RetryState
     ) -> RequestResult:
         """Relay a request to one entry instance after another until one serves it.
 
         :param relay: The request.
-        :param ran: Whether a target may have run it.
+        :param retry_state: State of the attempts here; what they leave of the allowed
+            attempts is used by the relays.
         """
         routed = relay.outgoing.routed
-        failure = self.isolation_failure()
-        unknown = 0
+        ran, failure = retry_state.ran, self.isolation_failure()
+        attempts_left = retry_state.take_attempts_left()
         for entry in self._candidates(relay):
             if routed.deadline - self.clock.monotonic() < const.MIN_RELAY_S:
                 break
-            result = await self.relay_client.async_send(relay, entry)
+            if attempts_left < 1:
+                break
+            # A relay that is lost may have used all of its attempts; a request that may
+            # run twice keeps one for another relay.
+            attempts = attempts_left
+            if routed.route.is_idempotent and attempts > 1:
+                attempts -= 1
+            result = await self.relay_client.async_send(relay, entry, attempts)
             if not isinstance(result, Failure):
                 self._relayed += 1
                 self.metrics.count(const.METRIC_RELAYS, outcome="answered")
@@ -280,8 +291,9 @@
                 until = self.clock.monotonic() + const.AVOID_S
                 self._avoided_until_by_id[entry.instance] = until
             if result.ran is Ran.UNKNOWN:
-                ran, failure, unknown = Ran.UNKNOWN, result, unknown + 1
-                if not routed.route.is_idempotent or unknown > 1:
+                ran, failure = Ran.UNKNOWN, result
+                attempts_left -= attempts
+                if not routed.route.is_idempotent:
                     break
             if relay.outgoing.body.is_consumed:
                 break
--- a/mothshunt/isolation/relay.py
+++ b/mothshunt/isolation/relay.py
@@ -66,12 +66,13 @@
     clock: Clock
 
     async def async_send(
-        self, request: RelayRequest, entry: EntryRow
+        self, request: RelayRequest, entry: EntryRow, max_attempts: int
     ) -> ChosenResponse | Failure:
         """Send a request to an entry instance; return its response.
 
         :param request: The request.
         :param entry: The entry instance.
+        :param max_attempts: Number of targets that it may send the request to.
         :return: The response; a failure that is isolated there (3301), or that the
             connection could not be opened (3303), broke (3302) or gave no response in
             time.
@@ -86,7 +87,7 @@
         left_s = request.outgoing.routed.deadline - sent_at
         try:
             async with asyncio.timeout(left_s + TIMEOUT_GRACE_S):
-                response = await self._async_exchange(request, connection)
+                response = await self._async_exchange(request, connection, max_attempts)
             if _is_isolated(response):
                 result = Failure(code=codes.ENTRY_ISOLATED, detail=entry.instance)
             else:
@@ -109,7 +110,7 @@
                 connection.reset()
 
     async def _async_exchange(
-        self, request: RelayRequest, connection: TargetConnection
+        self, request: RelayRequest, connection: TargetConnection, max_attempts: int
     ) -> TargetResponse:
         routed = request.outgoing.routed
         body = request.outgoing.body.payload()
@@ -119,7 +120,7 @@
             skip_body=routed.method == "HEAD",
             max_field_bytes=request.outgoing.max_field_bytes,
         )
-        head = self._head(request, None if is_streamed else length)
+        head = self._head(request, None if is_streamed else length, max_attempts)
         connection.write(head + body if isinstance(body, bytes) else head)
         sending = None
         if body is not None and not isinstance(body, bytes):
@@ -141,7 +142,9 @@
                 with contextlib.suppress(asyncio.CancelledError, *BROKEN_ERRORS):
                     await sending
 
-    def _head(self, request: RelayRequest, body_length: int | None) -> bytes:
+    def _head(
+        self, request: RelayRequest, body_length: int | None, max_attempts: int
+    ) -> bytes:
         routed = request.outgoing.routed
         left_s = routed.deadline - self.clock.monotonic()
         left_ms = max(1, int(left_s * MILLISECONDS_PER_SECOND))
@@ -149,6 +152,7 @@
         lines += [f"{name}: {value}" for name, value in request.headers.items()]
         lines.append(f"{self.names.deadline_ms}: {left_ms}")
         lines.append(f"{self.names.relayed}: {request.sender}")
+        lines.append(f"{self.names.relayed_attempts}: {max_attempts}")
         lines += framing_lines(routed.method, body_length)
         text = "\r\n".join(lines) + "\r\n\r\n"
         return text.encode("utf-8", "surrogateescape")
--- a/tests/isolation/relay_choice.feature
+++ b/tests/isolation/relay_choice.feature
@@ -42,3 +42,32 @@
       | own, n2    | may      |
       | own, c1    | must not |
       | own        | must not |
+
+  Scenario Outline: A relayed request is sent to no more targets than its route allows
+    Guards against requests that ran at 3 targets of 2 allowed: the instances that a
+    request was relayed to counted its attempts anew.
+    Given <kind> request that may be sent to <allowed> targets, with <tried> tried and <trying> being tried
+    When it is relayed to "b, c, d" and each relay is lost
+    Then the relays were allowed "<attempts>" targets
+    And no further target may be tried here
+
+    Examples: idempotent requests keep one attempt for another relay
+      | kind             | allowed | tried | trying | attempts |
+      | an idempotent    | 2       | 0     | 1      | 1        |
+      | an idempotent    | 2       | 0     | 0      | 1, 1     |
+      | an idempotent    | 3       | 0     | 0      | 2, 1     |
+      | an idempotent    | 2       | 1     | 1      | none     |
+      | a non-idempotent | 2       | 0     | 0      | 2        |
+
+  Scenario Outline: An instance makes only the attempts that a relay leaves
+    Given a relayed request of a route with 3 attempts that states "<left>" attempts
+    Then it may be sent to <allowed> targets
+
+    Examples: as stated, at least one, and the route's where nothing valid is stated
+      | left  | allowed |
+      | 1     | 1       |
+      | 2     | 2       |
+      | 7     | 3       |
+      | 0     | 1       |
+      | words | 3       |
+      | none  | 3       |
