Refuse to send a message that is too large once decompressed

A message of more than 16 MB that compresses well fits the wire, and its receiver closes the stream for it, which is dialled again. It is now refused by the sender with a log line, as other messages over the limit. Found by reading again.

--- a/mothshunt/helpers/peer/frame.py
+++ b/mothshunt/helpers/peer/frame.py
@@ -89,7 +89,7 @@
     """
     plain = _pack(frame.kind, frame.correlation, _body(frame.message))
     compressed = None
-    if len(plain) >= const.MIN_COMPRESSED_BYTES:
+    if const.MIN_COMPRESSED_BYTES <= len(plain) <= const.MAX_DECOMPRESSED_BYTES:
         content = compression.compress(plain[LENGTH_BYTES:])
         if len(content) < len(plain) * const.MAX_COMPRESSION_RATIO:
             compressed = _pack(FrameKind.COMPRESSED, 0, content)
--- a/tests/helpers/peer_streams.feature
+++ b/tests/helpers/peer_streams.feature
@@ -120,3 +120,18 @@
     Then nothing is reported
     When 9000000 bytes wait for "b1" and 12000000 for "b2"
     Then a line reports 21000000 bytes on 2 streams, most of them for "b2"
+
+  Scenario: A message that no peer accepts is not sent
+    Guards against a stream that its peer closes for it, again and again.
+    Given instances "a1" and "b1" that share a key
+    When "a1" dials "b1"
+    Then "b1" can't post a message of 17000000 equal bytes to "a1"
+    And a request from "b1" to "a1" is answered
+    And "a1" counts 0 times "peer_frame_too_large"
+
+  Scenario: Damaged, endless and nested compressed frames are refused
+    Guards against a peer that fills the memory with a few bytes.
+    Then a compressed frame that is "cut short" is refused with code 1103
+    And a compressed frame that is "of 20000000 equal bytes" is refused with code 1102
+    And a compressed frame that is "nested in another" is refused with code 1103
+    And a compressed frame that is "no bytes" is refused with code 1103
--- a/tests/steps/helpers_peer_streams.py
+++ b/tests/steps/helpers_peer_streams.py
@@ -9,14 +9,16 @@
 from behave import given, then, when
 
 from mothshunt.core.clock import SystemClock
+from mothshunt.core.codes import MothshuntError
 from mothshunt.core.types import InstanceId
-from mothshunt.helpers.peer import frame
+from mothshunt.helpers.peer import compression, frame
 from mothshunt.helpers.peer.admission import HandshakeLimiter
 from mothshunt.helpers.peer.frame import Frame, FrameKind
 from mothshunt.helpers.peer.network import StreamNetwork
 from mothshunt.helpers.peer.pending import PendingReporter
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Address
+from mothshunt.util import wire
 from mothshunt.util.wire import message
 from testkit.proxy import Bandwidth, FaultProxy
 
@@ -448,3 +450,30 @@
         return [network.post(peer, random_blob(size)) for peer in network.connected()]
 
     assert all(run(context, post()))
+
+
+@then('"{b}" can\'t post a message of {count:d} equal bytes to "{a}"')
+def cannot_post(context, b, count, a):
+    async def post():
+        return context.network_by_id[b].post(a, Blob(content=b"x" * count))
+
+    assert run(context, post()) is False
+
+
+@then('a compressed frame that is "{fault}" is refused with code {number:d}')
+def compressed_refused(context, fault, number):
+    plain = frame.encode(Frame(FrameKind.MESSAGE, 0, Blob(content=b"x" * 9000)))
+    whole = plain.compressed[4:]
+    content = {
+        "cut short": compression.compress(b"x" * 9000)[:-5],
+        "of 20000000 equal bytes": compression.compress(b"x" * 20_000_000),
+        "nested in another": compression.compress(whole),
+        "no bytes": "text",
+    }[fault]
+    document = [wire.WIRE_VERSION, int(FrameKind.COMPRESSED), 0, content]
+    refused_with = 0
+    try:
+        frame.decode(wire.pack_plain(document))
+    except MothshuntError as error:
+        refused_with = error.failure.code.number
+    assert refused_with == number, refused_with
