Leave more room for small messages to control instances than from them

Found by reading again: entry instances send claims of callers to control instances, some hundred bytes each, and up to 4,096 could wait before; 128 KB are fewer. Streams to control instances now hold 2 MB of small messages.

--- a/mothshunt/helpers/peer/const.py
+++ b/mothshunt/helpers/peer/const.py
@@ -10,8 +10,10 @@
 MAX_QUEUED_FRAMES = 4096
 #: Frames of this size, not compressed, or more are large.
 MIN_LARGE_BYTES = 8 * 1024
-#: Most bytes of smaller frames that wait on a stream.
-MAX_SMALL_BYTES_PER_STREAM = 128 * 1024
+#: Most bytes of smaller frames that wait on a stream that a peer dialled.
+MAX_SMALL_BYTES_PER_ACCEPTED_STREAM = 128 * 1024
+#: The same on a stream to a control instance, to which callers' claims are sent.
+MAX_SMALL_BYTES_PER_DIALLED_STREAM = 2 * 1024 * 1024
 #: Most bytes of large frames that wait on a stream that a peer dialled, unless it is a
 #: single one.
 MAX_LARGE_BYTES_PER_ACCEPTED_STREAM = 4 * 1024 * 1024
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -339,9 +339,16 @@
         # Only control instances are dialled. What waits for hundreds of entry instances
         # must not keep out the replicated log.
         if is_dialled:
-            budget = SendBudget(max_bytes=math.inf)
-            return Outbox(budget, const.MAX_LARGE_BYTES_PER_DIALLED_STREAM)
-        return Outbox(self._send_budget, const.MAX_LARGE_BYTES_PER_ACCEPTED_STREAM)
+            return Outbox(
+                SendBudget(max_bytes=math.inf),
+                const.MAX_SMALL_BYTES_PER_DIALLED_STREAM,
+                const.MAX_LARGE_BYTES_PER_DIALLED_STREAM,
+            )
+        return Outbox(
+            self._send_budget,
+            const.MAX_SMALL_BYTES_PER_ACCEPTED_STREAM,
+            const.MAX_LARGE_BYTES_PER_ACCEPTED_STREAM,
+        )
 
     def _deliver(self, link: PeerLink, item: Frame) -> None:
         if item.kind is FrameKind.REQUEST:
--- a/mothshunt/helpers/peer/outbox.py
+++ b/mothshunt/helpers/peer/outbox.py
@@ -53,11 +53,13 @@
     them out.
 
     :param budget: Bound on the large frames of all streams.
+    :param max_small_bytes: Most bytes of small frames on this stream.
     :param max_large_bytes: Most bytes of large frames on this stream, unless it is a
         single one.
     """
 
     budget: SendBudget
+    max_small_bytes: int
     max_large_bytes: int
     _frames: deque[EncodedFrame] = field(default_factory=deque)
     _unsent: list[EncodedFrame] = field(default_factory=list)
@@ -79,7 +81,7 @@
         if len(self._frames) >= const.MAX_QUEUED_FRAMES:
             return False
         if not frame.is_large:
-            if self._small_bytes + frame.size > const.MAX_SMALL_BYTES_PER_STREAM:
+            if self._small_bytes + frame.size > self.max_small_bytes:
                 return False
             self._small_bytes += frame.size
         else:
