--- a/tests/steps/forwarding_stop.py
+++ b/tests/steps/forwarding_stop.py
@@ -9,7 +9,7 @@
 
 from mothshunt.forwarding import const
 from testkit.routed_entry import HOST, RoutedWorld
-from tests.support.raw_target import RawTarget
+from tests.support.raw_target import Behaviour, RawTarget
 from tests.support.target_behaviours import ID, answers, echo
 
 CONNECTIONS = 150
@@ -34,7 +34,10 @@
 def stops(context, count):
     reached_count = 0
     for seed in range(count):
-        reached, answered = asyncio.run(stop_under_load(Random(seed)))
+        random = Random(seed)
+        end_s = LEAVE_S * const.LISTEN_FRACTION
+        offsets_s = [end_s + random.gauss(0, AROUND_S) for _ in range(CONNECTIONS)]
+        reached, answered = asyncio.run(stop_under_load(offsets_s, answers_soon))
         assert reached <= answered, (seed, reached - answered)
         reached_count += len(reached)
     # Stops during which no request reached the target would test nothing.
@@ -42,22 +45,37 @@
     print(f"requests at the target around the stops: {reached_count}")
 
 
-async def stop_under_load(random: Random) -> tuple[set[str], set[str]]:
-    """Stop an entry; return the ids of the target's requests and of answered ones."""
+def answers_within(random: Random, least_s: float, most_s: float) -> Behaviour:
+    """Return a behaviour that answers after a random time."""
+
+    async def answers_late(target, request, writer):
+        await asyncio.sleep(random.uniform(least_s, most_s))
+        await answers(target, request, writer)
+
+    return answers_late
+
+
+async def stop_under_load(
+    offsets_s: list[float], behaviour: Behaviour
+) -> tuple[set[str], set[str]]:
+    """Stop an entry; return the ids of the target's requests and of answered ones.
+
+    :param offsets_s: Time of each request after the start of the stop, in seconds.
+    :param behaviour: What the target does with a request.
+    """
     world = RoutedWorld()
-    target = RawTarget("t1", answers_soon)
+    target = RawTarget("t1", behaviour)
     await target.start()
     await world.start()
     world.add_target("t1", target.port)
     loop = asyncio.get_running_loop()
     connections = [
-        await asyncio.open_connection("127.0.0.1", world.server.port)
-        for _ in range(CONNECTIONS)
+        await asyncio.open_connection("127.0.0.1", world.server.port) for _ in offsets_s
     ]
-    end = loop.time() + LEAVE_S * const.LISTEN_FRACTION
+    began_at = loop.time()
     sending = [
         asyncio.create_task(
-            send_request(*connection, f"id-{number}", end + random.gauss(0, AROUND_S))
+            send_request(*connection, f"id-{number}", began_at + offsets_s[number])
         )
         for number, connection in enumerate(connections)
     ]
@@ -100,46 +118,14 @@
 )
 def slow_stops(context, count):
     for seed in range(count):
-        reached, answered = asyncio.run(stop_with_slow_targets(Random(seed)))
+        random = Random(seed)
+        offsets_s = [random.uniform(0, LEAVE_S) for _ in range(CONNECTIONS)]
+        behaviour = answers_within(random, 0.02, 0.25)
+        reached, answered = asyncio.run(stop_under_load(offsets_s, behaviour))
         assert len(reached) > CONNECTIONS / 3, len(reached)
         assert reached <= answered, (seed, reached - answered)
 
 
-async def stop_with_slow_targets(random: Random) -> tuple[set[str], set[str]]:
-    """Stop an entry whose targets take long; see ``stop_under_load``."""
-    world = RoutedWorld()
-
-    async def answers_late(target, request, writer):
-        await asyncio.sleep(random.uniform(0.02, 0.25))
-        await answers(target, request, writer)
-
-    target = RawTarget("t1", answers_late)
-    await target.start()
-    await world.start()
-    world.add_target("t1", target.port)
-    loop = asyncio.get_running_loop()
-    connections = [
-        await asyncio.open_connection("127.0.0.1", world.server.port)
-        for _ in range(CONNECTIONS)
-    ]
-    began_at = loop.time()
-    sending = [
-        asyncio.create_task(
-            send_request(
-                *connection, f"id-{number}", began_at + random.uniform(0, LEAVE_S)
-            )
-        )
-        for number, connection in enumerate(connections)
-    ]
-    await world.server.async_leave(LEAVE_S, loop.time)
-    await world.server.async_stop()
-    answered = {name for name in await asyncio.gather(*sending) if name is not None}
-    reached = {request.header_by_name[ID] for request in target.requests}
-    await target.stop()
-    await world.pool.async_stop()
-    return reached, answered
-
-
 LARGE_BODY = b"x" * 250_000
 SMALL_BUFFER_BYTES = 4096
 
