Log the time that callers allow, and the load that was expected of targets

Lines on requests did not tell whether a request failed for its route or for the time that its caller allowed, and nothing told how far the load that an entry instance expects of targets lies from what these report.

Answered and refused requests now carry allowed_ms. The summary of each service carries the mean expected and the mean reported requests of the targets that responded. Nothing is decided by either.

--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -81,6 +81,7 @@
                 known=choice.is_known,
                 expected_ms=_milliseconds(choice.expected_s),
                 revision=revision,
+                allowed_ms=_milliseconds(routed.deadline - routed.received_at),
             )
         )
 
@@ -164,6 +165,7 @@
                 took_ms=_milliseconds(now - routed.received_at),
                 attempts=attempts,
                 revision=revision,
+                allowed_ms=_milliseconds(routed.deadline - routed.received_at),
             )
         )
 
--- a/mothshunt/forwarding/log_events.py
+++ b/mothshunt/forwarding/log_events.py
@@ -64,6 +64,7 @@
     :param known: Whether the target had handled the object before.
     :param expected_ms: Milliseconds that a usual target takes for the request.
     :param revision: Revision of the configuration in force.
+    :param allowed_ms: Milliseconds that the caller or the route allowed.
     """
 
     request_id: RequestId
@@ -79,6 +80,7 @@
     known: bool
     expected_ms: int
     revision: Revision
+    allowed_ms: int
 
 
 @log_event("attempt failed", slice_name="forwarding")
@@ -141,6 +143,7 @@
     :param took_ms: Milliseconds since the head of the request was read.
     :param attempts: Number of targets that the request was sent to.
     :param revision: Revision of the configuration in force.
+    :param allowed_ms: Milliseconds that the caller or the route allowed.
     """
 
     request_id: RequestId
@@ -154,6 +157,7 @@
     took_ms: int
     attempts: int
     revision: Revision
+    allowed_ms: int
 
 
 @log_event("rejected for its key", slice_name="forwarding")
--- a/mothshunt/placement/log_events.py
+++ b/mothshunt/placement/log_events.py
@@ -72,6 +72,9 @@
     :param unknown_ms: Usual response time for other objects, in milliseconds.
     :param mean_ms: Usual response time for all objects, in milliseconds.
     :param targets: Number of targets that requests may be sent to.
+    :param expected_requests: Mean number of requests that was expected at the targets
+        that reported their load afterwards.
+    :param reported_requests: Mean number of requests that these targets reported.
     """
 
     service: ServiceName
@@ -85,6 +88,8 @@
     unknown_ms: int
     mean_ms: int
     targets: int
+    expected_requests: float
+    reported_requests: float
 
 
 @log_event("admission", slice_name="placement")
--- a/mothshunt/placement/service_targets.py
+++ b/mothshunt/placement/service_targets.py
@@ -6,7 +6,7 @@
 
 from mothshunt.core.types import AvailabilityZoneId, RegionId
 from mothshunt.placement import const
-from mothshunt.placement.model import Choice, RateLimitView
+from mothshunt.placement.model import Choice, RateLimitView, ReportedLoad
 from mothshunt.placement.service_time import ServiceTime
 from mothshunt.placement.spill import RegionLoad, Spillover
 from mothshunt.placement.spread import GlobalAffinity
@@ -71,12 +71,18 @@
     :param known: Those whose target knew the object.
     :param refused: Requests that were refused because all targets were too busy.
     :param count_by_reason: Choices by scope and rank of the target.
+    :param reports: Responses that reported the load of their target.
+    :param expected_requests: Sum of the requests that were expected at these targets.
+    :param reported_requests: Sum of the requests that they reported.
     """
 
     chosen: int = 0
     known: int = 0
     refused: int = 0
     count_by_reason: dict[str, int] = field(default_factory=dict)
+    reports: int = 0
+    expected_requests: float = 0.0
+    reported_requests: float = 0.0
 
     def count(self, choice: Choice) -> None:
         """Count a choice.
@@ -88,6 +94,16 @@
         held = self.count_by_reason.get(choice.reason, 0)
         self.count_by_reason[choice.reason] = held + 1
 
+    def count_report(self, choice: Choice, reported: ReportedLoad) -> None:
+        """Count a load that a target reported, beside the one that was expected.
+
+        :param choice: The choice that the target responded to.
+        :param reported: The load.
+        """
+        self.reports += 1
+        self.expected_requests += choice.load
+        self.reported_requests += reported.running + reported.waiting
+
 
 @dataclass(slots=True, eq=False)
 class ServiceTargets:
--- a/mothshunt/placement/state.py
+++ b/mothshunt/placement/state.py
@@ -481,6 +481,8 @@
         if self.even_load is not None:
             self.even_load.record_outcome(choice.target, outcome, reported, now)
         targets = self._targets_by_service.get(choice.target.service)
+        if targets is not None and reported is not None:
+            targets.counters.count_report(choice, reported)
         is_remote = choice.target.region != self.region
         may_have_queued = choice.load > choice.target.slots
         if outcome is not AttemptOutcome.ANSWERED or targets is None or may_have_queued:
@@ -574,6 +576,8 @@
                 unknown_ms=round(times.unknown_s * 1000),
                 mean_ms=round(times.mean_s * 1000),
                 targets=sum(1 for _ in targets.all_targets()),
+                expected_requests=_mean(counters.expected_requests, counters.reports),
+                reported_requests=_mean(counters.reported_requests, counters.reports),
             )
 
     def adjust(self, demand: DemandByZone, region_by_zone: RegionByZone) -> None:
@@ -610,5 +614,9 @@
             )
 
 
+def _mean(total: float, count: int) -> float:
+    return round(total / count, 1) if count else 0.0
+
+
 def _is_in_home_regions(target: RoutableTarget, request: PlacementRequest) -> bool:
     return not request.home_regions or target.region in request.home_regions
