--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -315,7 +315,7 @@
     base_index, base_term = NO_INDEX, NO_TERM
     memberships = []
     entries = durable.entries
-    if snapshot is not None and _contradicts(snapshot, entries):
+    if snapshot is not None and not snapshot.is_followed_by(entries):
         entries = ()
     if snapshot is not None:
         base_index, base_term = snapshot.index, snapshot.term
@@ -328,11 +328,3 @@
             membership = voters.decode(entry.data)
             memberships.append(MembershipAt(index=entry.index, membership=membership))
     return Log(base_index, base_term, kept), memberships
-
-
-def _contradicts(snapshot: Snapshot, entries: tuple[Entry, ...]) -> bool:
-    """Tell whether entries are left from before a snapshot that replaced them."""
-    return any(
-        entry.index == snapshot.index and entry.term != snapshot.term
-        for entry in entries
-    )
--- a/mothshunt/consensus/storage.py
+++ b/mothshunt/consensus/storage.py
@@ -3,6 +3,7 @@
 import fcntl
 import secrets
 from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, BinaryIO
 
@@ -24,8 +25,11 @@
 from mothshunt.consensus.voters import ReplicaId
 from mothshunt.core.codes import Failure, MothshuntError
 from mothshunt.core.types import InstanceId, LogIndex, Term
+from mothshunt.helpers.log import get_logger
 from mothshunt.util import wire
 
+_LOGGER = get_logger("consensus")
+
 LOCK_NAME = "lock"
 IDENTITY_NAME = "identity"
 VOTE_NAME = "vote"
@@ -67,7 +71,29 @@
             entries=self._log.load(),
         )
         self._check_joint(durable)
-        return durable
+        return self._with_reset(durable)
+
+    def _with_reset(self, durable: DurableState) -> DurableState:
+        """Reset the log where the snapshot was written and the log after it was not.
+
+        Entries that are written later would follow entries that the snapshot has
+        replaced, and the next start could not tell these apart.
+
+        :param durable: What the files hold.
+        :raises OSError: When the reset can't be written.
+        """
+        snapshot = durable.snapshot
+        if snapshot is None or snapshot.is_followed_by(durable.entries):
+            return durable
+        _LOGGER.warning(
+            "the log is reset to its snapshot",
+            index=snapshot.index,
+            last=durable.entries[-1].index,
+        )
+        if self._log is None:
+            raise AssertionError("the data folder is not open")
+        self._log.append([Reset(index=snapshot.index)])
+        return replace(durable, entries=())
 
     def _take_lock(self) -> None:
         lock = (self._folder / LOCK_NAME).open("wb")
--- a/mothshunt/consensus/types.py
+++ b/mothshunt/consensus/types.py
@@ -1,5 +1,6 @@
 """Entries, snapshots and writes of the replicated log."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
@@ -61,6 +62,18 @@
     membership: Membership
     data: bytes
 
+    def is_followed_by(self, entries: Sequence[Entry]) -> bool:
+        """Tell whether entries of the log continue this snapshot.
+
+        They don't if they end before it, or if it replaced them: they are left from
+        before the snapshot was received.
+
+        :param entries: Consecutive entries.
+        """
+        if not entries or entries[0].index > self.index:
+            return True
+        return any(e.index == self.index and e.term == self.term for e in entries)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HardState:
--- a/tests/consensus/storage.feature
+++ b/tests/consensus/storage.feature
@@ -60,3 +60,33 @@
     Given a data folder with entries 1 to 5 in one file
     When a snapshot at index 4 of term 2 is written without its reset
     Then a node started from the folder holds the snapshot and no entry
+
+  Scenario Outline: Entries that follow a snapshot whose reset of the log was lost are kept
+    Guards against a member that refuses its folder for good, or drops entries that it
+    has acknowledged, after its disk was full between two writes.
+    Given a data folder with entries 1 to <last> in one file
+    When a snapshot at index <index> of term 2 is written without its reset
+    And a process opens the folder and writes entries <first> to <end> of term 2
+    Then reading the folder gives the snapshot at <index>, and entries <first> to <end>
+    And a node started from the folder ends at entry <end>
+
+    Examples:
+      | last | index | first | end |
+      | 5    | 10    | 11    | 14  |
+      | 5    | 4     | 5     | 6   |
+      | 8    | 4     | 5     | 6   |
+
+  Scenario: Entries that a snapshot was taken of before they were written are not missed
+    Guards against the same, where a member applies entries that others have synced.
+    Given a data folder with entries 1 to 5 in one file
+    When a snapshot at index 7 of term 1 is written, and the disk is full before entries 6 to 7
+    And a process opens the folder and writes entries 8 to 9 of term 1
+    Then reading the folder gives the snapshot at 7, and entries 8 to 9
+
+  Scenario: A reset that can't be written is written at the next start
+    Given a data folder with entries 1 to 5 in one file
+    When a snapshot at index 10 of term 2 is written without its reset
+    And a process opens the folder while the disk is full
+    Then it ended with an error of the disk
+    When a process opens the folder and writes entries 11 to 12 of term 2
+    Then reading the folder gives the snapshot at 10, and entries 11 to 12
--- a/tests/steps/consensus_storage.py
+++ b/tests/steps/consensus_storage.py
@@ -1,13 +1,17 @@
 """Steps for the data folder of the replicated log."""
 
+import errno
+import itertools
 import shutil
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 from random import Random
+from unittest.mock import patch
 
 from behave import given, then, when
 
-from mothshunt.consensus import files, records
+from mothshunt.consensus import files, records, segments
 from mothshunt.consensus.config import ConsensusConfig
 from mothshunt.consensus.founding import FoundingRecord
 from mothshunt.consensus.messages import Ballot
@@ -271,25 +275,127 @@
     assert [e.index for e in entries] == list(range(1, last + 1)), entries
 
 
+def no_space(*_):
+    raise OSError(errno.ENOSPC, "no space left on device")
+
+
+def write_until_log(folder, writes):
+    """Write up to the log, as a process whose disk is full after the snapshot."""
+    with patch.object(SegmentedLog, "append", no_space), suppress(OSError):
+        write(folder, [writes])
+    assert not list(folder.glob(f"*{files.ASIDE_SUFFIX}"))
+
+
 @when("a snapshot at index {index:d} of term {term:d} is written without its reset")
 def snapshot_without_reset(context, index, term):
     done = WriteSnapshot(
         snapshot=snapshot(index, term), reset=True, first_kept=index + 1
     )
-    with_reset = SegmentedLog.append
-    # The process ends after the snapshot is renamed and before the log is written.
-    SegmentedLog.append = lambda *_: None
-    try:
-        write(context.folder, [[done]])
-    finally:
-        SegmentedLog.append = with_reset
-    assert not list(context.folder.glob(f"*{files.ASIDE_SUFFIX}"))
+    write_until_log(context.folder, [done])
+
+
+@when(
+    "a snapshot at index {index:d} of term {term:d} is written, and the disk is full"
+    " before entries {first:d} to {last:d}"
+)
+def snapshot_before_entries(context, index, term, first, last):
+    late = WriteEntries(entries=tuple(entry(i) for i in range(first, last + 1)))
+    done = WriteSnapshot(snapshot=snapshot(index, term), reset=False, first_kept=1)
+    write_until_log(context.folder, [late, done])
+
+
+@when(
+    "a process opens the folder and writes entries {first:d} to {last:d}"
+    " of term {term:d}"
+)
+def opened_and_written(context, first, last, term):
+    entries = tuple(entry(i, term) for i in range(first, last + 1))
+    write(context.folder, [[WriteEntries(entries=entries)]])
+
+
+@when("a process opens the folder while the disk is full")
+def opened_while_full(context):
+    context.errors = []
+    opened = storage(context.folder)
+    with patch.object(SegmentedLog, "append", no_space):
+        try:
+            opened.open()
+        except OSError as error:
+            context.errors.append(error)
+    opened.close()
+
+
+@then("it ended with an error of the disk")
+def ended_with_disk_error(context):
+    assert [error.errno for error in context.errors] == [errno.ENOSPC]
+
+
+@then(
+    "reading the folder gives the snapshot at {index:d}, and entries {first:d} to"
+    " {last:d}"
+)
+def reads_after_snapshot(context, index, first, last):
+    durable = read(context.folder)
+    assert durable.snapshot.index == index, durable.snapshot
+    later = [e.index for e in durable.entries if e.index > index]
+    assert later == list(range(first, last + 1)), durable.entries
+
+
+@then("a node started from the folder ends at entry {index:d}")
+def node_ends_at(context, index):
+    state = NodeState.from_durable(
+        read(context.folder),
+        instance="a",
+        config=ConsensusConfig(),
+        random=Random(1),
+        now=0.0,
+    )
+    assert state.log.last_index == index, state.log.last_index
+
+
+@when(
+    "power is lost at each moment while a snapshot at index {index:d} drops files",
+)
+def power_lost_while_dropping(context, index):
+    context.copies = copies(context)
+    context.folders = []
+    removed = {}
+    unlink, sync_folder = Path.unlink, files.sync_folder
+
+    def record_unlink(path, *arguments):
+        removed[path.name] = path.read_bytes()
+        unlink(path, *arguments)
+        for count in range(len(removed) + 1):
+            for kept in itertools.combinations(removed, count):
+                folder = next(context.copies)
+                for name in kept:
+                    (folder / name).write_bytes(removed[name])
+                context.folders.append(folder)
+
+    def record_sync(folder):
+        sync_folder(folder)
+        removed.clear()
+
+    done = WriteSnapshot(snapshot=snapshot(index), reset=False, first_kept=index + 1)
+    with (
+        patch.object(Path, "unlink", record_unlink),
+        patch.object(files, "sync_folder", record_sync),
+        patch.object(segments, "sync_folder", record_sync, create=True),
+    ):
+        write(context.folder, [[done]], SMALL_BYTES)
+
+
+@then("after each combination of kept and lost removals the folder is read")
+def reads_after_power_loss(context):
+    assert len(context.folders) > 5, len(context.folders)
+    for folder in context.folders:
+        assert code_of_reading(folder) is None, sorted(folder.iterdir())
 
 
 @then("a node started from the folder holds the snapshot and no entry")
 def node_holds_snapshot(context):
     durable = read(context.folder)
-    assert len(durable.entries) == 5, durable.entries
+    assert durable.entries == (), durable.entries
     state = NodeState.from_durable(
         durable, instance="a", config=ConsensusConfig(), random=Random(1), now=0.0
     )
