Sync the folder after each old file of the log that is removed

Cause: removals of several files at once were not synced. A loss of power keeps each of them or loses it by itself, so that file 1 may be there again while 2 is gone. The next start takes that for a lost file and refuses with 4020 for good.

Change: oldest first, and the folder is synced after each.

--- a/mothshunt/consensus/segments.py
+++ b/mothshunt/consensus/segments.py
@@ -156,6 +156,8 @@
         """
         while len(self._segments) > 1 and self._segments[0].last_index < first_kept:
             self._segments.pop(0).path.unlink()
+            # Without it, a power loss may keep this file and lose the one after it.
+            sync_folder(self._folder)
 
     def close(self) -> None:
         """Close the file that is written to."""
--- a/tests/consensus/storage.feature
+++ b/tests/consensus/storage.feature
@@ -90,3 +90,9 @@
     Then it ended with an error of the disk
     When a process opens the folder and writes entries 11 to 12 of term 2
     Then reading the folder gives the snapshot at 10, and entries 11 to 12
+
+  Scenario: A power loss keeps some of the removals of old files and loses others
+    Guards against a log whose files seem to have a gap.
+    Given a data folder with entries 1 to 30 in small files
+    When power is lost at each moment while a snapshot at index 28 drops files
+    Then after each combination of kept and lost removals the folder is read
