Reproduce requests with little time that are not served after a burst

What callers saw (CONFIG of the utilities): requests on added routes, which have about a second, are served less than a quarter as often as those on the first routes, long after a burst has ended.

--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -16,6 +16,7 @@
     ServiceName,
     TargetId,
 )
+from mothshunt.load_sharing.const import MIN_ENTRIES
 from mothshunt.load_sharing.entry_state import EntryLoads
 from mothshunt.placement import codes
 from mothshunt.placement.admission import LevelAdmission
@@ -214,6 +215,52 @@
             self.loads.record_response(choice.target, reported, now)
 
 
+@dataclass(kw_only=True, slots=True)
+class DeployedDecider(EvenDecider):
+    """Choose as an entry instance that shares loads only where the product does.
+
+    :param entries: Entry instances of the deployment.
+    :param has_slowdowns: Whether a target reported that its machine is slow.
+    """
+
+    entries: int
+    has_slowdowns: bool = False
+
+    @classmethod
+    def from_scenario(
+        cls, scenario: Scenario, zone: AvailabilityZoneId, random: Random
+    ) -> "DeployedDecider":
+        """Build the decider of one entry instance."""
+        even = EvenDecider.from_scenario(scenario, zone, random)
+        even.placement.even_load = None
+        return cls(
+            placement=even.placement,
+            loads=even.loads,
+            entries=len(scenario.entry_zones),
+        )
+
+    def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
+        """Use these targets from now on, and share their loads where it is due."""
+        is_shared = self.has_slowdowns and self.entries >= MIN_ENTRIES
+        self.placement.even_load = self.loads.even_load if is_shared else None
+        EvenDecider.replace_targets(self, targets, now)
+
+    def finish(
+        self,
+        choice: Choice,
+        outcome: AttemptOutcome,
+        reported: ReportedLoad | None,
+        now: float,
+    ) -> None:
+        """Give room back, learn, and note what is to be told."""
+        if reported is not None and reported.slowdown != 1.0:
+            self.has_slowdowns = True
+        if self.placement.even_load is None:
+            self.placement.finish(choice, outcome, reported, now)
+        else:
+            EvenDecider.finish(self, choice, outcome, reported, now)
+
+
 @dataclass(slots=True)
 class SimpleDecider:
     """Choose by a rank, among the targets of the region where it has any.
@@ -290,6 +337,7 @@
     "mothshunt": ProductDecider.from_scenario,
     "admission": ProductDecider.with_admission,
     "even": EvenDecider.from_scenario,
+    "product": DeployedDecider.from_scenario,
     "least_loaded": _least_loaded,
     "random": _random,
 }
