Share the loads of targets while requests wait there, in deployments of any size

What callers saw (CONFIG): on a small twin of the utilities, requests on added routes, which have about a second, were served less than a quarter as often as those on the first routes; most others were late or failed too.

Cause: an entry instance takes a queue that a target reported for gone after 0.5 s, while a full target needs seconds to work it off, and each of 17 instances asks a target once in 2.6 s. It expects 2 to 3 requests where 21 to 25 are, and sends to full targets until the time of a request has passed. Loads were shared from 40 instances on only.

Change: instances share loads from four on, while the last responses of a service report half as many waiting requests as slots, and for 30 s after. The condition is a decider of its own.

--- a/bench/load/deciders.py
+++ b/bench/load/deciders.py
@@ -16,7 +16,7 @@
     ServiceName,
     TargetId,
 )
-from mothshunt.load_sharing.const import MIN_ENTRIES
+from mothshunt.load_sharing.activity import SharingCondition
 from mothshunt.load_sharing.entry_state import EntryLoads
 from mothshunt.placement import codes
 from mothshunt.placement.admission import LevelAdmission
@@ -220,11 +220,11 @@
     """Choose as an entry instance that shares loads only where the product does.
 
     :param entries: Entry instances of the deployment.
-    :param has_slowdowns: Whether a target reported that its machine is slow.
+    :param condition: Condition on which loads are shared.
     """
 
     entries: int
-    has_slowdowns: bool = False
+    condition: SharingCondition = field(default_factory=SharingCondition)
 
     @classmethod
     def from_scenario(
@@ -241,8 +241,9 @@
 
     def replace_targets(self, targets: Iterable[RoutableTarget], now: float) -> None:
         """Use these targets from now on, and share their loads where it is due."""
-        is_shared = self.has_slowdowns and self.entries >= MIN_ENTRIES
-        self.placement.even_load = self.loads.even_load if is_shared else None
+        is_active = self.placement.even_load is not None
+        is_due = self.condition.is_met(self.entries, now, is_active=is_active)
+        self.placement.even_load = self.loads.even_load if is_due else None
         EvenDecider.replace_targets(self, targets, now)
 
     def finish(
@@ -253,8 +254,8 @@
         now: float,
     ) -> None:
         """Give room back, learn, and note what is to be told."""
-        if reported is not None and reported.slowdown != 1.0:
-            self.has_slowdowns = True
+        if reported is not None:
+            self.condition.record(choice.target.service, reported, now)
         if self.placement.even_load is None:
             self.placement.finish(choice, outcome, reported, now)
         else:
--- a/mothshunt/load_sharing/const.py
+++ b/mothshunt/load_sharing/const.py
@@ -19,6 +19,16 @@
 #: The measurements show no gain with 8; an instance that restarts must not end it.
 MIN_ENTRIES = 40
 MIN_ENTRIES_TO_STAY = 30
+#: Mean queue at the targets of a service, as a multiple of their slots, from which on
+#: loads are shared in smaller deployments too.
+LONG_QUEUE = 0.5
+#: Entry instances from which on they are.
+MIN_ENTRIES_WITH_QUEUES = 4
+#: Weight of a new report in the mean queue, so that one full target is not taken for
+#: all of them.
+QUEUE_WEIGHT = 1 / 8
+#: Time after the last long queue for which they still are, in seconds.
+LONG_QUEUE_LIFETIME_S = 30.0
 #: Time between two messages on the demand by target, in seconds.
 DEMAND_INTERVAL_S = 1.0
 #: Largest figure that is accepted of a message: requests at one target.
--- a/mothshunt/load_sharing/coordinator.py
+++ b/mothshunt/load_sharing/coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mothshunt.configuration.model import Configuration
 from mothshunt.core.clock import Clock
@@ -11,6 +11,7 @@
 from mothshunt.helpers import log
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.load_sharing import const
+from mothshunt.load_sharing.activity import SharingCondition
 from mothshunt.load_sharing.entry_state import EntryLoads
 from mothshunt.load_sharing.log_events import LoadSharingChanged
 from mothshunt.load_sharing.messages import LoadNews
@@ -25,9 +26,8 @@
 class LoadSharer:
     """Exchange of the loads of targets at one entry instance.
 
-    It is active where the settings permit it, there are dozens of entry instances, and
-    a target has reported that its machine is slow. Until then nothing is sent, and
-    targets are chosen as if it did not exist.
+    It is active where the settings permit it and ``SharingCondition`` is met. Until
+    then nothing is sent, and targets are chosen as if it did not exist.
 
     :param network: Streams to the control instances.
     :param controls: Returns the connected control instances.
@@ -36,6 +36,8 @@
     :param clock: Source of the present time.
     :param metrics: Metrics of the process.
     :param is_permitted: Whether the settings permit it.
+    :param loads: What is shared; ``None`` while nothing is.
+    :param condition: Condition on which loads are shared.
     """
 
     network: PeerNetwork
@@ -46,8 +48,8 @@
     metrics: Metrics
     is_permitted: bool
     loads: EntryLoads | None = None
+    condition: SharingCondition = field(default_factory=SharingCondition)
     _workspaces: int = 0
-    _has_slowdowns: bool = False
     _task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -69,14 +71,14 @@
         :param configuration: The configuration in force.
         """
         self._workspaces = len(configuration.routing.workspace_by_name)
-        self._update_activity()
+        self._update_activity(self.clock.monotonic())
 
-    def _update_activity(self) -> None:
-        enough = const.MIN_ENTRIES if self.loads is None else const.MIN_ENTRIES_TO_STAY
-        wanted = (
-            self.is_permitted and self._has_slowdowns and self.roster.count() >= enough
+    def _update_activity(self, now: float) -> None:
+        is_active = self.loads is not None
+        wanted = self.is_permitted and self.condition.is_met(
+            self.roster.count(), now, is_active=is_active
         )
-        if wanted is (self.loads is not None):
+        if wanted is is_active:
             return
         self.loads = self._new_loads() if wanted else None
         self.placement.even_load = self.loads.even_load if self.loads else None
@@ -85,7 +87,8 @@
                 is_active=wanted,
                 entries=self.roster.count(),
                 workspaces=self._workspaces,
-                has_slowdowns=self._has_slowdowns,
+                has_slowdowns=self.condition.has_slowdowns,
+                has_queues=self.condition.has_queues(now),
             )
         )
         self.refresh()
@@ -101,11 +104,12 @@
         :param target: The target.
         :param reported: The load.
         """
-        if reported.slowdown != 1.0 and not self._has_slowdowns:
-            self._has_slowdowns = True
-            self._update_activity()
+        now = self.clock.monotonic()
+        self.condition.record(target.service, reported, now)
+        if self.loads is None:
+            self._update_activity(now)
         if self.loads is not None:
-            self.loads.record_response(target, reported, self.clock.monotonic())
+            self.loads.record_response(target, reported, now)
 
     def _on_news(self, peer: InstanceId, news: LoadNews) -> None:
         if self.loads is not None:
@@ -151,7 +155,7 @@
             now = self.clock.monotonic()
             if now >= refresh_at:
                 refresh_at = now + const.REFRESH_INTERVAL_S
-                self._update_activity()
+                self._update_activity(now)
                 self.refresh()
             self.share()
             if self.loads is not None and now >= report_at:
--- a/mothshunt/load_sharing/log_events.py
+++ b/mothshunt/load_sharing/log_events.py
@@ -15,12 +15,14 @@
     :param entries: Number of entry instances.
     :param workspaces: Number of workspaces in the configuration.
     :param has_slowdowns: Whether a target has reported the slowdown of its machine.
+    :param has_queues: Whether requests have waited at the targets lately.
     """
 
     is_active: bool
     entries: int
     workspaces: int
     has_slowdowns: bool
+    has_queues: bool
 
 
 @log_event("target spread", slice_name="load_sharing")
--- a/tests/load_sharing/queues.feature
+++ b/tests/load_sharing/queues.feature
@@ -17,3 +17,24 @@
       | 21   | 18      |
       | 22   | 18      |
       | 21   | 10      |
+
+  # Guards against a single slow target that changes how a whole deployment chooses.
+  Scenario Outline: Loads are shared while requests wait at the targets of a service
+    Given <full> of 16 targets have a queue of <waiting> requests for each slot
+    When an entry instance of <entries> gets 5 responses of each target
+    Then it <result> loads
+
+    Examples:
+      | full | waiting | entries | result         |
+      | 1    | 3       | 18      | does not share |
+      | 16   | 0.25    | 18      | does not share |
+      | 16   | 3       | 3       | does not share |
+      | 16   | 3       | 4       | shares         |
+      | 8    | 3       | 18      | shares         |
+
+  Scenario: Loads are no longer shared some time after the queues have ended
+    Given 16 of 16 targets have a queue of 3 requests for each slot
+    When an entry instance of 18 gets 5 responses of each target
+    And the queues end, and it gets 5 responses of each target
+    Then it shares loads
+    And 31 s later it does not share loads
--- a/tests/steps/load_sharing_queues.py
+++ b/tests/steps/load_sharing_queues.py
@@ -9,7 +9,11 @@
 from bench.load.report import Outcome
 from bench.load.scenario import read_scenario
 from bench.load.world import World
+from mothshunt.load_sharing.activity import SharingCondition
+from mothshunt.placement.model import ReportedLoad
 
+NOW = 100.0
+SLOTS = 6
 SERVED = (Outcome.IN_TIME, Outcome.LATE)
 
 
@@ -51,3 +55,45 @@
 def few_unserved(context, second, share):
     unserved = 1 - served_share(later_endings(context, second))
     assert unserved <= share, unserved
+
+
+@given(
+    "{full:d} of {count:d} targets have a queue of {waiting:g} requests for each slot"
+)
+def queues(context, full, count, waiting):
+    context.waiting = [waiting * SLOTS] * full + [0] * (count - full)
+    context.condition = SharingCondition()
+
+
+@when("an entry instance of {entries:d} gets {count:d} responses of each target")
+def responses(context, entries, count):
+    context.entries = entries
+    for _ in range(count):
+        for waiting in context.waiting:
+            reported = ReportedLoad(running=SLOTS, waiting=int(waiting), slots=SLOTS)
+            context.condition.record("history", reported, NOW)
+
+
+@when("the queues end, and it gets {count:d} responses of each target")
+def queues_end(context, count):
+    context.waiting = [0] * len(context.waiting)
+    responses(context, context.entries, count)
+
+
+def shares(context, now):
+    return context.condition.is_met(context.entries, now, is_active=False)
+
+
+@then("it shares loads")
+def shares_now(context):
+    assert shares(context, NOW)
+
+
+@then("it does not share loads")
+def shares_not_now(context):
+    assert not shares(context, NOW)
+
+
+@then("{seconds:g} s later it does not share loads")
+def shares_not_later(context, seconds):
+    assert not shares(context, NOW + seconds)
