Send a change again that a full queue dropped, with the next beat

Cause: a control instance noted a revision as sent to a subscriber although the queue of its stream was full and dropped it. The subscriber then had to request it after a beat; beat, request and answer may meet a full queue too, and the time between requests doubles up to 4 s, where a change must be in force within 2.5 s.

Evidence: two new scenarios of configuration/delivery. Before, no beat was preceded by the change: after the queue had room again, e1 was sent beats only.

Change: post_all returns the peers that it queued nothing for. The publisher notes a revision only where it was queued, and sends the rest again before each beat.

--- a/bench/workspaces.py
+++ b/bench/workspaces.py
@@ -31,8 +31,9 @@
 
 
 class _NoNetwork:
-    def post_all(self, *_: object) -> None:
+    def post_all(self, *_: object) -> list[str]:
         """Send nothing."""
+        return []
 
 
 def run(*, quick: bool) -> dict[str, Any]:
--- a/mothshunt/configuration/publisher.py
+++ b/mothshunt/configuration/publisher.py
@@ -107,29 +107,33 @@
             self.revision_by_subscriber.pop(peer, None)
             self.network.post(peer, self._build_beat())
             return
-        self.revision_by_subscriber[peer] = self.delivered.revision
-        self._post_delta(peer, message.revision, is_whole=message.is_whole)
+        is_queued = self._post_delta(peer, message.revision, is_whole=message.is_whole)
+        self.revision_by_subscriber[peer] = (
+            self.delivered.revision if is_queued else message.revision
+        )
 
     def _on_delta_request(self, peer: InstanceId, message: DeltaRequest) -> None:
         self._post_delta(peer, message.revision, is_whole=message.is_whole)
 
-    def _post_delta(self, peer: InstanceId, since: Revision, *, is_whole: bool) -> None:
+    def _post_delta(self, peer: InstanceId, since: Revision, *, is_whole: bool) -> bool:
         since = NO_REVISION if is_whole else since
-        self.network.post(peer, self._build_delta(since, is_whole=is_whole))
+        return self.network.post(peer, self._build_delta(since, is_whole=is_whole))
 
     def _push_all(self) -> None:
-        """Send each subscriber the changes that it lacks.
+        """Send each subscriber the changes that it has not been sent.
 
-        If a full send queue drops a delta, the subscriber requests the changes after
-        the next beat.
+        A delta that a full send queue drops is sent again with the next beat.
         """
+        newest = self.delivered.revision
         subscribers_by_revision: dict[Revision, list[InstanceId]] = {}
         for subscriber, revision in self.revision_by_subscriber.items():
-            subscribers_by_revision.setdefault(revision, []).append(subscriber)
+            if revision < newest:
+                subscribers_by_revision.setdefault(revision, []).append(subscriber)
         for since, subscribers in subscribers_by_revision.items():
-            self.network.post_all(subscribers, self._build_delta(since, is_whole=False))
-        for subscriber in self.revision_by_subscriber:
-            self.revision_by_subscriber[subscriber] = self.delivered.revision
+            delta = self._build_delta(since, is_whole=False)
+            dropped = self.network.post_all(subscribers, delta)
+            for subscriber in set(subscribers).difference(dropped):
+                self.revision_by_subscriber[subscriber] = newest
 
     def _build_delta(self, since: Revision, *, is_whole: bool) -> Delta:
         delta = self._delta_by_range.get((since, is_whole))
@@ -160,9 +164,14 @@
             if result.is_ok():
                 self.confirmed_at = started_at
                 self.holder.record_confirmation(self.delivered.revision, started_at)
-            self.network.post_all(self.subscribers, self._build_beat())
+            self.send_beats()
             await asyncio.sleep(const.BEAT_INTERVAL_S * random.uniform(0.8, 1.2))
 
+    def send_beats(self) -> None:
+        """Send a beat to each subscriber, after what it has not been sent."""
+        self._push_all()
+        self.network.post_all(self.subscribers, self._build_beat())
+
     def _build_beat(self) -> Beat:
         return Beat(
             revision=self.delivered.revision,
--- a/mothshunt/core/network.py
+++ b/mothshunt/core/network.py
@@ -1,6 +1,6 @@
 """Interfaces for messages between instances."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any, Protocol, TypeVar
 
 from expression import Result
@@ -28,11 +28,14 @@
         """
         ...
 
-    def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
+    def post_all(
+        self, peers: Iterable[InstanceId], message: object
+    ) -> Sequence[InstanceId]:
         """Queue one message for several peers without waiting; it is encoded once.
 
         :param peers: Receivers; those without a stream are skipped.
         :param message: A registered message.
+        :return: Peers that it was not queued for; see ``post``.
         """
         ...
 
--- a/mothshunt/helpers/peer/network.py
+++ b/mothshunt/helpers/peer/network.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -145,15 +145,19 @@
         link = self._link(peer)
         return link is not None and link.post_encoded(self._encode(message), message)
 
-    def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
+    def post_all(
+        self, peers: Iterable[InstanceId], message: object
+    ) -> Sequence[InstanceId]:
         """Queue one message for several peers; see ``PeerNetwork``."""
         encoded = self._encode(message)
+        dropped = []
         for peer in peers:
             link = self._link(peer)
-            if link is not None:
-                link.post_encoded(encoded, message)
-            elif peer == self.own_id:
+            if link is None and peer == self.own_id:
                 self.post(peer, message)
+            elif link is None or not link.post_encoded(encoded, message):
+                dropped.append(peer)
+        return dropped
 
     def _encode(self, message: object) -> EncodedFrame:
         """Encode a message; a large one that is sent again shares its frame."""
--- a/mothshunt/placement/coordinator.py
+++ b/mothshunt/placement/coordinator.py
@@ -81,7 +81,7 @@
     metrics: Metrics
     on_demand: Callable[[Mapping[ServiceName, float]], None]
     on_frequent_targets: Callable[[Iterable[RoutableTarget]], None]
-    on_leaving: Callable[[RoutableTarget], None]
+    on_leaving: Callable[[RoutableTarget], object]
     locality: LocalityReporter | None = None
     admission: LevelAdmission = field(default_factory=LevelAdmission)
     on_reported: Callable[[RoutableTarget, ReportedLoad], None] | None = None
--- a/testkit/loopback_network.py
+++ b/testkit/loopback_network.py
@@ -1,7 +1,7 @@
 """Messages of one instance to itself, for entry and control parts in one process."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -34,10 +34,11 @@
             handler(OWN_ID, message)
         return not self.is_cut
 
-    def post_all(self, peers: Iterable[InstanceId], message: object) -> None:
+    def post_all(
+        self, peers: Iterable[InstanceId], message: object
+    ) -> Sequence[InstanceId]:
         """Deliver a message to each peer; see ``PeerNetwork``."""
-        for peer in peers:
-            self.post(peer, message)
+        return [peer for peer in peers if not self.post(peer, message)]
 
     async def async_request(
         self, peer: InstanceId, message: object, timeout_s: float
--- a/tests/configuration/delivery.feature
+++ b/tests/configuration/delivery.feature
@@ -62,3 +62,24 @@
     When an item is changed at revision 3
     And "e1" asks for what came after revision 0
     Then "e1" was last sent the items up to revision 3
+
+  # Guards against a change that is in force late where the queue of a stream was full:
+  # the next beat, the request after it and its answer may meet a full queue too.
+  Scenario: A change that a full queue dropped is sent again with the next beats
+    Given a publisher of the configuration with 2 items
+    When "e1" subscribes at revision 0 and wants changes
+    And the queue to "e1" is full
+    And an item is changed at revision 3
+    And the next beat is due
+    Then "e1" was last sent the items up to revision 2
+    When the queue to "e1" has room
+    And the next beat is due
+    Then "e1" was sent the items after revision 2 up to revision 3 once
+
+  Scenario: A subscriber whose first changes a full queue dropped gets them with a beat
+    Given a publisher of the configuration with 2 items
+    And the queue to "e1" is full
+    When "e1" subscribes at revision 1 and wants changes
+    And the queue to "e1" has room
+    And the next beat is due
+    Then "e1" was sent the items after revision 1 up to revision 2 once
--- a/tests/steps/configuration_delivery.py
+++ b/tests/steps/configuration_delivery.py
@@ -68,6 +68,32 @@
     assert last.items, last
 
 
+@given('the queue to "{name}" is full')
+@when('the queue to "{name}" is full')
+def queue_full(context, name):
+    context.network.full_peers.add(name)
+
+
+@when('the queue to "{name}" has room')
+def queue_has_room(context, name):
+    context.network.full_peers.discard(name)
+
+
+@when("the next beat is due")
+def beat_due(context):
+    context.publisher.send_beats()
+
+
+@then(
+    '"{name}" was sent the items after revision {since:d} up to revision {revision:d}'
+    " once"
+)
+def sent_items_once(context, name, since, revision):
+    deltas = [m for m in context.network.posted_by_peer[name] if isinstance(m, Delta)]
+    newest = [d for d in deltas if d.to_revision == revision]
+    assert [d.from_revision for d in newest] == [since], deltas
+
+
 @then('"{name}" was last sent a beat')
 def last_sent_beat(context, name):
     assert isinstance(context.network.posted_by_peer[name][-1], Beat)
--- a/tests/support/limit_exchange.py
+++ b/tests/support/limit_exchange.py
@@ -36,8 +36,7 @@
         return True
 
     def post_all(self, peers, message):
-        for peer in peers:
-            self.post(peer, message)
+        return [peer for peer in peers if not self.post(peer, message)]
 
     async def async_request(self, peer, message, timeout_s):
         if self.exchange.is_cut:
