End a control instance whose log fails by a fault of the code

What callers saw: reported by other operators: long after full disks had room again, changes were refused or stayed unanswered, while all processes ran.

Cause: the tasks of the replicated log were started and forgotten. What the processing of synced writes raised ended the task that writes; an error of the timer ended the timer; one failed attempt of the introduction, such as where the data folder can't be written, ended it. The process ran on as a member that acknowledges nothing, votes for nobody, or stays outside for good.

Change: a fault in the writer or the timer is code 4027, for which the process ends and is started again. The introduction and the upkeep of the members are restarted after an error.

--- a/mothshunt/consensus/codes.py
+++ b/mothshunt/consensus/codes.py
@@ -135,6 +135,13 @@
     summary="An accepted command could not be applied; the instance takes no part.",
     action="Start the instance again; report the fault when it stays.",
 )
+NODE_FAILED = ResultCode(
+    number=4027,
+    name="consensus_node_failed",
+    http_status=500,
+    summary="The replicated log failed by a fault of the code; it takes no part.",
+    action="Start the instance again; report the log line with the error.",
+)
 STOPPED = ResultCode(
     number=4025,
     name="consensus_stopped",
--- a/mothshunt/consensus/coordinator.py
+++ b/mothshunt/consensus/coordinator.py
@@ -51,6 +51,7 @@
 from mothshunt.core.state_machine import StateMachine
 from mothshunt.core.types import InstanceId, LogIndex, Term
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.tasks import start_background
 from mothshunt.metrics.registry import Metrics
 from mothshunt.settings.config import Settings
 
@@ -228,9 +229,14 @@
         diagnostics.register_gauges(driver, self._metrics)
         self._writer_task = asyncio.create_task(self._async_write(driver))
         driver.start()
-        self._tasks = [asyncio.create_task(self._introduction.async_run())]
+        introduction = self._introduction
+        self._tasks = [
+            start_background("consensus-introduction", introduction.async_run)
+        ]
         if self._config.is_self_managed:
-            self._tasks.append(asyncio.create_task(service.async_keep_members()))
+            self._tasks.append(
+                start_background("consensus-members", service.async_keep_members)
+            )
 
     async def _async_make_founder(self, own: Member) -> Founder:
         founder = Founder(
@@ -281,6 +287,10 @@
             await self._writer.async_run(driver.synced)
         except (OSError, MothshuntError) as error:
             driver.fail(Failure(code=codes.DISK_FAILED, detail=str(error)))
+        # A node whose writes are never synced would go on as a member that answers
+        # nothing.
+        except Exception as error:
+            driver.fail_unexpectedly(error)
 
     def _on_failed(self, failure: Failure) -> None:
         self._metrics.count(
--- a/mothshunt/consensus/driver.py
+++ b/mothshunt/consensus/driver.py
@@ -114,6 +114,14 @@
         self.stop()
         self._on_failed(failure)
 
+    def fail_unexpectedly(self, error: Exception) -> None:
+        """Take no part any more after a fault of the code; its state is uncertain.
+
+        :param error: The error.
+        """
+        detail = f"{type(error).__name__}: {error}"
+        self.fail(Failure(code=codes.NODE_FAILED, detail=detail))
+
     def on_membership(self, listener: Callable[[Membership], None]) -> None:
         """Call a listener after the newest membership of the log changed."""
         self._membership_listeners.append(listener)
@@ -284,10 +292,14 @@
         self._timer = None
         if self._is_stopped:
             return
-        if self.now() < self.node.due_at():
-            self._arm()
-            return
-        self.perform(self.node.tick(self.now()))
+        try:
+            if self.now() < self.node.due_at():
+                self._arm()
+                return
+            self.perform(self.node.tick(self.now()))
+        # Without its timer the node would neither vote nor lead again.
+        except Exception as error:
+            self.fail_unexpectedly(error)
 
     def _watch_leader(self) -> None:
         """Notice that the stream to the leader closed, as when its process ended."""
--- a/tests/consensus/fatal.feature
+++ b/tests/consensus/fatal.feature
@@ -38,6 +38,30 @@
     When a working control instance proposes "three"
     Then the working control instances have all applied "one, two, three"
 
+  # Guards against an instance that runs on while its log takes no part any more: changes
+  # stay unanswered, and nothing replaces it.
+  Scenario Outline: A fault that nobody expects ends the control instance, not a part of it
+    Given a replicated log on "a, b, c"
+    When "a" proposes "one"
+    And <part> of a follower of the log fails once
+    And a working control instance proposes "two"
+    Then the failed control instance reported code 4027 and does not lead
+    When a working control instance proposes "three"
+    Then the working control instances have all applied "one, two, three"
+
+    Examples:
+      | part                                  |
+      | the processing of what was synced     |
+      | the timer                             |
+
+  # Guards against a member that stays outside for good after one failed attempt.
+  Scenario: An introduction that fails once is tried again
+    Given a replicated log on "a, b, c"
+    When "a" proposes "one"
+    And "c" loses its disk, and its first introduction fails
+    And "a" proposes "two"
+    Then "c" has applied "one, two"
+
   Scenario: A large state is not written again for every few commands
     Given a state of 100000 bytes and snapshots after 10 commands, 1000 at most
     Then with commands of 100 bytes the next snapshot is due after 379 commands
--- a/tests/steps/consensus_fatal.py
+++ b/tests/steps/consensus_fatal.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import errno
+import shutil
 import time
 
 from behave import given, then, when
 
 from mothshunt.consensus.applying import CommandApplier
 from mothshunt.consensus.config import ConsensusConfig
+from mothshunt.consensus.introduction import Introduction
 from mothshunt.consensus.log import Log
 from mothshunt.consensus.types import Entry, EntryKind, Snapshot
 from mothshunt.consensus.voters import EMPTY
@@ -62,6 +64,59 @@
     context.log.commands_by_id[name].apply = apply
 
 
+def fail_once(owner, name):
+    """Replace a method by one that fails at its next call."""
+    method = getattr(owner, name)
+
+    def failing(*arguments):
+        setattr(owner, name, method)
+        raise KeyError("a fault of the code")
+
+    setattr(owner, name, failing)
+
+
+@when("the processing of what was synced of a follower of the log fails once")
+def processing_fails(context):
+    name = context.log.follower()
+    fail(context, name)
+    fail_once(context.log.coordinator_by_id[name]._driver.node, "synced")
+
+
+@when("the timer of a follower of the log fails once")
+def timer_fails(context):
+    name = context.log.follower()
+    fail(context, name)
+    driver = context.log.coordinator_by_id[name]._driver
+    fail_once(driver.node, "due_at")
+    context.log.loop.call_soon(driver._tick)
+
+
+@when('"{name}" loses its disk, and its first introduction fails')
+def introduction_fails(context, name):
+    log = context.log
+    log.run(log.async_kill(name))
+    shutil.rmtree(log.folder / name)
+    step = Introduction._async_step
+
+    async def fail_step(introduction):
+        Introduction._async_step = step
+        raise KeyError("a fault of the code")
+
+    Introduction._async_step = fail_step
+    context.stack.callback(setattr, Introduction, "_async_step", step)
+    log.run(log.async_start(name))
+
+
+@then('"{name}" has applied "{texts}"')
+def has_applied(context, name, texts):
+    log = context.log
+    log.run(
+        log.async_until(
+            lambda: log.commands_by_id[name].commands == split(texts), TIMEOUT_S
+        )
+    )
+
+
 @then('"{text}" is proposed on the failed control instance, its outcome told truly')
 def proposing_on_failed(context, text):
     """Hold what is told against what the others apply, and against the own log.
