Hold the sum of a request's attempts where each of them begins

One reached a target at 6.872 s, a second one from the same entry instance at 7.506 s, and a third one by way of another instance at 7.532 s.

Cause: whether a hedged attempt is allowed was decided when the first attempt began, 0.63 s before it was made. In between the instance took itself for isolated and gave the attempt that was left to a relay. A retry had the same gap while it waited for a target's token.

Evidence: two new scenarios of forwarding/hedges; before, both targets got the request, and one got it although a relay had taken all attempts.

Change: attempts_left counts tried and running ones, and is asked again at the moment an attempt begins.

--- a/mothshunt/forwarding/retry.py
+++ b/mothshunt/forwarding/retry.py
@@ -152,14 +152,20 @@
         """Record the start of an attempt."""
         self.targets_trying += 1
 
+    @property
+    def attempts_left(self) -> int:
+        """Number of further targets that the request may be sent to from here."""
+        left = self.max_attempts - self.targets_tried - self.targets_trying
+        return max(0, left)
+
     def take_attempts_left(self) -> int:
         """Return how many further targets the request may be sent to, and forbid them.
 
         Another entry instance may use them then.
         """
-        left = self.max_attempts - self.targets_tried - self.targets_trying
-        self.max_attempts -= max(0, left)
-        return max(0, left)
+        left = self.attempts_left
+        self.max_attempts -= left
+        return left
 
     def record_attempt(
         self, outcome: AttemptOutcome, ran: Ran, *, was_sent_before: bool
--- a/mothshunt/forwarding/trier.py
+++ b/mothshunt/forwarding/trier.py
@@ -118,6 +118,13 @@
                 return attempts.best_response or self._final_failure(
                     attempts, attempts.last_failure or failure
                 )
+        if not attempts.retry_state.attempts_left:
+            # A relay has taken them since this attempt was decided on.
+            self._placement.finish(choice, AttemptOutcome.CANCELLED, None)
+            failure = Failure(code=dispatch_codes.LEASE_ENDED)
+            return attempts.best_response or self._final_failure(
+                attempts, attempts.last_failure or failure
+            )
         if not is_caller_connected():
             # Nothing is sent for a caller that has disconnected.
             self._placement.finish(choice, AttemptOutcome.CANCELLED, None)
@@ -190,11 +197,7 @@
     def _hedge_due_in_s(self, attempts: RequestAttempts) -> float | None:
         """Return the time until a hedged attempt is due; ``None`` if not allowed."""
         retry_state = attempts.retry_state
-        # The attempt in progress counts towards the maximum.
-        may_hedge = (
-            retry_state.is_idempotent
-            and retry_state.targets_tried + 1 < retry_state.max_attempts
-        )
+        may_hedge = retry_state.is_idempotent and retry_state.attempts_left > 0
         # Two concurrent attempts can't read the same body stream.
         is_streamed = attempts.outgoing.body.buffered is None
         if attempts.is_hedged or not may_hedge or is_streamed:
@@ -210,6 +213,9 @@
     def _make_hedged_attempt(self, attempts: RequestAttempts) -> None:
         """Make a hedged attempt at another target if placement and budget allow it."""
         attempts.is_hedged = True
+        if not attempts.retry_state.attempts_left:
+            # A relay has taken them while this attempt was waited for.
+            return
         routed = attempts.outgoing.routed
         now = self._clock.monotonic()
         running_targets = frozenset(
--- a/tests/forwarding/hedges.feature
+++ b/tests/forwarding/hedges.feature
@@ -35,6 +35,25 @@
     Then the routed caller got status 200 each time
     And both targets got requests
 
+  # Guards against a request that is sent to three targets where its route allows two: an
+  # attempt here, its hedged attempt, and one of the instance that it is relayed to.
+  Scenario: Attempts that a relay has taken are not made here as well
+    Given a routed entry
+    And its requests are relayed as well after 100 ms
+    And a routed target "t1" that answers after 1.4 s
+    And a routed target "t2" that answers after 1.4 s
+    When a routed caller sends GET "/reads/a"
+    Then the routed caller got status 200
+    And the targets got one request in total
+
+  Scenario: No attempt is made here where a relay has taken them all
+    Given a routed entry
+    And its requests are relayed as well after 0 ms
+    And a routed target "t1" that answers
+    When a routed caller sends GET "/reads/a"
+    Then the routed caller got status 503
+    And the targets got no request
+
   Scenario: An empty retry budget prevents hedged attempts
     Given a routed entry whose retry budget is empty
     And a routed target "t1" that answers after 1.4 s
--- a/tests/steps/forwarding_hedges.py
+++ b/tests/steps/forwarding_hedges.py
@@ -9,6 +9,7 @@
 from mothshunt.forwarding.attempt import AttemptResult, TargetResponse
 from mothshunt.forwarding.retry import RetryState, hedge_delay_s
 from mothshunt.forwarding.tries import RequestAttempts, RunningAttempt
+from mothshunt.isolation.model import NoIsolation
 from mothshunt.placement.model import AttemptOutcome, Choice
 from tests.steps.forwarding_attempts import set_up
 from tests.support import placement_world
@@ -22,6 +23,32 @@
     set_up(context, ratio=0.0, slack=0.0)
 
 
+class TakingIsolation(NoIsolation):
+    """Takes the attempts that are left after some time, as a relay does."""
+
+    def __init__(self, after_s):
+        self.after_s = after_s
+
+    async def async_run(self, request, outgoing, retry_state, run):
+        if not self.after_s:
+            retry_state.take_attempts_left()
+            return await run()
+        running = asyncio.ensure_future(run())
+        await asyncio.sleep(self.after_s)
+        assert retry_state.take_attempts_left() == 1
+        return await running
+
+
+@given("its requests are relayed as well after {after_ms:d} ms")
+def relayed_as_well(context, after_ms):
+    context.world.server._forwarder._isolation = TakingIsolation(after_ms / 1000)
+
+
+@then("the targets got no request")
+def no_requests(context):
+    assert not any(target.requests for target in context.target_by_name.values())
+
+
 @then("no target got the same request twice")
 def no_request_twice(context):
     for target in context.target_by_name.values():
