Request what is lacking at once on a new stream

Cause: the time between two requests for a delta doubles up to 4 s until one arrives. A new stream did not begin anew: where what had been requested was lost with the old one, a beat on the new one was not answered by a request for up to 4 s, where 2.5 s are allowed.

Evidence: the new scenario of configuration/delivery, which failed before. On a stream that wants changes the subscription itself brings the delta; on the others only a request does.

Change: subscribing begins the interval anew.

Result: configuration/delivery passes.

--- a/mothshunt/configuration/follower.py
+++ b/mothshunt/configuration/follower.py
@@ -56,6 +56,8 @@
         :param wants_changes: Whether it sends each change at once; otherwise it sends
             only beats, and changes are requested when a beat shows a newer revision.
         """
+        # What was requested before may have been lost with the stream.
+        self._allow_request()
         revision = self.mirror.store.revision
         self.network.post(
             control, Subscribe(revision=revision, wants_changes=wants_changes)
@@ -63,8 +65,7 @@
 
     def _on_delta(self, peer: InstanceId, delta: Delta) -> None:
         held = self.mirror.store.revision
-        self._request_at = 0.0
-        self._request_interval_s = const.MIN_DELTA_REQUEST_INTERVAL_S
+        self._allow_request()
         self._request(peer, self.mirror.apply(delta))
         if self.mirror.store.revision != held or delta.is_whole:
             self.holder.put_in_force(self.mirror.store)
@@ -80,6 +81,10 @@
             self.holder.record_confirmation(beat.revision, self.confirmed_at)
         self._request(peer, need)
 
+    def _allow_request(self) -> None:
+        self._request_at = 0.0
+        self._request_interval_s = const.MIN_DELTA_REQUEST_INTERVAL_S
+
     def _request(self, control: InstanceId, need: MirrorNeed) -> None:
         if need is MirrorNeed.NOTHING:
             return
--- a/tests/configuration/delivery.feature
+++ b/tests/configuration/delivery.feature
@@ -52,6 +52,14 @@
     And control instances send it beats of revision 3, 0.2 s apart, for 0.4 s
     Then it asked for what came after revision 2 once
 
+  # Guards against a change that is in force late because what was requested on an
+  # earlier stream is still waited for.
+  Scenario: A follower requests what it lacks at once on a new stream
+    Given a follower of the configuration that holds revision 0
+    When control instances send it beats of revision 2, 0.2 s apart, for 4.4 s
+    And it subscribes at "c4", which sends it a beat of revision 2
+    Then it asked "c4" for what came after revision 0
+
   Scenario: A change is coded once for all that request it
     Guards against a control instance that holds a copy for each of hundreds of
     instances.
--- a/tests/steps/configuration_delivery.py
+++ b/tests/steps/configuration_delivery.py
@@ -113,6 +113,12 @@
     context.follower._on_beat(control, beat)
 
 
+@when('it subscribes at "{control}", which sends it a beat of revision {revision:d}')
+def subscribes_and_gets_beat(context, control, revision):
+    context.follower.subscribe(control, wants_changes=False)
+    sends_beat(context, control, revision)
+
+
 @then('it asked "{control}" for what came after revision {revision:d}')
 def it_asked(context, control, revision):
     asked = context.network.posted_by_peer[control][-1]
