--- a/mothshunt/isolation/coordinator.py
+++ b/mothshunt/isolation/coordinator.py
@@ -89,7 +89,7 @@
     async def async_start(self) -> None:
         """Start to compute the state at intervals."""
         self.metrics.gauge(const.METRIC_ISOLATED, lambda: float(self.is_isolated))
-        self.state.tracker.last_response_at = self.clock.monotonic()
+        self.state.tracker.last_contact_at = self.clock.monotonic()
         await self.relay_client.pool.async_start()
         self._task = start_background("isolation", self._async_run)
 
@@ -325,7 +325,7 @@
     def _update(self, now: float) -> None:
         before = self.state.phase
         if before is Phase.CONNECTED:
-            quiet_s = now - self.state.tracker.last_response_at
+            quiet_s = now - self.state.tracker.last_contact_at
             if quiet_s < const.MIN_QUIET_S:
                 return
         if self.state.update(self._surroundings(), now):
@@ -367,7 +367,7 @@
         self.metrics.count(const.METRIC_BEGUN)
         log.write(
             IsolationBegan(
-                quiet_ms=int((now - tracker.last_response_at) * 1000),
+                quiet_ms=int((now - tracker.last_contact_at) * 1000),
                 targets=evidence.targets,
                 nats=round(evidence.nats, 1),
                 relays=len(self.roster.ready_entries(now)) - 1,
--- a/mothshunt/isolation/state.py
+++ b/mothshunt/isolation/state.py
@@ -24,9 +24,9 @@
     sent_at: float
     expected_s: float
 
-    def nats(self, last_response_at: float, now: float) -> float:
-        """Return the evidence of the time since the last response of any target."""
-        until_then = _silence_nats(last_response_at - self.sent_at, self.expected_s)
+    def nats(self, last_contact_at: float, now: float) -> float:
+        """Return the evidence of the time since the last contact with a target."""
+        until_then = _silence_nats(last_contact_at - self.sent_at, self.expected_s)
         return _silence_nats(now - self.sent_at, self.expected_s) - until_then
 
 
@@ -38,14 +38,14 @@
 
 @dataclass(slots=True)
 class ContactTracker:
-    """Attempts at targets since the last response of any target.
+    """Attempts at targets since the last contact with any target.
 
-    :param last_response_at: Time of the last response of any target, or of the last
-        bytes of one, in seconds.
+    :param last_contact_at: Time at which a response of any target, or a part of one,
+        was last received, in seconds.
     :param last_tick_at: Time of the last ``tick``, in seconds.
     """
 
-    last_response_at: float = 0.0
+    last_contact_at: float = 0.0
     last_tick_at: float = 0.0
     _pending_by_key: dict[Hashable, _Pending] = field(default_factory=dict)
     _failed: list[_Failed] = field(default_factory=list)
@@ -91,7 +91,7 @@
         """
         self._pending_by_key.pop(key, None)
         self._failed.clear()
-        self.last_response_at = now
+        self.last_contact_at = now
 
     def record_received(self, received_at: float) -> None:
         """Record that bytes of a target were received, such as a part of a response.
@@ -101,8 +101,8 @@
 
         :param received_at: Time at which they were received, in seconds.
         """
-        if received_at > self.last_response_at:
-            self.last_response_at = received_at
+        if received_at > self.last_contact_at:
+            self.last_contact_at = received_at
             self._failed = [f for f in self._failed if f.failed_at > received_at]
 
     def record_failure(self, key: Hashable, now: float) -> None:
@@ -114,9 +114,9 @@
         self._forget_after_suspension(now)
         pending = self._pending_by_key.pop(key, None)
         if pending is not None:
-            # What it waited for before the last response proves nothing.
+            # What it waited before the last contact proves nothing.
             waited_s = now - pending.sent_at
-            quiet_s = now - max(pending.sent_at, self.last_response_at)
+            quiet_s = now - max(pending.sent_at, self.last_contact_at)
             share = quiet_s / waited_s if waited_s > 0 else 1.0
             nats = const.NATS_PER_FAILURE * share
             self._failed.append(_Failed(pending.place, now, nats))
@@ -129,7 +129,7 @@
         self._pending_by_key.pop(key, None)
 
     def evidence(self, now: float) -> Evidence:
-        """Return what speaks for an isolation since the last response.
+        """Return what speaks for an isolation since the last contact.
 
         :param now: The present time, in seconds.
         """
@@ -139,7 +139,7 @@
             if failed.failed_at >= oldest:
                 nats_by_place[failed.place] += failed.nats
         for pending in self._pending_by_key.values():
-            nats_by_place[pending.place] += pending.nats(self.last_response_at, now)
+            nats_by_place[pending.place] += pending.nats(self.last_contact_at, now)
         nats_by_service: dict[ServiceName, float] = defaultdict(float)
         nats_by_zone: dict[AvailabilityZoneId, float] = defaultdict(float)
         for place, nats in nats_by_place.items():
@@ -155,12 +155,12 @@
         )
 
     def is_out_of_contact(self, surroundings: Surroundings, now: float) -> bool:
-        """Whether the attempts since the last response tell of an isolation.
+        """Whether the attempts since the last contact tell of an isolation.
 
         :param surroundings: Targets of the region.
         :param now: The present time, in seconds.
         """
-        if now - self.last_response_at < const.MIN_QUIET_S:
+        if now - self.last_contact_at < const.MIN_QUIET_S:
             return False
         if surroundings.targets < const.MIN_KNOWN_TARGETS:
             return False
@@ -215,12 +215,12 @@
         """
         phase = self.phase
         if self.phase is Phase.ISOLATED:
-            if self.tracker.last_response_at > self.phase_since:
+            if self.tracker.last_contact_at > self.phase_since:
                 self._set_phase(Phase.RECOVERING, now)
         elif self.tracker.is_out_of_contact(surroundings, now):
             if phase is Phase.CONNECTED:
                 self.began_at = now
-            if self.tracker.last_response_at > self._recovered_at:
+            if self.tracker.last_contact_at > self._recovered_at:
                 # The connection that ended the last isolation was no mistake.
                 self._connect_proof_s = const.CONNECT_PROOF_S
             self._set_phase(Phase.ISOLATED, now)
--- a/tests/support/isolation_world.py
+++ b/tests/support/isolation_world.py
@@ -197,7 +197,7 @@
         heapq.heapify(self._events)
 
     def _update(self):
-        if self.now - self.state.tracker.last_response_at >= const.MIN_QUIET_S:
+        if self.now - self.state.tracker.last_contact_at >= const.MIN_QUIET_S:
             self._peak = max(self._peak, self.state.tracker.evidence(self.now).nats)
         is_changed = self.state.update(SURROUNDINGS, self.now)
         if is_changed and self.state.phase is Phase.ISOLATED:
