--- a/tests/load_sharing/queues.feature
+++ b/tests/load_sharing/queues.feature
@@ -32,6 +32,14 @@
       | 16   | 3       | 4       | shares         |
       | 8    | 3       | 18      | shares         |
 
+  # Guards against more rejected requests: there the objects of a workspace have few
+  # targets, and passing over a busy one gains nothing.
+  Scenario: Queues don't count where workspaces divide the deployment
+    Given 16 of 16 targets have a queue of 3 requests for each slot
+    And workspaces divide the deployment
+    When an entry instance of 18 gets 5 responses of each target
+    Then it does not share loads
+
   Scenario: Loads are no longer shared some time after the queues have ended
     Given 16 of 16 targets have a queue of 3 requests for each slot
     When an entry instance of 18 gets 5 responses of each target
--- a/tests/steps/load_sharing_queues.py
+++ b/tests/steps/load_sharing_queues.py
@@ -65,6 +65,11 @@
     context.condition = SharingCondition()
 
 
+@given("workspaces divide the deployment")
+def workspaces(context):
+    context.condition.has_workspaces = True
+
+
 @when("an entry instance of {entries:d} gets {count:d} responses of each target")
 def responses(context, entries, count):
     context.entries = entries
