Send again what a member missed, however often the log is read

What callers saw: reported by other operators: disks of control instances were full one after another, and long after the last had room again, changes were refused or stayed unanswered, while all processes ran.

Cause: the leader looked for appends without an answer only when a heartbeat was due, and each read that is confirmed by a majority puts the heartbeats off. Members that are started again in turn all stay behind, and with two more gone there is no majority that can take a change.

Change: what is late is looked for at a time of its own, which nothing else moves and which the node's timer knows.

--- a/mothshunt/consensus/node.py
+++ b/mothshunt/consensus/node.py
@@ -48,7 +48,9 @@
     def due_at(self) -> float:
         """Return the monotonic time at which ``tick`` is due, in seconds."""
         leading = self.state.leading
-        return self.state.election_due if leading is None else leading.heartbeat_due
+        if leading is None:
+            return self.state.election_due
+        return min(leading.heartbeat_due, leading.check_due)
 
     def tick(self, now: float) -> Outputs:
         """Do what time asks for.
@@ -68,11 +70,13 @@
             election.become_follower(state, state.term, None, now)
             return
         transfer.give_up_if_late(leading, now)
-        if now < leading.heartbeat_due:
-            return
-        reads.start_round(state, leading, now)
-        for progress in tuple(leading.progress_by_replica.values()):
-            replication.resend_if_late(state, progress, now)
+        # Reads put the next heartbeats off, so what is late has a time of its own.
+        if now >= leading.check_due:
+            leading.check_due = now + state.config.heartbeat_s
+            for progress in tuple(leading.progress_by_replica.values()):
+                replication.resend_if_late(state, progress, now)
+        if now >= leading.heartbeat_due:
+            reads.start_round(state, leading, now)
 
     def leader_lost(self, now: float) -> Outputs:
         """Expect no more from the leader, to which no stream leads any longer.
--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -142,6 +142,8 @@
     :param first_index: Index of its first entry; reads wait until it is committed.
     :param round: Last round of heartbeats begun.
     :param heartbeat_due: Monotonic time of the next one, in seconds.
+    :param check_due: Monotonic time at which appends without an answer are looked for
+        next, in seconds.
     :param reads: Reads that wait for a round.
     :param early_reads: Tokens of reads that wait for the first commit.
     :param transfer_to: Replica that is to take over; 0 for none.
@@ -153,6 +155,7 @@
     first_index: LogIndex
     round: int = 0
     heartbeat_due: float = 0.0
+    check_due: float = 0.0
     reads: list[PendingRead] = field(default_factory=list)
     early_reads: list[int] = field(default_factory=list)
     transfer_to: ReplicaId = NO_REPLICA
--- a/tests/support/consensus_timed.py
+++ b/tests/support/consensus_timed.py
@@ -1,6 +1,7 @@
 """Pure nodes that start together, with a way and a disk that take their time."""
 
 import heapq
+import math
 from itertools import count
 from random import Random
 
@@ -13,6 +14,8 @@
 CONFIG = ConsensusConfig(is_self_managed=True, is_founded_by_majority=True)
 #: Times between the starts of the first and the last instance, in seconds.
 START_SPREAD_S = 0.05
+#: Time after which a condition is given up, in seconds.
+LIMIT_S = 30.0
 
 
 class TimedNodes:
@@ -38,14 +41,14 @@
             Member(id=name, host="127.0.0.1", port=1, replica=number)
             for number, name in enumerate(names, 1)
         )
-        membership = Membership(voters=voters)
+        self._membership = Membership(voters=voters)
         for voter in voters:
             if voter.id in down:
                 continue
             self._at(
                 self.random.uniform(0.0, START_SPREAD_S),
                 self._start,
-                (voter, membership),
+                (voter, self._membership),
             )
 
     def _at(self, when, action, arguments):
@@ -103,6 +106,42 @@
                 return name
         return None
 
+    def run_until(self, condition, until=math.inf):
+        """Run until a condition holds, or some time; at most half a minute more."""
+        limit = self.now + LIMIT_S
+        while not condition() and self._events and self._events[0][0] < until:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            if self.now > limit:
+                return
+            action(*arguments)
+
+    def start(self, name):
+        """Start a voter that was down."""
+        self._start(self._membership.find(name), self._membership)
+
+    def perform(self, name, outputs):
+        """Do what a node decided, and have it woken in time."""
+        self._perform(name, outputs)
+        self._arm(name)
+
+    def propose(self, name, command):
+        """Propose a command at a leader; return whether it takes it."""
+        outputs = self.node_by_id[name].propose([command], self.now)
+        if outputs is not None:
+            self.perform(name, outputs)
+        return outputs is not None
+
+    def read_each(self, name, interval_s):
+        """Read at a node from now on, at an interval."""
+        token = next(self._numbers)
+        self.perform(name, self.node_by_id[name].read([token], self.now))
+        self._at(self.now + interval_s, self.read_each, (name, interval_s))
+
+    def lose_messages_on_their_way(self):
+        """Lose all messages that are on their way."""
+        self._events = [e for e in self._events if e[2] != self._deliver]
+        heapq.heapify(self._events)
+
     def run_until_led(self, most_s):
         """Run until there is a leader, and return the time."""
         while self.leader() is None:
