Share loads for queues only where machines of targets are slow at times

Cause: queues there are short and end soon; the estimate by shared figures passes over targets that would have answered in time.

Change: the condition on queues holds only where a target reported that its machine is slow, as the one on the number of instances does; the one on workspaces is gone.

--- a/mothshunt/load_sharing/activity.py
+++ b/mothshunt/load_sharing/activity.py
@@ -12,19 +12,18 @@
     """Condition on which loads are shared.
 
     An instance that is one of dozens sees few responses of each target. Where the
-    machines of the targets are slow at times, its figures say too little. Where
-    requests wait at the targets, they say too little in smaller deployments too: queues
-    last longer than the figures, and a request that is sent to a full target in the
-    belief that it is idle is rejected or late. Queues don't count where workspaces
-    divide the deployment: their objects have few targets each, in one region, and more
-    requests were rejected with shared loads than without.
+    machines of the targets are slow at times, its figures say too little. While
+    requests wait at such targets, they say too little in smaller deployments too:
+    queues last longer than the figures, and a request that is sent to a full target in
+    the belief that it is idle is rejected or late.
+
+    Without slow machines queues alone don't count: there more requests were rejected
+    with shared loads than without.
 
     :param has_slowdowns: Whether a target reported that its machine is slow.
-    :param has_workspaces: Whether workspaces divide the deployment.
     """
 
     has_slowdowns: bool = False
-    has_workspaces: bool = False
     _queue_by_service: dict[ServiceName, float] = field(default_factory=dict)
     _long_queue_at: float = float("-inf")
 
@@ -58,10 +57,10 @@
         :param now: The present time, in seconds.
         :param is_active: Whether they are shared at present.
         """
-        counts_queues = (
-            entries >= const.MIN_ENTRIES_WITH_QUEUES and not self.has_workspaces
-        )
-        if counts_queues and self.has_queues(now):
-            return True
-        enough = const.MIN_ENTRIES_TO_STAY if is_active else const.MIN_ENTRIES
+        if self.has_queues(now):
+            enough = const.MIN_ENTRIES_WITH_QUEUES
+        elif is_active:
+            enough = const.MIN_ENTRIES_TO_STAY
+        else:
+            enough = const.MIN_ENTRIES
         return self.has_slowdowns and entries >= enough
--- a/mothshunt/load_sharing/coordinator.py
+++ b/mothshunt/load_sharing/coordinator.py
@@ -71,7 +71,6 @@
         :param configuration: The configuration in force.
         """
         self._workspaces = len(configuration.routing.workspace_by_name)
-        self.condition.has_workspaces = self._workspaces > 0
         self._update_activity(self.clock.monotonic())
 
     def _update_activity(self, now: float) -> None:
--- a/mothshunt/settings/config.py
+++ b/mothshunt/settings/config.py
@@ -116,8 +116,8 @@
     :param relays_when_isolated: Whether an entry instance that reaches no target relays
         requests through another entry instance.
     :param shares_target_loads: Whether entry instances may share what they learn of the
-        loads of targets. They do it while requests wait at the targets, and if there
-        are dozens of instances and targets report that their machines are slow.
+        loads of targets. They do it if targets report that their machines are slow, and
+        there are dozens of instances or requests wait at the targets.
     """
 
     __pydantic_config__ = _STRICT
