Look for late appends from the first moment a node leads, whatever its clock shows

Cause: let the first such look be due at 0 on the monotonic clock. The nodes of that test have clocks below 0.

Change: it is due at once. On clocks above 0, as here, nothing changes: 0 was past.

--- a/mothshunt/consensus/state.py
+++ b/mothshunt/consensus/state.py
@@ -155,7 +155,7 @@
     first_index: LogIndex
     round: int = 0
     heartbeat_due: float = 0.0
-    check_due: float = 0.0
+    check_due: float = float("-inf")
     reads: list[PendingRead] = field(default_factory=list)
     early_reads: list[int] = field(default_factory=list)
     transfer_to: ReplicaId = NO_REPLICA
