--- a/review/standins.py
+++ b/review/standins.py
@@ -217,6 +217,16 @@
             self._async_serve, self.ip, PORT_SERVER
         )
 
+    @property
+    def region(self) -> str:
+        """Region that it runs in."""
+        return ZONES[self.zone]
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections from now on."""
+        if self._listener is not None:
+            self._listener.close()
+
     async def async_stop(self) -> None:
         """Stop listening."""
         if self._listener is not None:
@@ -323,6 +333,11 @@
         self.folder = folder
         self.popen: subprocess.Popen[bytes] | None = None
 
+    @property
+    def region(self) -> str:
+        """Region of the process."""
+        return ZONES[self.zone]
+
     def write_settings(self, seeds: list[str], *, is_first: bool) -> None:
         """Write the settings file as the platform does.
 
@@ -544,6 +559,7 @@
         deadline_ms: int = 2500,
         wait_s: float = 2.5,
         body: bytes = b"",
+        headers: dict[str, str] | None = None,
     ) -> tuple[str, bytes]:
         """Send a request of a client; return what came of it, and the body.
 
@@ -555,11 +571,13 @@
         :param deadline_ms: Time that the client says it will wait.
         :param wait_s: Time that it does wait, in seconds.
         :param body: Body of the request.
+        :param headers: Further header fields.
         """
-        headers = {
+        fields = {
             "Host": host,
             "Mothshunt-Attempt-Id": attempt,
             "Mothshunt-Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
         }
         began_at = time.monotonic()
         content = b""
@@ -569,7 +587,7 @@
                 entry.ip,
                 PORT_FRONTEND,
                 path,
-                headers=headers,
+                headers=fields,
                 body=body,
                 timeout_s=wait_s,
             )
