--- a/review/standins.py
+++ b/review/standins.py
@@ -200,12 +200,13 @@
         self.zone = zone
         self.ran: list[str] = []
         self.is_reporting = True
+        self.state = "ready"
+        self.acknowledged = 0
         self.on_request: (
             Callable[[Server, dict[str, str], asyncio.StreamWriter], Awaitable[bool]]
             | None
         ) = None
         self._record = record
-        self._born = int(time.time() * 1000)
         self._sequence = 0
         self._listener: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -244,10 +245,9 @@
             "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
-            "state": "ready",
+            "state": self.state,
             "cold_remaining": "0ms",
             "sequence": self._sequence,
-            "born": self._born,
         }
 
     def answer(self, headers: dict[str, str], body: bytes) -> bytes:
@@ -475,16 +475,16 @@
         """
         self._tasks.append(asyncio.create_task(work))
 
-    async def async_add_server(self, service: str) -> Server:
+    async def async_add_server(self, service: str, ip: str | None = None) -> Server:
         """Start a server of a service, which reports from now on.
 
         :param service: Name of the service.
+        :param ip: Address that a server had that has ended; ``None`` for a new one.
         """
         number = len(self.servers)
         zone = list(ZONES)[number % 3]
-        server = Server(
-            number, service, f"{self.net}.{100 + number}", zone, self.record
-        )
+        ip = ip or f"{self.net}.{100 + number}"
+        server = Server(number, service, ip, zone, self.record)
         await server.async_start()
         self.servers.append(server)
         self.start(self._async_report(server))
@@ -499,6 +499,12 @@
             for control in at if server.is_reporting else []:
                 status = await self.async_order_once(control, "POST", path, body)
                 if 200 <= status[0] < 300:
+                    server.acknowledged += 1
+                    if server.acknowledged == 1:
+                        self.record.write(
+                            f"{control.name} acknowledges the first report of"
+                            f" {server.id}"
+                        )
                     break
             await asyncio.sleep(HEARTBEAT_S)
 
