--- a/review/standins.py
+++ b/review/standins.py
@@ -60,6 +60,8 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 MAX_HEAD_BYTES = 65536
+#: A case that takes longer could not run.
+MAX_CASE_S = 110.0
 
 Reply = tuple[int, dict[str, str], bytes]
 
@@ -712,7 +714,13 @@
     record.write(f"trouble: {'yes' if has_trouble() else 'no'}")
     try:
         has_held = asyncio.run(_async_run(case, record))
-    except (CaseNotRunError, OSError, TimeoutError) as error:
+    except (
+        asyncio.CancelledError,
+        asyncio.IncompleteReadError,
+        CaseNotRunError,
+        OSError,
+        TimeoutError,
+    ) as error:
         record.write(f"the case could not run: {error!r}")
         sys.exit(EXIT_NOT_RUN)
     record.write("the rule held" if has_held else "the rule was broken")
@@ -720,5 +728,9 @@
 
 
 async def _async_run(case: Callable[[Record], Awaitable[bool]], record: Record) -> bool:
-    async with asyncio.timeout(110):
+    task = asyncio.current_task()
+    if task is not None:
+        # The processes of the deployment are ended also when the case is.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(MAX_CASE_S):
         return await case(record)
