--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -55,6 +56,8 @@
 }
 HEARTBEAT_S = 1.5
 SLOTS = 6
+#: Control processes that the settings name.
+SEEDS = 3
 START_TIMEOUT_S = 40.0
 EXIT_HELD = 0
 EXIT_BROKEN = 1
@@ -333,6 +336,7 @@
         self.zone = zone
         self.is_core = is_core
         self.folder = folder
+        self.losses = 1
         self.popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -373,7 +377,7 @@
             "entry": "directory",
             "heartbeat": f"{int(HEARTBEAT_S * 1000)}ms",
             "contracts": ["base", "drain", "config", "cost", "retry", "recover"],
-            "fault_tolerance": {"nodes": 1, "zones": 1, "regions": 1},
+            "fault_tolerance": {"nodes": self.losses, "zones": 1, "regions": 1},
             "bounds": BOUNDS,
             "config_mode": "parts",
         }
@@ -404,6 +408,10 @@
         """Whether the process was started and has not ended."""
         return self.popen is not None and self.popen.poll() is None
 
+    def lose_disk(self) -> None:
+        """Empty the folder of its data."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
     def kill(self) -> None:
         """Kill the process, and wait for its end."""
         if self.popen is not None and self.is_running():
@@ -416,16 +424,18 @@
 
     :param record: Record of the run.
     :param entries: Number of entry processes.
+    :param controls: Number of control processes; the first three are the seeds.
     """
 
-    def __init__(self, record: Record, entries: int = 3) -> None:
+    def __init__(self, record: Record, entries: int = 3, controls: int = 3) -> None:
         self.record = record
         self._folder = tempfile.TemporaryDirectory()
+        self._control_count = controls
         self.net = _free_net()
         zones = list(ZONES)
         self.controls = [
             self._process("core", number, zones[number % 3], is_core=True)
-            for number in range(3)
+            for number in range(controls)
         ]
         self.entries = [
             self._process("edge", number, zones[number % 3], is_core=False)
@@ -436,9 +446,8 @@
 
     async def __aenter__(self) -> Self:
         """Start all processes for the first time."""
-        seeds = [f"{control.ip}:{PORT_CONTROL}" for control in self.controls]
         for process in self.processes:
-            process.write_settings(seeds, is_first=True)
+            process.write_settings(self._seeds(), is_first=True)
             process.start()
         return self
 
@@ -462,13 +471,17 @@
         folder = Path(self._folder.name) / f"{kind}-{number}"
         folder.mkdir()
         ip = f"{self.net}.{number + (10 if is_core else 20)}"
-        return Process(f"{kind}-{zone}-{number}", ip, zone, folder, is_core=is_core)
+        process = Process(f"{kind}-{zone}-{number}", ip, zone, folder, is_core=is_core)
+        process.losses = (self._control_count - 1) // 2
+        return process
 
     def mark_restarts(self) -> None:
         """Write the settings of processes that start again: ``bootstrap`` is false."""
-        seeds = [f"{control.ip}:{PORT_CONTROL}" for control in self.controls]
         for process in self.processes:
-            process.write_settings(seeds, is_first=False)
+            process.write_settings(self._seeds(), is_first=False)
+
+    def _seeds(self) -> list[str]:
+        return [f"{control.ip}:{PORT_CONTROL}" for control in self.controls[:SEEDS]]
 
     def start(self, work: Coroutine[Any, Any, None]) -> None:
         """Run something until the deployment ends.
