--- a/review/standins.py
+++ b/review/standins.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any, Self
 
@@ -215,7 +215,7 @@
         self._sequence = 0
         self._listener: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._running = 0
+        self.running = 0
 
     async def async_start(self) -> None:
         """Listen for requests."""
@@ -274,8 +274,8 @@
             "HTTP/1.1 200 OK",
             f"Mothshunt-Attempt-Id: {attempt}",
             f"Mothshunt-Response-Seal: {self.id}.{attempt}",
-            f"Mothshunt-Server-Load: {min(self._running, SLOTS)},"
-            f"{max(0, self._running - SLOTS)},{SLOTS}",
+            f"Mothshunt-Server-Load: {min(self.running, SLOTS)},"
+            f"{max(0, self.running - SLOTS)},{SLOTS}",
             "Keep-Alive: timeout=10",
             *fields,
         )
@@ -303,7 +303,7 @@
                 attempt = headers.get("mothshunt-attempt-id", "")
                 self.ran.append(attempt)
                 self._record.write(f"{self.id} runs {attempt}")
-                self._running += 1
+                self.running += 1
                 try:
                     if self.on_request is None or not await self.on_request(
                         self, headers, writer
@@ -311,7 +311,7 @@
                         writer.write(self.answer(headers, b"done"))
                     await writer.drain()
                 finally:
-                    self._running -= 1
+                    self.running -= 1
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
@@ -548,7 +548,13 @@
             return 0, {}, b""
 
     async def async_order(
-        self, method: str, path: str, document: object = None, timeout_s: float = 10.0
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        timeout_s: float = 10.0,
+        pause_s: float = 0.2,
+        controls: Sequence[Process] = (),
     ) -> Reply:
         """Send an order of the operator until it has a clear answer.
 
@@ -556,16 +562,18 @@
         :param path: Path of the call.
         :param document: Body of the call, sent as JSON.
         :param timeout_s: Longest time to send it again, in seconds.
+        :param pause_s: Pause before it is sent again, in seconds.
+        :param controls: Control processes that the operator knows; all by default.
         """
         body = b"" if document is None else json.dumps(document).encode()
         ends_at = time.monotonic() + timeout_s
         reply: Reply = (0, {}, b"")
         while time.monotonic() < ends_at:
-            control = random.choice(self.controls)
+            control = random.choice(controls or self.controls)
             reply = await self.async_order_once(control, method, path, body)
             if reply[0] and reply[0] < 500:
                 break
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(pause_s)
         self.record.write(f"operator {method} {path} -> {reply[0]}")
         return reply
 
