Keep a route, service or limits whose time is beyond a float

Cause: float() of such a text is infinite, the checks compare with 0 only, and JSON stores infinity as null, which the decoder of stored items refuses; the item is left out.

Evidence: the line "configuration item could not be decoded; ignored" of every instance names the route and timeout_s. The tests failed before the change: platform/documents 5 examples, admin/routing 4, routing/merge 1.

Change: the platform doesn't limit the digits of a time, so a longer one than 1e9 s is valid and in force as 1e9 s; the document is read back as it was sent. The administration API refuses such numbers with code 3005 and their place. A null that an earlier release has stored is read as 1e9, with the stored bytes left as they are, so that the digests of both releases agree. cold_remaining goes on to be cut to an hour.

--- a/mothshunt/admin/routing_model.py
+++ b/mothshunt/admin/routing_model.py
@@ -21,7 +21,7 @@
     TargetId,
     WorkspaceName,
 )
-from mothshunt.routing.const import MAX_NAME_LENGTH
+from mothshunt.routing.const import LARGEST_NUMBER, MAX_NAME_LENGTH
 from mothshunt.routing.messages import PatchRouting
 from mothshunt.routing.model import (
     LimitsItem,
@@ -42,7 +42,14 @@
 
 Text = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
 Version = Annotated[ItemVersion, Field(ge=0, lt=2**62)]
-Milliseconds = Annotated[float, Field(ge=0)]
+MAX_MILLISECONDS = LARGEST_NUMBER * MILLISECONDS_PER_SECOND
+Milliseconds = Annotated[float, Field(ge=0, le=MAX_MILLISECONDS)]
+#: Items are stored as JSON, which has no infinity.
+FiniteNumber = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
+def _milliseconds(duration_s: float) -> float:
+    return min(duration_s * MILLISECONDS_PER_SECOND, MAX_MILLISECONDS)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,7 +63,7 @@
     __pydantic_config__ = _STRICT
 
     service: Annotated[ServiceName, Text]
-    weight: Annotated[float, Field(ge=0)] = 1.0
+    weight: FiniteNumber = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,8 +116,8 @@
             host=route.host,
             path_prefix=route.path_prefix,
             kind=route.kind,
-            timeout_ms=route.timeout_s * MILLISECONDS_PER_SECOND,
-            target_latency_ms=route.target_latency_s * MILLISECONDS_PER_SECOND,
+            timeout_ms=_milliseconds(route.timeout_s),
+            target_latency_ms=_milliseconds(route.target_latency_s),
             services=tuple(
                 WeightedServiceDocument(service=part.service, weight=part.weight)
                 for part in route.services
@@ -165,7 +172,7 @@
     health_path: Text = "/healthz"
     max_connections: Annotated[int, Field(ge=0)] = 100
     cold_start_ms: Milliseconds = 0.0
-    cold_requests_per_s: Annotated[float, Field(ge=0)] = 0.0
+    cold_requests_per_s: FiniteNumber = 0.0
 
     @classmethod
     def from_item(cls, service: Service, version: ItemVersion) -> "ServiceDocument":
@@ -179,7 +186,7 @@
             version=version,
             health_path=service.health_path,
             max_connections=service.max_connections,
-            cold_start_ms=service.cold_start_s * MILLISECONDS_PER_SECOND,
+            cold_start_ms=_milliseconds(service.cold_start_s),
             cold_requests_per_s=service.cold_requests_per_s,
         )
 
@@ -227,8 +234,8 @@
             version=item.version,
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
-            header_timeout_ms=limits.header_timeout_s * MILLISECONDS_PER_SECOND,
-            idle_timeout_ms=limits.idle_timeout_s * MILLISECONDS_PER_SECOND,
+            header_timeout_ms=_milliseconds(limits.header_timeout_s),
+            idle_timeout_ms=_milliseconds(limits.idle_timeout_s),
         )
 
     def item(self) -> LimitsItem:
--- a/mothshunt/platform/documents.py
+++ b/mothshunt/platform/documents.py
@@ -39,6 +39,8 @@
 OPERATOR = OperatorId("platform")
 MAX_INT = 2**62
 MILLISECONDS_PER_SECOND = 1000
+#: Longest time for which a target counts as cold after a report, in seconds.
+MAX_COLD_S = 3600.0
 _KIND_BY_WORD = {
     names.KIND_SAFE: RequestKind.IDEMPOTENT,
     names.KIND_DOWNLOAD: RequestKind.IDEMPOTENT,
@@ -82,7 +84,9 @@
     if word not in _STATE_BY_WORD:
         raise BadValueError("state", "no such state")
     # How long it stays cold after this report, not since its start.
-    cold_s = values.seconds(document.get("cold_remaining", "0ms"), "cold_remaining")
+    cold_s = values.seconds(
+        document.get("cold_remaining", "0ms"), "cold_remaining", MAX_COLD_S
+    )
     return Renewal(
         target=TargetId(values.text(target, "id")),
         incarnation=read_incarnation(document) or Incarnation(0),
@@ -95,7 +99,7 @@
         release=values.text(document.get("version", "-"), "version"),
         slots=values.whole(document.get("slots"), "slots", 1, 100_000),
         state=_STATE_BY_WORD[word],
-        cold_ms=int(min(cold_s, 3600.0) * MILLISECONDS_PER_SECOND),
+        cold_ms=int(cold_s * MILLISECONDS_PER_SECOND),
     )
 
 
--- a/mothshunt/platform/values.py
+++ b/mothshunt/platform/values.py
@@ -5,6 +5,8 @@
 import re
 from typing import Any
 
+from mothshunt.routing.const import LARGEST_NUMBER
+
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$", re.ASCII)
 _VERSION = re.compile(r"^r(\d{1,18})$", re.ASCII)
 _SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0}
@@ -21,17 +23,21 @@
         super().__init__(f"{path}: {problem}")
 
 
-def seconds(value: Any, path: str) -> float:
+def seconds(value: Any, path: str, most_s: float = LARGEST_NUMBER) -> float:
     """Read a time such as ``1500ms`` or ``2.5s``, in seconds.
 
+    The platform sets no limit to the digits of a time; a longer one than the greatest
+    result is valid and read as that.
+
     :param value: The value.
     :param path: Place in the document.
+    :param most_s: Greatest result, in seconds.
     :raises BadValueError: When it is no time.
     """
     match = _DURATION.match(value) if isinstance(value, str) else None
     if match is None:
         raise BadValueError(path, "not a time")
-    return float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+    return min(float(match[1]) * _SECONDS_BY_UNIT[match[2]], most_s)
 
 
 def version(value: Any, path: str) -> int:
--- a/mothshunt/routing/const.py
+++ b/mothshunt/routing/const.py
@@ -6,6 +6,9 @@
 MAX_KEY_LENGTH = 255
 #: Digits of a key's digest that operators are shown: 48 bits tell 10,000 keys apart.
 DIGEST_PREFIX_LENGTH = 12
+#: Number that stands for greater ones, infinity included; as a time in seconds, 30
+#: years.
+LARGEST_NUMBER = 1e9
 #: Number of targets that are recorded as leaving or left; a deployment replaces far
 #: fewer in an hour, and each record takes about 100 bytes.
 MAX_RETIRED_TARGETS = 4096
--- a/mothshunt/routing/model.py
+++ b/mothshunt/routing/model.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator
 
 from mothshunt.core.types import (
     AvailabilityZoneId,
@@ -15,6 +18,15 @@
     TargetId,
     WorkspaceName,
 )
+from mothshunt.routing.const import LARGEST_NUMBER
+
+
+def _from_stored_number(value: Any) -> Any:
+    # Earlier releases accepted infinite numbers, which JSON stores as null.
+    return LARGEST_NUMBER if value is None else value
+
+
+Number = Annotated[float, BeforeValidator(_from_stored_number)]
 
 
 class RequestKind(Enum):
@@ -33,7 +45,7 @@
     """
 
     service: ServiceName
-    weight: float
+    weight: Number
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,8 +74,8 @@
     host: HostName
     path_prefix: str
     kind: RequestKind
-    timeout_s: float
-    target_latency_s: float
+    timeout_s: Number
+    target_latency_s: Number
     priority: int
     services: tuple[WeightedService, ...]
     max_attempts: int
@@ -94,8 +106,8 @@
     name: ServiceName
     health_path: str
     max_connections: int
-    cold_start_s: float
-    cold_requests_per_s: float
+    cold_start_s: Number
+    cold_requests_per_s: Number
     document: str
 
 
@@ -137,8 +149,8 @@
 
     max_header_bytes: int
     max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    header_timeout_s: Number
+    idle_timeout_s: Number
     document: str
 
 
--- a/tests/admin/routing.feature
+++ b/tests/admin/routing.feature
@@ -46,6 +46,10 @@
       | {"workspaces": [{"name": "w", "version": 1, "keys": [7]}]}  | 3005 /workspaces/0/keys/0       |
       | {"workspaces": [{"name": "w", "version": 1, "burst": -1}]}  | 3005 /workspaces/0/burst        |
       | {"workspaces": [{"name": 7, "version": 1}]}                 | 3005 /workspaces/0/name         |
+      | {"services": [{"name": "s", "version": 1, "cold_start_ms": 1e400}]}          | 3005 /services/0/cold_start_ms       |
+      | {"services": [{"name": "s", "version": 1, "cold_requests_per_s": Infinity}]} | 3005 /services/0/cold_requests_per_s |
+      | {"limits": {"version": 1, "max_header_bytes": 1, "max_body_bytes": 1, "header_timeout_ms": "inf", "idle_timeout_ms": 1e309}} | 3005 /limits/header_timeout_ms, 3005 /limits/idle_timeout_ms |
+      | {"routes": [{"name": "r", "version": 1, "host": "h", "path_prefix": "/", "kind": "idempotent", "timeout_ms": 1e400, "target_latency_ms": 1e400, "services": [{"service": "s", "weight": 1e400}]}]} | 3005 /routes/0/timeout_ms, 3005 /routes/0/target_latency_ms, 3005 /routes/0/services/0/weight, 3005 /routes/0/services |
 
   Scenario: A workspace is set with keys, shown with digest prefixes, and dropped
     A key that is shown could be used by whoever may only read.
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -53,6 +53,25 @@
       | {"upsert":{"hosts":[{"host":"h","paths":[{"name":"r","path_prefix":"/","kind":"safe","timeout":"1s","target_latency":"1s","priority":0,"service":"s","max_attempts":1,"allow_anonymous":"no","version":"r1"}]}]}} |
       | {"remove":{"tenants":[{"name":"w"}]}}                                                   |
 
+  Scenario Outline: An item with a time that is too long for a float is kept
+    Guards against a change that is acknowledged, and whose route, service or limits are
+    gone because the stored item can't be decoded.
+    When the platform's operator sends a patch whose <member> is 400 digits long
+    Then the stored items that are read back are those that were sent
+
+    Examples:
+      | member                                |
+      | upsert/hosts/0/paths/0/timeout        |
+      | upsert/hosts/0/paths/0/target_latency |
+      | upsert/services/0/cold_start          |
+      | upsert/limits/header_timeout          |
+      | upsert/limits/idle_timeout            |
+
+  Scenario: A target that reports that it stays cold for too long to be a float is cold
+    Guards against a target that is unknown because one figure of its report is odd.
+    When the platform's target "i-1" reports '{"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4,"cold_remaining":"<400 nines>ms"}'
+    Then the renewal is cold for 3600000 ms
+
   Scenario Outline: A workspace whose values are out of range is refused as a whole
     Guards against a quota that rejects or admits everything by mistake.
     When the platform's operator sends '<patch>'
--- a/tests/routing/merge.feature
+++ b/tests/routing/merge.feature
@@ -69,3 +69,12 @@
   Scenario: A weighted split gives each service its part
     Then 1000 requests split 90 to 10 never differ from the weights by more than 1 request
     And a change of the weights resets the split
+
+  Scenario: Items that an earlier release stored with an infinite time stay in force
+    Guards against items that were acknowledged, and are gone after an update because
+    the stored time is null.
+    Given a replicated configuration
+    When a committed patch sets a route, a service and limits with infinite times
+    Then the route, the service and the limits are in force as they were sent
+    When the configuration is restored from its snapshot
+    Then the route, the service and the limits are in force as they were sent
--- a/tests/steps/platform_documents.py
+++ b/tests/steps/platform_documents.py
@@ -8,11 +8,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from mothshunt.configuration.decode import ItemDecoder
+from mothshunt.configuration.state import ReplicatedConfiguration
 from mothshunt.forwarding.request import read_reported_load
 from mothshunt.platform import documents, names
 from mothshunt.platform.settings import read_settings
 from mothshunt.platform.values import BadValueError
+from mothshunt.routing.applier import routing_items
 from mothshunt.routing.state import RoutingItems, merge
+from mothshunt.util import wire
 
 ZONES = {"z": "r"}
 SETTINGS = {
@@ -95,6 +99,7 @@
 @when("the platform's target \"{name}\" reports '{report}'")
 def target_reports(context, name, report):
     context.error = context.renewal = None
+    report = report.replace("<400 nines>", "9" * 400)
     try:
         document = documents.read_json(report.encode())
         context.renewal = documents.read_renewal(name, document, ZONES)
@@ -144,6 +149,25 @@
         context.error = error
 
 
+@when("the platform's operator sends a patch whose {member} is 400 digits long")
+def sends_long_time(context, member):
+    context.sent = copy.deepcopy(PATCH)
+    item = context.sent
+    *places, name = member.split("/")
+    for place in places:
+        item = item[int(place) if place.isdigit() else place]
+    item[name] = "9" * 400 + "ms"
+    sends_text(context, json.dumps(context.sent))
+
+
+@then("the stored items that are read back are those that were sent")
+def stored_read_back(context):
+    state = ReplicatedConfiguration()
+    state.apply(1, wire.unpack(wire.pack(context.patch)).ok)
+    items = routing_items(state.store, ItemDecoder())
+    assert documents.items_document(items) == context.sent["upsert"]
+
+
 @then("the patch is refused")
 def patch_refused(context):
     assert context.error is not None
--- a/tests/steps/routing_merge.py
+++ b/tests/steps/routing_merge.py
@@ -1,13 +1,21 @@
 """Steps for the merge of routing items."""
 
+import math
+from dataclasses import replace
+
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from mothshunt.admin.routing_model import RoutingDocument
+from mothshunt.configuration.decode import ItemDecoder
+from mothshunt.routing.applier import routing_items
 from mothshunt.routing.messages import PatchRouting
 from mothshunt.routing.model import (
+    LimitsItem,
     RequestKind,
+    RequestLimits,
     Route,
     RouteItem,
     Service,
@@ -16,7 +24,8 @@
 )
 from mothshunt.routing.split import WeightedSplit
 from mothshunt.routing.state import RoutingItems, merge
-from mothshunt.routing.table import routes_by_host
+from mothshunt.routing.table import build_table, routes_by_host
+from mothshunt.util import schema, wire
 
 HOST = "shop.example"
 
@@ -215,3 +224,42 @@
     changed = route("split", "/s/", (("a", 0.0), ("b", 10.0)))
     chosen = {context.split.next_service(changed) for _ in range(50)}
     assert chosen == {"b"}, chosen
+
+
+@when("a committed patch sets a route, a service and limits with infinite times")
+def infinite_times(context):
+    times = {"header_timeout_s": math.inf, "idle_timeout_s": math.inf}
+    limits = RequestLimits(
+        max_header_bytes=1, max_body_bytes=1, document='{"of":"limits"}', **times
+    )
+    service = replace(
+        service_item("s", 1).service, cold_start_s=math.inf, document='{"of":"s"}'
+    )
+    long_route = replace(
+        route("a", "/a/", timeout_s=math.inf),
+        target_latency_s=math.inf,
+        document='{"of":"a"}',
+    )
+    command = PatchRouting(
+        operator="op",
+        routes=(RouteItem(name="a", version=1, route=long_route),),
+        services=(ServiceItem(name="s", version=1, service=service),),
+        limits=LimitsItem(version=1, limits=limits),
+    )
+    context.state.apply(1, wire.unpack(wire.pack(command)).ok)
+
+
+@then("the route, the service and the limits are in force as they were sent")
+def items_in_force(context):
+    store = context.state.store
+    items = routing_items(store, ItemDecoder())
+    table = build_table(items, store, ItemDecoder())
+    found = table.find(HOST, "/a/x")
+    assert found is not None
+    assert math.isfinite(found.timeout_s), found
+    assert found.document == '{"of":"a"}'
+    assert table.service_by_name["s"].document == '{"of":"s"}'
+    assert table.limits is not None
+    assert table.limits.document == '{"of":"limits"}'
+    # The administration API shows them in milliseconds.
+    assert b"null" not in schema.to_json(RoutingDocument.from_items(items).routes)
