End responses at the deadline of their request, also midway

What callers saw: once the head of a response had come, its body had no time limit. Connections of non-idempotent requests stayed open after the caller had left.

Cause: the time limit of an attempt ends with the head, or with a body of up to 64 KiB whose length is known; any other body was copied without a limit, whatever its framing.

Evidence: such requests are logged as answered, and no line follows.

Change: the body must come until the deadline and 0.15 s, as heads must. Time for which the caller reads nothing is added; a body that was received whole is sent however late. Then the response is broken off, with a line that names the target. Responses by way of another entry instance take the same path; deployments by contracts had that limit.

--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -49,10 +49,6 @@
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-class AnswerBrokenOffError(Exception):
-    """Response that a target cut short after a part was sent to the caller."""
-
-
 @dataclass(kw_only=True, slots=True, eq=False)
 class TargetResponse:
     """Response of a target that can be sent to the caller.
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import aiohttp
 from aiohttp import web
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -16,12 +15,7 @@
 from mothshunt.dispatch.body import async_read_body
 from mothshunt.dispatch.request import end_to_end_headers
 from mothshunt.forwarding import codes, const
-from mothshunt.forwarding.attempt import (
-    AnswerBrokenOffError,
-    OutgoingRequest,
-    TargetClient,
-    TargetResponse,
-)
+from mothshunt.forwarding.attempt import OutgoingRequest, TargetClient
 from mothshunt.forwarding.authentication import (
     AUTHORIZATION,
     REJECTION_CODES,
@@ -41,6 +35,7 @@
     target_headers,
 )
 from mothshunt.forwarding.retry import RetryBudget, RetryState
+from mothshunt.forwarding.streaming import AnswerBrokenOffError, BodyStream
 from mothshunt.forwarding.trier import AttemptCoordinator
 from mothshunt.forwarding.tries import ChosenResponse
 from mothshunt.forwarding.workspace_metrics import WorkspaceCounters
@@ -297,10 +292,15 @@
         )
         if "Content-Length" not in headers:
             response.enable_chunked_encoding()
+        stream = BodyStream(
+            payload=target_response.payload,
+            deadline=outgoing.routed.deadline + const.TIMEOUT_GRACE_S,
+            clock=self._clock,
+        )
         try:
-            await async_wait_for_turn(request)
+            await stream.async_wait_for_caller(async_wait_for_turn(request))
             await response.prepare(request)
-            await _async_copy_body(target_response, response)
+            await stream.async_copy(response)
             await response.write_eof()
         except AnswerBrokenOffError as error:
             self._request_log.log_broken_off(
@@ -346,16 +346,3 @@
 
 def _response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     return end_to_end_headers(headers)
-
-
-async def _async_copy_body(
-    target_response: TargetResponse, response: web.StreamResponse
-) -> None:
-    while True:
-        try:
-            part = await target_response.payload.readany()
-        except (aiohttp.ClientError, OSError) as error:
-            raise AnswerBrokenOffError(str(error)) from error
-        if not part:
-            return
-        await response.write(part)
--- /dev/null
+++ b/tests/steps/forwarding_response_deadlines.py
@@ -0,0 +1,72 @@
+"""Steps for responses that targets don't complete before the deadline."""
+
+import asyncio
+import contextlib
+import time
+
+from behave import then, when
+
+from testkit.routed_entry import request_bytes
+from tests.steps.forwarding_attempts import body, is_complete_success, send
+
+RESPONSE_TIMEOUT_S = 5
+SMALL_RECEIVE_BUFFER_BYTES = 4096
+
+
+def timed(context, call):
+    began = time.monotonic()
+    context.answers = [call()]
+    context.took_ms = (time.monotonic() - began) * 1000
+
+
+@when('a routed caller times {method} "{path}"')
+def times(context, method, path):
+    timed(context, lambda: send(context, method, path))
+
+
+async def async_read_late(port, data, pause_s):
+    """Read a response after a pause in which the caller takes no bytes."""
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", port, limit=SMALL_RECEIVE_BUFFER_BYTES
+    )
+    writer.write(data)
+    await asyncio.sleep(pause_s)
+    answer = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+            while part := await reader.read(65536):
+                answer += part
+    writer.close()
+    return answer
+
+
+@when('a routed caller sends {method} "{path}" and reads nothing for {pause_ms:d} ms')
+def reads_late(context, method, path, pause_ms):
+    data = request_bytes(method, path)
+    reading = async_read_late(context.world.server.port, data, pause_ms / 1000)
+    timed(context, lambda: context.runner.run(reading))
+
+
+@when('a routed caller pipelines GET "{first}" and "{second}"')
+def pipelines(context, first, second):
+    requests = [
+        request_bytes("GET", path, request_id=f"id-{number}").replace(
+            b"Connection: close\r\n", b"Connection: close\r\n" if number else b""
+        )
+        for number, path in enumerate((first, second))
+    ]
+    data = b"".join(requests)
+    timed(context, lambda: context.runner.run(context.world.exchange(data)))
+
+
+@then("the routed caller got a body of {size_mb:d} MB")
+def body_of(context, size_mb):
+    answer = context.answers[-1]
+    assert len(body(answer)) == size_mb * 1_000_000, len(answer)
+
+
+@then("the first of the pipelined responses is complete, the second is not")
+def second_is_broken_off(context):
+    first, separator, second = context.answers[-1].rpartition(b"HTTP/1.1 ")
+    assert is_complete_success(first), context.answers
+    assert not is_complete_success(separator + second), context.answers
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -160,6 +160,69 @@
     writer.write(chunked(request, chunk(b"x" * 100)) + echo(request, b"again"))
 
 
+def falls_silent(start):
+    """Send the start of a response and nothing more."""
+
+    async def fall_silent(target, request, writer):
+        writer.write(start(request))
+        await asyncio.sleep(60)
+
+    return fall_silent
+
+
+def trickles(start, piece: bytes):
+    """Send the start of a response, and go on by a byte now and then."""
+
+    async def trickle(target, request, writer):
+        writer.write(start(request))
+        while True:
+            await asyncio.sleep(0.05)
+            writer.write(piece)
+
+    return trickle
+
+
+def half_long(request) -> bytes:
+    return echo(request, b"x" * LONG)[: -LONG // 2]
+
+
+def half_chunked(request) -> bytes:
+    return chunked(request, chunk(b"x" * 100))
+
+
+def half_unframed(request) -> bytes:
+    return echo(request, b"half of it", length=False)
+
+
+async def endless(target, request, writer):
+    writer.write(half_unframed(request))
+    while True:
+        writer.write(b"x" * 16384)
+        await writer.drain()
+        await asyncio.sleep(0.002)
+
+
+async def pauses_unframed(target, request, writer):
+    writer.write(half_unframed(request))
+    await asyncio.sleep(0.4)
+    writer.write(b"all of it")
+    writer.close()
+
+
+async def large(target, request, writer):
+    writer.write(echo(request, b"x" * 8_000_000))
+    await writer.drain()
+
+
+async def incomplete_second(target, request, writer):
+    if request.header_by_name[ID] == "id-0":
+        await answers(target, request, writer)
+        return
+    await asyncio.sleep(0.1)
+    writer.write(half_chunked(request))
+    await asyncio.sleep(60)
+
+
 async def bytes_after(target, request, writer):
     own = request.header_by_name[ID].encode()
     writer.write(echo(request, own) + b"\x00bytes of no protocol\r\n\r\n")
@@ -265,6 +328,19 @@
     "ends before the length of its answer": truncated,
     "ends before the length of a long answer": truncated_long,
     "ends before its last chunk": without_last_chunk,
+    "falls silent in an answer without a length": falls_silent(half_unframed),
+    "falls silent in an answer in chunks": falls_silent(half_chunked),
+    "falls silent in a long answer": falls_silent(half_long),
+    "falls silent in a short answer": falls_silent(lambda r: echo(r, b"short")[:-1]),
+    "falls silent after 8 MB": falls_silent(
+        lambda request: echo(request, b"x" * 8_000_001)[:-1]
+    ),
+    "sends a byte of a long answer now and then": trickles(half_long, b"x"),
+    "sends a chunk of one byte now and then": trickles(half_chunked, chunk(b"x")),
+    "sends an answer without end": endless,
+    "pauses for 400 ms in an answer without a length": pauses_unframed,
+    "sends 8 MB at once": large,
+    "answers the second request late and incompletely": incomplete_second,
     "sends a chunk without a length": chunk_without_length,
     "sends another answer in place of a chunk": answer_in_chunk,
     "sends bytes of no protocol after its answer": bytes_after,
