Reset the connection of an HTTP/1.0 caller whose response is truncated

What callers saw: to a caller that speaks HTTP/1.0, a response of unknown length ends with its connection. Where its target broke off after a part, the connection was closed in an orderly way, and the part looked like the whole.

Cause: the connection was aborted, which discards unsent bytes but ends with a FIN.

Change: the connection is reset for callers below HTTP/1.1; the framing of HTTP/1.1 shows the truncation. The code that resets connections to targets serves both.

--- a/mothshunt/dispatch/retrier.py
+++ b/mothshunt/dispatch/retrier.py
@@ -29,6 +29,7 @@
     give_up_reason,
 )
 from mothshunt.dispatch.watch import WatchedAttempt
+from mothshunt.helpers.transports import break_off_response
 from mothshunt.metrics.registry import Metrics
 from mothshunt.steering.model import Choice
 
@@ -239,9 +240,7 @@
             )
         except AnswerBrokenOffError:
             self._metrics.count(METRIC_BROKEN_OFF, customer=forwarded.parsed.customer)
-            transport = forwarded.request.transport
-            if transport is not None:
-                transport.abort()
+            break_off_response(forwarded.request)
             raise
 
     def _allows_retry(
--- a/mothshunt/forwarding/connections.py
+++ b/mothshunt/forwarding/connections.py
@@ -1,9 +1,6 @@
 """Pool of persistent HTTP connections to targets."""
 
 import asyncio
-import contextlib
-import socket
-import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -15,6 +12,7 @@
 from mothshunt.core.clock import Clock
 from mothshunt.core.types import RequestId, TargetId
 from mothshunt.forwarding import const
+from mothshunt.helpers import transports
 from mothshunt.helpers.bounded_answers import BoundedResponseHandler
 from mothshunt.helpers.log import get_logger
 from mothshunt.helpers.tasks import async_cancel, start_background
@@ -24,9 +22,6 @@
 #: Exceptions of a connection that breaks or carries an invalid response.
 BROKEN_ERRORS = (ClientError, OSError, HttpProcessingError, EOFError)
 _TIMEOUT_PREFIX = "timeout="
-#: ``SO_LINGER`` with a time of 0: closing discards unsent bytes and resets the
-#: connection.
-NO_LINGER = struct.pack("ii", 1, 0)
 _LOGGER = get_logger("forwarding")
 
 
@@ -140,10 +135,7 @@
         target's host has not acknowledged, and they might arrive seconds later.
         """
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                # The target may have closed the connection already.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            transports.reset(self.transport)
         self.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -3,8 +3,8 @@
 #: Time after the route's timeout for which a late response is still delivered, in
 #: seconds; operators allow half a second.
 TIMEOUT_GRACE_S = 0.15
-#: Time in which a caller takes no byte of a response from which on it is the caller that
-#: is slow, in seconds; longer than a round trip between distant regions.
+#: Minimum time without a byte taken by the caller that is not counted against the
+#: target, in seconds: longer than a round trip between distant regions.
 CALLER_STALL_S = 0.1
 #: Timeout for opening a connection to a target, in seconds: a few round trips between
 #: distant regions; later attempts try the target again.
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -157,6 +157,16 @@
     And the outcomes were "t1 timed_out"
     And the dispatch counter mothshunt_answers_broken_off_total with customer "rackhaven" is 1
 
+  Scenario: A truncated response of unknown length is reset for a caller of HTTP/1.0
+
+    Guards against a part of a response that looks complete, as the close of the
+    connection is the only end that such a caller knows.
+
+    Given a dispatch entry
+    And a raw target "t1" that sends chunks without an end
+    When a dispatch caller that speaks HTTP/1.0 sends POST "/a"
+    Then the dispatch caller's connection was reset
+
   Scenario: An idempotent request on a lost kept-alive connection is retried in time
 
     The connection is lost without an error. The request must not wait for its deadline;
--- a/tests/steps/dispatch_input.py
+++ b/tests/steps/dispatch_input.py
@@ -229,3 +229,26 @@
     for _ in range(20):
         estimator.observe(estimator.silence_timeout_s())
     assert estimator.silence_timeout_s() >= timeout_s
+
+
+@when('a dispatch caller that speaks HTTP/1.0 sends {method} "{path}"')
+def speaks_http_10(context, method, path):
+    request = f"{method} {BASE}{path} HTTP/1.0\r\nHost: a\r\n\r\n"
+
+    async def async_end():
+        reader, writer = await asyncio.open_connection("127.0.0.1", context.server.port)
+        writer.write(request.encode())
+        try:
+            await asyncio.wait_for(reader.read(), 10)
+        except ConnectionResetError:
+            return "reset"
+        finally:
+            writer.close()
+        return "closed"
+
+    context.end = context.runner.run(async_end())
+
+
+@then("the dispatch caller's connection was {end}")
+def connection_ended(context, end):
+    assert context.end == end, context.end
