Give HTTP/1.0 callers of routed deployments responses of unknown length

What callers saw: a caller that speaks HTTP/1.0 got 502 (2015, an unexpected exception) for each response that its target sent without a length, or in chunks that had not all come with the head, also of orders that had run.

Cause: the response was sent in chunks to every caller; aiohttp refuses that for HTTP/1.0.

Change: such a response ends with its connection. One that is truncated or not complete at its deadline is reset.

--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict, CIMultiDictProxy
 
@@ -39,6 +39,7 @@
 from mothshunt.forwarding.trier import AttemptCoordinator
 from mothshunt.forwarding.tries import ChosenResponse
 from mothshunt.forwarding.workspace_metrics import WorkspaceCounters
+from mothshunt.helpers.transports import break_off_response
 from mothshunt.isolation.model import Isolation
 from mothshunt.metrics.registry import Metrics
 from mothshunt.placement.coordinator import PlacementCoordinator
@@ -290,7 +291,7 @@
         response = web.StreamResponse(
             status=message.code, reason=message.reason, headers=headers
         )
-        if "Content-Length" not in headers:
+        if "Content-Length" not in headers and request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         stream = BodyStream(
             payload=target_response.payload,
@@ -306,8 +307,7 @@
             self._request_log.log_broken_off(
                 outgoing, chosen.choice, str(error), self._clock.monotonic()
             )
-            if request.transport is not None:
-                request.transport.abort()
+            break_off_response(request)
             raise ConnectionResetError("target's response was cut short") from error
         finally:
             target_response.connection.abort()
--- a/tests/forwarding/broken_answers.feature
+++ b/tests/forwarding/broken_answers.feature
@@ -59,3 +59,36 @@
       | ends within the head     | POST   | /orders/a |
       | is reset within the head | GET    | /reads/a  |
       | is reset within the head | POST   | /orders/a |
+
+  Scenario Outline: A caller that speaks HTTP/1.0 gets a response of unknown length
+    Guards against a complete response that is reported as broken (502).
+    Given a routed entry
+    And a routed target "t1" that <answers>
+    When a routed caller that speaks HTTP/1.0 sends <method> "<path>"
+    Then the routed caller got status 200
+    And the routed caller got the complete body
+    And the connection of the routed caller was closed
+
+    Examples:
+      | answers                           | method | path      |
+      | ends an answer with its connection | GET   | /reads/a  |
+      | ends an answer with its connection | POST  | /orders/a |
+      | sends an answer in chunks          | GET   | /reads/a  |
+      | sends an answer in chunks          | POST  | /orders/a |
+
+  Scenario Outline: A truncated response of unknown length is reset for HTTP/1.0
+    Guards against a part of a response that looks complete, as the close of the
+    connection is the only end that such a caller knows.
+    Given a routed entry with a timeout of 300 ms
+    And a routed target "t1" that <breaks off>
+    When a routed caller that speaks HTTP/1.0 sends <method> "<path>"
+    Then the connection of the routed caller was reset
+
+    Examples:
+      | breaks off                                 | method | path      |
+      | is reset in an answer without a length     | GET    | /reads/a  |
+      | is reset in an answer without a length     | POST   | /orders/a |
+      | ends before its last chunk                 | GET    | /reads/a  |
+      | ends before its last chunk                 | POST   | /orders/a |
+      | falls silent in an answer without a length | GET    | /reads/a  |
+      | falls silent in an answer without a length | POST   | /orders/a |
--- a/tests/steps/forwarding_response_deadlines.py
+++ b/tests/steps/forwarding_response_deadlines.py
@@ -70,3 +70,32 @@
     first, separator, second = context.answers[-1].rpartition(b"HTTP/1.1 ")
     assert is_complete_success(first), context.answers
     assert not is_complete_success(separator + second), context.answers
+
+
+@when('a routed caller that speaks HTTP/1.0 sends {method} "{path}"')
+def speaks_http_10(context, method, path):
+    data = request_bytes(method, path).replace(b"HTTP/1.1", b"HTTP/1.0")
+    exchange = async_read_to_end(context.world.server.port, data)
+    answer, context.end = context.runner.run(exchange)
+    context.answers = [answer]
+
+
+async def async_read_to_end(port, data):
+    """Return what a caller gets, and how its connection ends."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    answer = b""
+    try:
+        async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+            while part := await reader.read(65536):
+                answer += part
+    except ConnectionResetError:
+        return answer, "reset"
+    finally:
+        writer.close()
+    return answer, "closed"
+
+
+@then("the connection of the routed caller was {end}")
+def connection_ended(context, end):
+    assert context.end == end, (context.end, context.answers)
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -147,6 +147,10 @@
     writer.close()
 
 
+async def in_chunks(target, request, writer):
+    writer.write(chunked(request, chunk(b"x"), chunk(b"all of it"), chunk(b"")))
+
+
 async def without_last_chunk(target, request, writer):
     writer.write(chunked(request, chunk(b"x" * 100)))
     writer.close()
@@ -327,6 +331,7 @@
     "is reset within the head": ends_in_head(resets=True),
     "ends before the length of its answer": truncated,
     "ends before the length of a long answer": truncated_long,
+    "sends an answer in chunks": in_chunks,
     "ends before its last chunk": without_last_chunk,
     "falls silent in an answer without a length": falls_silent(half_unframed),
     "falls silent in an answer in chunks": falls_silent(half_chunked),
