Keep less of a response whose caller reads nothing

What callers saw: a target that sent a body without end, to callers that read nothing, made the entry instance grow by 1.3 MB for each such response: 63 MB at rest, 183 MB with 400 callers, 90 of whose requests had been sent on. With the memory of a small instance it ends, and the requests of all other callers with it.

Cause: asyncio reads up to 256 KiB at a time and hands it on as one part, so that each buffer on the way keeps several times its limit.

Change: connections to targets are read 32 KiB at a time, and not while 32 KiB are unread; for both kinds of deployment.

--- a/mothshunt/helpers/bounded_answers.py
+++ b/mothshunt/helpers/bounded_answers.py
@@ -1,5 +1,6 @@
 """HTTP connections to targets with a bound on the bytes outside of response bodies."""
 
+import asyncio
 import re
 from typing import Any
 
@@ -7,6 +8,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import StreamReader
 
+from mothshunt.helpers import transports
+
 #: Largest number of bytes of one response outside of its body: heads, informational
 #: responses, responses to earlier requests, chunk extensions, trailers and what follows
 #: its end. Has room for some long heads and two small responses to earlier requests.
@@ -47,12 +50,21 @@
 
     _received_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is read at a time.
+
+        :param transport: Transport of the connection.
+        """
+        transports.limit_receives(transport)
+        super().connection_made(transport)
+
     def set_response_params(self, **options: Any) -> None:
         """Prepare to read the response to a request.
 
         :param options: Options of aiohttp's parser.
         """
         self._received_bytes = 0
+        options.setdefault("read_bufsize", transports.READ_BUFFER_BYTES)
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
--- a/mothshunt/helpers/transports.py
+++ b/mothshunt/helpers/transports.py
@@ -1,4 +1,4 @@
-"""Ends of TCP connections."""
+"""Options and ends of TCP connections."""
 
 import asyncio
 import contextlib
@@ -11,6 +11,21 @@
 #: connection.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
+#: Bytes that are read from a connection at a time. By itself asyncio reads up to 256
+#: KiB, all of which is kept while the receiver of a stream is slow.
+RECEIVE_BYTES = 32 * 1024
+#: Unread bytes of a body from which on no more are read; aiohttp takes twice of it.
+READ_BUFFER_BYTES = 16 * 1024
+
+
+def limit_receives(transport: asyncio.BaseTransport) -> None:
+    """Limit the bytes that the event loop reads from a connection at a time.
+
+    :param transport: Transport of the connection.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = RECEIVE_BYTES
+
 
 def reset(transport: asyncio.Transport) -> None:
     """Reset a connection, so that no further byte of it is sent.
--- a/tests/forwarding/endless.feature
+++ b/tests/forwarding/endless.feature
@@ -27,3 +27,11 @@
     When a caller reads 8 MB of an endless body and disconnects
     Then the target's connection is closed within 500 ms
     And the memory of that entry has grown by 32 MB at most
+
+  Scenario: Callers that read nothing of endless bodies don't exhaust memory
+    Guards against an instance that keeps a megabyte for each response that its caller
+    doesn't read.
+    Given a routed deployment with one target that can send endless data
+    When 200 callers request an endless body and read nothing for 2 s
+    Then the memory of that entry has grown by 32 MB at most
+    And the entry next to it answers soundly meanwhile
--- a/tests/steps/forwarding_endless.py
+++ b/tests/steps/forwarding_endless.py
@@ -1,6 +1,7 @@
 """Steps for targets that send endless data."""
 
 import asyncio
+import socket
 import time
 
 import aiohttp
@@ -18,6 +19,8 @@
 from testkit.shape import small
 
 MEGABYTE = 1_000_000
+SMALL_BUFFER_BYTES = 4096
+CALLERS_AT_A_TIME = 20
 
 
 @given("a routed deployment with one target that can send endless data")
@@ -91,6 +94,31 @@
         answer.close()
 
 
+@when("{count:d} callers request an endless body and read nothing for {seconds:d} s")
+def read_nothing(context, count, seconds):
+    context.target.mode = Mode.BODY
+    context.routed.run(async_read_nothing(context, count))
+    context.routed.run(asyncio.sleep(seconds))
+
+
+async def async_read_nothing(context, count):
+    address = context.routed.address(context.entry).split(":")
+    for number in range(count):
+        caller = context.stack.enter_context(socket.socket())
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        caller.connect((address[0], int(address[1])))
+        head = f"GET /stock/a HTTP/1.1\r\nHost: {CALLERS_HOST}\r\n"
+        head += f"{HEADER_REQUEST_ID}: r-{number}\r\n\r\n"
+        caller.sendall(head.encode())
+        if number % CALLERS_AT_A_TIME == 0:
+            await asyncio.sleep(0.1)
+
+
+@then("the entry next to it answers soundly meanwhile")
+def sound_meanwhile(context):
+    context.routed.run(context.routed.async_until(lambda: answers_soundly(context)))
+
+
 @then("the target's connection is closed within {limit_ms:d} ms")
 def closed_within(context, limit_ms):
     closed = asyncio.wait_for(wait_closed(context.target), limit_ms / 1000)
