Limit what callers leave unread in all

Cause: each response keeps up to 0.25 MB while its caller reads nothing, and nothing ends it: its deadline is put off by the time for which the caller is waited for.

Change: of what waits to be sent to callers 16 MiB are kept. Beyond that, connections on which nothing was taken for 3 s are closed, the longest first, with a line and a counter. Tried first: to close those without a change within 1 s. Not kept, as reads of a slow caller show late where the operating system has large buffers; its test disconnected one.

Also: time for which the caller is waited for is added in full to the deadline of a body with a length, so that a slow caller gets it; only without a length short waits are not.

--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -3,9 +3,16 @@
 #: Time after the route's timeout for which a late response is still delivered, in
 #: seconds; operators allow half a second.
 TIMEOUT_GRACE_S = 0.15
-#: Minimum time without a byte taken by the caller that is not counted against the
-#: target, in seconds: longer than a round trip between distant regions.
+#: Minimum wait for the caller that is not counted against the target of a response
+#: without a length, in seconds: longer than a round trip between distant regions.
 CALLER_STALL_S = 0.1
+#: Bytes of responses that wait to be sent to callers, in all. What was read from their
+#: targets meanwhile takes twice of it.
+MAX_UNREAD_BYTES = 16 * 1024 * 1024
+#: Interval at which callers that read nothing are looked for, in seconds.
+UNREAD_CHECK_INTERVAL_S = 0.5
+#: Time after which a caller that takes no bytes may be disconnected, in seconds.
+UNREAD_STALL_S = 3.0
 #: Timeout for opening a connection to a target, in seconds: a few round trips between
 #: distant regions; later attempts try the target again.
 CONNECT_TIMEOUT_S = 0.4
@@ -124,6 +131,8 @@
 METRIC_CONNECTIONS = "mothshunt_forwarding_connections_total"
 METRIC_CONNECTIONS_AHEAD = "mothshunt_forwarding_connections_ahead_total"
 METRIC_BODIES_DISCARDED = "mothshunt_forwarding_bodies_discarded_total"
+METRIC_UNREAD_BYTES = "mothshunt_forwarding_unread_bytes"
+METRIC_UNREAD_DISCONNECTS = "mothshunt_forwarding_unread_disconnects_total"
 METRIC_LINES_DROPPED = "mothshunt_log_lines_dropped_total"
 METRIC_IN_FLIGHT = "mothshunt_forwarding_in_flight"
 #: Targets with a rate limit that tokens are requested for, for one attempt.
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -295,6 +295,7 @@
             response.enable_chunked_encoding()
         stream = BodyStream(
             payload=target_response.payload,
+            has_length="Content-Length" in headers,
             deadline=outgoing.routed.deadline + const.TIMEOUT_GRACE_S,
             clock=self._clock,
         )
--- a/mothshunt/forwarding/log_events.py
+++ b/mothshunt/forwarding/log_events.py
@@ -199,6 +199,23 @@
     detail: str
 
 
+@log_event(
+    "callers that read nothing were disconnected",
+    slice_name="forwarding",
+    level=Level.WARNING,
+)
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UnreadDisconnected:
+    """Connections closed because callers left too many bytes of responses unread.
+
+    :param callers: Number of closed connections.
+    :param unread_bytes: Unread bytes of all callers before.
+    """
+
+    callers: int
+    unread_bytes: int
+
+
 @log_event("lines were left out", slice_name="forwarding", level=Level.WARNING)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LinesLeftOut:
--- a/mothshunt/forwarding/server.py
+++ b/mothshunt/forwarding/server.py
@@ -16,7 +16,7 @@
 from mothshunt.dispatch.const import BACKLOG, EXCEPTION_LOG_INTERVAL_S, MAX_HEADERS
 from mothshunt.forwarding import const
 from mothshunt.forwarding.forwarder import RoutedForwarder
-from mothshunt.forwarding.log_events import Left
+from mothshunt.forwarding.log_events import Left, UnreadDisconnected
 from mothshunt.forwarding.pipelining import (
     EarlyRequestCount,
     PipeliningProtocol,
@@ -25,9 +25,11 @@
     has_early_requests,
 )
 from mothshunt.forwarding.refusal import RefusalBuilder
-from mothshunt.helpers import log
+from mothshunt.forwarding.unread_limit import UnreadLimit
+from mothshunt.helpers import log, transports
 from mothshunt.helpers.http_protocol import ProtocolFactory, ProtocolOptions
 from mothshunt.helpers.log import get_logger
+from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.metrics.registry import Metrics
 
 _LOGGER = get_logger("forwarding")
@@ -42,6 +44,7 @@
     :param refusal_builder: Builds the responses to refused requests.
     :param configuration: Source of the request limits in force.
     :param metrics: Metrics of the process.
+    :param max_unread_bytes: Bytes of responses that callers may leave unread, in all.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         refusal_builder: RefusalBuilder,
         configuration: ConfigurationSource,
         metrics: Metrics,
+        max_unread_bytes: int = const.MAX_UNREAD_BYTES,
     ) -> None:
         self._host = host
         self._port = port
@@ -67,6 +71,10 @@
         self._next_fault_log_at = 0.0
         self._protocols: ProtocolFactory | None = None
         self._server: asyncio.Server | None = None
+        self._unread_limit = UnreadLimit[asyncio.Transport](
+            max_bytes=max_unread_bytes, stall_s=const.UNREAD_STALL_S
+        )
+        self._unread_task: asyncio.Task[None] | None = None
 
     @property
     def port(self) -> int:
@@ -80,6 +88,7 @@
     async def async_start(self) -> None:
         """Start listening for callers."""
         self._metrics.gauge(const.METRIC_IN_FLIGHT, self.in_flight)
+        self._metrics.gauge(const.METRIC_UNREAD_BYTES, self._unread_bytes)
         self._protocols = ProtocolFactory(
             self._async_handle,
             self._refuse_malformed,
@@ -91,6 +100,30 @@
             self._protocols, self._host, self._port, backlog=BACKLOG
         )
         self._port = self._server.sockets[0].getsockname()[1]
+        self._unread_task = start_background("unread", self._async_limit_unread)
+
+    def _unread_bytes(self) -> float:
+        if self._protocols is None:
+            return 0.0
+        return sum(self._protocols.unread_bytes_by_transport().values())
+
+    async def _async_limit_unread(self) -> None:
+        """Disconnect callers that read nothing while too many bytes are unread."""
+        while self._protocols is not None:
+            unread_by_transport = self._protocols.unread_bytes_by_transport()
+            now = asyncio.get_running_loop().time()
+            disconnected = self._unread_limit.check(unread_by_transport, now)
+            for transport in disconnected:
+                transports.reset(transport)
+            if disconnected:
+                self._metrics.count(const.METRIC_UNREAD_DISCONNECTS, len(disconnected))
+                log.write(
+                    UnreadDisconnected(
+                        callers=len(disconnected),
+                        unread_bytes=sum(unread_by_transport.values()),
+                    )
+                )
+            await asyncio.sleep(const.UNREAD_CHECK_INTERVAL_S)
 
     async def async_leave(self, leave_s: float, now: Callable[[], float]) -> None:
         """Go on serving for a limited time, then wait for requests in flight.
@@ -125,6 +158,7 @@
 
     async def async_stop(self) -> None:
         """Stop listening and close all connections; may be called twice."""
+        await async_cancel(self._unread_task)
         if self._server is not None:
             self._server.close()
         protocols, self._protocols = self._protocols, None
--- a/mothshunt/forwarding/streaming.py
+++ b/mothshunt/forwarding/streaming.py
@@ -21,28 +21,30 @@
 class BodyStream:
     """Body of a response, on its way from a target to the caller.
 
-    The deadline applies to the target: a time in which the caller reads nothing is
-    added to it. Shorter pauses of the caller are not, as they are part of every long
-    body, also of one that never ends.
+    The deadline applies to the target: time for which the caller is waited for is added
+    to it. A body without a length may never end, and short waits are part of every long
+    body, so only long waits are added there.
 
     :param payload: Unread part of the body.
+    :param has_length: Whether the head of the response states the length of the body.
     :param deadline: Time by which the target must have sent all of it, in seconds.
     :param clock: Source of the present time.
     """
 
     payload: StreamReader
+    has_length: bool
     deadline: float
     clock: Clock
 
     async def async_wait_for_caller(self, sending: Awaitable[None]) -> None:
-        """Wait until the caller takes bytes, and add a long wait to the deadline.
+        """Wait until the caller takes bytes, and add the time to the deadline.
 
         :param sending: Ends once bytes can be sent to the caller.
         """
         began_at = self.clock.monotonic()
         await sending
         waited_s = self.clock.monotonic() - began_at
-        if waited_s >= const.CALLER_STALL_S:
+        if self.has_length or waited_s >= const.CALLER_STALL_S:
             self.deadline += waited_s
 
     async def async_copy(self, response: web.StreamResponse) -> None:
--- a/mothshunt/helpers/http_protocol.py
+++ b/mothshunt/helpers/http_protocol.py
@@ -162,13 +162,17 @@
             max_headers=options.max_headers,
         )
 
+    def unread_bytes_by_transport(self) -> dict[asyncio.Transport, int]:
+        """Return the bytes of responses that clients have not taken yet."""
+        return {
+            transport: transport.get_write_buffer_size()
+            for connection in self.connections
+            if (transport := connection.transport) is not None
+        }
+
     def has_unsent_bytes(self) -> bool:
         """Whether a part of a response waits for a client that reads slowly."""
-        return any(
-            connection.transport is not None
-            and connection.transport.get_write_buffer_size() > 0
-            for connection in self.connections
-        )
+        return any(self.unread_bytes_by_transport().values())
 
     async def async_send_rest(self, timeout_s: float) -> None:
         """Wait until all of the responses that were written has been sent.
--- a/testkit/routed_entry.py
+++ b/testkit/routed_entry.py
@@ -17,6 +17,7 @@
     ServiceName,
     TargetId,
 )
+from mothshunt.forwarding import const
 from mothshunt.forwarding.connections import ConnectionPool
 from mothshunt.forwarding.forwarder import RoutedForwarder
 from mothshunt.forwarding.model import HeaderConventions
@@ -136,6 +137,7 @@
     :param ratio: Attempts beyond the first, as a part of the requests.
     :param slack: Attempts beyond the first that are allowed besides.
     :param is_open: Whether it serves from its start on.
+    :param max_unread_bytes: Bytes of responses that callers may leave unread, in all.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         slack: float = 100.0,
         *,
         is_open: bool = True,
+        max_unread_bytes: int = const.MAX_UNREAD_BYTES,
     ) -> None:
         clock, self.metrics = SystemClock(), Metrics()
         self.holder = Holder(Configuration(routing=table(timeout_s)))
@@ -234,6 +237,7 @@
             refusal_builder=refusal_builder,
             configuration=self.holder,
             metrics=self.metrics,
+            max_unread_bytes=max_unread_bytes,
         )
 
     async def start(self) -> None:
--- a/tests/forwarding/response_deadlines.feature
+++ b/tests/forwarding/response_deadlines.feature
@@ -58,6 +58,12 @@
       | GET    | /reads/a  |
       | POST   | /orders/a |
 
+  Scenario: A caller that reads slowly gets a response with a length after the deadline
+    Given a routed entry with a timeout of 300 ms
+    And a routed target "t1" that sends 8 MB at once
+    When a routed caller reads "/reads/a" slowly, in 900 ms
+    Then the routed caller got a body of 8 MB
+
   Scenario: A caller that reads late is not taken for a reason to wait for the target
     Given a routed entry with a timeout of 300 ms
     And a routed target "t1" that falls silent after 8 MB
--- a/tests/steps/forwarding_response_deadlines.py
+++ b/tests/steps/forwarding_response_deadlines.py
@@ -11,6 +11,8 @@
 
 RESPONSE_TIMEOUT_S = 5
 SMALL_RECEIVE_BUFFER_BYTES = 4096
+#: Less than what is taken for a caller that reads nothing.
+SHORT_PAUSE_S = 0.02
 
 
 def timed(context, call):
@@ -47,6 +49,26 @@
     timed(context, lambda: context.runner.run(reading))
 
 
+@when('a routed caller reads "{path}" slowly, in {least_ms:d} ms')
+def reads_slowly(context, path, least_ms):
+    async def async_read():
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", context.world.server.port, limit=SMALL_RECEIVE_BUFFER_BYTES
+        )
+        writer.write(request_bytes("GET", path))
+        answer = b""
+        ends_at = time.monotonic() + least_ms / 1000
+        while part := await reader.read(65536):
+            answer += part
+            if time.monotonic() < ends_at:
+                await asyncio.sleep(SHORT_PAUSE_S)
+        writer.close()
+        return answer
+
+    timed(context, lambda: context.runner.run(async_read()))
+    assert context.took_ms >= least_ms, context.took_ms
+
+
 @when('a routed caller pipelines GET "{first}" and "{second}"')
 def pipelines(context, first, second):
     requests = [
