Send targets no deadline with more digits than are accepted

What callers saw: nothing yet; found beside times that are beyond a float. A request without a deadline gets that of its route. With a timeout of more than 11.5 days the header to the target has ten digits or more, and the entry instance that a request is relayed to refuses it (400).

Cause: the header is written from the timeout of the route, and read with nine digits.

Evidence: the new scenario of forwarding/attempts failed before.

Change: the time of a request is at most what the header can state.

Result: forwarding/attempts 23 scenarios passed.

--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -33,6 +33,8 @@
 MAX_ATTEMPTS_DIGITS = 4
 MAX_REQUEST_ID_LENGTH = 128
 MILLISECONDS_PER_SECOND = 1000
+#: Longest time that the header with the deadline can state, in seconds.
+MAX_TIME_LEFT_S = (10**MAX_DEADLINE_DIGITS - 1) / MILLISECONDS_PER_SECOND
 PERCENT = 100
 #: Longest value of a load header that is parsed, in characters. Fields may be added to
 #: its end.
@@ -126,10 +128,11 @@
 
 
 def _time_left_s(value: str | None, route: Route) -> float | None:
+    longest_s = min(route.timeout_s, MAX_TIME_LEFT_S)
     if value is None:
-        return route.timeout_s
+        return longest_s
     stated_s = _parse_time_s(value)
-    return None if stated_s is None else min(stated_s, route.timeout_s)
+    return None if stated_s is None else min(stated_s, longest_s)
 
 
 def _affinity_key(request: web.Request, route: Route, names: HeaderNames) -> str | None:
--- a/tests/forwarding/attempts.feature
+++ b/tests/forwarding/attempts.feature
@@ -99,6 +99,15 @@
     Then the routed caller got status 504
     And the last routed answer took between 250 and 900 ms
 
+  Scenario: The deadline that a target gets has no more digits than are accepted
+    Guards against requests without a deadline that are refused where they are relayed,
+    because the timeout of their route is long.
+    Given a routed entry with a timeout of 1000000000000 ms
+    And a routed target "t1" that answers
+    When a routed caller sends GET "/reads/a"
+    Then the routed caller got status 200
+    And "t1" got a deadline header of at most 999999999 ms
+
   Scenario: A target whose port is closed is skipped
     Given a routed entry
     And a routed target "t1" whose port is closed
