--- a/mothshunt/forwarding/request.py
+++ b/mothshunt/forwarding/request.py
@@ -34,7 +34,7 @@
 MAX_REQUEST_ID_LENGTH = 128
 MILLISECONDS_PER_SECOND = 1000
 #: Longest time that the header with the deadline can state, in seconds.
-MAX_TIME_LEFT_S = (10**MAX_DEADLINE_DIGITS - 1) / MILLISECONDS_PER_SECOND
+MAX_TIME_LEFT_S: float = (10**MAX_DEADLINE_DIGITS - 1) / MILLISECONDS_PER_SECOND
 PERCENT = 100
 #: Longest value of a load header that is parsed, in characters. Fields may be added to
 #: its end.
