Relay a workspace's requests within its home regions

What callers saw: while an entry instance is cut off from its targets, it relayed requests of a workspace with home regions, and their bodies, to instances of any region.

Cause: the instances to relay to were chosen by the regions of the route alone.

Three examples of the new scenario of isolation/relay_choice failed before.

Change: they are chosen by the regions of the request, which join those of route and workspace, as targets are.

--- a/mothshunt/isolation/choice.py
+++ b/mothshunt/isolation/choice.py
@@ -21,11 +21,11 @@
     Those of the own region come first, at random, so that no neighbour gets the
     requests of all. If one of the own zone refused a relay lately, the whole zone may
     be isolated, and other zones come first. An instance of another region is used only
-    if the route may be served there: the body of a request must not go elsewhere.
+    if the request may be served there: its body must not go elsewhere.
 
     :param entries: Entry instances that accept requests.
     :param own: This instance.
-    :param home_regions: Regions that the route is restricted to; empty for none.
+    :param home_regions: Regions that the request is restricted to; empty for none.
     :param avoided_until_by_id: Times until which instances aren't used, in seconds.
     :param now: The present time, in seconds.
     :param random: Source of randomness.
--- a/mothshunt/isolation/coordinator.py
+++ b/mothshunt/isolation/coordinator.py
@@ -305,7 +305,7 @@
         return relay_candidates(
             (entry.row for entry in self.roster.ready_entries(now)),
             self.roster.own.row,
-            frozenset(relay.outgoing.routed.route.home_regions),
+            relay.outgoing.routed.home_regions,
             self._avoided_until_by_id,
             now,
             self.random,
--- a/tests/isolation/relay_choice.feature
+++ b/tests/isolation/relay_choice.feature
@@ -71,3 +71,18 @@
       | 0     | 1       |
       | words | 3       |
       | none  | 3       |
+
+  Scenario Outline: A relay keeps to the home regions of the workspace and of the route
+    Guards against the body of a workspace's request that leaves its home regions while
+    an instance is isolated.
+    Given a request of a route for "<route>" and of a workspace for "<workspace>"
+    When it is to be relayed from "north" to instances of "south" and "west"
+    Then it may be relayed to "<regions>"
+
+    Examples:
+      | route       | workspace   | regions     |
+      | all         | all         | south, west |
+      | all         | north       | none        |
+      | all         | north, west | west        |
+      | south       | all         | south       |
+      | south, west | west, east  | west        |
