--- a/tests/forwarding/attempts.feature
+++ b/tests/forwarding/attempts.feature
@@ -108,6 +108,13 @@
     Then the routed caller got status 200
     And "t1" got a deadline header of at most 999999999 ms
 
+  Scenario: An affinity cookie may have bytes that are not UTF-8
+    Guards against requests that are answered 502 because of a cookie.
+    Given a routed entry
+    And a routed target "t1" that answers
+    When a routed caller sends GET "/reads/a" with the bytes ff fe as affinity cookie
+    Then the routed caller got status 200
+
   Scenario: A target whose port is closed is skipped
     Given a routed entry
     And a routed target "t1" whose port is closed
--- a/tests/steps/forwarding_attempts.py
+++ b/tests/steps/forwarding_attempts.py
@@ -82,6 +82,15 @@
     context.answers = [send(context, method, path)]
 
 
+@when(
+    'a routed caller sends {method} "{path}" with the bytes {digits} as affinity cookie'
+)
+def sends_cookie(context, method, path, digits):
+    data = request_bytes(method, path, headers="Cookie: Mothshunt-Affinity=VALUE\r\n")
+    data = data.replace(b"VALUE", bytes.fromhex(digits))
+    context.answers = [context.runner.run(context.world.exchange(data))]
+
+
 @when('a routed caller sends {method} "{path}" for each of {count:d} objects')
 def sends_for_objects(context, method, path, count):
     context.answers = [
