Log requests that no route matches

The lines of the entry instance can't tell what it knew, as a 404 leaves none.

Change: a line "no route matches" names host, path and the revision in force, 8 a second at most.

--- a/mothshunt/forwarding/const.py
+++ b/mothshunt/forwarding/const.py
@@ -115,6 +115,8 @@
 MAX_TIMELY_LINES_PER_S = 5
 #: The same for requests that were rejected for their key.
 MAX_AUTHENTICATION_LINES_PER_S = 8
+#: The same for requests that no route matches.
+MAX_UNKNOWN_ROUTE_LINES_PER_S = 8
 #: Maximum number of workspaces that are counted one by one; a deployment has up to
 #: 1,000, and dropped ones remain in the counts for a while.
 MAX_COUNTED_WORKSPACES = 4096
--- a/mothshunt/forwarding/decisions.py
+++ b/mothshunt/forwarding/decisions.py
@@ -15,6 +15,7 @@
     LinesLeftOut,
     NoticeUnreadable,
     Refused,
+    RouteUnknown,
 )
 from mothshunt.helpers import log
 from mothshunt.metrics.registry import Metrics
@@ -200,6 +201,32 @@
             )
         )
 
+    def log_route_unknown(
+        self,
+        request_id: RequestId,
+        host: str,
+        path: str,
+        *,
+        revision: Revision,
+        now: float,
+    ) -> None:
+        """Log that no route matches a request.
+
+        :param request_id: Id of the request.
+        :param host: Host that it names.
+        :param path: Beginning of its path.
+        :param revision: Revision of the configuration in force.
+        :param now: The present time, in seconds.
+        """
+        if self._may_write(
+            "no route matches", const.MAX_UNKNOWN_ROUTE_LINES_PER_S, now
+        ):
+            log.write(
+                RouteUnknown(
+                    request_id=request_id, host=host, path=path, revision=revision
+                )
+            )
+
     def log_broken_off(
         self, outgoing: OutgoingRequest, choice: Choice, detail: str, now: float
     ) -> None:
--- a/mothshunt/forwarding/forwarder.py
+++ b/mothshunt/forwarding/forwarder.py
@@ -49,6 +49,8 @@
 from mothshunt.routing.model import RoutingTable, Workspace
 from mothshunt.routing.split import WeightedSplit
 
+#: In characters.
+MAX_LOGGED_HOST_LENGTH = 80
 _NOT_READY = Failure(code=codes.NOT_READY, retry_after_s=const.NOT_READY_RETRY_S)
 
 
@@ -320,15 +322,25 @@
         """Return the response to a request whose head gives no routed request."""
         names = self._refusal_builder.names
         request_id = RequestId(request.headers.get(names.request_id, ""))
+        logged_id = RequestId(request_id[:MAX_REQUEST_ID_LENGTH])
+        revision = self._configuration.current().revision
         if failure.code in REJECTION_CODES:
             self._workspace_counters.count_rejected(None)
             self._request_log.log_key_rejected(
-                RequestId(request_id[:MAX_REQUEST_ID_LENGTH]),
+                logged_id,
                 failure,
                 key_digest=sent_digest_prefix(
                     request.headers.getall(AUTHORIZATION, ())
                 ),
-                revision=self._configuration.current().revision,
+                revision=revision,
+                now=now,
+            )
+        elif failure.code is codes.UNKNOWN_ROUTE:
+            self._request_log.log_route_unknown(
+                logged_id,
+                request.headers.get("Host", "")[:MAX_LOGGED_HOST_LENGTH],
+                failure.detail,
+                revision=revision,
                 now=now,
             )
         return self._build_refusal(failure, request_id)
--- a/mothshunt/forwarding/log_events.py
+++ b/mothshunt/forwarding/log_events.py
@@ -182,6 +182,23 @@
     revision: Revision
 
 
+@log_event("no route matches", slice_name="forwarding")
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RouteUnknown:
+    """Rejection of a request that no route of the configuration in force matches.
+
+    :param request_id: The request.
+    :param host: Host that it names.
+    :param path: Beginning of its path.
+    :param revision: Revision of the configuration in force.
+    """
+
+    request_id: RequestId
+    host: str
+    path: str
+    revision: Revision
+
+
 @log_event("answer broken off", slice_name="forwarding", level=Level.WARNING)
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerBrokenOff:
--- a/tests/forwarding/attempts.feature
+++ b/tests/forwarding/attempts.feature
@@ -179,5 +179,11 @@
     When a routed caller sends GET "/nowhere/a"
     Then the routed caller got status 404
 
+  Scenario: Requests that no route matches are logged at a bounded rate
+    Guards against a route that is missing at one instance, and no line that tells it.
+    Given a routed entry
+    When 40 requests of the path "/nowhere/a" match no route
+    Then at most 8 lines "no route matches" a second name the host and the path "/nowhere/a"
+
   Scenario: The retries of all entry instances together stay within the retry budget
     Then the retry budget is kept in 200 random sequences of requests and retries at 1 to 8 entry instances
--- a/tests/steps/forwarding_workspaces.py
+++ b/tests/steps/forwarding_workspaces.py
@@ -1,6 +1,7 @@
 """Steps for the authentication of requests by keys of workspaces."""
 
 import asyncio
+import contextlib
 import io
 import json
 import logging
@@ -164,8 +165,9 @@
     assert routed(workspace(), priority=of_route).urgency == rank
 
 
-@when('{count:d} requests with the key "{key}" are rejected')
-def requests_rejected(context, count, key):
+@contextlib.contextmanager
+def captured_lines():
+    """Give the stream to which log lines are written meanwhile."""
     stream = io.StringIO()
     handler = logging.StreamHandler(stream)
     handler.setFormatter(log.JsonLineFormatter("test"))
@@ -173,13 +175,37 @@
     level = logger.level
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
-    began = time.monotonic()
     try:
-        line = f"Authorization: Bearer {key}\r\n"
-        answers = [send(context, "GET", "/reads/a", headers=line) for _ in range(count)]
+        yield stream
     finally:
         logger.removeHandler(handler)
         logger.setLevel(level)
+
+
+@when('{count:d} requests of the path "{path}" match no route')
+def requests_match_none(context, count, path):
+    began = time.monotonic()
+    with captured_lines() as stream:
+        answers = [send(context, "GET", path) for _ in range(count)]
+    assert {status(answer) for answer in answers} == {404}
+    context.seconds_begun = int(time.monotonic() - began) + 2
+    context.lines = stream.getvalue().splitlines()
+
+
+@then('at most {per_s:d} lines "{text}" a second name the host and the path "{path}"')
+def lines_name_path(context, per_s, text, path):
+    lines = [json.loads(line) for line in context.lines]
+    found = [(line["host"], line["path"]) for line in lines if line["text"] == text]
+    assert 0 < len(found) <= per_s * context.seconds_begun, context.lines
+    assert set(found) == {(HOST, path)}, found
+
+
+@when('{count:d} requests with the key "{key}" are rejected')
+def requests_rejected(context, count, key):
+    began = time.monotonic()
+    with captured_lines() as stream:
+        line = f"Authorization: Bearer {key}\r\n"
+        answers = [send(context, "GET", "/reads/a", headers=line) for _ in range(count)]
     assert {status(answer) for answer in answers} == {401}
     context.seconds_begun = int(time.monotonic() - began) + 2
     context.lines = stream.getvalue().splitlines()
