Keep less of a request whose target reads nothing

What callers saw: 200 callers that sent bodies of 8 MB to 8 targets that read nothing made an entry instance grow by 40 MB (97 requests had begun), until the deadlines.

Cause: as with responses, 256 KiB are read at a time.

Change: connections of callers are read 32 KiB at a time as well, and not while 32 KiB are unread.

Without a test of its own.

--- a/mothshunt/helpers/http_protocol.py
+++ b/mothshunt/helpers/http_protocol.py
@@ -11,6 +11,8 @@
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from mothshunt.helpers import transports
+
 #: In characters.
 MAX_DETAIL_LENGTH = 200
 #: Largest number of bytes of a request outside of its head and body: chunk extensions
@@ -44,6 +46,14 @@
         self._counted_request: web.BaseRequest | None = None
         self._received_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what is read at a time.
+
+        :param transport: Transport of the connection.
+        """
+        transports.limit_receives(transport)
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and fail a body that is malformed or mostly overhead.
 
@@ -160,6 +170,7 @@
             max_line_size=options.max_field_bytes,
             max_field_size=options.max_field_bytes,
             max_headers=options.max_headers,
+            read_bufsize=transports.READ_BUFFER_BYTES,
         )
 
     def unread_bytes_by_transport(self) -> dict[asyncio.Transport, int]:
