Refuse renewals that can't be encoded

What callers saw: targets sent renewals with half of a surrogate pair in the release.

Cause: such a text was accepted and can't be encoded in UTF-8. The set of changed targets is emptied before it is encoded, and an answer with all targets failed as a whole, so that one renewal kept back all others.

Evidence: with one such renewal the flush and the answer end with UnicodeEncodeError, on the code before.

Change: a renewal that can't be encoded is refused where it comes in, with code 2701; texts of the platform's wire with half of a surrogate pair are refused with their place, in changes too, which had ended in an unexpected exception. Keys of workspaces are hashed only and may still have them.

--- a/mothshunt/platform/documents.py
+++ b/mothshunt/platform/documents.py
@@ -270,7 +270,7 @@
     workspace = Workspace(
         name=name,
         key_digests=key_digests(
-            values.text(key, f"{path}/api_keys/{index}", MAX_KEY_LENGTH)
+            values.any_text(key, f"{path}/api_keys/{index}", MAX_KEY_LENGTH)
             for index, key in enumerate(keys)
         ),
         requests_per_s=values.number(item.get("per_s", 0), f"{path}/per_s"),
--- a/mothshunt/platform/values.py
+++ b/mothshunt/platform/values.py
@@ -54,7 +54,23 @@
 
 
 def text(value: Any, path: str, max_length: int = 255) -> str:
-    """Read a text that is not empty.
+    """Read a text that is not empty and can be encoded.
+
+    :param value: The value.
+    :param path: Place in the document.
+    :param max_length: Characters that it may have.
+    :raises BadValueError: When it is none.
+    """
+    content = any_text(value, path, max_length)
+    try:
+        content.encode()
+    except UnicodeEncodeError:
+        raise BadValueError(path, "half of a surrogate pair") from None
+    return content
+
+
+def any_text(value: Any, path: str, max_length: int) -> str:
+    """Read a text that is not empty; it may contain halves of surrogate pairs.
 
     :param value: The value.
     :param path: Place in the document.
--- a/mothshunt/registry/intake.py
+++ b/mothshunt/registry/intake.py
@@ -3,16 +3,20 @@
 import time
 from dataclasses import dataclass
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import Incarnation, TargetId
+from mothshunt.helpers.log import get_logger
 from mothshunt.registry.coordinator import RegistryPublisher
 from mothshunt.registry.messages import Renewal, RenewalState
+from mothshunt.routing import codes
 from mothshunt.routing.coordinator import RoutingCoordinator
 from mothshunt.routing.model import RetiredState
+from mothshunt.util import wire
 
 MILLISECONDS_PER_SECOND = 1000
+_LOGGER = get_logger("registry")
 
 
 @dataclass(slots=True, eq=False)
@@ -31,10 +35,17 @@
     async def async_renew(self, renewal: Renewal) -> Result[None, Failure]:
         """Apply a renewal; commit the leave if the target is leaving.
 
+        A renewal that can't be sent on is refused: in one message with other targets,
+        it would keep them from being sent as well.
+
         :param renewal: The renewal.
-        :return: Nothing, or a failure with code 2704 if the target is leaving and no
-            majority has stored that.
+        :return: Nothing; or a failure with code 2701 if it can't be encoded, or 2704 if
+            the target is leaving and no majority has stored that.
         """
+        try:
+            wire.pack(renewal)
+        except (ValueError, OverflowError) as error:
+            return Error(_not_encoded(renewal, error))
         self.publisher.renew(renewal)
         if renewal.state is not RenewalState.LEAVING:
             return Ok(None)
@@ -65,3 +76,10 @@
         if known is not None:
             return known.renewal.incarnation
         return Incarnation(int(time.time() * MILLISECONDS_PER_SECOND))
+
+
+def _not_encoded(renewal: Renewal, error: Exception) -> Failure:
+    detail = f"target {renewal.target!a:.80} can't be encoded: {error!s:.80}"
+    failure = Failure(code=codes.INVALID_ITEM, detail=detail)
+    _LOGGER.failure("renewal refused", failure)
+    return failure
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -22,6 +22,8 @@
       | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":"4"}                  | sequence |
       | {"service":7,"address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4}                      | service  |
       | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4,"born":"yesterday"} | born     |
+      | {"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4,"version":"\ud83d"} | version  |
+      | {"service":"\udc00","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","sequence":4}             | service  |
 
   Scenario: Items are given back as they were sent
     When the platform's operator sends a patch of all kinds of items
@@ -52,6 +54,7 @@
       | {"upsert":{"tenants":[7]}}                                                              |
       | {"upsert":{"hosts":[{"host":"h","paths":[{"name":"r","path_prefix":"/","kind":"safe","timeout":"1s","target_latency":"1s","priority":0,"service":"s","max_attempts":1,"allow_anonymous":"no","version":"r1"}]}]}} |
       | {"remove":{"tenants":[{"name":"w"}]}}                                                   |
+      | {"remove":{"routes":[{"name":"\ud83d","version":"r1"}]}}                              |
 
   Scenario Outline: An item with a time that is too long for a float is kept
     Guards against a change that is acknowledged, and whose route, service or limits are
--- a/tests/registry/order.feature
+++ b/tests/registry/order.feature
@@ -31,3 +31,13 @@
     Given a registry
     When target "a" renews at 1 s and target "b" at 3 s
     Then "a" has been silent for 2 s and "b" for 0 s
+
+  Scenario: A renewal that can't be encoded is refused and keeps back no other target
+    Guards against targets that no instance is told of, because a renewal with half of a
+    surrogate pair is in the same message.
+    Given a control instance that receives renewals
+    When the target "odd" of release "v2 <half of a surrogate pair>" renews itself there
+    And the target "sound" of release "v2" renews itself there
+    Then the renewal of "odd" is refused with code 2701, that of "sound" is not
+    And the target "sound" is sent to the entry instances
+    And an instance that requests all targets gets "sound"
--- a/tests/steps/registry_order.py
+++ b/tests/steps/registry_order.py
@@ -1,12 +1,19 @@
 """Steps for the order of renewals."""
 
+import asyncio
+from dataclasses import replace
+
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from mothshunt.registry.messages import Renewal, RenewalState
+from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
+from mothshunt.registry.intake import TargetIntake
+from mothshunt.registry.messages import RegistryRequest, Renewal, RenewalState
 from mothshunt.registry.state import TargetRegistry
+from mothshunt.util import wire
+from tests.support.recording_network import ManualClock, RecordingNetwork
 
 
 def renewal(target, incarnation=1, sequence=1, port=80, state="serving") -> Renewal:
@@ -113,3 +120,57 @@
         assert results[0] == results[1]
 
     check()
+
+
+class EncodingNetwork(RecordingNetwork):
+    """Network that encodes each message, as streams do."""
+
+    def post(self, peer, message):
+        wire.pack(message)
+        return super().post(peer, message)
+
+
+@given("a control instance that receives renewals")
+def receiving_instance(context):
+    context.network = EncodingNetwork()
+    context.publisher = RegistryPublisher(
+        network=context.network,
+        clock=ManualClock(),
+        follower=RegistryFollower(context.network, ManualClock(), 1.5),
+        entries=lambda: ("entry",),
+        primary_entries=lambda: ("entry",),
+        control_peers=lambda: (),
+    )
+    context.intake = TargetIntake(context.publisher, routing=None)
+    context.result_by_target = {}
+
+
+@when('the target "{name}" of release "{release}" renews itself there')
+def renews_itself(context, name, release):
+    release = release.replace("<half of a surrogate pair>", "\ud83d")
+    port = 80 + len(context.result_by_target)
+    renewing = replace(renewal(name, port=port), release=release)
+    result = asyncio.run(context.intake.async_renew(renewing))
+    context.result_by_target[name] = result
+
+
+@then('the renewal of "{odd}" is refused with code {code:d}, that of "{sound}" is not')
+def odd_is_refused(context, odd, code, sound):
+    refused = context.result_by_target[odd]
+    assert refused.is_error(), refused
+    assert refused.error.code.number == code, refused
+    assert context.result_by_target[sound].is_ok(), context.result_by_target
+
+
+@then('the target "{name}" is sent to the entry instances')
+def is_sent(context, name):
+    context.publisher._flush(ManualClock().now)
+    (rows,) = context.network.posted_by_peer["entry"]
+    assert [row[0] for row in rows.rows] == [name], rows
+
+
+@then('an instance that requests all targets gets "{name}"')
+def gets_all(context, name):
+    context.publisher._on_request("other", RegistryRequest())
+    (rows,) = context.network.posted_by_peer["other"]
+    assert [row[0] for row in rows.rows] == [name], rows
