Look at stalled callers only while too much is unread

Each half second all connections were sorted, also those with nothing unread. The result is the same; forwarding/unread_limit passed.

--- a/mothshunt/forwarding/unread_limit.py
+++ b/mothshunt/forwarding/unread_limit.py
@@ -44,19 +44,21 @@
         before = self._unread_by_caller
         self._unread_by_caller = {}
         for caller, size in size_by_caller.items():
+            if size == 0:
+                continue
             known = before.get(caller)
             if known is None or known.size != size:
                 known = Unread(size, now)
             self._unread_by_caller[caller] = known
         excess = sum(size_by_caller.values()) - self.max_bytes
+        if excess <= 0:
+            return []
         disconnected = []
-        by_time = sorted(
+        for caller, unread in sorted(
             self._unread_by_caller.items(), key=lambda item: item[1].unchanged_since
-        )
-        for caller, unread in by_time:
+        ):
             if excess <= 0 or now - unread.unchanged_since < self.stall_s:
                 break
-            if unread.size > 0:
-                excess -= unread.size
-                disconnected.append(caller)
+            excess -= unread.size
+            disconnected.append(caller)
         return disconnected
