--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -45,6 +45,7 @@
 }
 CONTROL_PORT, DIRECTORY_PORT, FRONTEND_PORT, READINESS_PORT = 8649, 8644, 8641, 8640
 SERVER_PORT = 8080
+INTERNAL_PORT = 7620
 ATTEMPT_ID = "Mothshunt-Attempt-Id"
 SEAL = "Mothshunt-Response-Seal"
 EXIT_HELD, EXIT_BROKEN, EXIT_CANNOT_RUN = 0, 1, 2
@@ -304,16 +305,87 @@
         return "\r\n".join([first, *lines, "", ""]).encode() + body
 
 
+class DelayProxy:
+    """TCP proxy that passes all bytes on after a fixed time, as a long way does.
+
+    :param listen: Address that it listens on.
+    :param forward: Address that it forwards to.
+    :param delay_s: Time that bytes take one way, in seconds.
+    """
+
+    def __init__(
+        self, listen: tuple[str, int], forward: tuple[str, int], delay_s: float
+    ) -> None:
+        self._listen = listen
+        self._forward = forward
+        self._delay_s = delay_s
+        self._listener: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def async_start(self) -> None:
+        """Start to accept connections."""
+        self._listener = await asyncio.start_server(self._async_accept, *self._listen)
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _async_accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            there = await asyncio.open_connection(*self._forward)
+        except OSError:
+            writer.transport.abort()
+            return
+        writers = {writer, there[1]}
+        self._writers |= writers
+        await asyncio.gather(
+            self._async_pass(reader, there[1]), self._async_pass(there[0], writer)
+        )
+        self._writers -= writers
+
+    async def _async_pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(64 * 1024)
+            except OSError:
+                data = b""
+            if data:
+                loop.call_later(self._delay_s, self._write, writer, data)
+            else:
+                loop.call_later(self._delay_s, writer.transport.abort)
+
+    @staticmethod
+    def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+        if not writer.transport.is_closing():
+            writer.write(data)
+
+
 class Deployment:
     """Processes of the project on loopback addresses, and the platform's side.
 
     :param controls: Number of machines that serve ``control``.
     :param entries: Number of machines that serve ``edge`` and ``directory``.
     :param bounds: Bounds that differ from ``BOUNDS``.
+    :param region_delay_s: Time of the way to a control machine, which is in another
+        region; 0 for none. Each machine then has internal ports of its own, so that a
+        proxy can stand at the address that it dials.
     """
 
     def __init__(
-        self, controls: int, entries: int, bounds: dict[str, Any] | None = None
+        self,
+        controls: int,
+        entries: int,
+        bounds: dict[str, Any] | None = None,
+        region_delay_s: float = 0.0,
     ) -> None:
         self._bounds = {**BOUNDS, **(bounds or {})}
         self.controls = range(controls)
@@ -325,6 +397,25 @@
         self.servers: list[Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._attempts = 0
+        self._region_delay_s = region_delay_s
+        self._proxies: list[DelayProxy] = []
+
+    def _internal_port(self, machine: int) -> int:
+        return INTERNAL_PORT + (machine if self._region_delay_s else 0)
+
+    async def async_start_proxies(self) -> None:
+        """Start the proxies at the addresses at which machines dial the controls."""
+        for control in self.controls:
+            for machine in self.machines:
+                if machine == control or not self._region_delay_s:
+                    continue
+                proxy = DelayProxy(
+                    (self.ip(control), self._internal_port(machine)),
+                    (self.ip(control), self._internal_port(control)),
+                    self._region_delay_s,
+                )
+                await proxy.async_start()
+                self._proxies.append(proxy)
 
     def ip(self, machine: int) -> str:
         """Return the IP number of a machine."""
@@ -350,7 +441,10 @@
             "region": ZONES[zone],
             "zones": ZONES,
             "listen": {name: f"{ip}:{port}" for name, port in ports.items()},
-            "internal_ports": [7620, 7635],
+            "internal_ports": [
+                self._internal_port(machine),
+                self._internal_port(machine) + 15,
+            ],
             "seeds": [f"{self.ip(c)}:{CONTROL_PORT}" for c in self.controls[:3]],
             "bootstrap": bootstrap,
             "loss_counts": is_control,
@@ -498,8 +592,8 @@
         """End all processes that were started, and remove the temporary folder."""
         for task in self._tasks:
             task.cancel()
-        for server in self.servers:
-            server.stop()
+        for stand_in in (*self.servers, *self._proxies):
+            stand_in.stop()
         for process in self._processes.values():
             if process.poll() is None:
                 process.kill()
