--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,10 +9,12 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -46,6 +48,8 @@
 CONTROL_PORT, DIRECTORY_PORT, FRONTEND_PORT, READINESS_PORT = 8649, 8644, 8641, 8640
 SERVER_PORT = 8080
 INTERNAL_PORT = 7620
+#: Port of the metrics in the deploy file.
+METRICS_PORT = 9464
 ATTEMPT_ID = "Mothshunt-Attempt-Id"
 SEAL = "Mothshunt-Response-Seal"
 EXIT_HELD, EXIT_BROKEN, EXIT_CANNOT_RUN = 0, 1, 2
@@ -305,6 +309,34 @@
         return "\r\n".join([first, *lines, "", ""]).encode() + body
 
 
+def find_free_net(machines: int) -> str:
+    """Return the first three parts of loopback addresses on which all ports are free.
+
+    :param machines: Number of machines; servers have the numbers from 101 on.
+    """
+    own_ports = (CONTROL_PORT, DIRECTORY_PORT, FRONTEND_PORT, READINESS_PORT)
+    ports = (*own_ports, METRICS_PORT, *range(INTERNAL_PORT, INTERNAL_PORT + 16))
+    wanted = [(number + 1, port) for number in range(machines) for port in ports]
+    wanted += [(100 + number, SERVER_PORT) for number in range(1, 7)]
+    for attempt in range(20):
+        number = os.getpid() + 997 * attempt
+        net = f"127.{number % 200 + 20}.{number // 200 % 250}"
+        if all(is_free(f"{net}.{last}", port) for last, port in wanted):
+            return net
+    raise CannotRunError("no loopback addresses with free ports were found")
+
+
+def is_free(ip: str, port: int) -> bool:
+    """Whether nothing listens on a port of an address."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 class DelayProxy:
     """TCP proxy that passes all bytes on after a fixed time, as a long way does.
 
@@ -392,7 +424,7 @@
         self.entries = range(controls, controls + entries)
         self.machines = range(controls + entries)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self._net = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}"
+        self._net = find_free_net(len(self.machines))
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
         self.servers: list[Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -597,6 +629,7 @@
         for process in self._processes.values():
             if process.poll() is None:
                 process.kill()
+        for process in self._processes.values():
             process.wait()
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -619,6 +652,11 @@
     record = Record(folder)
 
     async def async_limited() -> bool:
+        task = asyncio.current_task()
+        if task is not None:
+            # The processes that were started are ended on the way out.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(timeout_s):
             return await scenario(record)
 
@@ -627,8 +665,10 @@
         return EXIT_CANNOT_RUN
     try:
         held = asyncio.run(async_limited())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+        # Whatever went wrong here says nothing of the rule.
         record.write(f"cannot run: {error!r}")
+        record.write(traceback.format_exc(), echo=False)
         return EXIT_CANNOT_RUN
     record.write("the rule held" if held else "THE RULE WAS BROKEN")
     return EXIT_HELD if held else EXIT_BROKEN
