Responses whose status is outside of 100 to 599 reach no caller

Callers saw: a target that answered with status 000 had its answer passed on as "HTTP/1.1 0", with all its fields; 001 to 099, 600, 700 and 999 the same. By way of contracts, the callers' HTTP client could not read what it got.

Cause: aiohttp's parser accepts any three digits as the status of a response, and neither kind of deployment looked at it again: everything below 500 counted as an answer.

An invalid one breaks the connection: the caller gets 502 with ran unknown, a read is retried at another target, an order is not, and it counts against the target as other broken responses do. What follows on that connection is dropped, so that no later bytes are taken for the response.

--- a/mothshunt/helpers/bounded_answers.py
+++ b/mothshunt/helpers/bounded_answers.py
@@ -1,4 +1,4 @@
-"""HTTP connections to targets with a bound on the bytes outside of response bodies."""
+"""HTTP connections to targets that are closed on invalid or endless responses."""
 
 import asyncio
 import re
@@ -6,9 +6,11 @@
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
 from mothshunt.helpers import transports
+from mothshunt.helpers.response_head import find_head_error
 
 #: Largest number of bytes of one response outside of its body: heads, informational
 #: responses, responses to earlier requests, chunk extensions, trailers and what follows
@@ -46,6 +48,7 @@
     """Connection to a target, closed if too many bytes are outside of response bodies.
 
     Without the bound, a target could keep sending without ever completing a response.
+    It is also closed if the head of a response is not valid.
     """
 
     _received_bytes = 0
@@ -86,6 +89,23 @@
         ):
             self.break_off("too many bytes outside of response bodies")
 
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Queue a response for its reader, or close the connection if it is invalid.
+
+        :param data: Head and body stream of the response.
+        :param size: Not used by aiohttp's connections.
+        """
+        if self.exception() is not None:
+            # What follows an invalid response on its connection is no response either.
+            return
+        error = find_head_error(data[0])
+        if error is not None:
+            self.break_off(error)
+            return
+        super().feed_data(data, size)
+
     def _is_awaiting_head(self) -> bool:
         return self._payload is None or self._payload.is_eof()
 
--- a/tests/dispatch/whole_answers.feature
+++ b/tests/dispatch/whole_answers.feature
@@ -20,17 +20,22 @@
       | sends chunks without an end |
       | sends an unframed body      |
 
-  Scenario: A GET is retried at another target after a malformed response
+  Scenario Outline: A GET is retried at another target after a malformed response
 
-    The target sends an invalid chunk size after the first chunk.
+    The target sends an invalid chunk size after the first chunk, or an invalid status.
 
     Given a dispatch entry
-    And a raw target "t1" that sends broken chunks
+    And a raw target "t1" that <answers>
     And a raw target "t2" that answers
     When a dispatch caller sends GET "/a"
     Then the dispatch caller got status 200 and "t2 /a"
     And the outcomes were "t1 broken, t2 answered"
 
+    Examples:
+      | answers             |
+      | sends broken chunks |
+      | answers 000         |
+
   Scenario Outline: A truncated response to a POST is reported as an error or broken off
 
     The request may have been run, so it can't be retried.
--- a/tests/forwarding/broken_answers.feature
+++ b/tests/forwarding/broken_answers.feature
@@ -60,6 +60,22 @@
       | is reset within the head | GET    | /reads/a  |
       | is reset within the head | POST   | /orders/a |
 
+  Scenario: A read is retried at another target after a response that is not HTTP
+    Given a routed entry
+    And a routed target "t1" that answers 000
+    And a routed target "t2" that answers
+    When a routed caller sends GET "/reads/a" for each of 8 objects
+    Then the routed caller got status 200 each time
+    And "t1" got at least one request
+
+  Scenario: An order is not sent again after a response that is not HTTP
+    Given a routed entry
+    And a routed target "t1" that answers 000
+    And a routed target "t2" that answers 000
+    When a routed caller sends POST "/orders/a"
+    Then the routed caller got status 502
+    And the targets got one request in total
+
   Scenario Outline: A caller that speaks HTTP/1.0 gets a response of unknown length
     Guards against a complete response that is reported as broken (502).
     Given a routed entry
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -179,6 +179,11 @@
     writer.write(answer(b"busy", "503 Busy", headers))
 
 
+async def invalid_status(target, request, writer) -> None:
+    """Answer with a status that HTTP does not have."""
+    writer.write(answer(b"odd", "000 Odd"))
+
+
 async def short_length(target, request, writer) -> None:
     """Send less than the content length says, then close."""
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer")
@@ -302,6 +307,7 @@
     "never answers": silent,
     "answers after a while": slow,
     "sheds": shed,
+    "answers 000": invalid_status,
     "sends a short body": short_length,
     "sends chunks without an end": endless_chunks,
     "sends broken chunks": broken_chunks,
--- a/tests/support/target_behaviours.py
+++ b/tests/support/target_behaviours.py
@@ -227,6 +227,10 @@
     await asyncio.sleep(60)
 
 
+async def invalid_status(target, request, writer):
+    writer.write(echo(request, request.header_by_name[ID].encode(), "000 Odd"))
+
+
 async def bytes_after(target, request, writer):
     own = request.header_by_name[ID].encode()
     writer.write(echo(request, own) + b"\x00bytes of no protocol\r\n\r\n")
@@ -321,6 +325,7 @@
     "turns away, and once more before it runs the retry": repeats_refusal,
     "answers 503 after running": fails_with_503,
     "answers 500": fails_with_500,
+    "answers 000": invalid_status,
     "never answers": never,
     "answers after 300 ms": late,
     "answers after 1.4 s": overdue,
