Orders answered with a control byte in a field are not told as not run

Callers saw: where a target's response had a control byte in the value of a field or in its reason phrase, they were told 400, malformed request, not run, in both kinds of deployment: their request was sound, and an order had run.

Cause: aiohttp's parser lets such bytes pass in responses, its serializer refuses them, and a response that can't be written is answered by the handler for malformed requests.

With the change all give 502 with ran unknown, and a tab or bytes above 127 are passed on as before.

Change: such a head is invalid like one with an invalid name. RFC 9110, 5.5 leaves it to the recipient whether to keep these bytes; callers got no such response before either.

--- a/mothshunt/helpers/response_head.py
+++ b/mothshunt/helpers/response_head.py
@@ -14,6 +14,9 @@
 
 #: Characters of the names of fields (RFC 9110, 5.6.2).
 _NAMES = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]*")
+#: Control characters that neither values nor reason phrases may have (RFC 9110, 5.5).
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+_CONTROL_BYTE = re.compile(_CONTROL.pattern.encode())
 #: A status line and the byte after it.
 _STATUS_LINE = re.compile(rb"(?P<line>[^\n]*)\n(?P<next>.)", re.DOTALL)
 _INFORMATIONAL = re.compile(rb"HTTP/\d\.\d 1")
@@ -30,6 +33,10 @@
         return f"invalid status {message.code:03d}"
     if not _NAMES.fullmatch(b"".join(name for name, _ in message.raw_headers)):
         return "invalid name of a header field"
+    if _CONTROL_BYTE.search(b"".join(value for _, value in message.raw_headers)):
+        return "control character in a header field"
+    if _CONTROL.search(message.reason):
+        return "control character in the reason phrase"
     return None
 
 
--- a/tests/helpers/response_heads.feature
+++ b/tests/helpers/response_heads.feature
@@ -37,6 +37,7 @@
       | HTTP/1.1 200 OK\n%ID%                                | 200 |
       | HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n%ID%             | 200 |
       | HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`\x7c~09azAZ: 1\r\n%ID% | 200 |
+      | HTTP/1.1 200 O\tK \xe9\r\nA: a\tb \xff\r\n%ID%       | 200 |
     Then each caller got the status and body of the target
 
     Examples:
@@ -93,3 +94,23 @@
       | routes        |
       | contracts     |
       | another entry |
+
+  Scenario Outline: A value or the reason phrase has a control byte
+    Guards against an order that has run and is reported as a malformed request, not run.
+    When a target answers requests by way of <way> with these heads:
+      | head                                      |
+      | HTTP/1.1 200 OK\r\nX-Odd: a\x00b\r\n%ID%  |
+      | HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\n%ID%  |
+      | HTTP/1.1 200 OK\r\nX-Odd: a\x0bb\r\n%ID%  |
+      | HTTP/1.1 200 OK\r\nX-Odd: a\x7fb\r\n%ID%  |
+      | HTTP/1.1 200 O\x00K\r\n%ID%               |
+      | HTTP/1.1 200 O\x1fK\r\n%ID%               |
+      | HTTP/1.1 200 O\x7fK\r\n%ID%               |
+      | HTTP/1.1 200 O\rK\r\n%ID%                 |
+    Then each caller got status 502 and is not told that its request was not run
+
+    Examples:
+      | way           |
+      | routes        |
+      | contracts     |
+      | another entry |
