Contracts: a switch of protocols that no request asked for reaches no caller

Callers saw: status 101 as the answer to a read or an order, in deployments with contracts. Their connection is no longer HTTP by that answer. Deployments with routes gave 502.

Cause: aiohttp hands 101 to the client as a final response; only forwarding looked for it.

Change: the check moved from forwarding to the head of every response of a target.

--- a/mothshunt/forwarding/attempt.py
+++ b/mothshunt/forwarding/attempt.py
@@ -45,7 +45,6 @@
 FIRST_ERROR_STATUS = 500
 #: HTTP statuses from which a caller concludes that the request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-STATUS_SWITCHING_PROTOCOLS = 101
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -377,8 +376,6 @@
     """
     for _ in range(const.MAX_INFORMATIONAL_RESPONSES + 1):
         message, payload = await connection.read()
-        if message.code == STATUS_SWITCHING_PROTOCOLS:
-            raise aiohttp.ClientPayloadError("unrequested switch of protocols (101)")
         if not 100 <= message.code < 200:
             return message, payload
     raise aiohttp.ClientPayloadError("too many informational responses (1xx)")
--- a/mothshunt/helpers/response_head.py
+++ b/mothshunt/helpers/response_head.py
@@ -11,6 +11,7 @@
 #: Range of valid statuses (RFC 9110, 15).
 MIN_STATUS = 100
 MAX_STATUS = 599
+STATUS_SWITCHING_PROTOCOLS = 101
 
 #: Characters of the names of fields (RFC 9110, 5.6.2).
 _NAMES = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]*")
@@ -31,6 +32,9 @@
     """
     if not MIN_STATUS <= message.code <= MAX_STATUS:
         return f"invalid status {message.code:03d}"
+    if message.code == STATUS_SWITCHING_PROTOCOLS:
+        # Upgrade is not forwarded, so no request asks for it.
+        return "unrequested switch of protocols (101)"
     if not _NAMES.fullmatch(b"".join(name for name, _ in message.raw_headers)):
         return "invalid name of a header field"
     if _CONTROL_BYTE.search(b"".join(value for _, value in message.raw_headers)):
--- a/tests/helpers/response_heads.feature
+++ b/tests/helpers/response_heads.feature
@@ -114,3 +114,17 @@
       | routes        |
       | contracts     |
       | another entry |
+
+  Scenario Outline: The response switches protocols, which no request asks for
+    When a target answers requests by way of <way> with these heads:
+      | head                                                          |
+      | HTTP/1.1 101 Switch\r\n%ID%                                   |
+      | HTTP/1.1 101 Switch\r\nUpgrade: a\r\nConnection: upgrade\r\n%ID% |
+      | HTTP/1.1 101 Switch\r\n\r\nHTTP/1.1 200 OK\r\n%ID%            |
+    Then each caller got status 502 and is not told that its request was not run
+
+    Examples:
+      | way           |
+      | routes        |
+      | contracts     |
+      | another entry |
