Responses of other protocols than HTTP/1 reach no caller

Callers saw: "RTSP/1.0 200 OK", "ICE/1.0 200 OK", "HTTP/0.9 200 OK" and "HTTP/2.0 200 OK" from a target came to them as "HTTP/1.1 200 OK".

Cause: aiohttp's parser accepts these status lines, and the head that it returns has a version, but not the protocol.

Change: the status line, which is looked at before the parser gets it, must begin with HTTP/1 and a minor version.

--- a/mothshunt/helpers/response_head.py
+++ b/mothshunt/helpers/response_head.py
@@ -20,7 +20,8 @@
 _CONTROL_BYTE = re.compile(_CONTROL.pattern.encode())
 #: A status line and the byte after it.
 _STATUS_LINE = re.compile(rb"(?P<line>[^\n]*)\n(?P<next>.)", re.DOTALL)
-_INFORMATIONAL = re.compile(rb"HTTP/\d\.\d 1")
+_VERSION = re.compile(rb"HTTP/1\.\d ")
+_INFORMATIONAL = re.compile(rb"HTTP/1\.\d 1")
 _LINE_ENDS = b"\r\n"
 _BLANKS = b" \t"
 
@@ -47,8 +48,9 @@
 class StatusLineReader:
     """Reader of the status line of a response, ahead of aiohttp's parser.
 
-    That parser drops a blank after the status line: it takes the line that begins with
-    it for a header field, or for the end of the head if nothing else is on it.
+    That parser accepts status lines of some other protocols. It drops a blank after the
+    status line: it takes the line that begins with it for a header field, or for the
+    end of the head if nothing else is on it.
     """
 
     def __init__(self) -> None:
@@ -78,5 +80,10 @@
             return None
         self._received = b""
         self._is_complete = True
-        self.is_informational = _INFORMATIONAL.match(match["line"]) is not None
-        return "blank after the status line" if match["next"] in _BLANKS else None
+        line = match["line"]
+        if not _VERSION.match(line):
+            return "status line of another protocol than HTTP/1"
+        if match["next"] in _BLANKS:
+            return "blank after the status line"
+        self.is_informational = _INFORMATIONAL.match(line) is not None
+        return None
--- a/tests/helpers/response_heads.feature
+++ b/tests/helpers/response_heads.feature
@@ -34,6 +34,7 @@
       | HTTP/1.1 599 Odd\r\n%ID%                             | 599    |
       | HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n%ID% | 200 |
       | HTTP/1.1 200\r\n%ID%                                 | 200 |
+      | HTTP/1.0 200 OK\r\n%ID%                              | 200 |
       | HTTP/1.1 200 OK\n%ID%                                | 200 |
       | HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n%ID%             | 200 |
       | HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`\x7c~09azAZ: 1\r\n%ID% | 200 |
@@ -128,3 +129,20 @@
       | routes        |
       | contracts     |
       | another entry |
+
+  Scenario Outline: The status line is not one of HTTP/1
+    When a target answers requests by way of <way> with these heads:
+      | head                                                |
+      | HTTP/0.9 200 OK\r\n%ID%                             |
+      | HTTP/2.0 200 OK\r\n%ID%                             |
+      | ICE/1.0 200 OK\r\n%ID%                              |
+      | RTSP/1.0 200 OK\r\n%ID%                             |
+      | HTTP/1.1 103 Early\r\n\r\nRTSP/1.0 200 OK\r\n%ID%   |
+      | RTSP/1.0 100 Early\r\n\r\nHTTP/1.1 200 OK\r\n%ID%   |
+    Then each caller got status 502 and is not told that its request was not run
+
+    Examples:
+      | way           |
+      | routes        |
+      | contracts     |
+      | another entry |
