Command line: an invalid response tells nothing of a change's outcome

Operators saw: an answer with status 000, one of RTSP or one with "Content-Length :" counted as the acknowledgement of a change, as every status below 300 does.

Cause: the command line used aiohttp's own connections, so heads weren't looked at there.

--- a/mothshunt/cli/client.py
+++ b/mothshunt/cli/client.py
@@ -20,6 +20,7 @@
     ROUND_PAUSE_S,
 )
 from mothshunt.cli.model import CommandFailure, ExitCode
+from mothshunt.helpers.bounded_answers import BoundedConnector
 from mothshunt.routing import codes as routing_codes
 
 #: Refusals that the replicated state gave; no earlier copy can be accepted after. Had a
@@ -127,7 +128,7 @@
     async def __aenter__(self) -> Self:
         """Open the session."""
         # A kept-alive connection may have gone silent.
-        connector = aiohttp.TCPConnector(force_close=True)
+        connector = BoundedConnector(force_close=True)
         self._session = aiohttp.ClientSession(connector=connector)
         return self
 
--- a/mothshunt/dispatch/pool.py
+++ b/mothshunt/dispatch/pool.py
@@ -4,8 +4,6 @@
 import time
 import weakref
 from dataclasses import dataclass
-from functools import partial
-from typing import Any
 
 import aiohttp
 from aiohttp import ClientRequest
@@ -20,7 +18,7 @@
     MIN_REUSE_IDLE_S,
     RETIRED_POOL_CLOSE_DELAY_S,
 )
-from mothshunt.helpers.bounded_answers import BoundedResponseHandler
+from mothshunt.helpers.bounded_answers import BoundedConnector
 
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
@@ -43,17 +41,6 @@
     reused: bool
 
 
-class BoundedConnector(aiohttp.TCPConnector):
-    """Connector that limits the bytes a target may send outside of response bodies."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        self._factory = partial(self._make_protocol)
-
-    def _make_protocol(self) -> ResponseHandler:
-        return BoundedResponseHandler(self._loop)
-
-
 class DelayedReuseConnector(BoundedConnector):
     """Connector that reuses a connection only after a minimum idle time.
 
--- a/mothshunt/helpers/bounded_answers.py
+++ b/mothshunt/helpers/bounded_answers.py
@@ -1,10 +1,11 @@
-"""HTTP connections to targets that are closed on invalid or endless responses."""
+"""HTTP connections that are closed on invalid or endless responses."""
 
 import asyncio
 import re
+from functools import partial
 from typing import Any
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientPayloadError, TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
@@ -151,3 +152,14 @@
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
+
+
+class BoundedConnector(TCPConnector):
+    """Connector whose connections are closed on invalid or endless responses."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(self._make_protocol)
+
+    def _make_protocol(self) -> ResponseHandler:
+        return BoundedResponseHandler(self._loop)
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -46,6 +46,20 @@
     And the control instance was sent 2 copies of one change
     And 1 changes of the command line were accepted
 
+  Scenario Outline: A change whose answer is not valid HTTP is sent again as the same change
+    Given the first answer to a PUT request has "<invalid>" in place of "<valid>"
+    When "mothshunt contract apply rackhaven.json --output json" is run
+    Then the command exits with 0
+    And the command's JSON has "repeated" True
+    And the control instance was sent 2 copies of one change
+
+    Examples:
+      | invalid          | valid          |
+      | HTTP/1.1 000     | HTTP/1.1 200   |
+      | HTTP/1.1 101     | HTTP/1.1 200   |
+      | RTSP/1.0 200     | HTTP/1.1 200   |
+      | Content-Length : | Content-Length: |
+
   Scenario: No copy is sent without the command line knowing
     Given the answers to the first 9 PUT requests are lost
     When "mothshunt contract apply rackhaven.json --timeout 0" is run
--- a/tests/steps/cli_commands.py
+++ b/tests/steps/cli_commands.py
@@ -80,13 +80,18 @@
 
 
 @given("the answers to the first {count:d} {method} requests are lost")
-def answers_lost(context, count, method):
-    context.dropper = AnswerDropper(context.admin_port, method, count)
+def answers_lost(context, count, method, replaced=None):
+    context.dropper = AnswerDropper(context.admin_port, method, count, replaced)
     context.admin.loop.run(context.dropper.async_start())
     context.stack.callback(lambda: context.admin.loop.run(context.dropper.async_stop()))
     context.addresses = [f"http://127.0.0.1:{context.dropper.port}"]
 
 
+@given('the first answer to a {method} request has "{invalid}" in place of "{valid}"')
+def answer_altered(context, method, invalid, valid):
+    answers_lost(context, 1, method, (valid.encode(), invalid.encode()))
+
+
 @given("the operator of the command line is removed after the first change")
 def operator_removed_after_change(context):
     run(context, "operators set budi --grant *=change --output json")
--- a/tests/support/answer_dropper.py
+++ b/tests/support/answer_dropper.py
@@ -1,4 +1,4 @@
-"""TCP proxy that hands requests on and drops the first answers."""
+"""TCP proxy that hands requests on, and drops or alters the first answers."""
 
 import asyncio
 import contextlib
@@ -7,16 +7,17 @@
 
 
 class AnswerDropper:
-    """Drop the answers to the first requests of one method.
+    """Drop the answers to the first requests of one method, or replace bytes in them.
 
     Each connection carries one request, as the command line does it. ``seen``
     counts the requests of the method that reached the server.
     """
 
-    def __init__(self, upstream_port, method, dropped):
+    def __init__(self, upstream_port, method, dropped, replaced=None):
         self._upstream_port = upstream_port
         self._method = method.encode()
         self._left = dropped
+        self._replaced = replaced
         self._server = None
         self.seen = 0
 
@@ -42,7 +43,10 @@
         upstream.write(request)
         sending = asyncio.create_task(_async_pump(reader, upstream))
         answer = await upstream_reader.read(CHUNK_BYTES)
-        if not self._is_dropped(request):
+        is_dropped = self._is_dropped(request)
+        if is_dropped and self._replaced is not None:
+            answer = answer.replace(*self._replaced, 1)
+        if not is_dropped or self._replaced is not None:
             writer.write(answer)
             await _async_pump(upstream_reader, writer)
         sending.cancel()
