Heads of responses: terms of the RFC, and why the status line is not read again

Reading as a newcomer would: the RFC says whitespace, the connection serves the command line too, and the reset after informational responses only had no reason beside it.

--- a/mothshunt/helpers/bounded_answers.py
+++ b/mothshunt/helpers/bounded_answers.py
@@ -46,9 +46,9 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Connection to a target, closed if too many bytes are outside of response bodies.
+    """Connection to a server, closed if too many bytes are outside of response bodies.
 
-    Without the bound, a target could keep sending without ever completing a response.
+    Without the bound, a server could keep sending without ever completing a response.
     It is also closed if the head of a response is not valid.
     """
 
@@ -108,6 +108,7 @@
         if error is not None:
             self.break_off(error)
             return
+        # Behind a final response, the beginning of another one isn't known for certain.
         if self._status_line.is_informational:
             self._status_line.reset()
         super().feed_data(data, size)
--- a/mothshunt/helpers/response_head.py
+++ b/mothshunt/helpers/response_head.py
@@ -23,7 +23,7 @@
 _VERSION = re.compile(rb"HTTP/1\.\d ")
 _INFORMATIONAL = re.compile(rb"HTTP/1\.\d 1")
 _LINE_ENDS = b"\r\n"
-_BLANKS = b" \t"
+_WHITESPACE = b" \t"
 
 
 def find_head_error(message: RawResponseMessage) -> str | None:
@@ -48,9 +48,9 @@
 class StatusLineReader:
     """Reader of the status line of a response, ahead of aiohttp's parser.
 
-    That parser accepts status lines of some other protocols. It drops a blank after the
-    status line: it takes the line that begins with it for a header field, or for the
-    end of the head if nothing else is on it.
+    That parser accepts status lines of some other protocols. It drops a space at the
+    beginning of the next line, and takes that line for a header field, or for the end
+    of the head if it has nothing else.
     """
 
     def __init__(self) -> None:
@@ -83,7 +83,7 @@
         line = match["line"]
         if not _VERSION.match(line):
             return "status line of another protocol than HTTP/1"
-        if match["next"] in _BLANKS:
-            return "blank after the status line"
+        if match["next"] in _WHITESPACE:
+            return "whitespace after the status line"
         self.is_informational = _INFORMATIONAL.match(line) is not None
         return None
--- a/tests/helpers/response_heads.feature
+++ b/tests/helpers/response_heads.feature
@@ -1,7 +1,7 @@
 Feature: A response whose head is not valid HTTP reaches no caller
 
   Guards against callers that take such a response for an answer, get one of its lines,
-  or a body that differs from the target's. It doesn't tell whether the request was run.
+  or a body that differs from the target's, or are told that an order was not run.
 
   Scenario Outline: The status is outside of 100 to 599
     When a target answers requests by way of <way> with these heads:
@@ -90,9 +90,9 @@
       | contracts     |
       | another entry |
 
-  Scenario Outline: A blank follows the status line, or an informational head is invalid
-    A line that begins with a blank continues the line before it; a status line can't be
-    continued.
+  Scenario Outline: Whitespace follows the status line, or an informational head is invalid
+    A line that begins with whitespace continues the line before it; a status line can't
+    be continued.
     When a target answers requests by way of <way> with these heads:
       | head                                                                      |
       | HTTP/1.1 200 OK\r\n X-Odd: 1\r\n%ID%                                      |
