Evacuations: a call that is read late is not run any more

What callers saw: an operator evacuated a zone, was acknowledged, and 0.5 s later the zone's targets got requests again, for good. Some seconds before, a control instance that was frozen for 1.5 s had been asked to take the zone back; its caller had given up after a second and had been served by another instance.

Cause: the base revision that guards against this is read when the call is handled. The instance that wakes applies what waits in its streams first, so the old call got the newest revision as its base, and the log accepted it. Nothing looked at whether the caller was still there.

The calls that other instances handled had their connection open. Ruled out: a second delivery by the log, as there is one entry with one base; a caller that sends again, as it had its acknowledgement.

Change: a slice of its own, receipt. A call to begin or end an evacuation is refused with code 1201 if its caller has closed the connection, and with 1202 if the process was suspended for 0.5 s or more when it may have arrived: closing may be lost, or not be done. Both are 503 with ran no, so callers go on to another instance. The platform's calls and the administration API are alike in this.

--- a/mothshunt/admin/coordinator.py
+++ b/mothshunt/admin/coordinator.py
@@ -30,6 +30,8 @@
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.helpers.log import get_logger
 from mothshunt.metrics.registry import Metrics
+from mothshunt.receipt.coordinator import CallReceiver
+from mothshunt.receipt.model import UNWATCHED
 from mothshunt.settings.config import Settings
 
 _LOGGER = get_logger("admin")
@@ -47,10 +49,12 @@
 
     :param configuration: Holds the operators and what they may do.
     :param routes: The operations.
+    :param receiver: Receives the requests.
     """
 
     configuration: ConfigurationService
     routes: tuple[Route, ...]
+    receiver: CallReceiver
 
 
 class AdminServer:
@@ -83,10 +87,12 @@
         self._is_ready = is_ready
         self._clock = clock
         self._gate: Gate | None = None
+        self._receiver: CallReceiver | None = None
         self._routes: tuple[Route, ...] = ()
         self._open_routes = open_routes
         if operations is not None:
             self._routes = operations.routes
+            self._receiver = operations.receiver
             self._gate = Gate(
                 configuration=operations.configuration,
                 bootstrap_token_sha256=settings.bootstrap_token_sha256,
@@ -173,6 +179,9 @@
     async def _async_answer(
         self, gate: Gate | None, match: RouteMatch, request: web.Request
     ) -> Result[Reply, Refusal]:
+        receipt = UNWATCHED
+        if self._receiver is not None:
+            receipt = self._receiver.receive(request)
         admitted = await _async_admitted(gate, match, _token(request))
         if admitted.is_error():
             return Error(Refusal(failure=admitted.error))
@@ -184,6 +193,7 @@
             path_values=match.path_values,
             query=query.ok,
             body=await request.read(),
+            receipt=receipt,
         )
         result = await match.route.handler(call)
         if request.method not in READING_METHODS:
--- a/mothshunt/admin/messages.py
+++ b/mothshunt/admin/messages.py
@@ -14,6 +14,7 @@
 from mothshunt.admin.parameters import ReadQuery
 from mothshunt.core.codes import Failure, ResultCode
 from mothshunt.core.types import ChangeId, CustomerId, Revision
+from mothshunt.receipt.model import UNWATCHED, Receipt
 from mothshunt.util import schema
 
 T = TypeVar("T")
@@ -73,12 +74,14 @@
     :param path_values: Values of the variable parts of the path.
     :param query: Parameters of the query, checked.
     :param body: Body of the request.
+    :param receipt: Receipt of the request.
     """
 
     operator: Operator
     path_values: Mapping[str, str]
     query: Q_co
     body: bytes
+    receipt: Receipt = UNWATCHED
 
     def customer(self) -> CustomerId:
         """Return the customer that the path names."""
--- a/mothshunt/admin/routing.py
+++ b/mothshunt/admin/routing.py
@@ -111,7 +111,10 @@
     ) -> Result[Reply, Refusal]:
         zone = AvailabilityZoneId(call.path_values[ATTR_ZONE])
         revision = await self._routing.async_set_evacuation(
-            call.operator.id, zone, is_evacuated=is_evacuated
+            call.operator.id,
+            zone,
+            is_evacuated=is_evacuated,
+            receipt=call.receipt,
         )
         if revision.is_error():
             return Error(_refusal(revision.error))
--- a/mothshunt/core/codes.py
+++ b/mothshunt/core/codes.py
@@ -1,8 +1,8 @@
 """Numbered result codes; each slice defines its own in its ``codes`` module.
 
-Number ranges: 1000 settings, 1100 peer streams, 2000 dispatch, 2100 lookup,
-2200 steering, 2300 limits, 2400 ledger, 2500 drain, 2600 discovery, 2700 routing,
-2800 forwarding, 2900 placement, 3000 admin, 3100 contract, 3200 access,
+Number ranges: 1000 settings, 1100 peer streams, 1200 receipt, 2000 dispatch,
+2100 lookup, 2200 steering, 2300 limits, 2400 ledger, 2500 drain, 2600 discovery,
+2700 routing, 2800 forwarding, 2900 placement, 3000 admin, 3100 contract, 3200 access,
 3300 isolation, 3400 quota, 4000 consensus, 4100 configuration, 4200 membership.
 """
 
--- a/mothshunt/daemon/app.py
+++ b/mothshunt/daemon/app.py
@@ -191,7 +191,9 @@
         targets=relay.table if relay else None,
         clock=base.clock,
     )
-    return Operations(configuration=control.configuration, routes=routes)
+    return Operations(
+        configuration=control.configuration, routes=routes, receiver=control.receiver
+    )
 
 
 def _relay(
--- a/mothshunt/daemon/control.py
+++ b/mothshunt/daemon/control.py
@@ -14,6 +14,7 @@
 from mothshunt.limits.coordinator import LeaseGrantorCoordinator
 from mothshunt.membership.hub import PresenceHub
 from mothshunt.membership.state import PresenceTable
+from mothshunt.receipt.coordinator import CallReceiver
 
 
 @dataclass(slots=True, eq=False)
@@ -27,6 +28,7 @@
     :param presence: Presence of all instances.
     :param ledger: Idempotency keys.
     :param grantor: Shares of limits.
+    :param receiver: Receives calls of operators.
     """
 
     base: Base
@@ -36,6 +38,7 @@
     presence: PresenceHub
     ledger: LedgerCoordinator
     grantor: LeaseGrantorCoordinator
+    receiver: CallReceiver
 
     @classmethod
     def from_base(cls, base: Base) -> "Control":
@@ -76,10 +79,12 @@
             presence=presence,
             ledger=ledger,
             grantor=grantor,
+            receiver=CallReceiver(clock),
         )
 
     async def async_start(self) -> None:
         """Start the parts; the network is started after them."""
+        await self.receiver.async_start()
         self.base.network.on_disconnect(self.publisher.remove_subscriber)
         await self.publisher.async_start()
         await self.presence.async_start()
@@ -97,6 +102,7 @@
         await self.log.async_stop()
         await self.publisher.async_stop()
         await self.presence.async_stop()
+        await self.receiver.async_stop()
 
     def control_peers(self) -> list[InstanceId]:
         """Return the other control instances."""
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -29,6 +29,7 @@
 from mothshunt.quota.token_service import QuotaTokenService
 from mothshunt.rate_limit.state import TokenIssuer
 from mothshunt.rate_limit.token_service import TokenService
+from mothshunt.receipt.coordinator import CallReceiver
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.registry.witnesses import LeaveReportCoordinator
@@ -54,6 +55,7 @@
     :param load_board: Forwards the loads of targets that entry instances learned.
     :param attachments: Streams to the control instances.
     :param network: Streams of this instance.
+    :param receiver: Receives calls of operators and targets.
     """
 
     log: ConsensusCoordinator
@@ -70,6 +72,7 @@
     load_board: LoadBoardService
     attachments: Attachments
     network: StreamNetwork
+    receiver: CallReceiver
     _state: ReplicatedConfiguration
 
     @classmethod
@@ -174,6 +177,7 @@
             load_board=LoadBoardService(network, roster.primary_entries, clock),
             attachments=attachments,
             network=network,
+            receiver=CallReceiver(clock),
             _state=state,
         )
 
@@ -215,10 +219,13 @@
             targets=targets,
             entries=EntryHandlers(self.directory, clock),
         )
-        return Operations(configuration=configuration, routes=routes)
+        return Operations(
+            configuration=configuration, routes=routes, receiver=self.receiver
+        )
 
     async def async_start(self) -> None:
         """Start the parts; the network is started after them."""
+        await self.receiver.async_start()
         self.network.on_disconnect(self.publisher.remove_subscriber)
         await self.publisher.async_start()
         await self.roster.async_start()
@@ -246,6 +253,7 @@
         await self.registry.async_stop()
         await self.roster.async_stop()
         await self.publisher.async_stop()
+        await self.receiver.async_stop()
 
     def _follow_voters(self, voters: tuple[Voter, ...]) -> None:
         self.attachments.update_peers(
--- a/mothshunt/helpers/transports.py
+++ b/mothshunt/helpers/transports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 
@@ -27,6 +28,21 @@
         transport.max_size = RECEIVE_BYTES
 
 
+def is_closed_by_peer(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the other end of a connection has closed it.
+
+    The event loop learns of this only after it has read what was sent before.
+
+    :param transport: Transport of the connection.
+    """
+    if transport.is_closing():
+        return True
+    poll = select.poll()
+    # Errors and resets are reported without being asked for.
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Reset a connection, so that no further byte of it is sent.
 
--- a/mothshunt/platform/endpoints.py
+++ b/mothshunt/platform/endpoints.py
@@ -14,6 +14,7 @@
 from mothshunt.helpers.log import get_logger
 from mothshunt.platform import documents, names
 from mothshunt.platform.values import BadValueError
+from mothshunt.receipt.model import Receipt
 from mothshunt.routing import codes
 
 _LOGGER = get_logger("platform")
@@ -50,6 +51,7 @@
         :param request: The call.
         """
         path = request.path
+        receipt = self.control.receiver.receive(request)
         try:
             if request.method == "GET" and path == names.PATH_READ:
                 return await self._async_read()
@@ -65,7 +67,7 @@
             ):
                 if path.startswith(prefix):
                     name = unquote(request.raw_path.partition("?")[0][len(prefix) :])
-                    return await handler(name, await request.read())
+                    return await handler(name, await request.read(), receipt)
         except BadValueError as error:
             return _bad_value(error, path)
         return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=path[:80]))
@@ -81,34 +83,38 @@
             case Result(error=failure):
                 return _failed(failure)
 
-    async def _async_beat(self, target: str, body: bytes) -> web.Response:
+    async def _async_beat(self, target: str, body: bytes, _: Receipt) -> web.Response:
         renewal = documents.read_renewal(
             target, documents.read_json(body), self.region_by_zone
         )
         return _answer(await self.control.intake.async_renew(renewal))
 
-    async def _async_leave(self, target: str, body: bytes) -> web.Response:
+    async def _async_leave(self, target: str, body: bytes, _: Receipt) -> web.Response:
         document = documents.read_json(body) if body.strip() else {}
         incarnation = documents.read_incarnation(document)
         return _answer(
             await self.control.intake.async_leave(TargetId(target), incarnation)
         )
 
-    async def _async_evacuate(self, zone: str, _: bytes) -> web.Response:
-        return await self._async_set_evacuation(zone, is_evacuated=True)
+    async def _async_evacuate(
+        self, zone: str, _: bytes, receipt: Receipt
+    ) -> web.Response:
+        return await self._async_set_evacuation(zone, receipt, is_evacuated=True)
 
-    async def _async_end_evacuation(self, zone: str, _: bytes) -> web.Response:
-        return await self._async_set_evacuation(zone, is_evacuated=False)
+    async def _async_end_evacuation(
+        self, zone: str, _: bytes, receipt: Receipt
+    ) -> web.Response:
+        return await self._async_set_evacuation(zone, receipt, is_evacuated=False)
 
     async def _async_set_evacuation(
-        self, name: str, *, is_evacuated: bool
+        self, name: str, receipt: Receipt, *, is_evacuated: bool
     ) -> web.Response:
         zone = AvailabilityZoneId(name)
         if zone not in self.region_by_zone:
             return _failed(Failure(code=codes.UNKNOWN_ZONE, detail=name[:80]))
         return _answer(
             await self.control.routing.async_set_evacuation(
-                documents.OPERATOR, zone, is_evacuated=is_evacuated
+                documents.OPERATOR, zone, is_evacuated=is_evacuated, receipt=receipt
             )
         )
 
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -21,6 +21,7 @@
 )
 from mothshunt.helpers import log
 from mothshunt.helpers.log import get_logger
+from mothshunt.receipt.model import Receipt
 from mothshunt.routing import codes, const
 from mothshunt.routing.applier import routing_items
 from mothshunt.routing.log_events import EvacuationSet, RoutingItemsSet, TargetRetires
@@ -111,15 +112,26 @@
         return tuple(sorted(item.availability_zone for item in evacuated))
 
     async def async_set_evacuation(
-        self, operator: OperatorId, zone: AvailabilityZoneId, *, is_evacuated: bool
+        self,
+        operator: OperatorId,
+        zone: AvailabilityZoneId,
+        *,
+        is_evacuated: bool,
+        receipt: Receipt,
     ) -> Result[Revision, Failure]:
         """Begin or end the evacuation of an availability zone.
 
         :param operator: Operator who requests it.
         :param zone: The zone.
         :param is_evacuated: Whether the zone's targets shall get no new requests.
-        :return: Revision of the change; or a failure with code 2704 or 2706.
+        :param receipt: Receipt of the operator's call.
+        :return: Revision of the change; or a failure with code 1201, 1202, 2704 or
+            2706.
         """
+        refusal = receipt.find_refusal()
+        if refusal is not None:
+            _LOGGER.failure(f"evacuation call for {zone} refused", refusal)
+            return Error(refusal)
         key = ItemKey(section=Section.EVACUATION, name=zone)
         command = SetEvacuation(
             operator=operator,
--- /dev/null
+++ b/tests/receipt/late_calls.feature
@@ -0,0 +1,42 @@
+Feature: Calls that are read late don't undo later ones
+
+  Background:
+    Given a control instance with an administration API and the platform's calls
+    And availability zone "north-a" is evacuated
+
+  Scenario Outline: The caller has given up and taken the zone back and evacuated it elsewhere
+    Guards against a call that is run after its caller has closed the connection.
+    When the event loop is blocked for 0.3 s, and in this time
+      | caller sends and closes | <call>  |
+      | other instances confirm | take back north-a, evacuate north-a |
+    Then availability zone "north-a" stays evacuated
+
+    Examples:
+      | call                                             |
+      | platform POST /-/Evacuate.Finish/north-a         |
+      | administration DELETE /v1/evacuations/north-a    |
+
+  Scenario Outline: The caller has gone without closing its connection
+    Guards against a call that waited in its socket while the process was suspended.
+    When the event loop is blocked for <blocked_s> s, and in this time
+      | caller sends            | <call>  |
+      | other instances confirm | take back north-a, evacuate north-a |
+    Then the call is refused with 503 and code 1202
+    And availability zone "north-a" stays evacuated
+
+    Examples:
+      | call                                             | blocked_s |
+      | platform POST /-/Evacuate.Finish/north-a         | 0.7       |
+      | administration DELETE /v1/evacuations/north-a    | 0.7       |
+
+  Scenario Outline: A caller that still waits is served, soon after a suspension too
+    When the event loop is blocked for <blocked_s> s, and in this time
+      | caller sends | platform POST /-/Evacuate.Finish/north-a |
+    And <pause_s> s later the same call is sent again
+    Then the call is answered with 200
+    And availability zone "north-a" isn't evacuated
+
+    Examples:
+      | blocked_s | pause_s |
+      | 0.2       | 0       |
+      | 0.7       | 0.6     |
--- /dev/null
+++ b/tests/steps/receipt_late_calls.py
@@ -0,0 +1,123 @@
+"""Steps for calls that wait in their sockets."""
+
+import socket
+import threading
+import time
+
+from behave import given, then, when
+
+from mothshunt.helpers.http_listener import HttpListener
+from mothshunt.platform.endpoints import ControlEndpoints
+from mothshunt.platform.readiness import refuse_malformed
+from mothshunt.routing.messages import SetEvacuation
+from tests.support.admin_deployment import AdminDeployment
+
+ZONE = "north-a"
+#: Time in which a call that is run wrongly would have been, in seconds.
+SETTLED_S = 0.3
+
+
+@given("a control instance with an administration API and the platform's calls")
+def control_instance(context):
+    admin = context.admin = AdminDeployment(context.stack, is_routed=True)
+    context.port_by_interface = {"administration": admin.start()}
+    endpoints = ControlEndpoints(admin.control, {ZONE: "north"})
+    listener = HttpListener(
+        host="127.0.0.1",
+        port=0,
+        handler=endpoints.async_handle,
+        on_malformed=refuse_malformed,
+    )
+    admin.loop.run(listener.async_start())
+    context.stack.callback(lambda: admin.loop.run(listener.async_stop()))
+    context.port_by_interface["platform"] = listener.port
+
+
+@given('availability zone "{zone}" is evacuated')
+def zone_is_evacuated(context, zone):
+    context.admin.loop.call(confirm, context.admin, f"evacuate {zone}")
+
+
+def confirm(admin, changes):
+    """Apply changes of zones that other control instances had committed."""
+    for change in filter(None, changes.split(", ")):
+        admin.log.index += 1
+        command = SetEvacuation(
+            operator="op",
+            availability_zone=change.split()[-1],
+            is_evacuated=change.startswith("evacuate"),
+            base_revision=admin.state.store.revision,
+        )
+        assert admin.state.apply(admin.log.index, command).is_accepted
+
+
+@when("the event loop is blocked for {blocked_s:g} s, and in this time")
+def blocked(context, blocked_s):
+    what = dict([context.table.headings, *context.table.rows])
+    is_blocked = threading.Event()
+
+    def block():
+        is_blocked.set()
+        time.sleep(blocked_s)
+        # What other instances sent is applied before the call is read.
+        confirm(context.admin, what.get("other instances confirm", ""))
+
+    blocking = threading.Thread(target=context.admin.loop.call, args=(block,))
+    blocking.start()
+    is_blocked.wait()
+    context.call = what.get("caller sends") or what["caller sends and closes"]
+    connection = send(context)
+    if "caller sends" not in what:
+        connection.close()
+    blocking.join()
+    if "caller sends" in what:
+        context.answer = read(connection)
+
+
+@when("{pause_s:g} s later the same call is sent again")
+def sent_again(context, pause_s):
+    time.sleep(pause_s)
+    context.answer = read(send(context))
+
+
+def send(context):
+    interface, method, path = context.call.split()
+    address = ("127.0.0.1", context.port_by_interface[interface])
+    connection = socket.create_connection(address, timeout=5.0)
+    context.stack.callback(connection.close)
+    head = f"{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n"
+    token = f"Authorization: Bearer {context.admin.token}\r\n"
+    connection.sendall(f"{head}{token}\r\n".encode())
+    return connection
+
+
+def read(connection):
+    answer = connection.recv(65536).decode()
+    return int(answer.split()[1]), answer
+
+
+@then("the call is refused with 503 and code {code:d}")
+def refused(context, code):
+    status, answer = context.answer
+    assert status == 503, answer
+    assert f"Mothshunt-Code: {code}\r\nMothshunt-Ran: no\r\n" in answer, answer
+
+
+@then("the call is answered with 200")
+def answered(context):
+    assert context.answer[0] == 200, context.answer
+
+
+@then('availability zone "{zone}" stays evacuated')
+def stays_evacuated(context, zone):
+    time.sleep(SETTLED_S)
+    assert evacuated(context.admin) == (zone,)
+
+
+@then('availability zone "{zone}" isn\'t evacuated')
+def not_evacuated(context, zone):
+    assert evacuated(context.admin) == ()
+
+
+def evacuated(admin):
+    return admin.loop.run(admin.control.routing.async_evacuated_zones()).ok
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+from types import SimpleNamespace
 from urllib.parse import urlencode
 
 from mothshunt.access.token import token_sha256
@@ -17,6 +18,7 @@
 from mothshunt.membership.roster import RosterTable
 from mothshunt.metrics.registry import Metrics
 from mothshunt.rate_limit.state import RateLimits
+from mothshunt.receipt.coordinator import CallReceiver
 from mothshunt.registry.coordinator import RegistryFollower, RegistryPublisher
 from mothshunt.registry.intake import TargetIntake
 from mothshunt.routing.coordinator import RoutingCoordinator
@@ -65,6 +67,7 @@
         self.source = FakeSource(self.state)
         self.targets = FakeTargets()
         self.metrics = Metrics()
+        self.receiver = CallReceiver(self.clock)
         self.ready = True
         self.token = BOOTSTRAP_TOKEN
 
@@ -81,6 +84,8 @@
             is_ready=lambda: self.ready,
             clock=self.clock,
         )
+        self.loop.run(self.receiver.async_start())
+        self._stack.callback(lambda: self.loop.run(self.receiver.async_stop()))
         self.loop.run(server.async_start())
         self._stack.callback(lambda: self.loop.run(server.async_stop()))
         return server.port
@@ -98,7 +103,11 @@
             targets=self.targets,
             clock=self.clock,
         )
-        return Operations(configuration=configuration, routes=routes)
+        return Operations(
+            configuration=configuration,
+            routes=routes,
+            receiver=self.receiver,
+        )
 
     def routed_operations(self, configuration):
         routing = RoutingCoordinator(self.state, self.log)
@@ -110,8 +119,13 @@
             primary_entries=lambda: (),
             control_peers=lambda: (),
         )
+        intake = TargetIntake(publisher, routing)
+        # What the platform's calls need of a control instance.
+        self.control = SimpleNamespace(
+            routing=routing, intake=intake, receiver=self.receiver
+        )
         targets = TargetHandlers(
-            intake=TargetIntake(publisher, routing),
+            intake=intake,
             rate_limits=RateLimits(),
             settings=RoutingSettings(),
             clock=self.clock,
@@ -128,7 +142,11 @@
                 EntryLookup(RosterTable(), 2.0, self.metrics), self.clock
             ),
         )
-        return Operations(configuration=configuration, routes=routes)
+        return Operations(
+            configuration=configuration,
+            routes=routes,
+            receiver=self.receiver,
+        )
 
 
 def ask(port, method, path, query=None, body=None, token=None):
