Evacuations: the base of a call is what was in force when it was received

A call to the administration API waits while the instance reads the operators as a majority holds them, up to some seconds. If its caller goes on to another instance meanwhile without closing the connection, and its later calls are confirmed, the first call undoes them.

Change: the receipt holds the revision in force when the call was received, and no younger one is used as its base. The log refuses the call with 2706 (503) unless it changes nothing. The format of the command stays as it is.

Measured: the scenario "The caller is served elsewhere while this instance reads its rights" of receipt/late_calls got 200 without the change of routing/coordinator, and the zone was taken back; now 2706, and the zone stays evacuated.

--- a/mothshunt/daemon/control.py
+++ b/mothshunt/daemon/control.py
@@ -79,7 +79,7 @@
             presence=presence,
             ledger=ledger,
             grantor=grantor,
-            receiver=CallReceiver(clock),
+            receiver=CallReceiver(clock, lambda: state.store.revision),
         )
 
     async def async_start(self) -> None:
--- a/mothshunt/daemon/routed_control.py
+++ b/mothshunt/daemon/routed_control.py
@@ -177,7 +177,7 @@
             load_board=LoadBoardService(network, roster.primary_entries, clock),
             attachments=attachments,
             network=network,
-            receiver=CallReceiver(clock),
+            receiver=CallReceiver(clock, lambda: state.store.revision),
             _state=state,
         )
 
--- a/mothshunt/receipt/coordinator.py
+++ b/mothshunt/receipt/coordinator.py
@@ -1,11 +1,13 @@
 """Receipt of calls at an HTTP server."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
 from mothshunt.core.clock import Clock
+from mothshunt.core.types import Revision
 from mothshunt.helpers import log, transports
 from mothshunt.helpers.tasks import async_cancel, start_background
 from mothshunt.receipt import const
@@ -19,9 +21,11 @@
     """Receiver of calls, which watches the process for suspensions.
 
     :param clock: Source of the current time.
+    :param revision: Returns the revision of the configuration here.
     """
 
     clock: Clock
+    revision: Callable[[], Revision]
     _watch: SuspensionWatch = field(default_factory=SuspensionWatch)
     _watching: asyncio.Task[None] | None = None
 
@@ -44,6 +48,7 @@
             return transport is None or transports.is_closed_by_peer(transport)
 
         return Receipt(
+            revision=self.revision(),
             longest_wait_s=self._watch.longest_wait_s(self.clock.monotonic()),
             has_caller_left=has_caller_left,
         )
--- a/mothshunt/receipt/model.py
+++ b/mothshunt/receipt/model.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from mothshunt.configuration.model import NO_REVISION
 from mothshunt.core.codes import Failure
+from mothshunt.core.types import Revision
 from mothshunt.receipt import codes, const
 
 
@@ -15,11 +17,14 @@
     calls after it. Run once these are confirmed, a call that names no base revision
     would undo them.
 
+    :param revision: Revision of the configuration here when the call was received. It
+        is the newest base on which the call may be run.
     :param longest_wait_s: Maximum time for which the call may have waited unread, in
         seconds.
     :param has_caller_left: Returns whether the caller has closed its connection.
     """
 
+    revision: Revision
     longest_wait_s: float
     has_caller_left: Callable[[], bool]
 
@@ -37,4 +42,6 @@
 
 
 #: Receipt of a call to an instance that runs no changes.
-UNWATCHED = Receipt(longest_wait_s=float("inf"), has_caller_left=lambda: False)
+UNWATCHED = Receipt(
+    revision=NO_REVISION, longest_wait_s=float("inf"), has_caller_left=lambda: False
+)
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -137,7 +137,7 @@
             operator=operator,
             availability_zone=zone,
             is_evacuated=is_evacuated,
-            base_revision=self.state.store.revision_of(key),
+            base_revision=min(self.state.store.revision_of(key), receipt.revision),
         )
         match await self._async_propose(command, EvacuationOutcome):
             case Result(tag="ok", ok=EvacuationOutcome(is_accepted=True) as outcome):
--- a/tests/receipt/late_calls.feature
+++ b/tests/receipt/late_calls.feature
@@ -40,3 +40,12 @@
       | blocked_s | pause_s |
       | 0.2       | 0       |
       | 0.7       | 0.6     |
+
+  Scenario: The caller is served elsewhere while this instance reads its rights
+    Guards against a base that is younger than the call.
+    Given the operator "budi" was made with the grants "*=drain"
+    When reads of the log take 0.3 s, and 0.1 s after a call begins
+      | caller sends            | administration DELETE /v1/evacuations/north-a by budi |
+      | other instances confirm | take back north-a, evacuate north-a                   |
+    Then the call is refused with 503 and code 2706
+    And availability zone "north-a" stays evacuated
--- a/tests/steps/receipt_late_calls.py
+++ b/tests/steps/receipt_late_calls.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from mothshunt.configuration.model import ItemKey, Section
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.platform.endpoints import ControlEndpoints
 from mothshunt.platform.readiness import refuse_malformed
@@ -20,7 +21,8 @@
 @given("a control instance with an administration API and the platform's calls")
 def control_instance(context):
     admin = context.admin = AdminDeployment(context.stack, is_routed=True)
-    context.port_by_interface = {"administration": admin.start()}
+    context.admin_port = admin.start()
+    context.port_by_interface = {"administration": context.admin_port}
     endpoints = ControlEndpoints(admin.control, {ZONE: "north"})
     listener = HttpListener(
         host="127.0.0.1",
@@ -42,11 +44,13 @@
     """Apply changes of zones that other control instances had committed."""
     for change in filter(None, changes.split(", ")):
         admin.log.index += 1
+        zone = change.split()[-1]
+        key = ItemKey(section=Section.EVACUATION, name=zone)
         command = SetEvacuation(
             operator="op",
-            availability_zone=change.split()[-1],
+            availability_zone=zone,
             is_evacuated=change.startswith("evacuate"),
-            base_revision=admin.state.store.revision,
+            base_revision=admin.state.store.revision_of(key),
         )
         assert admin.state.apply(admin.log.index, command).is_accepted
 
@@ -74,19 +78,31 @@
         context.answer = read(connection)
 
 
+@when("reads of the log take {read_s:g} s, and {pause_s:g} s after a call begins")
+def slow_reads(context, read_s, pause_s):
+    what = dict([context.table.headings, *context.table.rows])
+    context.admin.log.read_s = read_s
+    context.call, _, name = what["caller sends"].partition(" by ")
+    connection = send(context, context.token_by_operator[name])
+    time.sleep(pause_s)
+    confirmed = what["other instances confirm"]
+    context.admin.loop.call(confirm, context.admin, confirmed)
+    context.answer = read(connection)
+
+
 @when("{pause_s:g} s later the same call is sent again")
 def sent_again(context, pause_s):
     time.sleep(pause_s)
     context.answer = read(send(context))
 
 
-def send(context):
+def send(context, token=None):
     interface, method, path = context.call.split()
     address = ("127.0.0.1", context.port_by_interface[interface])
     connection = socket.create_connection(address, timeout=5.0)
     context.stack.callback(connection.close)
     head = f"{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n"
-    token = f"Authorization: Bearer {context.admin.token}\r\n"
+    token = f"Authorization: Bearer {token or context.admin.token}\r\n"
     connection.sendall(f"{head}{token}\r\n".encode())
     return connection
 
--- a/tests/support/admin_deployment.py
+++ b/tests/support/admin_deployment.py
@@ -67,7 +67,7 @@
         self.source = FakeSource(self.state)
         self.targets = FakeTargets()
         self.metrics = Metrics()
-        self.receiver = CallReceiver(self.clock)
+        self.receiver = CallReceiver(self.clock, lambda: self.state.store.revision)
         self.ready = True
         self.token = BOOTSTRAP_TOKEN
 
