Targets: a leave that is read late doesn't retire a start after it

A target that had left and started again under its name would get no requests: a control instance that had been frozen carried out the leave that the target had sent there first.

Cause: a leave that names no incarnation is for the newest one that is known when the call is handled. An instance that wakes learns of the new start first.

Change: such a leave is refused with 1202 (503, ran no) where the process was suspended for 0.5 s or more when the call may have arrived. A leave that names its incarnation is carried out as before, and so is one whose target has closed the connection without a suspension: a target that exits need not wait for the response.

Measured: the scenario "The target has left elsewhere and started again" of receipt/late_calls, by the platform's call and by the administration API: 200 and the new incarnation retired without the check in registry/intake, now 503 and no target retired.

--- a/mothshunt/admin/targets.py
+++ b/mothshunt/admin/targets.py
@@ -103,7 +103,7 @@
         if body.is_error():
             return Error(body.error)
         target = TargetId(call.path_values[ATTR_TARGET])
-        left = await self._intake.async_leave(target, body.ok.incarnation)
+        left = await self._intake.async_leave(target, body.ok.incarnation, call.receipt)
         if left.is_error():
             return Error(Refusal(failure=left.error))
         return Ok(Reply(body=LeaveDocument()))
--- a/mothshunt/platform/endpoints.py
+++ b/mothshunt/platform/endpoints.py
@@ -89,11 +89,15 @@
         )
         return _answer(await self.control.intake.async_renew(renewal))
 
-    async def _async_leave(self, target: str, body: bytes, _: Receipt) -> web.Response:
+    async def _async_leave(
+        self, target: str, body: bytes, receipt: Receipt
+    ) -> web.Response:
         document = documents.read_json(body) if body.strip() else {}
         incarnation = documents.read_incarnation(document)
         return _answer(
-            await self.control.intake.async_leave(TargetId(target), incarnation)
+            await self.control.intake.async_leave(
+                TargetId(target), incarnation, receipt
+            )
         )
 
     async def _async_evacuate(
--- a/mothshunt/receipt/model.py
+++ b/mothshunt/receipt/model.py
@@ -35,6 +35,13 @@
         """
         if self.has_caller_left():
             return Failure(code=codes.CALLER_LEFT)
+        return self.find_age_refusal()
+
+    def find_age_refusal(self) -> Failure | None:
+        """Return why a call must not be run even if its caller needs no response.
+
+        :return: A failure with code 1202, or ``None``.
+        """
         if self.longest_wait_s >= const.MIN_SUSPENSION_S:
             detail = f"received up to {self.longest_wait_s:.1f} s ago"
             return Failure(code=codes.CALL_OUTDATED, detail=detail)
--- a/mothshunt/registry/intake.py
+++ b/mothshunt/registry/intake.py
@@ -8,6 +8,7 @@
 from mothshunt.core.codes import Failure
 from mothshunt.core.types import Incarnation, TargetId
 from mothshunt.helpers.log import get_logger
+from mothshunt.receipt.model import Receipt
 from mothshunt.registry.coordinator import RegistryPublisher
 from mothshunt.registry.messages import Renewal, RenewalState
 from mothshunt.routing import codes
@@ -55,16 +56,22 @@
         return retired.map(lambda _: None)
 
     async def async_leave(
-        self, target: TargetId, incarnation: Incarnation | None
+        self, target: TargetId, incarnation: Incarnation | None, receipt: Receipt
     ) -> Result[None, Failure]:
         """Commit that a target has left.
 
         :param target: Name of the target.
         :param incarnation: Incarnation that left. ``None`` stands for the newest known
             one or, if the target is not known, for all that started before now.
-        :return: Nothing, or a failure with code 2704 if no majority has stored it.
+        :param receipt: Receipt of the target's call.
+        :return: Nothing; or a failure with code 1202 if the target may have started
+            again since, or 2704 if no majority has stored it.
         """
         if incarnation is None:
+            refusal = receipt.find_age_refusal()
+            if refusal is not None:
+                _LOGGER.failure(f"leave of target {target!a:.80} refused", refusal)
+                return Error(refusal)
             incarnation = self._newest_incarnation(target)
         retired = await self.routing.async_retire(
             target, incarnation, RetiredState.LEFT
--- a/tests/receipt/late_calls.feature
+++ b/tests/receipt/late_calls.feature
@@ -49,3 +49,23 @@
       | other instances confirm | take back north-a, evacuate north-a                   |
     Then the call is refused with 503 and code 2706
     And availability zone "north-a" stays evacuated
+
+  Scenario Outline: The target has left elsewhere and started again
+    Guards against the leave of a start that the target didn't know of.
+    Given target "t1" has incarnation 1
+    When the event loop is blocked for 0.7 s, and in this time
+      | caller sends            | <call>                    |
+      | other instances confirm | incarnation 2 of target t1 |
+    Then the call is refused with 503 and code 1202
+    And no target is retired
+
+    Examples:
+      | call                                   |
+      | platform POST /-/Instances.Deregister/t1    |
+      | administration DELETE /v1/targets/t1   |
+
+  Scenario: A target doesn't wait for the response to its leave
+    Given target "t1" has incarnation 1
+    When the event loop is blocked for 0.3 s, and in this time
+      | caller sends and closes | platform POST /-/Instances.Deregister/t1 |
+    Then target "t1" is retired
--- a/tests/steps/receipt_late_calls.py
+++ b/tests/steps/receipt_late_calls.py
@@ -10,6 +10,7 @@
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.platform.endpoints import ControlEndpoints
 from mothshunt.platform.readiness import refuse_malformed
+from mothshunt.registry.messages import Renewal
 from mothshunt.routing.messages import SetEvacuation
 from tests.support.admin_deployment import AdminDeployment
 
@@ -41,8 +42,11 @@
 
 
 def confirm(admin, changes):
-    """Apply changes of zones that other control instances had committed."""
+    """Apply what other control instances sent: changes of zones, and renewals."""
     for change in filter(None, changes.split(", ")):
+        if change.startswith("incarnation"):
+            renew(admin, change.split()[-1], int(change.split()[1]))
+            continue
         admin.log.index += 1
         zone = change.split()[-1]
         key = ItemKey(section=Section.EVACUATION, name=zone)
@@ -55,6 +59,41 @@
         assert admin.state.apply(admin.log.index, command).is_accepted
 
 
+@given('target "{target}" has incarnation {incarnation:d}')
+def target_has(context, target, incarnation):
+    context.admin.loop.call(renew, context.admin, target, incarnation)
+
+
+def renew(admin, target, incarnation):
+    renewal = Renewal(
+        target=target,
+        incarnation=incarnation,
+        sequence=1,
+        service="stock",
+        host="127.0.0.1",
+        port=8080,
+        region="north",
+        availability_zone=ZONE,
+    )
+    admin.control.intake.publisher.renew(renewal)
+
+
+@then('target "{target}" is retired')
+def target_is_retired(context, target):
+    time.sleep(SETTLED_S)
+    assert retired(context.admin) == [target]
+
+
+@then("no target is retired")
+def no_target_is_retired(context):
+    assert retired(context.admin) == []
+
+
+def retired(admin):
+    items = admin.state.store.present_items(Section.RETIRED_TARGET)
+    return [item.key.name for item in items]
+
+
 @when("the event loop is blocked for {blocked_s:g} s, and in this time")
 def blocked(context, blocked_s):
     what = dict([context.table.headings, *context.table.rows])
