Voters: a call that is read late changes no voters

An operator whose call was not answered removes and adds a voter again by way of other instances; the instance that was asked first was frozen, and removes the voter a second time when it wakes.

Cause: calls that add or remove a voter name no base. They are based on the voters that a majority confirms when the call is handled.

Change: they are refused like evacuations, with 1201 or 1202 (503, ran no). The receipt is looked at after the wait for the majority, in which the caller may leave too.

Measured: the scenario "A voter was removed and added again, or added and removed, elsewhere" of receipt/late_calls fails in 4 of 4 examples without the check in admin/voters, and passes now.

--- a/mothshunt/admin/voters.py
+++ b/mothshunt/admin/voters.py
@@ -12,6 +12,7 @@
 from mothshunt.consensus.model import ConsensusStatus, ReplicatedLog, Voter
 from mothshunt.core.types import InstanceId, Role
 from mothshunt.membership.model import InstanceRecord
+from mothshunt.receipt.model import Receipt
 from mothshunt.settings.config import MAX_CONTROL_INSTANCES
 
 
@@ -76,7 +77,7 @@
         voter = _voter(body.ok, record)
         if voter is None:
             return refuse(codes.VOTER_UNKNOWN, f"no peer address of {body.ok.id}")
-        status = await self._async_confirmed_status()
+        status = await self._async_status_for_change(call.receipt)
         if status.is_error():
             return Error(status.error)
         if voter in status.ok.voters:
@@ -91,7 +92,7 @@
 
     async def _async_remove(self, call: Call[ReadQuery]) -> Result[Reply, Refusal]:
         id = InstanceId(call.path_values[ATTR_VOTER])
-        status = await self._async_confirmed_status()
+        status = await self._async_status_for_change(call.receipt)
         if status.is_error():
             return Error(status.error)
         if id not in _member_ids(status.ok):
@@ -105,6 +106,19 @@
             return Error(Refusal(failure=removed.error))
         return Ok(_reply(id, removed.ok))
 
+    async def _async_status_for_change(
+        self, receipt: Receipt
+    ) -> Result[ConsensusStatus, Refusal]:
+        """Return the status that a change is based on, unless it came too late.
+
+        :param receipt: Receipt of the operator's call.
+        """
+        status = await self._async_confirmed_status()
+        refusal = receipt.find_refusal()
+        if refusal is not None:
+            return Error(Refusal(failure=refusal))
+        return status
+
     async def _async_confirmed_status(self) -> Result[ConsensusStatus, Refusal]:
         # An instance that was removed hears of no later change, its own included.
         confirmed = await self._log.async_read_barrier(CONFIRM_TIMEOUT_S)
--- a/tests/receipt/late_calls.feature
+++ b/tests/receipt/late_calls.feature
@@ -69,3 +69,17 @@
     When the event loop is blocked for 0.3 s, and in this time
       | caller sends and closes | platform POST /-/Instances.Deregister/t1 |
     Then target "t1" is retired
+
+  Scenario Outline: A voter was removed and added again, or added and removed, elsewhere
+    Guards against changes of the voters by callers that were served elsewhere.
+    Given the names of the voters are <before>
+    When the event loop is blocked for <blocked_s> s, and in this time
+      | <sent> | <call> |
+    Then the names of the voters stay <before>
+
+    Examples:
+      | before | blocked_s | sent                    | call                                |
+      | a1, b1 | 0.3       | caller sends and closes | administration DELETE /v1/voters/b1 |
+      | a1, b1 | 0.7       | caller sends            | administration DELETE /v1/voters/b1 |
+      | a1     | 0.3       | caller sends and closes | administration POST /v1/voters {"id": "b1", "host": "127.0.0.1", "port": 2} |
+      | a1     | 0.7       | caller sends            | administration POST /v1/voters {"id": "b1", "host": "127.0.0.1", "port": 2} |
--- a/tests/steps/receipt_late_calls.py
+++ b/tests/steps/receipt_late_calls.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from mothshunt.configuration.model import ItemKey, Section
+from mothshunt.consensus.model import Voter
 from mothshunt.helpers.http_listener import HttpListener
 from mothshunt.platform.endpoints import ControlEndpoints
 from mothshunt.platform.readiness import refuse_malformed
@@ -136,13 +137,15 @@
 
 
 def send(context, token=None):
-    interface, method, path = context.call.split()
+    interface, method, path, *body = context.call.split(" ", 3)
+    content = "".join(body)
     address = ("127.0.0.1", context.port_by_interface[interface])
     connection = socket.create_connection(address, timeout=5.0)
     context.stack.callback(connection.close)
-    head = f"{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Length: 0\r\n"
+    head = f"{method} {path} HTTP/1.1\r\nHost: control\r\n"
+    length = f"Content-Length: {len(content)}\r\n"
     token = f"Authorization: Bearer {token or context.admin.token}\r\n"
-    connection.sendall(f"{head}{token}\r\n".encode())
+    connection.sendall(f"{head}{length}{token}\r\n{content}".encode())
     return connection
 
 
@@ -176,3 +179,16 @@
 
 def evacuated(admin):
     return admin.loop.run(admin.control.routing.async_evacuated_zones()).ok
+
+
+@given("the names of the voters are {names}")
+def voters_are(context, names):
+    context.admin.log.voters = tuple(
+        Voter(id=name, host="127.0.0.1", port=1) for name in names.split(", ")
+    )
+
+
+@then("the names of the voters stay {names}")
+def voters_stay(context, names):
+    time.sleep(SETTLED_S)
+    assert ", ".join(voter.id for voter in context.admin.log.voters) == names
