Evacuations: a call that the network held up doesn't reverse a later one

No process is frozen here: the link from the operator to one control instance is cut for longer than the operator waits, and its call arrives when the link is back, just before the close of its connection does.

Change: an order that reverses an evacuation, or a take-back, waits for 0.2 s before it is proposed, and is refused with 1201 if its caller has closed by then. Its base stays that of the time of its receipt, and the wait is part of the 0.95 s of the commit. A first evacuation of a zone, and an order that changes nothing, don't wait. A close that comes later still, or never, is not noticed.

--- a/mothshunt/routing/const.py
+++ b/mothshunt/routing/const.py
@@ -15,3 +15,6 @@
 #: Longest wait for the commit of a call, in seconds; after one second without an
 #: answer, callers try another control instance.
 COMMIT_TIMEOUT_S = 0.95
+#: Wait before an evacuation is reversed, in seconds: where the network held up a call,
+#: the caller's close of the connection arrives up to a round trip after it.
+REVERSAL_DELAY_S = 0.2
--- a/mothshunt/routing/coordinator.py
+++ b/mothshunt/routing/coordinator.py
@@ -1,5 +1,6 @@
 """Changes and confirmed reads of the routing items at a control instance."""
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -128,18 +129,23 @@
         :return: Revision of the change; or a failure with code 1201, 1202, 2704 or
             2706.
         """
+        key = ItemKey(section=Section.EVACUATION, name=zone)
+        delay_s = self._reversal_delay_s(key, is_evacuated)
         refusal = receipt.find_refusal()
+        if refusal is None:
+            await asyncio.sleep(delay_s)
+            refusal = receipt.find_refusal()
         if refusal is not None:
             _LOGGER.failure(f"evacuation call for {zone} refused", refusal)
             return Error(refusal)
-        key = ItemKey(section=Section.EVACUATION, name=zone)
         command = SetEvacuation(
             operator=operator,
             availability_zone=zone,
             is_evacuated=is_evacuated,
             base_revision=min(self.state.store.revision_of(key), receipt.revision),
         )
-        match await self._async_propose(command, EvacuationOutcome):
+        timeout_s = const.COMMIT_TIMEOUT_S - delay_s
+        match await self._async_propose(command, EvacuationOutcome, timeout_s):
             case Result(tag="ok", ok=EvacuationOutcome(is_accepted=True) as outcome):
                 log.write(
                     EvacuationSet(
@@ -152,6 +158,13 @@
             case Result(error=failure):
                 return Error(failure)
 
+    def _reversal_delay_s(self, key: ItemKey, is_evacuated: bool) -> float:
+        evacuations = self._decoder.values(self.state.store, Section.EVACUATION)
+        stored = evacuations.get(key.name)
+        if stored is None or stored.is_evacuated is is_evacuated:
+            return 0.0
+        return const.REVERSAL_DELAY_S
+
     async def async_retire(
         self, target: TargetId, incarnation: Incarnation, state: RetiredState
     ) -> Result[Revision, Failure]:
@@ -185,11 +198,9 @@
         return outcome.map(lambda recorded: recorded.revision)
 
     async def _async_propose(
-        self, command: object, kind: type[T]
+        self, command: object, kind: type[T], timeout_s: float = const.COMMIT_TIMEOUT_S
     ) -> Result[T, Failure]:
-        proposed = await self.log.async_propose(
-            wire.pack(command), const.COMMIT_TIMEOUT_S
-        )
+        proposed = await self.log.async_propose(wire.pack(command), timeout_s)
         if proposed.is_error():
             return Error(_not_committed(proposed.error))
         unpacked: Result[Any, Failure] = wire.unpack(proposed.ok)
--- a/tests/receipt/late_calls.feature
+++ b/tests/receipt/late_calls.feature
@@ -41,6 +41,17 @@
       | 0.2       | 0       |
       | 0.7       | 0.6     |
 
+  Scenario Outline: The network holds up a call for longer than its caller waits
+    Guards against a call that arrives late, just before the caller's close does.
+    Given the other instances confirm "take back north-a, evacuate north-a"
+    When the caller sends "<call>", and closes 0.1 s later
+    Then availability zone "north-a" stays evacuated
+
+    Examples:
+      | call                                          |
+      | platform POST /-/Evacuate.Finish/north-a      |
+      | administration DELETE /v1/evacuations/north-a |
+
   Scenario: The caller is served elsewhere while this instance reads its rights
     Guards against a base that is younger than the call.
     Given the operator "budi" was made with the grants "*=drain"
--- a/tests/steps/receipt_late_calls.py
+++ b/tests/steps/receipt_late_calls.py
@@ -60,6 +60,19 @@
         assert admin.state.apply(admin.log.index, command).is_accepted
 
 
+@given('the other instances confirm "{changes}"')
+def others_confirm(context, changes):
+    context.admin.loop.call(confirm, context.admin, changes)
+
+
+@when('the caller sends "{call}", and closes {pause_s:g} s later')
+def sends_and_closes(context, call, pause_s):
+    context.call = call
+    connection = send(context)
+    time.sleep(pause_s)
+    connection.close()
+
+
 @given('target "{target}" has incarnation {incarnation:d}')
 def target_has(context, target, incarnation):
     context.admin.loop.call(renew, context.admin, target, incarnation)
