--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -14,6 +14,7 @@
 import socket
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -25,6 +26,8 @@
 READY_PORT = 8640
 DIRECTORY_PORT = 8644
 PEER_PORTS = [7620, 7635]
+#: Longest time of a case, in seconds.
+LIMIT_S = 110.0
 BOUNDS = {
     "seed_lag": "3s",
     "addr_reuse": "2s",
@@ -259,6 +262,28 @@
                 await asyncio.sleep(0.1)
 
 
+def run_case(main: Callable[[], Awaitable[int]]) -> int:
+    """Run a case; return its exit code, 2 where it failed for a reason of its own.
+
+    :param main: The case, which ends its processes when it is cancelled.
+    """
+
+    async def limited() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(LIMIT_S):
+            return await main()
+
+    try:
+        return asyncio.run(limited())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+
+
 def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
