--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -26,6 +26,9 @@
 READY_PORT = 8640
 DIRECTORY_PORT = 8644
 PEER_PORTS = [7620, 7635]
+SERVER_PORT = 8080
+#: The last is that of the metrics in the deploy file.
+INSTANCE_PORTS = (CONTROL_PORT, FRONT_PORT, READY_PORT, DIRECTORY_PORT, 7620, 9464)
 #: Longest time of a case, in seconds.
 LIMIT_S = 110.0
 BOUNDS = {
@@ -133,7 +136,10 @@
         zones = list(ZONES)
         for _ in range(50):
             net = f"127.{random.randint(16, 250)}.{random.randint(1, 250)}"
-            if _is_free(f"{net}.1", CONTROL_PORT) and _is_free(f"{net}.101", 8641):
+            hosts = [*range(1, self.cores + 1), *range(101, 101 + self.edges)]
+            needed = [(f"{net}.{h}", p) for h in hosts for p in INSTANCE_PORTS]
+            needed += [(f"{net}.{h}", SERVER_PORT) for h in range(201, 221)]
+            if all(_is_free(host, port) for host, port in needed):
                 self.net = net
                 break
         else:
@@ -547,7 +553,7 @@
     ip: str
     zone: str
     handler: Handler
-    port: int = 8080
+    port: int = SERVER_PORT
     slots: int = 8
     state: str = "ready"
     beats: bool = True
